--- /dev/null
+++ b/packages/model/src/crowrudder_model/declared/_declaration.py
@@ -0,0 +1,92 @@
+"""Everything that is declared, as one value."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from attrs import field, frozen
+
+from crowrudder_model.declared._parts import (
+    Adapter,
+    Customer,
+    Model,
+    Part,
+    Service,
+    Version,
+)
+from crowrudder_model.declared._rules import Digest, Whole, rule
+
+MOST_GENERATION = (1 << 53) - 1
+
+PartT = TypeVar('PartT', Service, Model, Version, Adapter, Customer)
+
+
+@frozen
+class Declaration:
+    """A generation of the declared configuration.
+
+    The parts stand in the order of their names once they come out of
+    the files or out of a bundle.
+
+    >>> Declaration(1, models=(Model('listing'),)).model('listing')
+    Model(name='listing')
+    """
+
+    generation: int = field(
+        metadata=rule(
+            Whole(1, MOST_GENERATION),
+            'counts up; the higher one is in force',
+        ),
+    )
+    parent: str = field(
+        default='',
+        metadata=rule(
+            Digest(may_be_empty=True),
+            'digest of the bundle that this one follows; empty: the first',
+        ),
+    )
+    services: tuple[Service, ...] = ()
+    models: tuple[Model, ...] = ()
+    versions: tuple[Version, ...] = ()
+    adapters: tuple[Adapter, ...] = ()
+    customers: tuple[Customer, ...] = ()
+
+    def service(self, name: str) -> Service | None:
+        """Look up a service by its name."""
+        return _named(self.services, name)
+
+    def service_of_model(self, model: str) -> Service | None:
+        """Look up the one service that serves a model."""
+        serving = (item for item in self.services if item.model == model)
+        return next(serving, None) if model else None
+
+    def model(self, name: str) -> Model | None:
+        """Look up a model by its name."""
+        return _named(self.models, name)
+
+    def version(self, name: str) -> Version | None:
+        """Look up a version by its name."""
+        return _named(self.versions, name)
+
+    def adapter(self, name: str) -> Adapter | None:
+        """Look up an adapter by its name."""
+        return _named(self.adapters, name)
+
+    def customer(self, name: str) -> Customer | None:
+        """Look up a customer by its name."""
+        return _named(self.customers, name)
+
+    def parts(self) -> tuple[Part, ...]:
+        """Give every declared part, kind after kind."""
+        return (
+            *self.services,
+            *self.models,
+            *self.versions,
+            *self.adapters,
+            *self.customers,
+        )
+
+
+def _named(parts: Iterable[PartT], name: str) -> PartT | None:
+    return next((part for part in parts if part.name == name), None)
