--- a/tests/model/test_declared.py
+++ b/tests/model/test_declared.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import random
+from typing import Any
 
 import msgspec
 import pytest
@@ -159,7 +160,7 @@
     )
     def test_fault_names_section_and_key(
         self,
-        change: dict[str, object],
+        change: dict[str, Any],
         section: str,
         key: str,
     ) -> None:
