Declared files: reader, checks before publication, reference page, example

The data classes' rules drive the reader, the faults' texts, the defaults and docs/reference/declared-files.md; a test compares the page with them. Faults of all files are collected; a file that can't be parsed as INI stops only the cross-checks, as each of its sections would look undeclared.

Only a publication can have some faults: a wrong parent or generation, a deletion of what the bundle before uses, other weights under an old version name, replicas without hosts, rates beyond the slots, over a megabyte.

--- a/packages/model/src/crowrudder_model/declared/__init__.py
+++ b/packages/model/src/crowrudder_model/declared/__init__.py
@@ -11,6 +11,8 @@
 )
 from crowrudder_model.declared._checks import Fault, faults_of, section_of
 from crowrudder_model.declared._declaration import Declaration
+from crowrudder_model.declared._difference import Change, difference
+from crowrudder_model.declared._files import Reading, read_files
 from crowrudder_model.declared._parts import (
     Adapter,
     Customer,
@@ -19,6 +21,9 @@
     Service,
     Version,
 )
+from crowrudder_model.declared._publishing import publishing_faults
+from crowrudder_model.declared._reference import reference_page
+from crowrudder_model.declared._sections import ini_of
 from crowrudder_model.declared.placement import eligible, place
 
 __all__ = (
@@ -26,19 +31,26 @@
     'Adapter',
     'Bundle',
     'BundleError',
+    'Change',
     'Customer',
     'Declaration',
     'Fault',
     'Model',
     'Part',
+    'Reading',
     'Service',
     'Version',
     'bundle_of',
     'decode_bundle',
+    'difference',
     'digest_of',
     'eligible',
     'encode_bundle',
     'faults_of',
+    'ini_of',
     'place',
+    'publishing_faults',
+    'read_files',
+    'reference_page',
     'section_of',
 )
--- a/packages/model/src/crowrudder_model/declared/_bundle.py
+++ b/packages/model/src/crowrudder_model/declared/_bundle.py
@@ -9,6 +9,7 @@
 
 from crowrudder_model.declared._checks import faults_of
 from crowrudder_model.declared._declaration import Declaration
+from crowrudder_model.declared._sections import in_order
 
 MOST_BUNDLE_BYTES = 1_000_000
 SHOWN_FAULTS = 5
@@ -35,13 +36,13 @@
 
 def bundle_of(declaration: Declaration) -> Bundle:
     """Bring a declaration into its canonical order, and name it."""
-    ordered = _in_order(declaration)
+    ordered = in_order(declaration)
     return Bundle(ordered, digest_of(ordered))
 
 
 def digest_of(declaration: Declaration) -> str:
     """Give the SHA-256 of the canonical declaration."""
-    canonical = msgspec.json.encode(_in_order(declaration), order='sorted')
+    canonical = msgspec.json.encode(in_order(declaration), order='sorted')
     return hashlib.sha256(canonical).hexdigest()
 
 
@@ -80,7 +81,7 @@
             f'its content has {digest!r}',
         )
     _refuse_faults(bundle.declaration)
-    return evolve(bundle, declaration=_in_order(bundle.declaration))
+    return evolve(bundle, declaration=in_order(bundle.declaration))
 
 
 def _refuse_oversize(encoded: bytes) -> None:
@@ -96,19 +97,3 @@
     if faults:
         shown = '; '.join(str(fault) for fault in faults[:SHOWN_FAULTS])
         raise BundleError(f'{len(faults)} faults: {shown}')
-
-
-def _in_order(declaration: Declaration) -> Declaration:
-    # Two files in another order declare the same: one digest for both.
-    return evolve(
-        declaration,
-        services=tuple(sorted(declaration.services, key=_name)),
-        models=tuple(sorted(declaration.models, key=_name)),
-        versions=tuple(sorted(declaration.versions, key=_name)),
-        adapters=tuple(sorted(declaration.adapters, key=_name)),
-        customers=tuple(sorted(declaration.customers, key=_name)),
-    )
-
-
-def _name(part: object) -> str:
-    return str(getattr(part, 'name', ''))
--- a/packages/model/src/crowrudder_model/declared/_checks.py
+++ b/packages/model/src/crowrudder_model/declared/_checks.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import fields, frozen
+from attrs import field, fields, frozen
 
 from crowrudder_model.declared._declaration import Declaration
 from crowrudder_model.declared._parts import (
@@ -33,13 +33,14 @@
     key: str
     found: str
     allowed: str
+    file: str = field(default='', kw_only=True)
 
     def __str__(self) -> str:
         """Say where, what was found and what is allowed."""
-        return (
-            f'[{self.section}] {self.key}: found {self.found!r}, '
-            f'allowed: {self.allowed}'
-        )
+        where = f'{self.file}: ' if self.file else ''
+        where += f'[{self.section}] ' if self.section else ''
+        where += f'{self.key}: ' if self.key else ''
+        return f'{where}found {self.found!r}, allowed: {self.allowed}'
 
 
 def section_of(part: Part | Declaration) -> str:
@@ -70,7 +71,7 @@
                 yield Fault(
                     section_of(part),
                     attribute.name,
-                    _shown(found),
+                    shown(found),
                     rule.kind.allowed,
                 )
 
@@ -139,7 +140,7 @@
             yield Fault(
                 section_of(service),
                 attribute.name,
-                _shown(found),
+                shown(found),
                 'nothing in a service of kind `plain`',
             )
 
@@ -190,5 +191,6 @@
             )
 
 
-def _shown(found: object) -> str:
+def shown(found: object) -> str:
+    """Write a value as the files would."""
     return ', '.join(found) if isinstance(found, tuple) else str(found)
--- a/packages/model/src/crowrudder_model/declared/placement.py
+++ b/packages/model/src/crowrudder_model/declared/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 from crowrudder_model._member import Member
@@ -74,13 +75,14 @@
 
     A failure domain that dies then takes no more than its share with it.
     """
-    rounds: dict[str, int] = {}
-    order = []
-    for member in sorted(members, key=lambda item: _rank(service, item)):
-        turn = rounds.get(member.failure_domain, 0)
-        rounds[member.failure_domain] = turn + 1
-        order.append((turn, _rank(service, member), member.host))
-    return [host for _, _, host in sorted(order)]
+    rounds: Counter[str] = Counter()
+    turns = []
+    for rank, member in sorted(
+        (_rank(service, member), member) for member in members
+    ):
+        turns.append((rounds[member.failure_domain], rank, member.host))
+        rounds[member.failure_domain] += 1
+    return [host for _, _, host in sorted(turns)]
 
 
 def _rank(service: str, member: Member) -> tuple[int, str]:
--- a/tests/model/test_declared.py
+++ b/tests/model/test_declared.py
@@ -61,7 +61,7 @@
 
     def test_every_half_value_is_refused(self) -> None:
         whole = encode_bundle(SMALL)
-        for end in range(len(whole)):
+        for end, _ in enumerate(whole):
             with pytest.raises(BundleError):
                 decode_bundle(whole[:end])
 
