--- a/packages/model/src/crowrudder_model/declared/placement.py
+++ b/packages/model/src/crowrudder_model/declared/placement.py
@@ -77,12 +77,12 @@
     """
     rounds: Counter[str] = Counter()
     turns = []
-    for rank, member in sorted(
-        (_rank(service, member), member) for member in members
+    for rank, domain in sorted(
+        (_rank(service, member), member.failure_domain) for member in members
     ):
-        turns.append((rounds[member.failure_domain], rank, member.host))
-        rounds[member.failure_domain] += 1
-    return [host for _, _, host in sorted(turns)]
+        turns.append((rounds[domain], rank))
+        rounds[domain] += 1
+    return [host for _, (_, host) in sorted(turns)]
 
 
 def _rank(service: str, member: Member) -> tuple[int, str]:
