--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/settings/_sections.py
@@ -0,0 +1,128 @@
+"""The sections of the file; each key has its kind and meaning beside it.
+
+These classes are the one table from which the check, the defaults and the
+reference page follow.
+"""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from crowrudder_daemon.settings._kinds import (
+    decimal,
+    endpoint,
+    ip_number,
+    name,
+    port,
+    whole,
+    word,
+)
+from crowrudder_daemon.settings._schema import Scope, key
+
+MOST_BYTES = 2**50
+MOST_COUNT = 1_000_000
+HOUR_S = 3600
+
+
+@frozen(kw_only=True)
+class ProcessSection:
+    """Who this process is and where it listens.
+
+    `http_port` is 0 in an agent, which has no callers.
+    """
+
+    role: str = key(word('entry', 'agent'))
+    host: str = key(name())
+    address: str = key(ip_number())
+    rpc_port: int = key(port())
+    admin_port: int = key(port())
+    http_port: int = key(port(), scope=Scope.ENTRY, absent=0)
+    region: str = key(name())
+    failure_domain: str = key(name())
+
+
+@frozen(kw_only=True)
+class PlatformSection:
+    """Where configuration and member list are read, and how often."""
+
+    address: str = key(endpoint())
+    poll_s: float = key(decimal(0.2, 300), default=5.0)
+
+
+@frozen(kw_only=True)
+class UpstreamSection:
+    """The one engine or plain service beside an agent."""
+
+    kind: str = key(word('engine', 'plain'))
+    address: str = key(endpoint())
+    service: str = key(name(), scope=Scope.PLAIN, absent='')
+    fencing: str = key(
+        word('checked', 'ignored'), scope=Scope.ENGINE, absent='ignored'
+    )
+
+
+@frozen(kw_only=True)
+class WeightsSection:
+    """Where weights come from and what moving them may cost.
+
+    `store` is empty where there is none. Beside a plain service the section
+    may be left out: nothing is loaded there.
+    """
+
+    origin: str = key(endpoint(), scope=Scope.ENGINE, absent='')
+    store: str = key(endpoint(empty=True), scope=Scope.ENGINE, absent='')
+    memory_bytes: int = key(
+        whole(1, MOST_BYTES), scope=Scope.ENGINE_NEEDS, absent=0
+    )
+    link_bytes_per_s: int = key(
+        whole(1, MOST_BYTES), scope=Scope.ENGINE_NEEDS, absent=0
+    )
+    upload_slots: int = key(whole(1, 64), default=4)
+
+
+@frozen(kw_only=True)
+class LimitsSection:
+    """What a process takes in at most, and how long it waits."""
+
+    max_body_bytes: int = key(whole(1, 2**30), default=2**20)
+    max_concurrent: int = key(whole(1, MOST_COUNT), default=2000)
+    queue_length: int = key(whole(0, MOST_COUNT), scope=Scope.AGENT, default=64)
+    slots: int = key(whole(1, MOST_COUNT), scope=Scope.AGENT, default=8)
+    default_deadline_s: float = key(
+        decimal(0.01, HOUR_S), scope=Scope.ENTRY, default=30.0
+    )
+    drain_s: float = key(decimal(0, HOUR_S), default=60.0)
+    retry_share: float = key(decimal(0, 1), scope=Scope.ENTRY, default=0.1)
+
+
+@frozen(kw_only=True)
+class LogsSection:
+    """What is written to standard error."""
+
+    level: str = key(word('debug', 'info', 'warning', 'error'), default='info')
+
+
+@frozen(kw_only=True)
+class Settings:
+    """All settings of one process.
+
+    `upstream` and `weights` are None in an entry.
+    """
+
+    process: ProcessSection
+    platform: PlatformSection
+    upstream: UpstreamSection | None = None
+    weights: WeightsSection | None = None
+    limits: LimitsSection = LimitsSection()
+    logs: LogsSection = LogsSection()
+
+
+# Sections in the order of the reference page, with the scope of each.
+SECTIONS: tuple[tuple[str, type, Scope], ...] = (
+    ('process', ProcessSection, Scope.BOTH),
+    ('platform', PlatformSection, Scope.BOTH),
+    ('upstream', UpstreamSection, Scope.AGENT),
+    ('weights', WeightsSection, Scope.AGENT),
+    ('limits', LimitsSection, Scope.BOTH),
+    ('logs', LogsSection, Scope.BOTH),
+)
