The thin whole path: messages, aggregates, entry and agent

An entry routes by lagging reports, an agent queues, asks for a start permit and runs the attempt on its engine or plain service; a lost stream is settled with the same incarnation. Configuration is ordered by (generation, digest).

--- /dev/null
+++ b/packages/core/src/crowrudder_core/requests/_ledger.py
@@ -0,0 +1,180 @@
+"""What an agent remembers of each attempt, so that none starts twice."""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import define, field
+
+from crowrudder_model import InvariantError
+from crowrudder_model.messages import (
+    Attempt,
+    AttemptKey,
+    Refusal,
+    SettledState,
+)
+
+KEEP_S = 600.0
+"""Seconds for which an ended attempt is remembered."""
+
+
+class Stage(enum.IntEnum):
+    """How far an attempt has come; it only rises."""
+
+    QUEUED = 1
+    ASKED = 2
+    PERMITTED = 3
+    STARTED = 4
+    FINISHED = 5
+    REFUSED = 6
+
+
+_ENDED = (Stage.FINISHED, Stage.REFUSED)
+
+
+@define(kw_only=True)
+class Record:
+    """One attempt; times are monotonic seconds of this process."""
+
+    key: AttemptKey
+    idempotent: bool
+    deadline: float
+    stage: Stage
+    ended_at: float = 0
+
+
+@define
+class AgentLedger:
+    """The at-most-once ledger of one agent incarnation.
+
+    Invariant: a request that is not idempotent starts at most once here, and
+    an attempt that was settled as never starting never starts.
+
+    Example
+    -------
+    >>> ledger = AgentLedger()
+    >>> ledger.receive(attempt, now=0.0) is None
+    True
+    """
+
+    records: dict[AttemptKey, Record] = field(factory=dict, init=False)
+    started_ids: dict[str, float] = field(factory=dict, init=False)
+
+    def receive(self, attempt: Attempt, *, now: float) -> Refusal | None:
+        """Take an attempt in, or say why it never starts here."""
+        known = self.records.get(attempt.key)
+        if known is not None:
+            return Refusal(reason='duplicate_message')
+        if not attempt.idempotent and self._ran(attempt.key.request_id):
+            return Refusal(reason='already_started')
+        if attempt.budget_s <= 0:
+            return Refusal(reason='deadline_passed')
+        self.records[attempt.key] = Record(
+            key=attempt.key,
+            idempotent=attempt.idempotent,
+            deadline=now + attempt.budget_s,
+            stage=Stage.QUEUED,
+        )
+        return None
+
+    def ask(self, key: AttemptKey, *, now: float) -> bool:
+        """Note that the permit is asked for; false when it may not be."""
+        record = self.records[key]
+        if record.stage is not Stage.QUEUED or now >= record.deadline:
+            return False
+        record.stage = Stage.ASKED
+        return True
+
+    def permit(self, key: AttemptKey, *, granted: bool, now: float) -> bool:
+        """Take the owner's word; true when the attempt may start."""
+        record = self.records[key]
+        if record.stage is not Stage.ASKED:
+            return False
+        if not granted or now >= record.deadline:
+            self.refuse(key, now=now)
+            return False
+        record.stage = Stage.PERMITTED
+        return True
+
+    def start(self, key: AttemptKey, *, now: float) -> bool:
+        """Enter the irreversible step; false when the time has passed.
+
+        A process that was paused between permit and start wakes up with an
+        old permit. It would be seen as a run after the caller was told that
+        it never will; the deadline is therefore checked at this very moment.
+        """
+        record = self.records[key]
+        if record.stage is not Stage.PERMITTED:
+            return False
+        if now >= record.deadline:
+            self.refuse(key, now=now)
+            return False
+        self._assert_first(record)
+        record.stage = Stage.STARTED
+        self.started_ids[key.request_id] = now
+        return True
+
+    def finish(self, key: AttemptKey, *, now: float) -> None:
+        """Note that the upstream is done with the attempt."""
+        self._end(self.records[key], Stage.FINISHED, now)
+
+    def refuse(self, key: AttemptKey, *, now: float) -> None:
+        """Note that the attempt never starts; no effect once it started."""
+        record = self.records[key]
+        if record.stage < Stage.STARTED:
+            self._end(record, Stage.REFUSED, now)
+
+    def settle(self, key: AttemptKey, *, now: float) -> SettledState:
+        """Bind this incarnation to a word on a lost attempt.
+
+        An attempt that is not known is recorded as refused: the message that
+        carries it may still be under way.
+        """
+        record = self.records.get(key)
+        if record is None:
+            self.records[key] = Record(
+                key=key,
+                idempotent=False,
+                deadline=now,
+                stage=Stage.REFUSED,
+                ended_at=now,
+            )
+            return SettledState.NEVER_STARTS
+        if record.stage in {Stage.STARTED, Stage.FINISHED}:
+            return SettledState.ATTACHED
+        self._end(record, Stage.REFUSED, now)
+        return SettledState.NEVER_STARTS
+
+    def forget(self, *, now: float) -> int:
+        """Drop what ended more than `KEEP_S` ago; give the number dropped."""
+        old = [
+            key
+            for key, record in self.records.items()
+            if record.stage in _ENDED and now - record.ended_at > KEEP_S
+        ]
+        for key in old:
+            self.records.pop(key)
+        stale = [
+            request_id
+            for request_id, at in self.started_ids.items()
+            if now - at > KEEP_S
+        ]
+        for request_id in stale:
+            self.started_ids.pop(request_id)
+        return len(old)
+
+    def _ran(self, request_id: str) -> bool:
+        return request_id in self.started_ids
+
+    def _assert_first(self, record: Record) -> None:
+        if not record.idempotent and self._ran(record.key.request_id):
+            raise InvariantError(
+                f'{record.key} would start a second time; it was stopped',
+                step='start',
+            )
+
+    def _end(self, record: Record, stage: Stage, now: float) -> None:
+        if record.stage in _ENDED:
+            return
+        record.stage = stage
+        record.ended_at = now
--- /dev/null
+++ b/packages/core/src/crowrudder_core/requests/_owner.py
@@ -0,0 +1,140 @@
+"""The entry's side of a request: permits, and what may be said when."""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import define, field, frozen
+
+from crowrudder_model import InvariantError, Outcome
+from crowrudder_model.messages import AttemptKey, SettledState
+
+
+class _Hold(enum.Enum):
+    """What an attempt means to its owner."""
+
+    WAITING = 'waiting'
+    GRANTED = 'granted'
+    LOST = 'lost'
+    ENDED = 'ended'
+
+
+@frozen
+class Settle:
+    """Ask the agent's incarnation what became of the attempt."""
+
+    key: AttemptKey
+
+
+@frozen
+class MoveOn:
+    """The attempt never starts: another one elsewhere is safe."""
+
+    key: AttemptKey
+
+
+@frozen
+class Attach:
+    """The attempt runs or has run: go on from its answer."""
+
+    key: AttemptKey
+
+
+@define
+class RequestOwner:
+    """All that an entry has promised about one request.
+
+    Invariant: at most one permit of a request that is not idempotent is out
+    at any time, and `Outcome.NOT_RUN` is never said while one is out.
+    """
+
+    request_id: str
+    entry: str = field(kw_only=True)
+    idempotent: bool = field(kw_only=True)
+    deadline: float = field(kw_only=True)
+    holds: dict[AttemptKey, _Hold] = field(factory=dict, init=False)
+    closed: Outcome | None = field(default=None, init=False)
+
+    def open_attempt(self) -> AttemptKey:
+        """Begin a further attempt and give its key."""
+        key = AttemptKey(
+            request_id=self.request_id,
+            attempt=len(self.holds) + 1,
+            entry=self.entry,
+        )
+        self.holds[key] = _Hold.WAITING
+        return key
+
+    def grant(self, key: AttemptKey, *, now: float) -> bool:
+        """Decide on a permit that an agent asks for."""
+        if self.closed is not None or now >= self.deadline:
+            return False
+        if self.holds.get(key) is not _Hold.WAITING:
+            return False
+        if not self.idempotent and self.permit_out:
+            return False
+        self.holds[key] = _Hold.GRANTED
+        return True
+
+    def refused(self, key: AttemptKey) -> MoveOn:
+        """Take an agent's word that the attempt never starts."""
+        self.holds[key] = _Hold.ENDED
+        return MoveOn(key)
+
+    def lost(self, key: AttemptKey) -> Settle | MoveOn:
+        """Take note of a broken connection."""
+        if self.holds[key] is _Hold.GRANTED:
+            self.holds[key] = _Hold.LOST
+            return Settle(key)
+        self.holds[key] = _Hold.ENDED
+        return MoveOn(key)
+
+    def settled(
+        self,
+        key: AttemptKey,
+        state: SettledState,
+    ) -> MoveOn | Attach | Outcome:
+        """Take the agent's binding word, or its incarnation's absence."""
+        match state:
+            case SettledState.NEVER_STARTS:
+                return self.refused(key)
+            case SettledState.ATTACHED:
+                self.holds[key] = _Hold.GRANTED
+                return Attach(key)
+            case SettledState.OTHER_INCARNATION:
+                return self._gone(key)
+
+    def unreachable(self, key: AttemptKey) -> MoveOn | Outcome:
+        """Nobody can settle the attempt any more."""
+        return self._gone(key)
+
+    def ended(self, key: AttemptKey) -> None:
+        """Take note of the final message of an attempt."""
+        self.holds[key] = _Hold.ENDED
+
+    def close(self, outcome: Outcome) -> Outcome:
+        """Fix what the caller is told; no permit is granted after it.
+
+        Where a permit is out, "not run" would be a guess: it becomes unknown.
+        """
+        if outcome is Outcome.NOT_RUN and self.permit_out:
+            outcome = Outcome.UNKNOWN
+        if self.closed is not None:
+            raise InvariantError(
+                f'{self.request_id} was already told {self.closed.value}',
+                step='close',
+            )
+        self.closed = outcome
+        return outcome
+
+    @property
+    def permit_out(self) -> bool:
+        """Whether an attempt may be running somewhere."""
+        return any(
+            hold in {_Hold.GRANTED, _Hold.LOST} for hold in self.holds.values()
+        )
+
+    def _gone(self, key: AttemptKey) -> MoveOn | Outcome:
+        if self.idempotent:
+            return self.refused(key)
+        return Outcome.UNKNOWN
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/_task.py
@@ -0,0 +1,65 @@
+"""Active objects: one queue, one loop, handlers named after messages."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from logging import Logger
+
+_CAPITAL = re.compile(r'(?<!^)(?=[A-Z])')
+
+
+class Task:
+    """An object that alone touches its state, from its own loop.
+
+    A message of class ``BundleRead`` goes to ``on_bundle_read``, which may
+    be a coroutine function.
+    """
+
+    def __init__(self, log: Logger) -> None:
+        self._log = log
+        self._inbox: asyncio.Queue[object] = asyncio.Queue()
+        self._jobs: set[asyncio.Task[Any]] = set()
+
+    def post(self, message: object) -> None:
+        """Put a message into the queue."""
+        self._inbox.put_nowait(message)
+
+    def start(self) -> None:
+        """Start the loop."""
+        self.spawn(self._loop())
+
+    def spawn(self, job: Any) -> asyncio.Task[Any]:
+        """Run a coroutine that ends with this object at the latest."""
+        task = asyncio.ensure_future(job)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+        return task
+
+    async def stop(self) -> None:
+        """Cancel the loop and all jobs."""
+        jobs = list(self._jobs)
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+
+    async def _loop(self) -> None:
+        while True:
+            message = await self._inbox.get()
+            await self._handle(message)
+
+    async def _handle(self, message: object) -> None:
+        """Run the handler; a fault in one message must not end the loop.
+
+        It would be seen as a process that is healthy but answers nothing.
+        """
+        name = _CAPITAL.sub('_', type(message).__name__).lower()
+        try:
+            reply = getattr(self, f'on_{name}')(message)
+            if asyncio.iscoroutine(reply):
+                await reply
+        except Exception:
+            self._log.exception('handler failed', extra={'step': name})
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/__init__.py
@@ -0,0 +1,5 @@
+"""The agent: the one process beside an engine or a plain service."""
+
+from crowrudder_daemon.agent._role import build_agent
+
+__all__ = ('build_agent',)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
@@ -0,0 +1,156 @@
+"""The remote calls by which entries use an agent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from crowrudder_daemon.agent._answer_log import AnswerLog
+from crowrudder_daemon.agent._runs import (
+    AttemptCame,
+    CancelCame,
+    OwnerLost,
+    PermitCame,
+    SettleCame,
+    settled_message,
+)
+from crowrudder_model.messages import (
+    Attempt,
+    AttemptKey,
+    Cancel,
+    Permit,
+    Report,
+    ReportAsk,
+    RunDown,
+    RunUp,
+    SettleAsk,
+    SettledState,
+)
+from crowrudder_model.rpc import REPORTS, RUN, SETTLE
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from crowrudder_daemon.agent._runs import RunsTask
+    from crowrudder_daemon.knowledge import KnowledgeTask
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_daemon.rpc import PeerServer
+
+
+class RunService:
+    """Translate remote calls to messages of the runs task."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        runs: RunsTask,
+        knowledge: KnowledgeTask,
+    ) -> None:
+        self._runtime = runtime
+        self._runs = runs
+        self._knowledge = knowledge
+
+    def serve(self, server: PeerServer) -> None:
+        """Add the calls to the server."""
+        server.add(RUN, self._on_run)
+        server.add(SETTLE, self._on_settle)
+        server.add(REPORTS, self._on_reports)
+
+    async def _on_run(
+        self,
+        ups: AsyncIterator[RunUp],
+        _context: object,
+    ) -> AsyncIterator[RunDown]:
+        first = await anext(ups, None)
+        if first is None or first.attempt is None:
+            return
+        key = first.attempt.key
+        answers = AnswerLog()
+        self._runs.post(AttemptCame(first.attempt, answers))
+        reader = asyncio.ensure_future(self._read_ups(ups, key))
+        try:
+            async for event in answers.read():
+                yield event
+        finally:
+            reader.cancel()
+            self._runs.post(OwnerLost(key))
+
+    async def _read_ups(
+        self,
+        ups: AsyncIterator[RunUp],
+        key: AttemptKey,
+    ) -> None:
+        async for up in ups:
+            match up.body:
+                case Permit(granted=granted):
+                    self._runs.post(PermitCame(key, granted))
+                case Cancel():
+                    self._runs.post(CancelCame(key))
+                case Attempt() | None:
+                    return
+
+    async def _on_settle(
+        self,
+        ask: SettleAsk,
+        _context: object,
+    ) -> AsyncIterator[RunDown]:
+        if ask.incarnation != self._runtime.incarnation:
+            yield settled_message(SettledState.OTHER_INCARNATION)
+            return
+        loop = asyncio.get_running_loop()
+        reply: asyncio.Future[tuple[SettledState, AnswerLog | None]]
+        reply = loop.create_future()
+        self._runs.post(SettleCame(ask.key, reply))
+        state, answers = await reply
+        yield settled_message(state)
+        if state is SettledState.ATTACHED and answers is not None:
+            async for event in answers.read_from_piece(ask.next_index):
+                yield event
+
+    async def _on_reports(
+        self,
+        ask: ReportAsk,
+        _context: object,
+    ) -> AsyncIterator[Report]:
+        while True:
+            changed = self._runs.state.changed
+            leaving = self._runs.state.leaving
+            yield self.report()
+            await _wait_for_news(changed, ask.interval_s, urgent=not leaving)
+
+    def report(self) -> Report:
+        """Give the agent's state now."""
+        state = self._runs.state
+        generation, digest = self._knowledge.book.order
+        return Report(
+            host=self._runtime.cfg.process.host,
+            incarnation=self._runtime.incarnation,
+            service=state.service,
+            version=state.version,
+            adapters=state.adapters,
+            running=state.running,
+            queued=state.queued,
+            slots=state.slots,
+            service_s=state.service_s,
+            leaving=state.leaving,
+            generation=generation,
+            digest=digest,
+        )
+
+
+SHORTEST_INTERVAL_S = 0.05
+
+
+async def _wait_for_news(
+    changed: asyncio.Event,
+    interval_s: float,
+    *,
+    urgent: bool,
+) -> None:
+    """Wait for the interval, or less when something changed."""
+    try:
+        await asyncio.wait_for(changed.wait(), max(interval_s, 0.05))
+    except TimeoutError:
+        return
+    if urgent:
+        await asyncio.sleep(SHORTEST_INTERVAL_S)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -0,0 +1,414 @@
+"""The task that queues attempts, asks for permits and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import Factory, define, frozen
+
+from crowrudder_core.requests import AdmissionQueue, AgentLedger
+from crowrudder_daemon._task import Task
+from crowrudder_daemon.agent._answer_log import AnswerLog
+from crowrudder_model import InvariantError, Outcome, UpstreamError
+from crowrudder_model.messages import (
+    Attempt,
+    AttemptKey,
+    Final,
+    PermitAsk,
+    Piece,
+    Queued,
+    Refusal,
+    RunDown,
+    Settled,
+    SettledState,
+)
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.agent._upstream import EngineClient, PlainClient
+    from crowrudder_daemon.process import Runtime
+
+PERMIT_WAIT_S = 1.0
+"""Longest wait for the owner's word while a slot is held for it."""
+
+FORGET_EVERY_S = 30.0
+MEAN_WEIGHT = 0.1
+
+
+@frozen
+class AttemptCame:
+    """An entry sent an attempt; its answers go to the log."""
+
+    attempt: Attempt
+    answers: AnswerLog
+
+
+@frozen
+class PermitCame:
+    """The owner's word arrived."""
+
+    key: AttemptKey
+    granted: bool
+
+
+@frozen
+class CancelCame:
+    """The owner gave the attempt up."""
+
+    key: AttemptKey
+
+
+@frozen
+class OwnerLost:
+    """The stream to the owner broke."""
+
+    key: AttemptKey
+
+
+@frozen
+class SettleCame:
+    """An entry asks what became of an attempt."""
+
+    key: AttemptKey
+    reply: asyncio.Future[tuple[SettledState, AnswerLog | None]]
+
+
+@frozen
+class PermitOverdue:
+    """The owner said nothing in time."""
+
+    key: AttemptKey
+
+
+@frozen
+class RunEnded:
+    """The upstream is done with an attempt after so many seconds."""
+
+    key: AttemptKey
+    took_s: float
+
+
+@frozen
+class PauseRuns:
+    """Start nothing more; resolve when nothing runs."""
+
+    idle: asyncio.Future[None]
+
+
+@frozen
+class ResumeRuns:
+    """The upstream answers with this version from now on."""
+
+    service: str
+    version: str
+    adapters: tuple[str, ...]
+
+
+@frozen
+class DrainRuns:
+    """Refuse what waits and what comes; resolve when nothing runs."""
+
+    idle: asyncio.Future[None]
+
+
+@frozen
+class ForgetOld:
+    """Time to drop what ended long ago."""
+
+
+@define
+class _Kept:
+    """What the task holds of one attempt."""
+
+    attempt: Attempt
+    answers: AnswerLog
+    deadline: float
+    cancelled: bool = False
+
+
+@define
+class RunsState:
+    """What others may read of the task, for reports and status."""
+
+    service: str = ''
+    version: str = ''
+    adapters: tuple[str, ...] = ()
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+    service_s: float = 0
+    leaving: bool = False
+    changed: asyncio.Event = Factory(asyncio.Event)
+
+
+class RunsTask(Task):
+    """Owns the ledger and the admission queue of an agent."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        upstream: EngineClient | PlainClient,
+    ) -> None:
+        super().__init__(runtime.log)
+        limits = runtime.cfg.limits
+        self.state = RunsState(slots=limits.slots)
+        self._runtime = runtime
+        self._upstream = upstream
+        self._ledger = AgentLedger()
+        self._queue = AdmissionQueue(limits.queue_length)
+        self._kept: dict[AttemptKey, _Kept] = {}
+        self._held: set[AttemptKey] = set()
+        self._running: dict[AttemptKey, asyncio.Task[None]] = {}
+        self._paused = True
+        self._idle: list[asyncio.Future[None]] = []
+
+    def start(self) -> None:
+        """Start the loop and the clock that forgets."""
+        super().start()
+        self.spawn(self._forget_for_ever())
+
+    def on_attempt_came(self, message: AttemptCame) -> None:
+        """Queue an attempt or refuse it for good."""
+        attempt = message.attempt
+        refusal = self._refusal(attempt)
+        if refusal is not None:
+            message.answers.add(RunDown(refusal=refusal))
+            message.answers.close()
+            return
+        self._kept[attempt.key] = _Kept(
+            attempt,
+            message.answers,
+            self._now() + attempt.budget_s,
+        )
+        message.answers.add(
+            RunDown(
+                queued=Queued(
+                    ahead=len(self._queue) - 1, wait_s=self._wait_s()
+                ),
+            ),
+        )
+        self._advance()
+
+    def on_permit_came(self, message: PermitCame) -> None:
+        """Start the attempt if the owner and the clock allow it."""
+        kept = self._kept.get(message.key)
+        if kept is None or message.key not in self._held:
+            return
+        may_start = self._ledger.permit(
+            message.key,
+            granted=message.granted,
+            now=self._now(),
+        )
+        if may_start and self._ledger.start(message.key, now=self._now()):
+            self._running[message.key] = self.spawn(self._run(kept))
+            self._note_load()
+            return
+        self._release(message.key, 'not_permitted')
+
+    def on_permit_overdue(self, message: PermitOverdue) -> None:
+        """Give the slot to the next when the owner stays silent."""
+        self._give_up(message.key, 'permit_overdue')
+
+    def on_owner_lost(self, message: OwnerLost) -> None:
+        """Drop an attempt that has not started; a running one goes on."""
+        self._give_up(message.key, 'owner_lost')
+
+    def on_cancel_came(self, message: CancelCame) -> None:
+        """Stop the attempt wherever it stands."""
+        self._give_up(message.key, 'cancelled')
+        kept = self._kept.get(message.key)
+        running = self._running.get(message.key)
+        if kept is not None and running is not None:
+            kept.cancelled = True
+            running.cancel()
+            self.spawn(self._cancel_upstream(message.key.request_id))
+
+    def on_settle_came(self, message: SettleCame) -> None:
+        """Bind this incarnation to a word on a lost attempt."""
+        state = self._ledger.settle(message.key, now=self._now())
+        kept = self._kept.get(message.key)
+        if state is SettledState.NEVER_STARTS:
+            self._queue.remove(message.key)
+            self._release(message.key, 'settled')
+        if not message.reply.done():
+            message.reply.set_result((state, kept.answers if kept else None))
+
+    def on_run_ended(self, message: RunEnded) -> None:
+        """Free the slot."""
+        self._running.pop(message.key, None)
+        self._held.discard(message.key)
+        self._ledger.finish(message.key, now=self._now())
+        weight = MEAN_WEIGHT if self.state.service_s else 1
+        self.state.service_s += weight * (message.took_s - self.state.service_s)
+        self._advance()
+
+    def on_pause_runs(self, message: PauseRuns) -> None:
+        """Start nothing more until `ResumeRuns`."""
+        self._paused = True
+        self.state.version = ''
+        self._idle.append(message.idle)
+        self._note_load()
+
+    def on_resume_runs(self, message: ResumeRuns) -> None:
+        """Go on with the version that the engine was read back with."""
+        self._paused = False
+        self.state.service = message.service
+        self.state.version = message.version
+        self.state.adapters = message.adapters
+        self._advance()
+
+    def on_drain_runs(self, message: DrainRuns) -> None:
+        """Refuse what waits, finish what runs."""
+        self.state.leaving = True
+        while (key := self._queue.pop()) is not None:
+            self._release(key, 'draining')
+        self._idle.append(message.idle)
+        self._note_load()
+
+    def on_forget_old(self, _message: ForgetOld) -> None:
+        """Drop ended attempts whose owners can no longer come back."""
+        self._ledger.forget(now=self._now())
+        for key in list(self._kept):
+            if key not in self._ledger.records:
+                self._kept.pop(key)
+
+    def _refusal(self, attempt: Attempt) -> Refusal | None:
+        if self.state.leaving:
+            return Refusal(reason='draining', retry_after_s=1)
+        if attempt.service != self.state.service:
+            return Refusal(reason='not_loaded', retry_after_s=1)
+        refusal = self._ledger.receive(attempt, now=self._now())
+        if refusal is not None:
+            return refusal
+        if self._queue.push(attempt.key, priority=attempt.priority):
+            return None
+        self._ledger.refuse(attempt.key, now=self._now())
+        return Refusal(reason='queue_full', retry_after_s=self._wait_s())
+
+    def _advance(self) -> None:
+        """Ask for permits while slots are free."""
+        while not self._paused and len(self._held) < self.state.slots:
+            key = self._queue.pop()
+            if key is None:
+                break
+            self._ask(key)
+        self._note_load()
+
+    def _ask(self, key: AttemptKey) -> None:
+        kept = self._kept[key]
+        wanted = kept.attempt.version
+        if wanted and wanted != self.state.version:
+            self._release(key, 'other_version')
+            return
+        if not self._ledger.ask(key, now=self._now()):
+            self._release(key, 'deadline_passed')
+            return
+        self._held.add(key)
+        ask = PermitAsk(key=key, version=self.state.version)
+        kept.answers.add(RunDown(permit_ask=ask))
+        loop = asyncio.get_running_loop()
+        loop.call_later(PERMIT_WAIT_S, self.post, PermitOverdue(key))
+
+    def _give_up(self, key: AttemptKey, reason: str) -> None:
+        if key in self._running or key not in self._kept:
+            return
+        self._queue.remove(key)
+        self._release(key, reason)
+
+    def _release(self, key: AttemptKey, reason: str) -> None:
+        """End an attempt that never starts, and use its slot."""
+        kept = self._kept.pop(key, None)
+        if kept is None:
+            return
+        self._ledger.refuse(key, now=self._now())
+        refusal = Refusal(reason=reason, retry_after_s=self._wait_s())
+        kept.answers.add(RunDown(refusal=refusal))
+        kept.answers.close()
+        if key in self._held:
+            self._held.discard(key)
+            self._advance()
+
+    async def _run(self, kept: _Kept) -> None:
+        began = self._now()
+        version = self.state.version
+        final = Final(
+            request_id=kept.attempt.key.request_id,
+            outcome=Outcome.UNKNOWN,
+            version=version,
+            message='the run was stopped',
+        )
+        try:
+            final = await self._relay(kept, version)
+        except asyncio.CancelledError:
+            final = _failed(final, 'cancelled by its owner')
+        except (UpstreamError, InvariantError) as exc:
+            final = _failed(final, str(exc))
+        except Exception as exc:
+            self._log.exception('run failed', extra={'step': 'run'})
+            final = _failed(final, str(exc))
+        finally:
+            kept.answers.add(RunDown(final=final))
+            kept.answers.close()
+            self.post(RunEnded(kept.attempt.key, self._now() - began))
+
+    async def _relay(self, kept: _Kept, version: str) -> Final:
+        """Pass pieces on until the final message."""
+        async for part in self._upstream.run(kept.attempt, version):
+            if isinstance(part, Final):
+                return part
+            self._assert_version(part, version)
+            kept.answers.add(RunDown(piece=part))
+        raise UpstreamError('no final message', step='run')
+
+    def _assert_version(self, piece: Piece, version: str) -> None:
+        """No answer goes out of an engine whose version is not the ledger's."""
+        if piece.version != version or self.state.version not in {'', version}:
+            self._runtime.metrics.invariant_violated('answer_version')
+            raise InvariantError(
+                f'a part of {piece.version} while {version} is loaded',
+                step='answer',
+            )
+
+    async def _cancel_upstream(self, request_id: str) -> None:
+        try:
+            await self._upstream.cancel(request_id)
+        except UpstreamError as exc:
+            self._log.info('cancel not delivered: %s', exc)
+
+    async def _forget_for_ever(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_EVERY_S)
+            self.post(ForgetOld())
+
+    def _note_load(self) -> None:
+        self.state.running = len(self._held)
+        self.state.queued = len(self._queue)
+        changed, self.state.changed = self.state.changed, asyncio.Event()
+        changed.set()
+        if not self._held:
+            for idle in self._idle:
+                if not idle.done():
+                    idle.set_result(None)
+            self._idle.clear()
+
+    def _wait_s(self) -> float:
+        ahead = len(self._queue) + len(self._held)
+        rounds = ahead / max(self.state.slots, 1)
+        return max(rounds * self.state.service_s, 0.1)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+def settled_message(state: SettledState) -> RunDown:
+    """Wrap the word on an attempt."""
+    return RunDown(settled=Settled(state=state))
+
+
+def _failed(final: Final, message: str) -> Final:
+    return Final(
+        request_id=final.request_id,
+        outcome=Outcome.FAILED,
+        version=final.version,
+        message=message,
+    )
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
@@ -0,0 +1,157 @@
+"""A caller's request, parsed and checked; no I/O."""
+
+from __future__ import annotations
+
+import re
+import uuid
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LOWEST_PRIORITY = 9
+DEFAULT_PRIORITY = 5
+MOST_TOKENS = 100_000
+LONGEST_DEADLINE_MS = 3_600_000
+PREFIX_LENGTH = 64
+_ID = re.compile('[A-Za-z0-9._-]{1,128}')
+_NAME = re.compile('[A-Za-z0-9._-]{1,64}')
+
+
+class BadRequestError(Exception):
+    """A request that can't be understood; nothing of it ran.
+
+    ``status`` and ``code`` are those of the answer.
+    """
+
+    def __init__(self, message: str, *, status: int, code: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+@frozen(kw_only=True)
+class CallHead:
+    """What the headers say, the same for models and plain services.
+
+    ``budget_s`` is in seconds from arrival.
+    """
+
+    request_id: str
+    customer: str
+    budget_s: float
+    idempotent: bool
+    priority: int
+
+
+class CompletionBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The JSON body of ``POST /v1/completions``."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+    adapter: str = ''
+
+
+@frozen(kw_only=True)
+class PlainCall:
+    """A call to pass on to a plain service."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen(kw_only=True)
+class CallerRequest:
+    """One request with everything that decides where it goes."""
+
+    head: CallHead
+    service: str
+    completion: CompletionBody | None = None
+    plain: PlainCall | None = field(default=None)
+
+    @property
+    def prefix(self) -> str:
+        """The part of the prompt that decides on affinity."""
+        if self.completion is None:
+            return self.head.request_id
+        return self.completion.prompt[:PREFIX_LENGTH]
+
+
+def parse_head(headers: Mapping[str, str], *, default_s: float) -> CallHead:
+    """Read the headers of a call.
+
+    Raises
+    ------
+    BadRequestError
+        With the header's name and what is allowed.
+    """
+    customer = headers.get('X-Customer', '')
+    if not _NAME.fullmatch(customer):
+        raise _bad('X-Customer must be 1 to 64 of A-Z a-z 0-9 . _ -')
+    request_id = headers.get('X-Request-Id') or uuid.uuid4().hex
+    if not _ID.fullmatch(request_id):
+        raise _bad('X-Request-Id must be 1 to 128 of A-Z a-z 0-9 . _ -')
+    budget_ms = _whole(
+        headers,
+        'X-Deadline-Ms',
+        default=int(default_s * 1000),
+        most=LONGEST_DEADLINE_MS,
+    )
+    return CallHead(
+        request_id=request_id,
+        customer=customer,
+        budget_s=budget_ms / 1000,
+        idempotent=headers.get('X-Idempotent', '').lower() == 'true',
+        priority=_whole(
+            headers,
+            'X-Priority',
+            default=DEFAULT_PRIORITY,
+            most=LOWEST_PRIORITY,
+        ),
+    )
+
+
+def parse_completion(body: bytes) -> CompletionBody:
+    """Read the body of a completion.
+
+    Raises
+    ------
+    BadRequestError
+        When it is not JSON or a field is missing, unknown or out of range.
+    """
+    try:
+        completion = msgspec.json.decode(body, type=CompletionBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise _bad(f'the body is not a completion: {exc}') from exc
+    if not 1 <= completion.max_tokens <= MOST_TOKENS:
+        raise _bad(f'max_tokens must be 1 to {MOST_TOKENS}')
+    return completion
+
+
+def _whole(
+    headers: Mapping[str, str],
+    name: str,
+    *,
+    default: int,
+    most: int,
+) -> int:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(most)):
+        raise _bad(f'{name} must be a whole number from 0 to {most}')
+    number = int(text)
+    if number > most:
+        raise _bad(f'{name} must be a whole number from 0 to {most}')
+    return number
+
+
+def _bad(message: str) -> BadRequestError:
+    return BadRequestError(message, status=400, code='bad_request')
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -0,0 +1,317 @@
+"""Tornado handlers of the callers' interface."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from crowrudder_daemon.entry._caller_request import (
+    BadRequestError,
+    CallerRequest,
+    CallHead,
+    PlainCall,
+    parse_completion,
+    parse_head,
+)
+from crowrudder_daemon.entry._parts import Ended
+from crowrudder_daemon.entry._requests import CallerLost, RequestCame
+from crowrudder_model import Outcome
+from crowrudder_model.messages import Piece
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.entry._requests import RequestsTask
+    from crowrudder_daemon.process import Runtime
+
+KEEP_S = 30
+PASSED_ON = frozenset(('content-type', 'accept', 'accept-language'))
+PLAIN_ANSWER_HEADERS = frozenset(('content-type',))
+PLAIN_METHODS = ('GET', 'POST', 'PUT', 'DELETE', 'PATCH')
+
+
+def make_application(runtime: Runtime, requests: RequestsTask) -> Application:
+    """Give the application that callers talk to."""
+    shared = {'runtime': runtime, 'requests': requests}
+    return Application(
+        [
+            ('/v1/completions', CompletionsHandler, shared),
+            ('/v1/entries', EntriesHandler, shared),
+            ('/v1/services/([^/]+)/?(.*)', ServicesHandler, shared),
+        ],
+        default_handler_class=UnknownHandler,
+        log_function=_log_nothing,
+    )
+
+
+def _log_nothing(_handler: RequestHandler) -> None:
+    """Leave the log of requests to the task that decides on them."""
+
+
+class UnknownHandler(RequestHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        self.set_status(404)
+        self.set_header('X-Outcome', Outcome.NOT_RUN.value)
+        self.finish(_error_body('not_found', 'no such path', 'not_run', ''))
+
+
+class EntriesHandler(RequestHandler):
+    """Tells callers which entries to use."""
+
+    def initialize(self, runtime: Runtime, requests: RequestsTask) -> None:
+        """Take what the application shares."""
+        self._runtime = runtime
+        self._requests = requests
+
+    def get(self) -> None:
+        """Give the live entries, spread by a random order."""
+        entries = [
+            {
+                'host': member.host,
+                'address': member.address,
+                'port': member.http_port,
+            }
+            for member in self._requests.snapshot.by_role('entry')
+            if member.state == 'live'
+        ]
+        self.write({'entries': entries, 'keep_s': KEEP_S})
+
+
+class _CallHandler(RequestHandler):
+    """What completions and plain services share."""
+
+    def initialize(self, runtime: Runtime, requests: RequestsTask) -> None:
+        self._runtime = runtime
+        self._requests = requests
+        self._parts: asyncio.Queue[Piece | Ended] = asyncio.Queue()
+        self._request_id = ''
+
+    def on_connection_close(self) -> None:
+        self._requests.post(CallerLost(self._parts))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer a fault of this process; what ran is not known."""
+        self._finish_ended(
+            Ended(
+                outcome=Outcome.UNKNOWN,
+                code='internal',
+                message='an error inside the entry',
+                status=status_code,
+            ),
+        )
+
+    def _head(self) -> CallHead:
+        limits = self._runtime.cfg.limits
+        head = parse_head(
+            self.request.headers,
+            default_s=limits.default_deadline_s,
+        )
+        self._request_id = head.request_id
+        return head
+
+    def _refuse(self, exc: BadRequestError) -> None:
+        self._finish_ended(
+            Ended(
+                outcome=Outcome.NOT_RUN,
+                code=exc.code,
+                message=str(exc),
+                status=exc.status,
+            ),
+        )
+
+    def _set_outcome(self, ended: Ended) -> None:
+        self.set_status(ended.http_status)
+        self.set_header('X-Outcome', ended.outcome.value)
+        self.set_header('X-Request-Id', self._request_id)
+        if self._requests.leaving:
+            self.set_header('Connection', 'close')
+        if ended.retry_after_s:
+            whole = math.ceil(min(ended.retry_after_s, 3600))
+            self.set_header('Retry-After', str(max(whole, 1)))
+
+    def _finish_ended(self, ended: Ended) -> None:
+        self._set_outcome(ended)
+        self.finish(
+            _error_body(
+                ended.code,
+                ended.message,
+                ended.outcome.value,
+                self._request_id,
+            ),
+        )
+
+    async def _collect(self) -> tuple[list[Piece], Ended]:
+        pieces: list[Piece] = []
+        while True:
+            match await self._parts.get():
+                case Ended() as ended:
+                    return pieces, ended
+                case piece:
+                    pieces.append(piece)
+
+
+class CompletionsHandler(_CallHandler):
+    """Answers of models, whole or streamed."""
+
+    async def post(self) -> None:
+        """Run a completion."""
+        try:
+            req = self._parse()
+        except BadRequestError as exc:
+            self._refuse(exc)
+            return
+        self._requests.post(RequestCame(req, self._parts))
+        if req.completion is not None and req.completion.stream:
+            await self._stream()
+        else:
+            await self._whole(req)
+
+    def _parse(self) -> CallerRequest:
+        head = self._head()
+        completion = parse_completion(self.request.body)
+        service = self._requests.service_of(completion.model)
+        if service is None and self._requests.snapshot.bundle is not None:
+            raise BadRequestError(
+                f'no model {completion.model[:64]!r}',
+                status=404,
+                code='unknown_model',
+            )
+        return CallerRequest(
+            head=head,
+            service=service.name if service else '',
+            completion=completion,
+        )
+
+    async def _whole(self, req: CallerRequest) -> None:
+        pieces, ended = await self._collect()
+        if ended.outcome is not Outcome.ANSWERED:
+            self._finish_ended(ended)
+            return
+        self._set_outcome(ended)
+        self.set_header('X-Weight-Version', ended.version)
+        self.finish(
+            {
+                'id': self._request_id,
+                'model': req.completion.model if req.completion else '',
+                'version': ended.version,
+                'text': ''.join(piece.text for piece in pieces),
+                'tokens': ended.pieces,
+            }
+        )
+
+    async def _stream(self) -> None:
+        first = await self._parts.get()
+        if isinstance(first, Ended) and first.outcome is not Outcome.ANSWERED:
+            self._finish_ended(first)
+            return
+        self.set_header('Content-Type', 'text/event-stream')
+        self.set_header('X-Request-Id', self._request_id)
+        self.set_header('X-Weight-Version', first.version)
+        if self._requests.leaving:
+            self.set_header('Connection', 'close')
+        part: Piece | Ended = first
+        try:
+            while isinstance(part, Piece):
+                self.write(_token_event(part))
+                await self.flush()
+                part = await self._parts.get()
+            self.write(_last_event(part, self._request_id))
+            await self.finish()
+        except StreamClosedError:
+            return
+
+
+class ServicesHandler(_CallHandler):
+    """Passes calls on to plain services."""
+
+    SUPPORTED_METHODS = PLAIN_METHODS
+
+    async def prepare(self) -> None:
+        """Pass any method on; Tornado asks for one method each otherwise."""
+        service, path = self.path_args
+        try:
+            req = self._parse(service, path)
+        except BadRequestError as exc:
+            self._refuse(exc)
+            return
+        self._requests.post(RequestCame(req, self._parts))
+        pieces, ended = await self._collect()
+        if ended.outcome is not Outcome.ANSWERED:
+            self._finish_ended(ended)
+            return
+        self._set_outcome(ended)
+        for name, text in ended.headers:
+            if name.lower() in PLAIN_ANSWER_HEADERS:
+                self.set_header(name, text)
+        self.finish(b''.join(piece.body for piece in pieces))
+
+    def _parse(self, service: str, path: str) -> CallerRequest:
+        head = self._head()
+        known = self._requests.service_of(service)
+        if known is None or known.is_engine:
+            raise BadRequestError(
+                f'no plain service {service[:64]!r}',
+                status=404,
+                code='unknown_service',
+            )
+        query = f'?{self.request.query}' if self.request.query else ''
+        return CallerRequest(
+            head=head,
+            service=known.name,
+            plain=PlainCall(
+                method=self.request.method or 'GET',
+                path=path + query,
+                headers=tuple(
+                    (name, text)
+                    for name, text in self.request.headers.get_all()
+                    if name.lower() in PASSED_ON
+                ),
+                body=self.request.body,
+            ),
+        )
+
+
+def _token_event(piece: Piece) -> bytes:
+    payload = msgspec.json.encode({'index': piece.index, 'text': piece.text})
+    return b'event: token\ndata: ' + payload + b'\n\n'
+
+
+def _last_event(ended: Ended, request_id: str) -> bytes:
+    if ended.outcome is Outcome.ANSWERED:
+        payload = msgspec.json.encode(
+            {
+                'outcome': ended.outcome.value,
+                'tokens': ended.pieces,
+                'version': ended.version,
+            }
+        )
+        return b'event: done\ndata: ' + payload + b'\n\n'
+    body = _error_body(
+        ended.code,
+        ended.message,
+        ended.outcome.value,
+        request_id,
+    )
+    return b'event: error\ndata: ' + msgspec.json.encode(body) + b'\n\n'
+
+
+def _error_body(
+    code: str,
+    message: str,
+    outcome: str,
+    request_id: str,
+) -> dict[str, dict[str, str]]:
+    return {
+        'error': {
+            'code': code,
+            'message': message,
+            'outcome': outcome,
+            'request_id': request_id,
+        },
+    }
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -0,0 +1,101 @@
+"""Put an entry together from its tasks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from tornado.httpserver import HTTPServer
+
+from crowrudder_daemon.entry._handlers import make_application
+from crowrudder_daemon.entry._links import LinksTask, links_of
+from crowrudder_daemon.entry._requests import RequestsTask, SnapshotCame
+from crowrudder_daemon.knowledge import KnowledgeTask, Snapshot
+from crowrudder_daemon.rpc import PeerClient, PeerServer
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.process import Runtime
+
+LEAVE_GRACE_S = 1.0
+IDLE_CONNECTION_S = 60
+HEADERS_TIMEOUT_S = 10
+
+
+def build_entry(runtime: Runtime) -> EntryRole:
+    """Make the entry that the settings describe; nothing starts yet."""
+    return EntryRole(runtime)
+
+
+class EntryRole:
+    """The entry's tasks and their order of start and stop."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        process = runtime.cfg.process
+        limits = runtime.cfg.limits
+        self._runtime = runtime
+        self._peers = PeerClient()
+        self._server = PeerServer(f'{process.address}:{process.rpc_port}')
+        self.knowledge = KnowledgeTask(runtime, self._peers, self._on_snapshot)
+        self.requests = RequestsTask(runtime, self._peers)
+        self.links = LinksTask(runtime, self._peers, self.requests)
+        self._http = HTTPServer(
+            make_application(runtime, self.requests),
+            max_body_size=limits.max_body_bytes,
+            max_buffer_size=limits.max_body_bytes + 65_536,
+            idle_connection_timeout=IDLE_CONNECTION_S,
+            body_timeout=HEADERS_TIMEOUT_S,
+        )
+
+    async def start(self) -> None:
+        """Listen and begin to learn."""
+        process = self._runtime.cfg.process
+        self.knowledge.serve(self._server)
+        self.requests.start()
+        self.links.start()
+        await self._server.start()
+        self.knowledge.start()
+        self._http.listen(process.http_port, process.address)
+
+    async def drain(self) -> None:
+        """Take nothing new, tell the peers, finish what runs."""
+        self.requests.leaving = True
+        await self.knowledge.leave()
+        await self.requests.idle()
+        self._http.stop()
+        await self._http.close_all_connections()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._server.stop(LEAVE_GRACE_S)
+        for task in (self.links, self.requests, self.knowledge):
+            await task.stop()
+        await self._peers.close()
+
+    def status(self) -> dict[str, Any]:
+        """Tell what is in force here and what runs."""
+        return {
+            **self.knowledge.status(),
+            'leaving': self.requests.leaving,
+            'service': '',
+            'declared_version': '',
+            'loaded_version': '',
+            'progress': 1.0,
+            'hinders': self.readiness(),
+            'running': self.requests.running,
+        }
+
+    def readiness(self) -> list[str]:
+        """Give what keeps this entry from serving; empty when ready."""
+        reasons = []
+        if self.knowledge.snapshot.bundle is None:
+            reasons.append('no configuration was accepted yet')
+        if self.requests.leaving:
+            reasons.append('this process is leaving')
+        return reasons
+
+    def explain(self, customer: str, model: str) -> dict[str, Any]:
+        """Tell where a request would go now, and why."""
+        return self.requests.explain(customer, model)
+
+    def _on_snapshot(self, snapshot: Snapshot) -> None:
+        self.requests.post(SnapshotCame(snapshot))
+        self.links.post(links_of(snapshot))
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_snapshot.py
@@ -0,0 +1,56 @@
+"""An immutable picture of configuration and members for other tasks."""
+
+from __future__ import annotations
+
+from functools import cached_property
+from typing import TYPE_CHECKING
+
+from attrs import field, frozen
+
+from crowrudder_model.declared import place
+
+if TYPE_CHECKING:
+    from crowrudder_model import Member
+    from crowrudder_model.declared import Bundle, Service
+
+
+@frozen(slots=False)
+class Snapshot:
+    """The bundle in force and the members, as one process sees them."""
+
+    bundle: Bundle | None = None
+    members: tuple[Member, ...] = field(default=())
+
+    @property
+    def order(self) -> tuple[int, str]:
+        """Generation and digest in force; (0, '') where there is none."""
+        if self.bundle is None:
+            return (0, '')
+        return (self.bundle.declaration.generation, self.bundle.digest)
+
+    @cached_property
+    def placement(self) -> dict[str, Service]:
+        """Give the service of each agent host."""
+        if self.bundle is None:
+            return {}
+        return place(self.bundle.declaration, self.members)
+
+    def by_role(self, role: str) -> tuple[Member, ...]:
+        """Give the members of a role."""
+        return tuple(member for member in self.members if member.role == role)
+
+    def member(self, host: str) -> Member | None:
+        """Give a member by its host name."""
+        for member in self.members:
+            if member.host == host:
+                return member
+        return None
+
+    def hosts_of(self, service: str) -> list[Member]:
+        """Give the members that a service is placed on."""
+        return [
+            member
+            for member in self.by_role('agent')
+            if member.host in self.placement
+            and self.placement[member.host].name == service
+        ]
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_server.py
@@ -0,0 +1,65 @@
+"""Serve remote calls from a table of methods and handlers."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import grpc
+from grpc import aio
+
+from crowrudder_daemon.rpc._options import SERVER_OPTIONS
+from crowrudder_model import decode_message, encode_message
+from crowrudder_model.rpc import SERVICE_NAME, CallKind, Method
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_MAKERS = {
+    CallKind.UNARY: grpc.unary_unary_rpc_method_handler,
+    CallKind.DOWN_STREAM: grpc.unary_stream_rpc_method_handler,
+    CallKind.BOTH_STREAM: grpc.stream_stream_rpc_method_handler,
+}
+
+
+class PeerServer:
+    """One gRPC server on one address.
+
+    Parameters
+    ----------
+    address
+        ``IP:PORT`` to listen on.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {}
+        self._server = aio.server(options=SERVER_OPTIONS)
+
+    def add(
+        self,
+        method: Method[Any, Any],
+        handler: Callable[..., Any],
+    ) -> None:
+        """Serve a method by a coroutine or an async generator."""
+        self._handlers[method.name] = _MAKERS[method.kind](
+            handler,
+            request_deserializer=partial(decode_message, kind=method.ask),
+            response_serializer=encode_message,
+        )
+
+    async def start(self) -> None:
+        """Listen; all methods must have been added."""
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    SERVICE_NAME, self._handlers
+                ),
+            )
+        )
+        self._server.add_insecure_port(self.address)
+        await self._server.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop taking calls; running ones get ``grace_s`` seconds."""
+        await self._server.stop(grace_s)
--- a/packages/model/src/crowrudder_model/__init__.py
+++ b/packages/model/src/crowrudder_model/__init__.py
@@ -2,3 +2,31 @@
 
 Nothing here does input or output, reads a clock or draws a random number.
 """
+
+from crowrudder_model._codec import decode_message, encode_message
+from crowrudder_model._errors import (
+    CrowrudderError,
+    InvariantError,
+    MalformedMessageError,
+    PeerLostError,
+    UpstreamError,
+)
+from crowrudder_model._member import Member, MembersError, decode_members
+from crowrudder_model._outcome import Outcome
+from crowrudder_model._rendezvous import ranked, score
+
+__all__ = (
+    'CrowrudderError',
+    'InvariantError',
+    'MalformedMessageError',
+    'Member',
+    'MembersError',
+    'Outcome',
+    'PeerLostError',
+    'UpstreamError',
+    'decode_members',
+    'decode_message',
+    'encode_message',
+    'ranked',
+    'score',
+)
--- /dev/null
+++ b/packages/model/src/crowrudder_model/_codec.py
@@ -0,0 +1,40 @@
+"""Encode and decode the messages between processes (MessagePack)."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from crowrudder_model._errors import MalformedMessageError
+
+_Message = TypeVar('_Message')
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: object) -> bytes:
+    """Encode an attrs message to bytes."""
+    return _encoder.encode(message)
+
+
+def decode_message(
+    payload: bytes,
+    kind: type[_Message],
+    *,
+    peer: str = '',
+) -> _Message:
+    """Decode bytes to a message of the given class.
+
+    Raises
+    ------
+    MalformedMessageError
+        When the bytes are not a message of that class.
+    """
+    try:
+        return msgspec.msgpack.decode(payload, type=kind)
+    except (msgspec.MsgspecError, ValueError, TypeError) as exc:
+        raise MalformedMessageError(
+            f'not a {kind.__name__}: {exc}; check that both run one release',
+            step='decode',
+            peer=peer,
+        ) from exc
--- /dev/null
+++ b/packages/model/src/crowrudder_model/rpc/_methods.py
@@ -0,0 +1,64 @@
+"""Name, message classes and shape of each remote call."""
+
+from __future__ import annotations
+
+import enum
+from typing import Generic, TypeVar
+
+from attrs import frozen
+
+from crowrudder_model import messages
+
+SERVICE_NAME = 'crowrudder.Peer'
+
+_Ask = TypeVar('_Ask')
+_Reply = TypeVar('_Reply')
+
+
+class CallKind(enum.Enum):
+    """How many messages go each way."""
+
+    UNARY = 'unary'
+    DOWN_STREAM = 'down_stream'
+    BOTH_STREAM = 'both_stream'
+
+
+@frozen
+class Method(Generic[_Ask, _Reply]):
+    """One remote call.
+
+    Example
+    -------
+    >>> STOCK.path
+    '/crowrudder.Peer/Stock'
+    """
+
+    name: str
+    ask: type[_Ask]
+    reply: type[_Reply]
+    kind: CallKind = CallKind.UNARY
+
+    @property
+    def path(self) -> str:
+        """The path by which gRPC knows the call."""
+        return f'/{SERVICE_NAME}/{self.name}'
+
+
+RUN = Method('Run', messages.RunUp, messages.RunDown, CallKind.BOTH_STREAM)
+SETTLE = Method(
+    'Settle',
+    messages.SettleAsk,
+    messages.RunDown,
+    CallKind.DOWN_STREAM,
+)
+REPORTS = Method(
+    'Reports',
+    messages.ReportAsk,
+    messages.Report,
+    CallKind.DOWN_STREAM,
+)
+EXCHANGE = Method('Exchange', messages.Hello, messages.Hello)
+FETCH_BUNDLE = Method('FetchBundle', messages.BundleAsk, messages.BundleReply)
+STOCK = Method('Stock', messages.StockAsk, messages.StockReply)
+MANIFEST = Method('Manifest', messages.ManifestAsk, messages.ManifestReply)
+CHUNK = Method('Chunk', messages.ChunkAsk, messages.ChunkReply)
