--- a/packages/standins/src/crowrudder_standins/__init__.py
+++ b/packages/standins/src/crowrudder_standins/__init__.py
@@ -1,5 +1,5 @@
-"""Stand-ins for the platform, the origin, engines and plain services.
+"""Small stand-ins of the systems that crowrudder meets.
 
-Only tests, measurements and the demo start them; the product never imports
-this package.
+Each is a module to start by ``python -m crowrudder_standins.NAME``; the
+contract they follow is ``docs/reference/outside-systems.md``.
 """
--- /dev/null
+++ b/packages/standins/src/crowrudder_standins/_serving.py
@@ -0,0 +1,172 @@
+"""What all stand-ins share: the HTTP server, control calls and the journal."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from docopt import docopt
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from crowrudder_standins._faults import (
+    DropError,
+    Fault,
+    FaultSwitch,
+    RefusedError,
+)
+
+_MAX_BYTES = 1 << 30
+_APPEND = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+Answer = dict[str, Any] | None
+_Endpoint = Callable[..., Awaitable[Answer]]
+
+
+def route(method: str, path: str) -> Callable[[_Endpoint], _Endpoint]:
+    """Mark the coroutine that answers a call; ``*`` is any method."""
+
+    def mark(endpoint: _Endpoint) -> _Endpoint:
+        endpoint.route = (method, path)  # type: ignore[attr-defined]
+        return endpoint
+
+    return mark
+
+
+class Standin:
+    """Base of the stand-ins: options, faults, books and the journal."""
+
+    fault_names: tuple[str, ...] = ()
+
+    def __init__(self, options: Mapping[str, Any]) -> None:
+        self.options = options
+        self.faults = FaultSwitch()
+        path = options.get('--journal')
+        self._journal = os.open(path, _APPEND) if path else None
+
+    def note(self, record: Mapping[str, Any]) -> None:
+        """Add a line to the journal, the books that outlive a killed process."""
+        if self._journal is not None:
+            os.write(self._journal, json.dumps(record).encode() + b'\n')
+
+    def books(self) -> dict[str, Any]:
+        raise NotImplementedError
+
+    def on_fault(self, fault: Fault) -> None:
+        """React to a fault that acts at once."""
+
+    async def run(self) -> None:
+        """Work beside the calls."""
+
+    @route('GET', '/control/books')
+    async def get_books(self, call: Call) -> Answer:
+        return self.books()
+
+    @route('POST', '/control/faults')
+    async def post_fault(self, call: Call) -> Answer:
+        order = call.body_json()
+        amount = float(order.get('amount', 0))
+        fault = Fault(order['fault'], order.get('count'), amount)
+        if fault.name not in ('', *self.fault_names):
+            raise ValueError(f'{fault.name}: use one of {self.fault_names}')
+        if order.get('on', True):
+            self.faults.switch_on(fault)
+            self.on_fault(fault)
+        else:
+            self.faults.switch_off(fault.name)
+        return {'on': sorted(self.faults.active)}
+
+
+class Call(RequestHandler):
+    """One HTTP call, handed to the coroutine of its route.
+
+    The coroutine returns the JSON answer, or None if it has answered.
+    """
+
+    def initialize(
+        self, standin: Standin, routes: dict[str, _Endpoint]
+    ) -> None:
+        self._standin = standin
+        self._routes = routes
+        self.on_leave: Callable[[], object] = str
+
+    def on_connection_close(self) -> None:
+        self.on_leave()
+
+    def body_json(self) -> dict[str, Any]:
+        return dict(json.loads(self.request.body))
+
+    def number(self, name: str, default: str = '') -> float:
+        return float(self.get_query_argument(name, default))
+
+    async def send(self, chunk: str | bytes) -> None:
+        self.write(chunk)
+        await self.flush()
+
+    async def on_any(self, *path_args: str) -> None:
+        try:
+            answer = await self._answer(path_args)
+        except RefusedError as exc:
+            self.set_status(exc.status)
+            answer = exc.answer
+        except (DropError, StreamClosedError):
+            self.detach().close()
+            return
+        if not self._finished:
+            await self.finish(answer)
+
+    async def _answer(self, args: tuple[str, ...]) -> Answer:
+        endpoint = self._routes.get(str(self.request.method))
+        endpoint = endpoint or self._routes.get('*')
+        if endpoint is None:
+            raise RefusedError(405, 'method')
+        if not self.request.path.startswith('/control/'):
+            await self._standin.faults.wait_off('freeze')
+        try:
+            return await endpoint(self, *args)
+        except (ValueError, KeyError, TypeError) as exc:
+            raise RefusedError(400, repr(exc)) from exc
+
+    get = post = put = delete = patch = head = options = on_any
+
+
+def run(standin_type: type[Standin], usage: str) -> None:
+    """Run a stand-in until SIGTERM or SIGINT."""
+    asyncio.run(_serve(standin_type, docopt(usage)))
+
+
+def application(standin: Standin) -> Application:
+    """Return the stand-in's calls, for a server."""
+    by_path: dict[str, dict[str, _Endpoint]] = {}
+    for name in dir(standin):
+        endpoint = getattr(standin, name)
+        if hasattr(endpoint, 'route'):
+            method, path = endpoint.route
+            by_path.setdefault(path, {})[method] = endpoint
+    handlers = [
+        (path, Call, {'standin': standin, 'routes': by_path[path]})
+        for path in sorted(by_path, reverse=True)
+    ]
+    return Application(handlers, log_function=lambda _call: None)
+
+
+async def _serve(
+    standin_type: type[Standin], options: Mapping[str, Any]
+) -> None:
+    standin = standin_type(options)
+    http = application(standin).listen(
+        int(options['--port']),
+        options['--address'],
+        max_body_size=_MAX_BYTES,
+        max_buffer_size=_MAX_BYTES,
+    )
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    work = asyncio.create_task(standin.run())
+    await stopped.wait()
+    work.cancel()
+    http.stop()
