--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/admin.py
@@ -0,0 +1,188 @@
+"""The admin addresses: health, readiness, metrics, status, audit, explain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from attrs import define, field, frozen
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, HTTPError, RequestHandler
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from crowrudder_daemon._audit import AuditTrail
+    from crowrudder_daemon.metrics import Metrics
+
+JSON_TYPE = 'application/json; charset=utf-8'
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+# Nothing here takes a body.
+MOST_BODY_BYTES = 4096
+
+
+@frozen(kw_only=True)
+class AdminView:
+    """What the addresses show; each answer is read at the time of asking.
+
+    `explain` raises `NotImplementedError` in a role that doesn't route.
+    `on_fault` is told of a fault in any of the callables; the process goes on.
+    """
+
+    status: Callable[[], dict[str, Any]]
+    readiness: Callable[[], list[str]]
+    explain: Callable[[str, str], dict[str, Any]]
+    metrics: Metrics
+    audit: AuditTrail
+    on_fault: Callable[[str, BaseException | None], None]
+
+
+class _AdminHandler(RequestHandler):
+    def initialize(self, view: AdminView) -> None:
+        self.view = view
+
+    def reply(self, body: object, status: int = HTTPStatus.OK) -> None:
+        self.set_status(status)
+        self.set_header('Content-Type', JSON_TYPE)
+        self.finish(msgspec.json.encode(body))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        _, exc, _ = kwargs.get('exc_info', (None, None, None))
+        known = isinstance(exc, HTTPError) and exc.log_message
+        message = known or HTTPStatus(status_code).phrase
+        self.reply(
+            {'error': {'code': status_code, 'message': message}},
+            status_code,
+        )
+
+    def log_exception(
+        self,
+        typ: type[BaseException] | None,
+        value: BaseException | None,
+        tb: TracebackType | None,
+    ) -> None:
+        if not isinstance(value, HTTPError):
+            self.view.on_fault(f'admin {self.request.path}', value)
+
+
+class HealthHandler(_AdminHandler):
+    """Answers while the loop runs; says nothing of the work."""
+
+    def get(self) -> None:
+        self.reply({'status': 'ok'})
+
+
+class ReadyHandler(_AdminHandler):
+    """Says whether the process can serve, and if not, why."""
+
+    def get(self) -> None:
+        reasons = self.view.readiness()
+        status = HTTPStatus.SERVICE_UNAVAILABLE if reasons else HTTPStatus.OK
+        self.reply({'ready': not reasons, 'reasons': reasons}, status)
+
+
+class MetricsHandler(_AdminHandler):
+    """Writes Prometheus' text form."""
+
+    def get(self) -> None:
+        self.set_header('Content-Type', METRICS_TYPE)
+        self.finish(self.view.metrics.render())
+
+
+class StatusHandler(_AdminHandler):
+    """Shows the state of the process and its role."""
+
+    def get(self) -> None:
+        self.reply(self.view.status())
+
+
+class AuditHandler(_AdminHandler):
+    """Lists the changes after a number that the reader has seen."""
+
+    def get(self) -> None:
+        trail = self.view.audit
+        events = trail.after(self._after())
+        self.reply({'events': events, 'last': trail.last})
+
+    def _after(self) -> int:
+        text = self.get_argument('after', '0')
+        if not (text.isascii() and text.isdigit()):
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST, 'after: a whole number from 0'
+            )
+        return int(text)
+
+
+class ExplainHandler(_AdminHandler):
+    """Says where a customer's request for a model would go, and why."""
+
+    def get(self) -> None:
+        customer, model = self._needed('customer'), self._needed('model')
+        try:
+            explained = self.view.explain(customer, model)
+        except NotImplementedError as exc:
+            raise HTTPError(
+                HTTPStatus.NOT_FOUND, 'this role does not route: ask an entry'
+            ) from exc
+        self.reply(explained)
+
+    def _needed(self, name: str) -> str:
+        text = self.get_argument(name, '')
+        if not text:
+            raise HTTPError(HTTPStatus.BAD_REQUEST, f'{name}: required')
+        return text
+
+
+class _AbsentHandler(_AdminHandler):
+    def prepare(self) -> None:
+        raise HTTPError(HTTPStatus.NOT_FOUND, 'no such admin address')
+
+
+def admin_application(view: AdminView) -> Application:
+    """Make the application of the admin port."""
+    handlers: tuple[tuple[str, type[_AdminHandler]], ...] = (
+        ('/healthz', HealthHandler),
+        ('/readyz', ReadyHandler),
+        ('/metrics', MetricsHandler),
+        ('/status', StatusHandler),
+        ('/audit', AuditHandler),
+        ('/explain', ExplainHandler),
+    )
+    return Application(
+        [(path, handler, {'view': view}) for path, handler in handlers],
+        default_handler_class=_AbsentHandler,
+        default_handler_args={'view': view},
+    )
+
+
+@define
+class AdminServer:
+    """Owns the sockets of the admin port."""
+
+    view: AdminView
+    _server: HTTPServer | None = field(default=None, init=False)
+
+    def listen(self, address: str, port: int) -> int:
+        """Open the port; 0 takes a free one.
+
+        Returns
+        -------
+        int
+            The port.
+        """
+        sockets = bind_sockets(port, address)
+        self._server = HTTPServer(
+            admin_application(self.view),
+            max_body_size=MOST_BODY_BYTES,
+        )
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        """Close the port and its connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
--- a/packages/daemon/src/crowrudder_daemon/process.py
+++ b/packages/daemon/src/crowrudder_daemon/process.py
@@ -1,8 +1,9 @@
-"""The life of a process: start, serve, drain at a signal, stop."""
+"""The life of a process, and the contract between it and its role."""
 
 from __future__ import annotations
 
 from crowrudder_daemon._audit import AuditEvent, AuditKind, AuditTrail
+from crowrudder_daemon._lifecycle import Lifecycle, Phase, Stop, run_role
 from crowrudder_daemon._runtime import Audit, Role, Runtime
 
 __all__ = (
@@ -10,6 +11,10 @@
     'AuditEvent',
     'AuditKind',
     'AuditTrail',
+    'Lifecycle',
+    'Phase',
     'Role',
     'Runtime',
+    'Stop',
+    'run_role',
 )
