--- a/packages/daemon/src/crowrudder_daemon/logs.py
+++ b/packages/daemon/src/crowrudder_daemon/logs.py
@@ -42,8 +42,9 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
-    # `tornado.access` writes a line a request at INFO, warnings at 4xx.
-    logging.getLogger('tornado.access').setLevel(logging.ERROR)
+    # `tornado.access` writes errors for 5xx: under overload each refusal would
+    # cost a line, when time is short. Outcomes are counted as metrics.
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     log = logging.getLogger(ROOT)
     log.setLevel(cfg.logs.level.upper())
     return log
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -4,6 +4,8 @@
 import io
 import json
 import logging
+import os
+import signal
 from urllib.parse import quote
 
 import pytest
@@ -12,7 +14,7 @@
 
 from crowrudder_daemon.logs import start_logs
 from crowrudder_daemon.metrics import LabelError, Metrics
-from crowrudder_daemon.process import Lifecycle, Runtime, Stop
+from crowrudder_daemon.process import Lifecycle, Runtime, Stop, run_role
 from crowrudder_daemon.settings import LimitsSection
 from support.aio import run
 from support.settings import entry_settings
@@ -286,6 +288,25 @@
         run(scenario())
 
 
+class TestSignals:
+    @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+    def test_signal_drains_a_running_process(self, number):
+        role = FakeRole()
+        role.release.set()
+
+        def build(runtime):
+            # The signal comes once the loop turns, as from outside.
+            asyncio.get_running_loop().call_soon(os.kill, os.getpid(), number)
+            return role
+
+        handlers = logging.getLogger().handlers[:]
+        try:
+            assert run_role(entry_settings(), build) == 0
+        finally:
+            logging.getLogger().handlers[:] = handlers
+        assert role.calls == ['start', 'drain', 'drained', 'stop']
+
+
 class TestLogs:
     def test_line_is_json_with_host_role_and_fields(self):
         stream = io.StringIO()
@@ -302,6 +323,27 @@
         assert (line['message'], line['level']) == ('sent', 'INFO')
 
 
+class TestRefusalsUnderOverload:
+    """Symptom: the log fills when the process has least time to write.
+
+    Sequence: the process is not ready or overloaded and answers 503 again and
+    again. Cause: the HTTP library logs an error for each answer of 5xx.
+    """
+
+    def test_refusal_writes_no_line(self, caplog):
+        async def check(made):
+            made.role.reasons.append('overloaded')
+            assert (await made.get('/readyz'))[0] == 503
+
+        handlers = logging.getLogger().handlers[:]
+        start_logs(entry_settings(), io.StringIO())
+        logging.getLogger().handlers[:] = handlers
+        with_bench(check)
+        assert 'tornado.access' not in {
+            name for name, *_ in caplog.record_tuples
+        }
+
+
 class TestMetrics:
     def test_label_that_was_not_declared_is_refused(self):
         requests = Metrics().counter('requests', 'R.', labels=('outcome',))
