Client: the wait for a turn is no part of the time to answer

In a fleet with more frozen hosts than are asked at once, healthy hosts were shown as unreachable: the HTTP client's queue counted the wait. The test fails without the change (timeout in request queue) and passes with it.

--- a/packages/client/src/crowrudder_client/_admin.py
+++ b/packages/client/src/crowrudder_client/_admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import ipaddress
 from typing import Any
 
@@ -42,11 +43,19 @@
 class AdminClient:
     """Asks processes; an answer is whole or an error."""
 
-    def __init__(self, *, answer_s: float = ANSWER_S) -> None:
+    def __init__(
+        self,
+        *,
+        answer_s: float = ANSWER_S,
+        at_once: int = AT_ONCE,
+    ) -> None:
         self._answer_s = answer_s
+        # The HTTP client's own queue would count the wait for a turn as part
+        # of the time to answer, and call healthy hosts unreachable.
+        self._turns = asyncio.Semaphore(at_once)
         self._http: AsyncHTTPClient = SimpleAsyncHTTPClient(
             force_instance=True,
-            max_clients=AT_ONCE,
+            max_clients=at_once,
             max_body_size=MOST_ANSWER_BYTES,
             max_buffer_size=MOST_ANSWER_BYTES,
         )
@@ -105,14 +114,14 @@
     async def _get(self, admin: str, path: str, **query: str) -> bytes:
         req = HTTPRequest(
             url_concat(f'http://{admin}{path}', query),
-            connect_timeout=CONNECT_S,
-            # From the start of the call, a wait for its turn included.
+            connect_timeout=min(CONNECT_S, self._answer_s),
             request_timeout=self._answer_s,
             follow_redirects=False,
         )
         step = f'GET {path}'
         try:
-            answer = await self._http.fetch(req)
+            async with self._turns:
+                answer = await self._http.fetch(req)
         except HTTPClientError as exc:
             if exc.code == NO_ANSWER or exc.response is None:
                 raise UnreachableError(admin, step, str(exc)) from exc
--- a/tests/client/test_cli.py
+++ b/tests/client/test_cli.py
@@ -18,6 +18,9 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from crowrudder_client._admin import AdminClient
+from crowrudder_client._errors import UnreachableError
+from crowrudder_client._status import Status
 from crowrudder_client.cli import main
 from crowrudder_model._member import Member
 from crowrudder_model.declared import (
@@ -26,6 +29,7 @@
     encode_bundle,
     read_files,
 )
+from support.aio import run
 
 EXAMPLE = Path(__file__).parent.parent.parent / 'examples/fleet'
 IN_FORCE = read_files(
@@ -316,6 +320,36 @@
         assert 'no, 0 of 6 hosts' in capsys.readouterr().out
 
 
+class TestAdminClient:
+    def test_frozen_hosts_take_no_time_of_others(
+        self,
+        fakes: list[Fake],
+    ) -> None:
+        """A healthy host was shown as unreachable in a large fleet.
+
+        Symptom: `status` names hosts that answer at once `unreachable`.
+        Sequence: more hosts are frozen than are asked at once; the others
+        wait for their turn. Cause: the HTTP client's own queue counts that
+        wait as part of the time to answer.
+        """
+
+        async def ask(admins: list[str]) -> list[Any]:
+            client = AdminClient(answer_s=0.2, at_once=1)
+            try:
+                return await asyncio.gather(
+                    *(client.status(admin) for admin in admins),
+                    return_exceptions=True,
+                )
+            finally:
+                client.close()
+
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            admin = f'127.0.0.1:{server.getsockname()[1]}'
+            *frozen, healthy = run(ask([admin, admin, fakes[0].admin]))
+        assert all(isinstance(item, UnreachableError) for item in frozen)
+        assert isinstance(healthy, Status)
+
+
 class TestReadingBack:
     def test_audit(self, fakes: list[Fake], capsys: Any) -> None:
         event = {'seq': 41, 'at': 1.0, 'teller': 'platform', 'after': 'x\ny'}
