--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -150,6 +150,8 @@
             status=self.status,
             readiness=self.readiness,
             explain=self.role.explain,
+            members=self.role.members,
+            bundle=self.role.bundle,
             metrics=self.runtime.metrics,
             audit=self.runtime.audit.trail,
             on_fault=self.runtime.fault,
--- a/packages/daemon/src/crowrudder_daemon/_runtime.py
+++ b/packages/daemon/src/crowrudder_daemon/_runtime.py
@@ -14,6 +14,7 @@
 from crowrudder_daemon._audit import AuditEvent, AuditKind, AuditTrail
 from crowrudder_daemon.metrics import Metrics
 from crowrudder_daemon.settings import Settings
+from crowrudder_model import Member
 
 INCARNATION_BYTES = 8
 
@@ -117,6 +118,12 @@
     def readiness(self) -> list[str]:
         """List the reasons why it can't serve; empty when it can."""
 
+    def members(self) -> tuple[Member, ...]:
+        """List the members that this process knows."""
+
+    def bundle(self) -> bytes:
+        """Give the bytes of the bundle in force; empty where none is."""
+
     def explain(self, customer: str, model: str) -> dict[str, Any]:
         """Say where a request would go, and why; entries only.
 
--- a/packages/daemon/src/crowrudder_daemon/admin.py
+++ b/packages/daemon/src/crowrudder_daemon/admin.py
@@ -17,6 +17,7 @@
 
     from crowrudder_daemon._audit import AuditTrail
     from crowrudder_daemon.metrics import Metrics
+    from crowrudder_model import Member
 
 JSON_TYPE = 'application/json; charset=utf-8'
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
@@ -37,6 +38,8 @@
     explain: Callable[[str, str], dict[str, Any]]
     metrics: Metrics
     audit: AuditTrail
+    members: Callable[[], tuple[Member, ...]]
+    bundle: Callable[[], bytes]
     on_fault: Callable[[str, BaseException | None], None]
 
 
@@ -99,6 +102,24 @@
         self.reply(self.view.status())
 
 
+class MembersHandler(_AdminHandler):
+    """Lists the members that this process knows."""
+
+    def get(self) -> None:
+        self.reply({'revision': 0, 'members': self.view.members()})
+
+
+class BundleHandler(_AdminHandler):
+    """Gives the bundle in force, byte for byte as it was published."""
+
+    def get(self) -> None:
+        payload = self.view.bundle()
+        if not payload:
+            raise HTTPError(HTTPStatus.NOT_FOUND, 'no bundle in force yet')
+        self.set_header('Content-Type', JSON_TYPE)
+        self.finish(payload)
+
+
 class AuditHandler(_AdminHandler):
     """Lists the changes after a number that the reader has seen."""
 
@@ -149,6 +170,8 @@
         ('/metrics', MetricsHandler),
         ('/status', StatusHandler),
         ('/audit', AuditHandler),
+        ('/members', MembersHandler),
+        ('/bundle', BundleHandler),
         ('/explain', ExplainHandler),
     )
     return Application(
--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from crowrudder_daemon.process import Runtime
+    from crowrudder_model import Member
 
 PLAIN_VERSION = 'plain'
 LEAVE_GRACE_S = 1.0
@@ -109,9 +110,17 @@
             reasons.append('this process is leaving')
         return reasons
 
+    def members(self) -> tuple[Member, ...]:
+        """List the members that this process knows."""
+        return self.knowledge.snapshot.members
+
+    def bundle(self) -> bytes:
+        """Give the bytes of the bundle in force."""
+        return self.knowledge.book.payload
+
     def explain(self, customer: str, model: str) -> dict[str, Any]:
-        """Agents route nothing."""
-        return {'customer': customer, 'model': model, 'routes': []}
+        """Refuse: agents route nothing."""
+        raise NotImplementedError
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         if self.weights is not None:
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from crowrudder_daemon.process import Runtime
+    from crowrudder_model import Member
 
 LEAVE_GRACE_S = 1.0
 IDLE_CONNECTION_S = 60
@@ -92,6 +93,14 @@
             reasons.append('this process is leaving')
         return reasons
 
+    def members(self) -> tuple[Member, ...]:
+        """List the members that this process knows."""
+        return self.knowledge.snapshot.members
+
+    def bundle(self) -> bytes:
+        """Give the bytes of the bundle in force."""
+        return self.knowledge.book.payload
+
     def explain(self, customer: str, model: str) -> dict[str, Any]:
         """Tell where a request would go now, and why."""
         return self.requests.explain(customer, model)
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -16,6 +16,7 @@
 from crowrudder_daemon.metrics import LabelError, Metrics
 from crowrudder_daemon.process import Lifecycle, Runtime, Stop, run_role
 from crowrudder_daemon.settings import LimitsSection
+from crowrudder_model import Member
 from support.aio import run
 from support.settings import entry_settings
 
@@ -51,6 +52,12 @@
     def readiness(self):
         return self.reasons
 
+    def members(self):
+        return (Member('e1', 'entry', '127.0.0.1'),)
+
+    def bundle(self):
+        return b''
+
     def explain(self, customer, model):
         if 'explain' in self.broken:
             raise NotImplementedError
@@ -175,6 +182,22 @@
 
         with_bench(check, FakeRole(broken=('explain',)))
 
+    def test_members_are_listed_as_the_platform_lists_them(self):
+        async def check(made):
+            code, body = await made.get('/members')
+            assert code == 200
+            assert [member['host'] for member in body['members']] == ['e1']
+
+        with_bench(check)
+
+    def test_bundle_is_absent_before_one_is_in_force(self):
+        async def check(made):
+            code, body = await made.get('/bundle')
+            assert code == 404
+            assert 'no bundle' in body['error']['message']
+
+        with_bench(check)
+
     def test_unknown_address_is_json_404(self):
         async def check(made):
             code, body = await made.get('/nope')
