--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -183,12 +183,13 @@
             options = {**ENGINE_OPTIONS, '--slots': '1', '--queue': '1'}
             async with serving(Engine, options) as engine:
                 await load(engine)
-                tasks = [
-                    asyncio.create_task(generate(engine, name, max_tokens=9999))
-                    for name in 'ab'
-                ]
-                full = {'running': 1, 'queued': 1}
-                await until(lambda: engine.standin.batch.counts() == full)
+                batch = engine.standin.batch
+                tasks = []
+                for count, name in enumerate('ab', start=1):
+                    long_run = generate(engine, name, max_tokens=9999)
+                    tasks.append(asyncio.create_task(long_run))
+                    await until(lambda n=count: len(batch.runs) == n)
+                    await until(lambda: batch.counts()['running'])
                 refused = await generate(engine, 'c')
                 cancelled = [
                     await engine.json(
