--- /dev/null
+++ b/scripts/_books.py
@@ -0,0 +1,111 @@
+"""Comparison of the upstreams' own books with what callers received."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Any
+
+from attrs import field, frozen
+
+from _caller import Answer, Flaw
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+
+@frozen
+class Books:
+    """The runs that all upstreams wrote down.
+
+    `starts` counts by request id how often its first token was set out for;
+    a stream that resumes where it stood is no further start.
+    """
+
+    starts: Counter[str]
+    mixed_ids: frozenset[str]
+
+    @classmethod
+    def read(cls, journals: Iterable[Path]) -> Books:
+        """Read the journals of engines and plain services."""
+        records = [
+            json.loads(line)
+            for path in journals
+            for line in path.read_text().splitlines()
+        ]
+        starts = Counter(_started_id(record) for record in records)
+        starts.pop('', None)
+        mixed = [
+            record['request_id']
+            for record in records
+            if record.get('state') == 'finished' and len(record['ranges']) > 1
+        ]
+        return cls(starts, frozenset(mixed))
+
+
+def _started_id(record: dict[str, Any]) -> str:
+    if 'plain' in record:
+        return str(record['plain'])
+    first = record['state'] == 'started' and not record['resume_from']
+    return str(record['request_id']) if first else ''
+
+
+@frozen(kw_only=True)
+class Verdict:
+    """Counts over all requests, and a line on each miss."""
+
+    requests: int
+    whole: int
+    doubled: int
+    mixed: int
+    cut: int
+    crossed: int
+    not_run_but_ran: int
+    misses: tuple[str, ...] = field(factory=tuple)
+
+    @property
+    def clean(self) -> bool:
+        """Whether nothing happened that never may."""
+        return not self.misses
+
+
+def compare(books: Books, answers: Iterable[Answer]) -> Verdict:
+    """Hold every request's answers against the books."""
+    by_id: dict[str, list[Answer]] = defaultdict(list)
+    for answer in answers:
+        by_id[answer.request.request_id].append(answer)
+    found: dict[str, list[str]] = defaultdict(list)
+    for request_id, sendings in by_id.items():
+        for kind in _misses(books, request_id, sendings):
+            details = [f'{one.status} {one.outcome} {one.detail}' for one in sendings]
+            starts = books.starts[request_id]
+            found[kind].append(
+                f'{kind}: {request_id}: {starts} starts, answers {details}'
+            )
+    whole = sum(any(one.whole for one in each) for each in by_id.values())
+    return Verdict(
+        requests=len(by_id),
+        whole=whole,
+        doubled=len(found['doubled']),
+        mixed=len(found['mixed']),
+        cut=len(found['cut']),
+        crossed=len(found['crossed']),
+        not_run_but_ran=len(found['not_run_but_ran']),
+        misses=tuple(line for lines in found.values() for line in lines),
+    )
+
+
+def _misses(books: Books, request_id: str, sendings: list[Answer]) -> set[str]:
+    starts = books.starts[request_id]
+    misses = {one.flaw.value for one in sendings if one.flaw is not Flaw.NONE}
+    whole = any(one.whole for one in sendings)
+    if starts > 1 and not sendings[0].request.idempotent:
+        misses.add('doubled')
+    if whole and request_id in books.mixed_ids:
+        misses.add('mixed')
+    if whole and not starts:
+        misses.add('crossed')
+    if starts and all(one.outcome == 'not_run' for one in sendings):
+        misses.add('not_run_but_ran')
+    return misses
--- /dev/null
+++ b/scripts/_fleet.py
@@ -0,0 +1,512 @@
+"""A fleet of separate processes on loopback, for scripts and tests.
+
+It starts stand-ins, entries and agents, and kills, freezes and drains them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import configparser
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import IO, TYPE_CHECKING, Any
+
+from attrs import define, field, frozen
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+LOOPBACK = '127.0.0.1'
+# Below the ports that the system gives to outgoing connections.
+_PORTS = (12000, 32000)
+_POLL_S = 0.05
+_TAIL_LINES = 30
+
+
+class FleetError(Exception):
+    """A step of the fleet that failed, with the process at which it did."""
+
+    def __init__(self, step: str, peer: str, reason: str) -> None:
+        super().__init__(f'{step}: {peer}: {reason}')
+
+
+@frozen
+class FleetPlan:
+    """How large a fleet is and how its stand-ins behave.
+
+    Rates are in bytes a second, 0 for no limit.
+    """
+
+    entries: int = 2
+    engines: int = 4
+    plains: int = 1
+    plain_service: str = 'portal'
+    regions: tuple[str, ...] = ('rennes', 'caen')
+    origin_rate: int = 8_000_000
+    store_rate: int = 8_000_000
+    member_lag_s: float = 0.5
+    engine_options: tuple[str, ...] = ()
+    fencing: str = 'checked'
+    drain_s: float = 20
+    poll_s: float = 1
+    log_level: str = 'info'
+
+
+@define(eq=False)
+class Process:
+    """A child process with its log file."""
+
+    name: str
+    arguments: list[str]
+    log_path: Path
+    _child: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start it; the log of an earlier life is kept."""
+        log: IO[bytes]
+        with self.log_path.open('ab') as log:
+            self._child = subprocess.Popen(
+                self.arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def running(self) -> bool:
+        """Whether it has been started and hasn't ended."""
+        return self._child is not None and self._child.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """The code with which it ended; negative for a signal."""
+        return None if self._child is None else self._child.poll()
+
+    def kill(self) -> None:
+        """End it at once."""
+        self._signal(signal.SIGKILL)
+        if self._child is not None:
+            self._child.wait()
+
+    def freeze(self) -> None:
+        """Pause it as a whole, until `thaw`."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to drain and end."""
+        self._signal(signal.SIGTERM)
+
+    async def ended(self, timeout_s: float) -> int | None:
+        """Wait for the end; None if it didn't come in time."""
+        ends_at = time.monotonic() + timeout_s
+        while self.running and time.monotonic() < ends_at:
+            await asyncio.sleep(_POLL_S)
+        return self.exit_code
+
+    def tail(self) -> str:
+        """Return the last lines of its log."""
+        lines = self.log_path.read_text(errors='replace').splitlines()
+        return '\n'.join(lines[-_TAIL_LINES:])
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._child is not None and self.running:
+            self._child.send_signal(number)
+
+
+@frozen(eq=False)
+class Outside:
+    """A stand-in: its process, address and journal of runs."""
+
+    process: Process
+    address: str
+    journal_path: Path
+
+    @property
+    def url(self) -> str:
+        """Where it answers."""
+        return f'http://{self.address}'
+
+
+@frozen(eq=False)
+class Host:
+    """A host of the fleet: one daemon and, for an agent, its upstream."""
+
+    member: dict[str, Any]
+    process: Process
+    upstream: Outside | None = None
+
+    @property
+    def name(self) -> str:
+        """The name in the member list."""
+        return str(self.member['host'])
+
+    @property
+    def admin_url(self) -> str:
+        """Where its status and health are read."""
+        return f'http://{LOOPBACK}:{self.member["admin_port"]}'
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether it is the agent of an engine."""
+        return bool(self.member['upstream'] == 'engine')
+
+
+class Web:
+    """Calls to control and admin addresses."""
+
+    def __init__(self) -> None:
+        self._client = AsyncHTTPClient(force_instance=True, max_clients=100)
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        timeout_s: float = 5,
+    ) -> HTTPResponse:
+        """Call and return any answer; OSError or HTTPError if none came."""
+        return await self._client.fetch(
+            url,
+            method=method,
+            body=body,
+            allow_nonstandard_methods=True,
+            raise_error=False,
+            request_timeout=timeout_s,
+            connect_timeout=timeout_s,
+        )
+
+    async def json(
+        self,
+        method: str,
+        url: str,
+        sent: Mapping[str, Any] | None = None,
+    ) -> Any:
+        """Call and decode a JSON answer with status 200."""
+        body = None if sent is None else json.dumps(sent).encode()
+        answer = await self.fetch(method, url, body)
+        if answer.code != 200:
+            raise FleetError(method, url, f'{answer.code} {answer.body!r}')
+        return json.loads(answer.body)
+
+    async def tried_json(self, url: str) -> Any:
+        """Read JSON, or None from a peer that doesn't answer well."""
+        with contextlib.suppress(Exception):
+            return await self.json('GET', url)
+        return None
+
+    async def tried_answer(self, url: str) -> bool:
+        """Tell whether a peer answers with 200."""
+        try:
+            answer = await self.fetch('GET', url)
+        except (OSError, HTTPError):
+            return False
+        return answer.code == 200
+
+    def close(self) -> None:
+        """Close the client."""
+        self._client.close()
+
+
+async def until(
+    holds: Callable[[], Awaitable[bool]],
+    *,
+    step: str,
+    timeout_s: float,
+) -> None:
+    """Poll until a condition holds.
+
+    Raises
+    ------
+    FleetError
+        If it doesn't within the time.
+    """
+    ends_at = time.monotonic() + timeout_s
+    while not await holds():
+        if time.monotonic() > ends_at:
+            raise FleetError(step, 'fleet', f'not within {timeout_s} s')
+        await asyncio.sleep(_POLL_S)
+
+
+def program(name: str) -> str:
+    """Return the path of an installed program beside this interpreter."""
+    return str(Path(sys.executable).parent / name)
+
+
+class Fleet:
+    """The processes of one run and the directory of their files."""
+
+    def __init__(self, plan: FleetPlan, directory: Path) -> None:
+        self.plan = plan
+        self.directory = directory
+        self.web = Web()
+        self.entries: list[Host] = []
+        self.agents: list[Host] = []
+        self._outsides: list[Outside] = []
+        self._ports: set[int] = set()
+        self._rng = random.Random(os.getpid())
+        lag = f'--member-lag={plan.member_lag_s}'
+        self.platform = self._outside('platform', 'platform', lag)
+        self.origin = self._outside(
+            'origin', 'origin', f'--rate={plan.origin_rate}'
+        )
+        self.store = self._outside(
+            'store', 'origin', f'--rate={plan.store_rate}', '--name=store'
+        )
+
+    @property
+    def hosts(self) -> list[Host]:
+        """Return all entries and agents."""
+        return [*self.entries, *self.agents]
+
+    @property
+    def engine_agents(self) -> list[Host]:
+        """Return the agents that stand beside an engine."""
+        return [agent for agent in self.agents if agent.is_engine]
+
+    def journals(self) -> list[Path]:
+        """Return the books of all upstreams, also of killed ones."""
+        paths = [each.journal_path for each in self._outsides]
+        return [path for path in paths if path.exists()]
+
+    async def start(self) -> None:
+        """Start everything and list the hosts with the platform."""
+        plan = self.plan
+        for number in range(1, plan.entries + 1):
+            self.entries.append(self._entry(number))
+        for number in range(1, plan.engines + 1):
+            self.agents.append(self._engine_agent(number))
+        for number in range(1, plan.plains + 1):
+            self.agents.append(self._plain_agent(number))
+        for outside in self._outsides:
+            outside.process.start()
+        for outside in self._outsides:
+            await self._await_answer(
+                outside.process, f'{outside.url}/control/books'
+            )
+        for host in self.hosts:
+            host.process.start()
+        for host in self.hosts:
+            await self.await_alive(host)
+            await self.list_member(host)
+
+    async def await_alive(self, host: Host) -> None:
+        """Wait until the daemon of a host answers."""
+        await self._await_answer(host.process, f'{host.admin_url}/healthz')
+
+    async def list_member(self, host: Host, state: str = 'live') -> None:
+        """Put a host into the platform's member list."""
+        url = f'{self.platform.url}/control/members/{host.name}'
+        await self.web.json('PUT', url, {**host.member, 'state': state})
+
+    async def unlist_member(self, host: Host) -> None:
+        """Take a host out of the platform's member list."""
+        url = f'{self.platform.url}/control/members/{host.name}'
+        await self.web.json('DELETE', url)
+
+    async def publish(self, bundle: bytes) -> None:
+        """Publish a bundle, as the operators would."""
+        url = f'{self.platform.url}/control/bundle'
+        answer = await self.web.fetch('PUT', url, bundle)
+        if answer.code != 200:
+            raise FleetError('publish', url, str(answer.code))
+
+    async def make_weights(
+        self,
+        version: str,
+        *,
+        size: int,
+        chunk_bytes: int,
+        seed: int,
+        stored: bool = True,
+    ) -> str:
+        """Make a version at the origin and return its manifest's digest.
+
+        Parameters
+        ----------
+        stored
+            Whether the weight store has the version as well.
+        """
+        query = f'size={size}&chunk_bytes={chunk_bytes}&seed={seed}'
+        path = f'/control/weights/{version}?{query}'
+        sources = [self.store, self.origin] if stored else [self.origin]
+        for source in sources:
+            made = await self.web.json('PUT', f'{source.url}{path}')
+        return str(made['manifest_digest'])
+
+    async def fault(
+        self, outside: Outside, name: str, *, on: bool = True, **more: float
+    ) -> None:
+        """Switch a fault of a stand-in on or off."""
+        url = f'{outside.url}/control/faults'
+        await self.web.json('POST', url, {'fault': name, 'on': on, **more})
+
+    async def books(self, outside: Outside) -> Any:
+        """Return the books of a stand-in that lives."""
+        return await self.web.json('GET', f'{outside.url}/control/books')
+
+    async def status(self, host: Host) -> Any:
+        """Return a host's status, or None if it doesn't answer."""
+        return await self.web.tried_json(f'{host.admin_url}/status')
+
+    async def loaded(self, version: str) -> bool:
+        """Tell whether every engine's agent has loaded this version."""
+        states = [await self.status(agent) for agent in self.engine_agents]
+        loaded = {(each or {}).get('loaded_version') for each in states}
+        return loaded == {version}
+
+    async def drain(self, hosts: list[Host]) -> dict[str, int | None]:
+        """Send SIGTERM to hosts and return their exit codes by name."""
+        for host in hosts:
+            host.process.terminate()
+        wait_s = self.plan.drain_s + 5
+        return {
+            host.name: await host.process.ended(wait_s) for host in hosts
+        }
+
+    def close(self) -> None:
+        """End what still runs, the daemons first."""
+        processes = [host.process for host in self.hosts]
+        processes.extend(each.process for each in self._outsides)
+        for process in processes:
+            process.thaw()
+            process.kill()
+        self.web.close()
+
+    def free_port(self) -> int:
+        """Return a port that nobody listens on."""
+        while True:
+            port = self._rng.randrange(*_PORTS)
+            with socket.socket() as probe:
+                if port in self._ports or probe.connect_ex((LOOPBACK, port)) == 0:
+                    continue
+            self._ports.add(port)
+            return port
+
+    async def _await_answer(self, process: Process, url: str) -> None:
+        async def answers() -> bool:
+            if not process.running:
+                raise FleetError('start', process.name, process.tail())
+            return await self.web.tried_answer(url)
+
+        await until(answers, step=f'start {process.name}', timeout_s=20)
+
+    def _process(self, name: str, *arguments: str) -> Process:
+        log_path = self.directory / f'{name}.log'
+        return Process(name, list(arguments), log_path)
+
+    def _outside(self, name: str, module: str, *options: str) -> Outside:
+        port = self.free_port()
+        journal_path = self.directory / f'{name}.journal'
+        process = self._process(
+            name,
+            sys.executable,
+            '-m',
+            f'crowrudder_standins.{module}',
+            f'--port={port}',
+            *options,
+        )
+        outside = Outside(process, f'{LOOPBACK}:{port}', journal_path)
+        self._outsides.append(outside)
+        return outside
+
+    def _upstream(self, name: str, module: str, *options: str) -> Outside:
+        journal = f'--journal={self.directory / name}.journal'
+        return self._outside(name, module, journal, *options)
+
+    def _member(self, host: str, role: str, upstream: str) -> dict[str, Any]:
+        regions = self.plan.regions
+        region = regions[len(self.hosts) % len(regions)]
+        return {
+            'host': host,
+            'role': role,
+            'address': LOOPBACK,
+            'rpc_port': self.free_port(),
+            'http_port': self.free_port() if role == 'entry' else 0,
+            'admin_port': self.free_port(),
+            'region': region,
+            'failure_domain': f'{region}-{len(self.hosts) // len(regions) % 2}',
+            'upstream': upstream,
+            'state': 'live',
+        }
+
+    def _entry(self, number: int) -> Host:
+        return self._host(self._member(f'entry-{number}', 'entry', ''), {})
+
+    def _engine_agent(self, number: int) -> Host:
+        plan = self.plan
+        fencing = f'--fencing={plan.fencing}'
+        upstream = self._upstream(
+            f'engine-{number}', 'engine', fencing, *plan.engine_options
+        )
+        member = self._member(f'agent-{number}', 'agent', 'engine')
+        sections = {
+            'upstream': {
+                'kind': 'engine',
+                'address': upstream.address,
+                'fencing': plan.fencing,
+            },
+            'weights': {
+                'origin': self.origin.address,
+                'store': self.store.address,
+                'memory_bytes': 1 << 28,
+                'link_bytes_per_s': 50_000_000,
+            },
+        }
+        return self._host(member, sections, upstream)
+
+    def _plain_agent(self, number: int) -> Host:
+        service = self.plan.plain_service
+        upstream = self._upstream(f'plain-{number}', 'plain')
+        member = self._member(
+            f'agent-plain-{number}', 'agent', f'plain:{service}'
+        )
+        section = {
+            'kind': 'plain',
+            'address': upstream.address,
+            'service': service,
+        }
+        return self._host(member, {'upstream': section}, upstream)
+
+    def _host(
+        self,
+        member: dict[str, Any],
+        sections: dict[str, dict[str, Any]],
+        upstream: Outside | None = None,
+    ) -> Host:
+        role = member['role']
+        keys = ('host', 'address', 'rpc_port', 'admin_port')
+        places = ('region', 'failure_domain')
+        own = {key: member[key] for key in (*keys, *places)}
+        if role == 'entry':
+            own['http_port'] = member['http_port']
+        cfg = configparser.ConfigParser()
+        cfg.read_dict({
+            'process': {'role': role, **own},
+            'platform': {
+                'address': self.platform.address,
+                'poll_s': self.plan.poll_s,
+            },
+            **sections,
+            'limits': {'drain_s': self.plan.drain_s},
+            'logs': {'level': self.plan.log_level},
+        })
+        path = self.directory / f'{member["host"]}.ini'
+        with path.open('w') as written:
+            cfg.write(written)
+        process = self._process(
+            member['host'], program('crowrudderd'), role, str(path)
+        )
+        return Host(member, process, upstream)
