--- a/scripts/_books.py
+++ b/scripts/_books.py
@@ -6,9 +6,8 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Any
 
-from attrs import field, frozen
-
 from _caller import Answer, Flaw
+from attrs import field, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,8 +44,9 @@
 
 
 def _started_id(record: dict[str, Any]) -> str:
-    if 'plain' in record:
-        return str(record['plain'])
+    plain_id = record.get('plain')
+    if plain_id is not None:
+        return str(plain_id)
     first = record['state'] == 'started' and not record['resume_from']
     return str(record['request_id']) if first else ''
 
@@ -78,7 +78,9 @@
     found: dict[str, list[str]] = defaultdict(list)
     for request_id, sendings in by_id.items():
         for kind in _misses(books, request_id, sendings):
-            details = [f'{one.status} {one.outcome} {one.detail}' for one in sendings]
+            details = [
+                f'{one.status} {one.outcome} {one.detail}' for one in sendings
+            ]
             starts = books.starts[request_id]
             found[kind].append(
                 f'{kind}: {request_id}: {starts} starts, answers {details}'
--- a/scripts/_caller.py
+++ b/scripts/_caller.py
@@ -58,12 +58,14 @@
         """Return the JSON body."""
         if self.service:
             return json.dumps({'enquiry': self.prompt}).encode()
-        return json.dumps({
-            'model': self.model,
-            'prompt': self.prompt,
-            'max_tokens': self.max_tokens,
-            'stream': self.streamed,
-        }).encode()
+        return json.dumps(
+            {
+                'model': self.model,
+                'prompt': self.prompt,
+                'max_tokens': self.max_tokens,
+                'stream': self.streamed,
+            }
+        ).encode()
 
 
 class Flaw(enum.Enum):
@@ -261,7 +263,8 @@
         """Ask the entries known so far, then the first one."""
         known = [each.url for each in self._entries]
         self._rng.shuffle(known)
-        for url in [*known, self._first_url]:
+        known.append(self._first_url)
+        for url in known:
             try:
                 read = await self._client.fetch(f'{url}/v1/entries')
             except (OSError, HTTPError):
--- /dev/null
+++ b/scripts/_declare.py
@@ -0,0 +1,128 @@
+"""The declared files of a run: written, checked and bundled by the client."""
+
+from __future__ import annotations
+
+import asyncio
+import configparser
+import json
+import shutil
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from _fleet import FleetError, program
+from attrs import define, frozen
+
+if TYPE_CHECKING:
+    from _fleet import Fleet
+
+EXAMPLE = Path(__file__).parent.parent / 'examples' / 'fleet'
+_MEBIBYTE = 1 << 20
+
+
+@frozen
+class Weights:
+    """A version of weights; its bytes follow from the seed."""
+
+    version: str
+    seed: int
+    size: int = 8 * _MEBIBYTE
+    chunk_bytes: int = _MEBIBYTE
+
+    @property
+    def chunks(self) -> int:
+        """How many chunks there are."""
+        return -(-self.size // self.chunk_bytes)
+
+
+async def client(*arguments: str) -> str:
+    """Run the operators' client and return what it printed.
+
+    Raises
+    ------
+    FleetError
+        If it ends with another code than 0.
+    """
+    child = await asyncio.create_subprocess_exec(
+        program('crowrudder'),
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    printed, _ = await child.communicate()
+    if child.returncode:
+        command = f'crowrudder {" ".join(arguments)}'
+        raise FleetError('client', command, printed.decode())
+    return printed.decode()
+
+
+@define
+class Declared:
+    """A directory of declared files, and what was published of it."""
+
+    directory: Path
+    model: str = 'listing'
+    generation: int = 0
+    digest: str = ''
+
+    @classmethod
+    def from_example(cls, directory: Path) -> Declared:
+        """Copy the example's files."""
+        shutil.copytree(EXAMPLE, directory)
+        return cls(directory)
+
+    async def publish(self, fleet: Fleet, weights: Weights) -> str:
+        """Declare a version, check, bundle and publish; return the digest.
+
+        The version before stays declared, as hosts still serve with it.
+        """
+        manifest = await fleet.make_weights(
+            weights.version,
+            size=weights.size,
+            chunk_bytes=weights.chunk_bytes,
+            seed=weights.seed,
+        )
+        self._declare(weights, manifest)
+        self._succeed(weights.version)
+        directory = str(self.directory)
+        bundle_path = self.directory.parent / 'bundle'
+        await client('check', directory)
+        await client('bundle', directory, '-o', str(bundle_path))
+        bundle = bundle_path.read_bytes()
+        self.digest = str(json.loads(bundle)['digest'])
+        await fleet.publish(bundle)
+        return self.digest
+
+    def set_replicas(self, replicas: int) -> None:
+        """Declare on how many hosts the model runs."""
+        self._set('services.ini', 'service:listing', replicas=replicas)
+
+    def _declare(self, weights: Weights, manifest: str) -> None:
+        self._set(
+            'versions.ini',
+            f'version:{weights.version}',
+            model=self.model,
+            manifest=manifest,
+            size=weights.size,
+            chunks=weights.chunks,
+        )
+
+    def _succeed(self, version: str) -> None:
+        self.generation += 1
+        self._set('services.ini', f'service:{self.model}', version=version)
+        self._set(
+            'fleet.ini',
+            'fleet',
+            generation=self.generation,
+            parent=self.digest,
+        )
+
+    def _set(self, file_name: str, section: str, **keys: object) -> None:
+        path = self.directory / file_name
+        cfg = configparser.ConfigParser(interpolation=None)
+        cfg.read(path)
+        if not cfg.has_section(section):
+            cfg.add_section(section)
+        for key, text in keys.items():
+            cfg.set(section, key, str(text))
+        with path.open('w') as written:
+            cfg.write(written)
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, Any
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
 
 if TYPE_CHECKING:
@@ -111,10 +111,12 @@
 
     async def ended(self, timeout_s: float) -> int | None:
         """Wait for the end; None if it didn't come in time."""
-        ends_at = time.monotonic() + timeout_s
-        while self.running and time.monotonic() < ends_at:
-            await asyncio.sleep(_POLL_S)
-        return self.exit_code
+        if self._child is None:
+            return None
+        try:
+            return await asyncio.to_thread(self._child.wait, timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
 
     def tail(self) -> str:
         """Return the last lines of its log."""
@@ -372,9 +374,7 @@
         for host in hosts:
             host.process.terminate()
         wait_s = self.plan.drain_s + 5
-        return {
-            host.name: await host.process.ended(wait_s) for host in hosts
-        }
+        return {host.name: await host.process.ended(wait_s) for host in hosts}
 
     def close(self) -> None:
         """End what still runs, the daemons first."""
@@ -390,7 +390,10 @@
         while True:
             port = self._rng.randrange(*_PORTS)
             with socket.socket() as probe:
-                if port in self._ports or probe.connect_ex((LOOPBACK, port)) == 0:
+                if (
+                    port in self._ports
+                    or probe.connect_ex((LOOPBACK, port)) == 0
+                ):
                     continue
             self._ports.add(port)
             return port
@@ -473,7 +476,7 @@
         member = self._member(
             f'agent-plain-{number}', 'agent', f'plain:{service}'
         )
-        section = {
+        section: dict[str, Any] = {
             'kind': 'plain',
             'address': upstream.address,
             'service': service,
@@ -493,16 +496,18 @@
         if role == 'entry':
             own['http_port'] = member['http_port']
         cfg = configparser.ConfigParser()
-        cfg.read_dict({
-            'process': {'role': role, **own},
-            'platform': {
-                'address': self.platform.address,
-                'poll_s': self.plan.poll_s,
-            },
-            **sections,
-            'limits': {'drain_s': self.plan.drain_s},
-            'logs': {'level': self.plan.log_level},
-        })
+        cfg.read_dict(
+            {
+                'process': {'role': role, **own},
+                'platform': {
+                    'address': self.platform.address,
+                    'poll_s': self.plan.poll_s,
+                },
+                **sections,
+                'limits': {'drain_s': self.plan.drain_s},
+                'logs': {'level': self.plan.log_level},
+            }
+        )
         path = self.directory / f'{member["host"]}.ini'
         with path.open('w') as written:
             cfg.write(written)
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,272 @@
+"""From declared files to served requests on a fleet of local processes.
+
+Environment: KEEP=1 leaves the fleet running until Ctrl-C.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from _books import Books, Verdict, compare
+from _caller import Answer, Caller, Request
+from _declare import Declared, Weights, client
+from _fleet import Fleet, FleetError, FleetPlan, until
+from attrs import evolve, frozen
+
+PLAN = FleetPlan(
+    entries=2,
+    engines=4,
+    plains=1,
+    origin_rate=8_000_000,
+    engine_options=('--token-interval=0.005', '--load-s=0.2'),
+)
+FIRST = Weights('listing-v1', seed=1)
+SECOND = Weights('listing-v2', seed=2)
+LOAD_S = 20
+BATCH = 40
+GAP_S = 0.01
+LONG_TOKENS = 200
+WHOLE_RUN_S = 58
+# One copy, and a tenth for chunks asked for twice.
+MOST_COPIES = 1.1
+
+
+def say(line: str) -> None:
+    """Print a line at once."""
+    print(line, flush=True)
+
+
+def request(number: int) -> Request:
+    """Return one of a mixture of requests."""
+    if number % 8 == 7:
+        return Request(
+            request_id=f'enquiry-{number}',
+            customer='riding-school',
+            service='portal',
+            prompt=f'Is the mare of listing {number} still for sale?',
+        )
+    return Request(
+        request_id=f'draft-{number}',
+        customer='breeder-portal',
+        model='listing',
+        prompt=f'Draft a listing for horse {number}',
+        max_tokens=8 + number % 9,
+        streamed=number % 2 == 0,
+        idempotent=number % 3 == 0,
+    )
+
+
+class Stop(Exception):
+    """The demo can't go on."""
+
+
+@frozen
+class Outcome:
+    """What the books and the callers say at the end."""
+
+    verdict: Verdict
+    origin_copies: float
+    exit_codes: dict[str, int | None]
+
+    def misses(self) -> list[str]:
+        """Name all that isn't as it has to be."""
+        verdict = self.verdict
+        misses = list(verdict.misses)
+        if verdict.whole != verdict.requests:
+            misses.append(f'{verdict.requests - verdict.whole} not whole')
+        if self.origin_copies > MOST_COPIES:
+            misses.append(f'{self.origin_copies} copies from the origin')
+        for name, code in self.exit_codes.items():
+            if code != 0:
+                misses.append(f'{name} ended with {code}')
+        return misses
+
+    def line(self, *, ok: bool) -> str:
+        """Return the last line."""
+        verdict = self.verdict
+        return (
+            f'demo: {"ok" if ok else "failed"} requests={verdict.requests} '
+            f'whole={verdict.whole} doubled={verdict.doubled} '
+            f'mixed={verdict.mixed} cut={verdict.cut} '
+            f'origin_copies={self.origin_copies:.2f}'
+        )
+
+
+class Demo:
+    """The steps of the demo over one fleet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._declared = Declared.from_example(fleet.directory / 'declared')
+        self._caller: Caller | None = None
+        self._sent = 0
+
+    @property
+    def caller(self) -> Caller:
+        """The caller, once an entry is up."""
+        if self._caller is None:
+            member = self._fleet.entries[0].member
+            url = f'http://{member["address"]}:{member["http_port"]}'
+            self._caller = Caller(url, seed=1)
+        return self._caller
+
+    async def prepare(self) -> None:
+        """Start everything and load the first version."""
+        say('starting platform, store, origin, entries, agents and engines')
+        await self._fleet.start()
+        await self._publish(FIRST)
+        await self._await_loaded(FIRST)
+
+    async def run(self) -> Outcome:
+        """Send requests over a change of the version, then drain."""
+        entries = await self.caller.entries()
+        say(f'GET /v1/entries: {[each.url for each in entries]}')
+        if len(entries) != PLAN.entries:
+            raise Stop(f'{len(entries)} entries named')
+        await self._requests(BATCH)
+        say(f'{self._sent} requests sent; publishing the second version')
+        await self._publish(SECOND)
+        loading = asyncio.create_task(self._await_loaded(SECOND))
+        while not loading.done():
+            await self._requests(4)
+        await loading
+        await self._requests(BATCH)
+        say(await self.status())
+        return await self._end()
+
+    async def status(self) -> str:
+        """Return what the operators' client shows."""
+        member = self._fleet.entries[0].member
+        admin = f'{member["address"]}:{member["admin_port"]}'
+        return await client('status', admin)
+
+    def hints(self) -> str:
+        """Return addresses and commands to try."""
+        member = self._fleet.entries[0].member
+        callers = f'http://{member["address"]}:{member["http_port"]}'
+        admin = f'{member["address"]}:{member["admin_port"]}'
+        body = '{"model": "listing", "prompt": "A grey mare", "max_tokens": 20'
+        return '\n'.join(
+            (
+                f'entries: {callers}/v1/entries',
+                f'admin addresses: {self._admins()}',
+                f'origin: {self._fleet.origin.url}/control/books',
+                f'declared files: {self._declared.directory}',
+                f'logs: {self._fleet.directory}',
+                'try:',
+                f"  curl -N {callers}/v1/completions -H 'X-Customer: "
+                f"""breeder-portal' -d '{body}, "stream": true}}'""",
+                f'  curl {callers}/v1/services/portal/hello -d hello '
+                "-H 'X-Customer: riding-school'",
+                f'  .venv/bin/crowrudder status {admin}',
+                f'  .venv/bin/crowrudder audit {admin}',
+                f'  .venv/bin/crowrudder explain {admin} '
+                '--customer breeder-portal --model listing',
+                'Ctrl-C ends it.',
+            )
+        )
+
+    def _admins(self) -> str:
+        admins = (f'{host.name}={host.admin_url}' for host in self._fleet.hosts)
+        return ' '.join(admins)
+
+    async def _publish(self, weights: Weights) -> None:
+        digest = await self._declared.publish(self._fleet, weights)
+        say(f'published {weights.version}: bundle {digest[:12]}')
+
+    async def _await_loaded(self, weights: Weights) -> None:
+        async def loaded() -> bool:
+            return await self._fleet.loaded(weights.version)
+
+        step = f'load {weights.version}'
+        await until(loaded, step=step, timeout_s=LOAD_S)
+        say(f'{weights.version} is loaded on every engine')
+
+    async def _requests(self, count: int) -> list[Answer]:
+        tasks = []
+        for _ in range(count):
+            self._sent += 1
+            call = self.caller.call(request(self._sent))
+            tasks.append(asyncio.create_task(call))
+            await asyncio.sleep(GAP_S)
+        return await asyncio.gather(*tasks)
+
+    async def _end(self) -> Outcome:
+        """Drain while long streams run; none of them may be cut."""
+        streams = [await self._long_stream() for _ in range(4)]
+        say('SIGTERM to all while 4 streams run')
+        exit_codes = await self._fleet.drain(self._fleet.hosts)
+        await asyncio.gather(*streams)
+        books = await self._fleet.books(self._fleet.origin)
+        copies = [each['copies'] for each in books['versions'].values()]
+        return Outcome(
+            verdict=compare(
+                Books.read(self._fleet.journals()), self.caller.answers
+            ),
+            origin_copies=max(copies),
+            exit_codes=exit_codes,
+        )
+
+    async def _long_stream(self) -> asyncio.Task[Answer]:
+        self._sent += 1
+        long = evolve(
+            request(self._sent * 8),
+            max_tokens=LONG_TOKENS,
+            streamed=True,
+            idempotent=False,
+        )
+        begun = asyncio.Event()
+        task = asyncio.create_task(self.caller.send(long, on_chunk=begun.set))
+        task.add_done_callback(lambda _task: begun.set())
+        await begun.wait()
+        return task
+
+
+async def keep(demo: Demo) -> int:
+    """Leave the fleet running until Ctrl-C."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    await demo.prepare()
+    say(await demo.status())
+    say(demo.hints())
+    await stopped.wait()
+    return 0
+
+
+async def timed(demo: Demo) -> int:
+    """Run the demo within its time and print the verdict."""
+    async with asyncio.timeout(WHOLE_RUN_S):
+        await demo.prepare()
+        outcome = await demo.run()
+    misses = outcome.misses()
+    for miss in misses:
+        say(miss)
+    say(outcome.line(ok=not misses))
+    return 1 if misses else 0
+
+
+async def main() -> int:
+    """Run it over a fleet in a temporary directory."""
+    with tempfile.TemporaryDirectory(prefix='crowrudder-') as directory:
+        fleet = Fleet(PLAN, Path(directory))
+        try:
+            run = keep if os.environ.get('KEEP') else timed
+            return await run(Demo(fleet))
+        except (FleetError, Stop, TimeoutError) as exc:
+            for host in fleet.hosts:
+                say(f'--- {host.name}\n{host.process.tail()}')
+            say(f'demo: failed {exc!r}')
+            return 1
+        finally:
+            fleet.close()
+
+
+if __name__ == '__main__':
+    sys.exit(asyncio.run(main()))
