Stand-ins: routes of the class alone; fleet: a log that isn't there yet

docopt's options answer None for any attribute, so that they passed for an endpoint: the stand-ins ran in tests and not from the command line.

--- a/packages/standins/src/crowrudder_standins/_serving.py
+++ b/packages/standins/src/crowrudder_standins/_serving.py
@@ -141,7 +141,7 @@
 def application(standin: Standin) -> Application:
     """Return the stand-in's calls, for a server."""
     by_path: dict[str, dict[str, _Endpoint]] = {}
-    for name in dir(standin):
+    for name in dir(type(standin)):
         endpoint = getattr(standin, name)
         if hasattr(endpoint, 'route'):
             method, path = endpoint.route
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -120,6 +120,8 @@
 
     def tail(self) -> str:
         """Return the last lines of its log."""
+        if not self.log_path.exists():
+            return 'not started'
         lines = self.log_path.read_text(errors='replace').splitlines()
         return '\n'.join(lines[-_TAIL_LINES:])
 
@@ -455,7 +457,7 @@
             f'engine-{number}', 'engine', fencing, *plan.engine_options
         )
         member = self._member(f'agent-{number}', 'agent', 'engine')
-        sections = {
+        sections: dict[str, dict[str, Any]] = {
             'upstream': {
                 'kind': 'engine',
                 'address': upstream.address,
