--- a/scripts/_books.py
+++ b/scripts/_books.py
@@ -63,6 +63,7 @@
     crossed: int
     not_run_but_ran: int
     misses: tuple[str, ...] = field(factory=tuple)
+    not_whole: tuple[str, ...] = field(factory=tuple)
 
     @property
     def clean(self) -> bool:
@@ -78,26 +79,32 @@
     found: dict[str, list[str]] = defaultdict(list)
     for request_id, sendings in by_id.items():
         for kind in _misses(books, request_id, sendings):
-            details = [
-                f'{one.status} {one.outcome} {one.detail}' for one in sendings
-            ]
             starts = books.starts[request_id]
             found[kind].append(
-                f'{kind}: {request_id}: {starts} starts, answers {details}'
+                f'{kind}: {request_id}: {starts} starts, {_told(sendings)}'
             )
-    whole = sum(any(one.whole for one in each) for each in by_id.values())
+    not_whole = [
+        f'not whole: {request_id}: {_told(sendings)}'
+        for request_id, sendings in by_id.items()
+        if not any(one.whole for one in sendings)
+    ]
     return Verdict(
         requests=len(by_id),
-        whole=whole,
+        whole=len(by_id) - len(not_whole),
         doubled=len(found['doubled']),
         mixed=len(found['mixed']),
         cut=len(found['cut']),
         crossed=len(found['crossed']),
         not_run_but_ran=len(found['not_run_but_ran']),
         misses=tuple(line for lines in found.values() for line in lines),
+        not_whole=tuple(not_whole),
     )
 
 
+def _told(sendings: list[Answer]) -> list[str]:
+    return [f'{one.status} {one.outcome} {one.detail}' for one in sendings]
+
+
 def _misses(books: Books, request_id: str, sendings: list[Answer]) -> set[str]:
     starts = books.starts[request_id]
     misses = {one.flaw.value for one in sendings if one.flaw is not Flaw.NONE}
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -77,8 +77,7 @@
         """Name all that isn't as it has to be."""
         verdict = self.verdict
         misses = list(verdict.misses)
-        if verdict.whole != verdict.requests:
-            misses.append(f'{verdict.requests - verdict.whole} not whole')
+        misses.extend(verdict.not_whole)
         if self.origin_copies > MOST_COPIES:
             misses.append(f'{self.origin_copies} copies from the origin')
         for name, code in self.exit_codes.items():
