--- a/packages/client/src/crowrudder_client/_observe.py
+++ b/packages/client/src/crowrudder_client/_observe.py
@@ -26,6 +26,16 @@
 from crowrudder_model.declared import Bundle
 
 POLL_S = 0.5
+AUDIT_COLUMNS = (
+    'admin',
+    'seq',
+    'at',
+    'kind',
+    'teller',
+    'subject',
+    'before',
+    'after',
+)
 
 
 @frozen
@@ -90,7 +100,18 @@
 
 
 def _timed(events: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    return [{**event, 'at': moment(event.get('at'))} for event in events]
+    timed = ({**event, 'at': moment(event.get('at'))} for event in events)
+    return [
+        {key: event[key] for key in sorted(event, key=_place)}
+        for event in timed
+    ]
+
+
+def _place(key: str) -> tuple[int, str]:
+    """Put the columns that tell a story in its order, others behind."""
+    if key in AUDIT_COLUMNS:
+        return AUDIT_COLUMNS.index(key), ''
+    return len(AUDIT_COLUMNS), key
 
 
 async def _verdict(
--- a/tests/client/test_cli.py
+++ b/tests/client/test_cli.py
@@ -352,14 +352,15 @@
 
 class TestReadingBack:
     def test_audit(self, fakes: list[Fake], capsys: Any) -> None:
-        event = {'seq': 41, 'at': 1.0, 'teller': 'platform', 'after': 'x\ny'}
+        event = {'after': 'x\ny', 'at': 1.0, 'seq': 41, 'teller': 'platform'}
         fakes[0].answers['/audit'] = {'events': [event], 'last': 41}
         admin = fakes[0].admin
         assert main(['audit', admin, '--after', '40']) == OK
         assert fakes[0].asked == ['/audit?after=40']
         said = capsys.readouterr().out
-        assert len(said.splitlines()) == 2
-        assert 'platform' in said
+        heads, line = said.splitlines()
+        assert heads.split() == ['admin', 'seq', 'at', 'teller', 'after']
+        assert line.endswith('platform  x y')
         both = ['audit', closed_port(), admin, '--json']
         assert main(both) == UNREACHABLE
         events = json.loads(capsys.readouterr().out)['events']
