Agent: a spare host is in the declared state

Change: an agent whose host no service is placed on reports no hindrance. Before: the test failed with 'the upstream has nothing loaded'; after: 3 passed.

--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -92,7 +92,7 @@
             'declared_version': weights.declared if weights else '',
             'loaded_version': weights.loaded if weights else '',
             'progress': weights.progress if weights else 1.0,
-            'hinders': self.readiness(),
+            'hinders': self._hindrances(),
             'running': state.running,
             'queued': state.queued,
         }
@@ -110,6 +110,18 @@
             reasons.append('this process is leaving')
         return reasons
 
+    def _hindrances(self) -> list[str]:
+        """Give what keeps this host from the declared state.
+
+        A host that no service is placed on is where the files want it, though
+        it can't serve; as a hindrance it would keep `status --wait` waiting.
+        """
+        snapshot = self.knowledge.snapshot
+        own = self._runtime.cfg.process.host
+        if snapshot.bundle is not None and own not in snapshot.placement:
+            return []
+        return self.readiness()
+
     def members(self) -> tuple[Member, ...]:
         """List the members that this process knows."""
         return self.knowledge.snapshot.members
