--- a/scripts/_books.py
+++ b/scripts/_books.py
@@ -6,11 +6,11 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Any
 
-from _caller import Answer, Flaw
+from _caller import NO_ANSWER, REFUSED, Answer, Flaw
 from attrs import field, frozen
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
     from pathlib import Path
 
 
@@ -61,6 +61,7 @@
     mixed: int
     cut: int
     crossed: int
+    unanswered: int
     not_run_but_ran: int
     misses: tuple[str, ...] = field(factory=tuple)
     not_whole: tuple[str, ...] = field(factory=tuple)
@@ -71,14 +72,31 @@
         return not self.misses
 
 
-def compare(books: Books, answers: Iterable[Answer]) -> Verdict:
-    """Hold every request's answers against the books."""
+def never(_answer: Answer) -> bool:
+    """Excuse nothing."""
+    return False
+
+
+def compare(
+    books: Books,
+    answers: Iterable[Answer],
+    *,
+    excused: Callable[[Answer], bool] = never,
+) -> Verdict:
+    """Hold every request's answers against the books.
+
+    Parameters
+    ----------
+    excused
+        Tells of a broken connection whether a known end of the entry's
+        process, and not the entry's own doing, explains it.
+    """
     by_id: dict[str, list[Answer]] = defaultdict(list)
     for answer in answers:
         by_id[answer.request.request_id].append(answer)
     found: dict[str, list[str]] = defaultdict(list)
     for request_id, sendings in by_id.items():
-        for kind in _misses(books, request_id, sendings):
+        for kind in _misses(books, request_id, sendings, excused):
             starts = books.starts[request_id]
             found[kind].append(
                 f'{kind}: {request_id}: {starts} starts, {_told(sendings)}'
@@ -95,6 +113,7 @@
         mixed=len(found['mixed']),
         cut=len(found['cut']),
         crossed=len(found['crossed']),
+        unanswered=len(found['unanswered']),
         not_run_but_ran=len(found['not_run_but_ran']),
         misses=tuple(line for lines in found.values() for line in lines),
         not_whole=tuple(not_whole),
@@ -105,10 +124,16 @@
     return [f'{one.status} {one.outcome} {one.detail}' for one in sendings]
 
 
-def _misses(books: Books, request_id: str, sendings: list[Answer]) -> set[str]:
+def _misses(
+    books: Books,
+    request_id: str,
+    sendings: list[Answer],
+    excused: Callable[[Answer], bool],
+) -> set[str]:
     starts = books.starts[request_id]
-    misses = {one.flaw.value for one in sendings if one.flaw is not Flaw.NONE}
     whole = any(one.whole for one in sendings)
+    misses = {_miss(one, excused) for one in sendings}
+    misses.discard('')
     if starts > 1 and not sendings[0].request.idempotent:
         misses.add('doubled')
     if whole and request_id in books.mixed_ids:
@@ -118,3 +143,13 @@
     if starts and all(one.outcome == 'not_run' for one in sendings):
         misses.add('not_run_but_ran')
     return misses
+
+
+def _miss(one: Answer, excused: Callable[[Answer], bool]) -> str:
+    """Name what is wrong with one answer by itself."""
+    if one.left or (one.broken and excused(one)):
+        return ''
+    if one.flaw is not Flaw.NONE:
+        return str(one.flaw.value)
+    unanswered = one.outcome == NO_ANSWER and one.detail != REFUSED
+    return 'unanswered' if unanswered else ''
--- a/scripts/_caller.py
+++ b/scripts/_caller.py
@@ -17,8 +17,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-_NO_ANSWER = 'no_answer'
-_TIMEOUT_S = 60
+NO_ANSWER = 'no_answer'
+# No connection was made, so that nothing was sent.
+REFUSED = 'refused'
+_GRACE_S = 10
 _TRIES = 40
 
 
@@ -81,18 +83,23 @@
 class Answer:
     """What a caller got to one sending of a request.
 
-    `outcome` is that of the answer, or `no_answer` where the connection
-    ended before the status line.
+    `outcome` is that of the answer, or `no_answer` where none came and none
+    can be read off; `broken` is a connection that ended on the way, and `left`
+    one that the caller closed. Times are seconds of the monotonic clock.
     """
 
     request: Request
     status: int = 0
-    outcome: str = _NO_ANSWER
+    outcome: str = NO_ANSWER
     text: str = ''
     flaw: Flaw = Flaw.NONE
     detail: str = ''
     retry_after_s: float = 0
     left: bool = False
+    broken: bool = False
+    url: str = ''
+    began_at: float = 0
+    ended_at: float = 0
     versions: tuple[str, ...] = ()
 
     @property
@@ -192,7 +199,7 @@
         answer = await self.send(request)
         for _ in range(_TRIES):
             busy = answer.outcome == 'not_run' and answer.status in {429, 503}
-            if not busy and answer.detail != 'refused':
+            if not busy and answer.detail != REFUSED:
                 break
             await asyncio.sleep(min(1, answer.retry_after_s))
             answer = await self.send(request)
@@ -216,19 +223,26 @@
         """
         reading = _Reading(on_chunk=on_chunk)
         url = await self._pick()
+        began_at = time.monotonic()
         error = ''
         try:
             await self._fetch(url, request, reading, leave_after_s)
         except ConnectionRefusedError:
             # Nothing was sent, so that another entry may be tried.
             self._read_again_at = 0
-            error = 'refused'
+            error = REFUSED
         except (OSError, HTTPError) as exc:
             self._read_again_at = 0
             error = repr(exc)
         answer = _judge(request, reading, error)
-        if error and leave_after_s:
-            answer = evolve(answer, left=True, flaw=Flaw.NONE)
+        answer = evolve(
+            answer,
+            url=url,
+            began_at=began_at,
+            ended_at=time.monotonic(),
+            left=bool(error and leave_after_s),
+            broken=error not in {'', REFUSED},
+        )
         self.answers.append(answer)
         return answer
 
@@ -239,6 +253,7 @@
         reading: _Reading,
         leave_after_s: float,
     ) -> None:
+        patience_s = request.deadline_ms / 1000 + _GRACE_S
         await self._client.fetch(
             HTTPRequest(
                 f'{url}{request.path()}',
@@ -247,7 +262,7 @@
                 body=request.body(),
                 header_callback=reading.take_header,
                 streaming_callback=reading.take_chunk,
-                request_timeout=leave_after_s or _TIMEOUT_S,
+                request_timeout=leave_after_s or patience_s,
                 decompress_response=False,
             ),
             raise_error=False,
@@ -283,7 +298,7 @@
     answer = Answer(
         request=request,
         status=reading.status,
-        outcome=outcome,
+        outcome=outcome or NO_ANSWER,
         detail=error,
         retry_after_s=retry_after_s,
     )
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -244,6 +244,16 @@
         await asyncio.sleep(_POLL_S)
 
 
+def end_on_signal(number: signal.Signals) -> None:
+    """Let a signal cancel the running task, so that it ends its processes.
+
+    The default action would leave the child processes behind for good.
+    """
+    task = asyncio.current_task()
+    if task is not None:
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+
+
 def program(name: str) -> str:
     """Return the path of an installed program beside this interpreter."""
     return str(Path(sys.executable).parent / name)
@@ -258,7 +268,7 @@
         self.web = Web()
         self.entries: list[Host] = []
         self.agents: list[Host] = []
-        self._outsides: list[Outside] = []
+        self.outsides: list[Outside] = []
         self._ports: set[int] = set()
         self._rng = random.Random(os.getpid())
         lag = f'--member-lag={plan.member_lag_s}'
@@ -282,7 +292,7 @@
 
     def journals(self) -> list[Path]:
         """Return the books of all upstreams, also of killed ones."""
-        paths = [each.journal_path for each in self._outsides]
+        paths = [each.journal_path for each in self.outsides]
         return [path for path in paths if path.exists()]
 
     async def start(self) -> None:
@@ -294,9 +304,9 @@
             self.agents.append(self._engine_agent(number))
         for number in range(1, plan.plains + 1):
             self.agents.append(self._plain_agent(number))
-        for outside in self._outsides:
+        for outside in self.outsides:
             outside.process.start()
-        for outside in self._outsides:
+        for outside in self.outsides:
             await self._await_answer(
                 outside.process, f'{outside.url}/control/books'
             )
@@ -351,11 +361,26 @@
         return str(made['manifest_digest'])
 
     async def fault(
-        self, outside: Outside, name: str, *, on: bool = True, **more: float
+        self,
+        outside: Outside,
+        name: str,
+        *,
+        on: bool = True,
+        count: int | None = None,
+        amount: float = 0,
     ) -> None:
-        """Switch a fault of a stand-in on or off."""
+        """Switch a fault of a stand-in on or off.
+
+        Parameters
+        ----------
+        count
+            How many requests it hits; None for all of them.
+        amount
+            Seconds, a share or a revision; 0 for the stand-in's default.
+        """
         url = f'{outside.url}/control/faults'
-        await self.web.json('POST', url, {'fault': name, 'on': on, **more})
+        order = {'fault': name, 'on': on, 'count': count, 'amount': amount}
+        await self.web.json('POST', url, order)
 
     async def books(self, outside: Outside) -> Any:
         """Return the books of a stand-in that lives."""
@@ -381,7 +406,7 @@
     def close(self) -> None:
         """End what still runs, the daemons first."""
         processes = [host.process for host in self.hosts]
-        processes.extend(each.process for each in self._outsides)
+        processes.extend(each.process for each in self.outsides)
         for process in processes:
             process.thaw()
             process.kill()
@@ -424,7 +449,7 @@
             *options,
         )
         outside = Outside(process, f'{LOOPBACK}:{port}', journal_path)
-        self._outsides.append(outside)
+        self.outsides.append(outside)
         return outside
 
     def _upstream(self, name: str, module: str, *options: str) -> Outside:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,7 +16,7 @@
 from _books import Books, Verdict, compare
 from _caller import Answer, Caller, Request
 from _declare import Declared, Weights, client
-from _fleet import Fleet, FleetError, FleetPlan, until
+from _fleet import Fleet, FleetError, FleetPlan, end_on_signal, until
 from attrs import evolve, frozen
 
 PLAN = FleetPlan(
@@ -159,7 +159,7 @@
             (
                 f'entries: {callers}/v1/entries',
                 f'admin addresses: {self._admins()}',
-                f'origin: {self._fleet.origin.url}/control/books',
+                f'stand-ins: {self._standins()}',
                 f'declared files: {self._declared.directory}',
                 f'logs: {self._fleet.directory}',
                 'try:',
@@ -178,6 +178,11 @@
         admins = (f'{host.name}={host.admin_url}' for host in self._fleet.hosts)
         return ' '.join(admins)
 
+    def _standins(self) -> str:
+        return ' '.join(
+            f'{each.process.name}={each.url}' for each in self._fleet.outsides
+        )
+
     async def _publish(self, weights: Weights) -> None:
         digest = await self._declared.publish(self._fleet, weights)
         say(f'published {weights.version}: bundle {digest[:12]}')
@@ -257,6 +262,7 @@
 
 async def main() -> int:
     """Run it over a fleet in a temporary directory."""
+    end_on_signal(signal.SIGTERM)
     with tempfile.TemporaryDirectory(prefix='crowrudder-') as directory:
         fleet = Fleet(PLAN, Path(directory))
         try:
