Orders to engines: a configuration's share of the fencing number

Cause: the number was the highest one read plus one, whatever the agent's own generation. An old agent that woke up, read the engine and raised the number was obeyed: with the old code, an agent of generation 5 that read 6291456 (first order of generation 6) gave 6291457, which a checking engine accepts, and the replica went back a version.

Change: the upper bits are (generation, leading digest bits), the total order of configurations; only the count below them is raised. An agent that reads a newer configuration's number gives no order and says so in its status. Orders move out of the weights task into the aggregate EngineOrders and agent/_orders.py, which reads back after each order, and goes on reading once a second: an engine that ignores numbers, or has restarted, is noticed, its runs are paused and it is ordered anew.

Touches the weights task only where it gave orders.

--- a/packages/core/src/crowrudder_core/orders/__init__.py
+++ b/packages/core/src/crowrudder_core/orders/__init__.py
@@ -1,5 +1,21 @@
-"""Orders to engines: numbers that only rise."""
+"""Orders to engines: numbers that only rise, answers read back."""
 
 from crowrudder_core.orders._fencing import FencingNumber
+from crowrudder_core.orders._orders import (
+    EngineOrders,
+    EngineRead,
+    GiveOrder,
+    Loaded,
+    Outdated,
+    Target,
+)
 
-__all__ = ('FencingNumber',)
+__all__ = (
+    'EngineOrders',
+    'EngineRead',
+    'FencingNumber',
+    'GiveOrder',
+    'Loaded',
+    'Outdated',
+    'Target',
+)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/_orders.py
@@ -0,0 +1,144 @@
+"""Give orders to the engine of this host and read back what they did."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from crowrudder_core.orders import (
+    EngineOrders,
+    EngineRead,
+    GiveOrder,
+    Loaded,
+    Outdated,
+    Target,
+)
+from crowrudder_model import CrowrudderError, UpstreamError
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.agent._upstream import EngineClient, EngineState
+
+LOAD_TIMEOUT_S = 600.0
+CHECK_S = 1.0
+"""How often a loaded engine is read again.
+
+An engine that ignores fencing numbers may be ordered back by an old agent,
+and one that restarts has nothing loaded; neither tells its agent.
+"""
+
+HTTP_OK = 200
+
+
+class OutdatedError(CrowrudderError):
+    """The engine follows a newer configuration than this process knows."""
+
+
+@frozen(kw_only=True)
+class StagedWeights:
+    """What a load order says of the chunks that the engine was given."""
+
+    chunks: int
+    digest: str
+
+
+class EngineOrderer:
+    """Carries out the decisions of the orders aggregate on one engine."""
+
+    def __init__(self, engine: EngineClient) -> None:
+        self._engine = engine
+        self._orders = EngineOrders()
+
+    async def loaded(self, target: Target) -> EngineState | None:
+        """Read the engine; its state when it answers with the target.
+
+        Raises
+        ------
+        OutdatedError
+            when the engine has orders of a newer configuration.
+        """
+        state = await self._engine.state()
+        decision = self._orders.on_read(_read_of(state), target)
+        self._refuse_outdated(decision, target)
+        return state if isinstance(decision, Loaded) else None
+
+    async def load(self, target: Target, staged: StagedWeights) -> EngineState:
+        """Order the target and read it back.
+
+        Raises
+        ------
+        OutdatedError
+            when the engine has orders of a newer configuration.
+        UpstreamError
+            when the engine refused, or shows another version afterwards.
+        """
+        state = await self._engine.state()
+        decision = self._orders.on_read(_read_of(state), target)
+        self._refuse_outdated(decision, target)
+        if isinstance(decision, GiveOrder):
+            await self._give(decision, target, staged)
+            state = await self._engine.state()
+        if not self._orders.confirms(_read_of(state), target):
+            raise UpstreamError(
+                f'the engine has {state.version!r} after the order',
+                step='read back',
+                peer=self._engine.address,
+            )
+        return state
+
+    async def until_changed(self, target: Target) -> None:
+        """Return once the engine no longer shows the target."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            state = await self._engine.state()
+            if not self._orders.confirms(_read_of(state), target):
+                return
+
+    async def _give(
+        self,
+        decision: GiveOrder,
+        target: Target,
+        staged: StagedWeights,
+    ) -> None:
+        answer = await self._engine.order(
+            {
+                'order': 'load',
+                'fence': decision.fence,
+                'model': target.model,
+                'version': target.version,
+                'adapter': '',
+                'role': '',
+                'chunks': staged.chunks,
+                'digest': staged.digest,
+            },
+            timeout_s=LOAD_TIMEOUT_S,
+        )
+        if answer.status != HTTP_OK:
+            raise UpstreamError(
+                f'the order was answered {answer.status}: {answer.body!r}',
+                step='load',
+                peer=self._engine.address,
+            )
+
+    def _refuse_outdated(
+        self,
+        decision: Loaded | Outdated | GiveOrder,
+        target: Target,
+    ) -> None:
+        if isinstance(decision, Outdated):
+            raise OutdatedError(
+                f'the engine has orders of generation {decision.generation},'
+                f' this process knows {target.generation}; no order is given',
+                step='order',
+                peer=self._engine.address,
+            )
+
+
+def _read_of(state: EngineState) -> EngineRead:
+    return EngineRead(
+        model=state.model,
+        version=state.version,
+        fence=state.fence,
+        loading=state.loading,
+    )
--- a/packages/daemon/src/crowrudder_daemon/agent/_weights.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_weights.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from crowrudder_core.orders import FencingNumber
+from crowrudder_core.orders import Target
 from crowrudder_core.transfer import (
     FromOrigin,
     FromPeer,
@@ -20,6 +20,7 @@
     plan_reads,
 )
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.agent._orders import EngineOrderer, StagedWeights
 from crowrudder_daemon.agent._required import required
 from crowrudder_daemon.agent._runs import PauseRuns, ResumeRuns
 from crowrudder_daemon.http import Fetcher
@@ -49,7 +50,6 @@
 
 READS_AT_ONCE = 4
 ROUND_S = 0.05
-LOAD_TIMEOUT_S = 600.0
 RETRY_S = 0.5
 HTTP_OK = 200
 
@@ -67,7 +67,18 @@
 
     service: Service
     version: Version
-    generation: int
+    order: tuple[int, str]
+
+    @property
+    def target(self) -> Target:
+        """What the engine is ordered."""
+        generation, digest = self.order
+        return Target(
+            generation=generation,
+            digest=digest,
+            model=self.service.model,
+            version=self.version.name,
+        )
 
 
 class WeightsTask(Task):
@@ -96,7 +107,7 @@
         self._transfer: Transfer | None = None
         self._manifests: dict[str, bytes] = {}
         self._stocks: dict[str, StockReply] = {}
-        self._fence = FencingNumber()
+        self._orders = EngineOrderer(engine)
         self._loaded = ''
         self._changing = False
         self._uploads = 0
@@ -152,11 +163,12 @@
         version = declaration.version(service.version)
         if version is None:
             return None
-        return _Goal(service, version, declaration.generation)
+        return _Goal(service, version, snapshot.order)
 
     async def _pursue(self, goal: _Goal) -> None:
-        """Try until the engine answers with the goal's version."""
+        """Bring the engine to the goal's version, and keep it there."""
         while True:
+            goal = self._goal or goal
             try:
                 await self._reach(goal)
             except CrowrudderError as exc:
@@ -165,12 +177,22 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             self.hinders = ''
+            await self._keep(goal)
+
+    async def _keep(self, goal: _Goal) -> None:
+        """Wait until the engine has something else, then stop the runs."""
+        try:
+            await self._orders.until_changed(goal.target)
+        except CrowrudderError as exc:
+            self._log.warning('the engine was not read: %s', exc)
             return
+        self.hinders = 'the engine no longer shows the declared version'
+        idle = asyncio.get_running_loop().create_future()
+        self._runs.post(PauseRuns(idle))
 
     async def _reach(self, goal: _Goal) -> None:
-        state = await self._engine.state()
-        self._fence.on_read(state.fence)
-        if state.version == goal.version.name and not state.loading:
+        state = await self._orders.loaded(goal.target)
+        if state is not None:
             self._note_loaded(goal, state)
             return
         transfer = await self._collect(goal)
@@ -395,12 +417,6 @@
             state = await self._pause_and_load(goal, transfer)
         finally:
             self._changing = False
-        if state.version != goal.version.name:
-            raise UpstreamError(
-                f'the engine has {state.version!r} after the order',
-                step='read back',
-                peer=self._engine.address,
-            )
         self._note_loaded(goal, state)
 
     async def _pause_and_load(
@@ -413,29 +429,12 @@
         self.hinders = 'waits for running answers to end'
         await idle
         self.hinders = 'the engine is loading'
-        await self._order_load(goal, transfer)
-        return await self._engine.state()
-
-    async def _order_load(self, goal: _Goal, transfer: Transfer) -> None:
-        answer = await self._engine.order(
-            {
-                'order': 'load',
-                'fence': self._fence.next_for(goal.generation),
-                'model': goal.service.model,
-                'version': goal.version.name,
-                'adapter': '',
-                'role': '',
-                'chunks': len(transfer.manifest.chunks),
-                'digest': transfer.manifest.digest,
-            },
-            timeout_s=LOAD_TIMEOUT_S,
+        manifest = transfer.manifest
+        staged = StagedWeights(
+            chunks=len(manifest.chunks),
+            digest=manifest.digest,
         )
-        if answer.status != HTTP_OK:
-            raise UpstreamError(
-                f'the order was answered {answer.status}: {answer.body!r}',
-                step='load',
-                peer=self._engine.address,
-            )
+        return await self._orders.load(goal.target, staged)
 
     def _note_loaded(self, goal: _Goal, state: EngineState) -> None:
         before = self._loaded
