--- a/packages/core/src/crowrudder_core/transfer/__init__.py
+++ b/packages/core/src/crowrudder_core/transfer/__init__.py
@@ -1,22 +1,62 @@
 """Transfer of weights: which chunk is read from whom, and what is whole."""
 
+from crowrudder_core.transfer._bits import full, indices, pack, unpack
+from crowrudder_core.transfer._link_share import LinkShare
 from crowrudder_core.transfer._manifest import (
     Manifest,
     ManifestError,
     decode_manifest,
 )
-from crowrudder_core.transfer._planner import FromOrigin, FromPeer, plan_reads
-from crowrudder_core.transfer._rolling import may_change
-from crowrudder_core.transfer._transfer import ChunkState, Transfer
+from crowrudder_core.transfer._origin import (
+    MOST_COPIES,
+    OriginDuty,
+    choose_seeds,
+)
+from crowrudder_core.transfer._pace import Pace, pace_for
+from crowrudder_core.transfer._peers import PeerBook, Place, Stock
+from crowrudder_core.transfer._planner import (
+    ChunkOrder,
+    FromOrigin,
+    FromPeer,
+    Read,
+    Source,
+    Wants,
+    plan_reads,
+)
+from crowrudder_core.transfer._progress import Progress
+from crowrudder_core.transfer._rolling import may_change, predecessors
+from crowrudder_core.transfer._store import ChunkStore, NoRoomError
+from crowrudder_core.transfer._transfer import Transfer, transfer_of
 
 __all__ = (
-    'ChunkState',
+    'ChunkOrder',
+    'ChunkStore',
     'FromOrigin',
     'FromPeer',
+    'LinkShare',
+    'MOST_COPIES',
     'Manifest',
     'ManifestError',
+    'NoRoomError',
+    'OriginDuty',
+    'Pace',
+    'PeerBook',
+    'Place',
+    'Progress',
+    'Read',
+    'Source',
+    'Stock',
     'Transfer',
+    'Wants',
+    'choose_seeds',
     'decode_manifest',
+    'full',
+    'indices',
     'may_change',
+    'pace_for',
+    'pack',
     'plan_reads',
+    'predecessors',
+    'transfer_of',
+    'unpack',
 )
--- a/packages/core/src/crowrudder_core/transfer/_manifest.py
+++ b/packages/core/src/crowrudder_core/transfer/_manifest.py
@@ -24,6 +24,17 @@
     digest: str
     chunks: tuple[str, ...]
 
+    def chunk_size(self, index: int) -> int:
+        """Give the bytes of a chunk; the last one may be shorter."""
+        return min(self.chunk_bytes, self.size - index * self.chunk_bytes)
+
+    def sizes(self) -> dict[str, int]:
+        """Give the bytes of each distinct chunk by its digest."""
+        return {
+            digest: self.chunk_size(index)
+            for index, digest in enumerate(self.chunks)
+        }
+
 
 def decode_manifest(payload: bytes, *, declared: str, peer: str) -> Manifest:
     """Check manifest bytes against the declared digest and decode them.
@@ -31,7 +42,8 @@
     Raises
     ------
     ManifestError
-        When the bytes have another digest or are no manifest.
+        When the bytes have another digest, are no manifest, or the number
+        of chunks doesn't fit the sizes.
     """
     if hashlib.sha256(payload).hexdigest() != declared:
         raise ManifestError(
@@ -40,10 +52,24 @@
             peer=peer,
         )
     try:
-        return msgspec.json.decode(payload, type=Manifest)
+        manifest = msgspec.json.decode(payload, type=Manifest)
     except msgspec.MsgspecError as exc:
         raise ManifestError(
             f'not a manifest: {exc}',
             step='manifest',
             peer=peer,
         ) from exc
+    if not _fits(manifest):
+        raise ManifestError(
+            f'{len(manifest.chunks)} chunks of {manifest.chunk_bytes} bytes '
+            f'are not {manifest.size} bytes; publish the version again',
+            step='manifest',
+            peer=peer,
+        )
+    return manifest
+
+
+def _fits(manifest: Manifest) -> bool:
+    if manifest.chunk_bytes <= 0 or manifest.size <= 0:
+        return False
+    return -(-manifest.size // manifest.chunk_bytes) == len(manifest.chunks)
--- /dev/null
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -0,0 +1,238 @@
+"""Who may read a chunk from the origin, and how much of it in all.
+
+Every host works this out alike, without a word between them: a few hosts of
+the service, the seeds, spread over regions and failure domains, read from
+the origin; for each chunk they stand in rendezvous order, one region after
+the other. A seed steps in for those before it only when they failed to
+answer, don't take part, or said that they pass.
+
+The cap on copies doesn't depend on what a host believes of the others: each
+seed may read no more than its equal share of the capped copies in a window.
+However the fleet is split, and whatever each side takes for dead, the sum
+over the seeds stays below the cap.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from crowrudder_core.transfer._pace import ORIGIN_LINKS
+from crowrudder_model import InvariantError, ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from crowrudder_core.transfer._pace import Pace
+    from crowrudder_core.transfer._peers import Place
+
+MOST_COPIES = 4
+"""Copies that the origin's link carries in a window."""
+
+SHARED_COPIES = 3
+"""Copies that the seeds share out; the rest is for seeds that are replaced.
+
+A third of the seeds may die with their whole share spent, and the lists of
+two sides may differ by as many, before the cap is reached.
+"""
+
+MOST_SEEDS = 32
+
+FIRST_WAIT_S = 0.25
+LONGEST_WAIT_S = 8.0
+
+
+@frozen
+class Turns:
+    """Chunks (bits) to read from the origin, and over the region link."""
+
+    from_origin: int = 0
+    importable: int = 0
+
+
+@define(kw_only=True)
+class OriginDuty:
+    """A host's part in reading one version from the origin.
+
+    Invariant: ``spent`` never passes this host's share of the cap.
+    """
+
+    version: str
+    host: str
+    region: str
+    count: int
+    copies: int
+    pace: Pace
+    seeds: tuple[str, ...] = ()
+    spent: int = 0
+    passes: int = 0
+    _regions: dict[str, str] = field(factory=dict)
+    _orders: list[list[str]] = field(factory=list)
+    _first: int = 0
+    _began: float | None = None
+    _window_at: float = 0
+    _wait_s: float = 0
+    _closed_until: float = 0
+    _turns: Turns = Turns()
+    _stamp: int = -1
+
+    @property
+    def is_seed(self) -> bool:
+        """Whether this host may read from the origin at all."""
+        return self.host in self.seeds
+
+    @property
+    def share(self) -> int:
+        """The chunks that this host may read from the origin in a window."""
+        return max(SHARED_COPIES * self.count // max(len(self.seeds), 1), 1)
+
+    def on_hosts(self, places: Mapping[str, Place]) -> None:
+        """Take all hosts of the service, live or not."""
+        seeds = choose_seeds(self.version, places)
+        if seeds == self.seeds:
+            return
+        self.seeds = seeds
+        self._regions = {seed: places[seed].region for seed in seeds}
+        self._orders = [
+            _one_region_after_the_other(
+                ranked(f'{self.version}/{index}', seeds),
+                self._regions,
+            )
+            for index in range(self.count)
+        ]
+        self._stamp = -1
+        self._first = sum(
+            1 << index
+            for index, order in enumerate(self._orders)
+            if self.host in order[: self.copies]
+        )
+
+    def on_started(self) -> None:
+        """Spend one read of the share.
+
+        Raises
+        ------
+        InvariantError
+            When the share is spent: the origin would carry too many copies.
+        """
+        if self.spent >= self.share:
+            raise InvariantError('a read over the cap', step='origin')
+        self.spent += 1
+
+    def on_held(self, index: int) -> None:
+        """Note that a chunk came, from wherever."""
+        self.passes &= ~(1 << index)
+
+    def on_good(self) -> None:
+        """Note that the origin delivered."""
+        self._wait_s = 0
+
+    def on_failed(self, index: int, *, was_sent: bool, now: float) -> None:
+        """Pass a chunk on to the next seed, and wait longer each time.
+
+        ``was_sent`` is false when it is certain that no byte came, as with a
+        refused connection; the read then costs nothing of the share.
+        """
+        self.passes |= 1 << index
+        if not was_sent:
+            self.spent = max(self.spent - 1, 0)
+        self._wait_s = min(
+            max(2 * self._wait_s, FIRST_WAIT_S),
+            LONGEST_WAIT_S,
+        )
+        self._closed_until = now + self._wait_s
+
+    def may_ask(self, now: float) -> bool:
+        """Whether the origin may be asked for anything now.
+
+        The seeds start one after the other: when all asked at once, their
+        chunks would share the origin's link and all would arrive late.
+        """
+        if not self.is_seed:
+            return False
+        if self._began is None:
+            self._began = self._window_at = now
+        if now - self._window_at >= self.pace.window_s:
+            self._window_at = now
+            self.spent = 0
+        turn_s = self.pace.chunk_s / ORIGIN_LINKS
+        opens = self._began + self.seeds.index(self.host) * turn_s
+        return now >= max(opens, self._closed_until) and self.spent < self.share
+
+    def turns(self, out: Callable[[str, int], bool], stamp: int) -> Turns:
+        """Give the chunks that it is this host's turn to fetch.
+
+        ``out`` tells whether a host is passed over for a chunk; its answers
+        are the same as long as ``stamp`` is.
+        """
+        if stamp != self._stamp:
+            self._stamp = stamp
+            self._turns = self._work_out_turns(out)
+        return self._turns
+
+    def _work_out_turns(self, out: Callable[[str, int], bool]) -> Turns:
+        if not self.is_seed:
+            return Turns()
+        origin = self._first
+        region = 0
+        for index in range(self.count):
+            ahead = self._ahead(index, out)
+            if not ahead:
+                origin |= 1 << index
+            if self.region not in {self._regions[host] for host in ahead}:
+                region |= 1 << index
+        return Turns(from_origin=origin, importable=region)
+
+    def _ahead(
+        self,
+        index: int,
+        out: Callable[[str, int], bool],
+    ) -> list[str]:
+        """Give the hosts whose turn comes before this one's."""
+        order = self._orders[index]
+        before = order[: order.index(self.host)]
+        return [host for host in before if not out(host, index)]
+
+    def reader(self, index: int, out: Callable[[str, int], bool]) -> str:
+        """Name the host whose turn it is for a chunk."""
+        order = self._orders[index] if self._orders else []
+        taking_part = (
+            host for host in order if host == self.host or not out(host, index)
+        )
+        return next(taking_part, '')
+
+
+def choose_seeds(
+    version: str,
+    places: Mapping[str, Place],
+) -> tuple[str, ...]:
+    """Give the hosts that read from the origin, best first.
+
+    Round after round, each takes one host of every failure domain, the
+    regions taking turns.
+    """
+    rounds: dict[str, list[str]] = {}
+    for host in ranked(version, places):
+        domain = f'{places[host].region}/{places[host].failure_domain}'
+        rounds.setdefault(domain, []).append(host)
+    turns = sorted(
+        (turn, order, seed)
+        for order, domain in enumerate(sorted(rounds))
+        for turn, seed in enumerate(rounds[domain][:MOST_SEEDS])
+    )
+    return tuple(seed for _, _, seed in turns[:MOST_SEEDS])
+
+
+def _one_region_after_the_other(
+    order: Iterable[str],
+    regions: Mapping[str, str],
+) -> list[str]:
+    turns: dict[str, int] = {}
+    keyed = []
+    for rank, host in enumerate(order):
+        region = regions[host]
+        turn = turns.get(region, 0)
+        turns[region] = turn + 1
+        keyed.append((turn, rank, host))
+    return [name for _, _, name in sorted(keyed)]
--- /dev/null
+++ b/packages/core/src/crowrudder_core/transfer/_pace.py
@@ -0,0 +1,63 @@
+"""The times and counts by which a transfer goes."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from crowrudder_core.transfer._planner import ChunkOrder
+
+ORIGIN_LINKS = 2
+"""What the origin's link carries, in machine links: 4 copies to 2."""
+
+SHORTEST_POLL_S = 0.02
+LONGEST_POLL_S = 1.0
+SHORTEST_STALL_S = 1.0
+STALL_CHUNKS = 12
+SHORTEST_WINDOW_S = 30.0
+
+
+@frozen(kw_only=True)
+class Pace:
+    """How a transfer behaves in time; seconds unless a name says otherwise.
+
+    Parameters
+    ----------
+    chunk_s
+        Time that a chunk takes on the machine's link.
+    window_s
+        Time in which the origin's link carries its capped number of copies.
+    poll_s
+        Between two questions to a peer that is being read from.
+    stall_s
+        Without a byte, after which a read is given up.
+    reads_at_once, reads_of_one_peer
+        Chunks on their way to this host, and those of one source.
+    neighbours
+        Hosts that a host asks for their chunks.
+    """
+
+    chunk_s: float
+    window_s: float
+    poll_s: float
+    stall_s: float
+    reads_at_once: int = 4
+    reads_of_one_peer: int = 1
+    origin_reads: int = 1
+    neighbours: int = 12
+    duplicates: bool = True
+    order: ChunkOrder = ChunkOrder.RAREST
+
+
+def pace_for(*, size: int, chunk_bytes: int, link_bytes_per_s: float) -> Pace:
+    """Derive the times from the sizes and the machine's link.
+
+    A machine's link carries two copies a window.
+    """
+    chunk_s = chunk_bytes / link_bytes_per_s
+    copy_s = size / link_bytes_per_s
+    return Pace(
+        chunk_s=chunk_s,
+        window_s=max(2 * copy_s, SHORTEST_WINDOW_S),
+        poll_s=min(max(chunk_s, SHORTEST_POLL_S), LONGEST_POLL_S),
+        stall_s=max(STALL_CHUNKS * chunk_s, SHORTEST_STALL_S),
+    )
--- /dev/null
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -0,0 +1,245 @@
+"""What a host knows of the others that want the same version."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from crowrudder_core.transfer._planner import (
+    OTHER_REGION,
+    SAME_DOMAIN,
+    SAME_REGION,
+    Source,
+)
+from crowrudder_model import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from crowrudder_core.transfer._pace import Pace
+
+SUSPECT_AFTER = 2
+"""Calls in a row without an answer, after which a peer counts as failed."""
+
+MOST_STRIKES = 3
+"""Corrupted chunks in a row, after which a source is never asked again."""
+
+SHUN_CHUNKS = 4
+"""Chunk times for which a source is left alone after a corrupted chunk."""
+
+SLOW_POLLS = 4
+"""Poll periods between questions to a peer that has nothing to offer."""
+
+
+@frozen
+class Place:
+    """Where a host stands."""
+
+    region: str
+    failure_domain: str
+
+    def distance(self, other: Place) -> int:
+        """Tell whether the way crosses a failure domain or a region."""
+        if self.region != other.region:
+            return OTHER_REGION
+        if self.failure_domain != other.failure_domain:
+            return SAME_REGION
+        return SAME_DOMAIN
+
+
+@frozen(kw_only=True)
+class Stock:
+    """What a peer said of itself about one version.
+
+    Sets of chunks are bits. ``passes`` are chunks that it tried to read from
+    the origin and leaves to the next host in order; ``wants`` is false when
+    it doesn't know that it shall have the version.
+    """
+
+    host: str
+    chunks: int = 0
+    passes: int = 0
+    busy: int = 0
+    slots: int = 1
+    wants: bool = True
+
+
+@define
+class Peer:
+    """One other host, as far as this one knows."""
+
+    place: Place
+    distance: int
+    chunks: int = 0
+    passes: int = 0
+    busy: int = 0
+    slots: int = 0
+    reading: int = 0
+    failures: int = 0
+    strikes: int = 0
+    ask_at: float = 0
+    idle_until: float = 0
+    unwilling: bool = False
+
+    @property
+    def suspected(self) -> bool:
+        """Whether it counts as failed, until it answers again."""
+        return self.failures >= SUSPECT_AFTER
+
+    @property
+    def shunned(self) -> bool:
+        """Whether its chunks were corrupted too often."""
+        return self.strikes >= MOST_STRIKES
+
+    def room(self, most: int, now: float) -> int:
+        """Give the reads that may be asked of it now."""
+        if self.suspected or self.shunned or now < self.idle_until:
+            return 0
+        return min(most, max(self.slots - self.busy, 1)) - self.reading
+
+
+@define
+class PeerBook:
+    """The other hosts, and which of them to ask.
+
+    The lists of hosts differ between processes and lag; a peer is believed
+    when it answers, whatever the list says, and suspected when it doesn't.
+    ``stamp`` changes when another host is passed over than before.
+    """
+
+    host: str
+    place: Place
+    pace: Pace
+    peers: dict[str, Peer] = field(factory=dict)
+    stamp: int = 0
+    _order: list[str] = field(factory=list)
+
+    def on_hosts(self, places: Mapping[str, Place]) -> None:
+        """Take the hosts that shall have the version, this one included."""
+        for gone in self.peers.keys() - places.keys():
+            self.peers.pop(gone)
+        for host, place in places.items():
+            known = self.peers.get(host)
+            if host != self.host and (known is None or known.place != place):
+                self.peers[host] = Peer(place, self.place.distance(place))
+        self._order = _by_preference(self.host, self.peers)
+        self.stamp += 1
+
+    def on_stock(self, stock: Stock, now: float) -> None:
+        """Take a peer's word on itself."""
+        peer = self.peers.get(stock.host)
+        if peer is None:
+            return
+        before = (peer.suspected, peer.unwilling, peer.passes)
+        peer.failures = 0
+        peer.chunks = stock.chunks
+        peer.passes = stock.passes
+        peer.busy = stock.busy
+        peer.slots = stock.slots
+        peer.unwilling = not stock.wants
+        peer.ask_at = now + self.pace.poll_s
+        self._note_change(before, peer)
+
+    def on_silence(self, host: str, now: float) -> None:
+        """Note a call that got no answer."""
+        peer = self.peers.get(host)
+        if peer is not None:
+            before = (peer.suspected, peer.unwilling, peer.passes)
+            peer.failures += 1
+            wait = SLOW_POLLS if peer.suspected else 1
+            peer.ask_at = now + wait * self.pace.poll_s
+            self._note_change(before, peer)
+
+    def on_corrupted(self, host: str, now: float) -> None:
+        """Leave a source alone, longer each time, in the end for good."""
+        peer = self.peers.get(host)
+        if peer is not None:
+            peer.strikes += 1
+            wait = SHUN_CHUNKS * self.pace.chunk_s
+            peer.idle_until = now + wait * SHUN_CHUNKS**peer.strikes
+
+    def on_good(self, host: str) -> None:
+        """Forget the strikes of a source that delivered."""
+        peer = self.peers.get(host)
+        if peer is not None:
+            peer.strikes = 0
+
+    def on_busy(self, host: str, now: float) -> None:
+        """Ask a source again only when a slot can have become free."""
+        peer = self.peers.get(host)
+        if peer is not None:
+            peer.idle_until = now + self.pace.chunk_s / 2
+
+    def is_out(self, host: str) -> bool:
+        """Whether a host is to be passed over: failed or not taking part."""
+        peer = self.peers.get(host)
+        return peer is not None and (peer.suspected or peer.unwilling)
+
+    def passed(self, host: str, index: int) -> bool:
+        """Whether a host leaves a chunk of the origin to the next one."""
+        peer = self.peers.get(host)
+        return peer is not None and bool(peer.passes >> index & 1)
+
+    def sources(self, now: float) -> list[Source]:
+        """List those that hold anything, as the planner wants them."""
+        most = self.pace.reads_of_one_peer
+        return [
+            Source(
+                host,
+                peer.chunks,
+                peer.distance,
+                peer.room(most, now),
+                peer.busy,
+            )
+            for host, peer in self.peers.items()
+            if peer.chunks and not (peer.suspected or peer.shunned)
+        ]
+
+    def neighbours(self) -> list[str]:
+        """Give the hosts to read from: near ones, failed ones replaced."""
+        chosen: list[str] = []
+        for host in self._order:
+            if len(chosen) >= self.pace.neighbours:
+                break
+            if not (self.is_out(host) or self.peers[host].shunned):
+                chosen.append(host)
+        return chosen
+
+    def to_ask(self, also: Iterable[str], now: float) -> list[str]:
+        """Give the hosts whose stock is due to be asked for, and note it.
+
+        ``also`` names hosts beside the neighbours, such as those that read
+        from the origin.
+        """
+        near = self.neighbours()
+        due: list[str] = []
+        for host in dict.fromkeys([*near, *also]):
+            peer = self.peers.get(host)
+            if peer is not None and peer.ask_at <= now:
+                peer.ask_at = now + SLOW_POLLS * self.pace.poll_s
+                due.append(host)
+        return due
+
+    def _note_change(self, before: tuple[bool, bool, int], peer: Peer) -> None:
+        if before != (peer.suspected, peer.unwilling, peer.passes):
+            self.stamp += 1
+
+
+def _by_preference(host: str, peers: Mapping[str, Peer]) -> list[str]:
+    """Order the peers of the own region, every second one of the own domain.
+
+    Enough stay in other domains that a domain which is cut off or slow isn't
+    the only source; other regions come only through the importers.
+    """
+    near: list[str] = []
+    far: list[str] = []
+    for name in ranked(host, peers):
+        if peers[name].distance == SAME_DOMAIN:
+            near.append(name)
+        elif peers[name].distance == SAME_REGION:
+            far.append(name)
+    mixed: list[str] = []
+    while near and far:
+        mixed += (near.pop(0), far.pop(0))
+    return mixed + near + far
--- a/packages/core/src/crowrudder_core/transfer/_planner.py
+++ b/packages/core/src/crowrudder_core/transfer/_planner.py
@@ -1,17 +1,38 @@
-"""Who reads which chunk from whom, now. Pure: no I/O, no clock."""
+"""Who reads which chunk from whom, now. Pure: no I/O, no clock.
+
+A host pulls. It counts for each chunk that it misses how many of the hosts
+it knows hold it, and takes one of the rarest from the nearest holder that
+has a free upload slot. The rarest first, because a chunk that only one host
+holds is what the whole fleet would wait for at the end.
+"""
 
 from __future__ import annotations
 
+import enum
+from functools import reduce
+from operator import or_
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import define, frozen
 
-from crowrudder_model import ranked
+from crowrudder_core.transfer._bits import indices, pick, rarest
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Sequence
     from random import Random
 
+SAME_DOMAIN = 0
+SAME_REGION = 1
+OTHER_REGION = 2
+
+
+class ChunkOrder(enum.Enum):
+    """Which of the chunks that could be read is read first."""
+
+    RAREST = 'rarest'
+    RANDOM = 'random'
+    BY_INDEX = 'by_index'
+
 
 @frozen
 class FromPeer:
@@ -28,56 +49,110 @@
     index: int
 
 
+Read = FromPeer | FromOrigin
+
+
+@define
+class Source:
+    """A host to read from: the chunks it holds and the reads it has room for.
+
+    ``load`` is the number of its upload slots that are taken.
+    """
+
+    host: str
+    chunks: int
+    distance: int
+    room: int
+    load: int = 0
+
+
+@frozen(kw_only=True)
+class Wants:
+    """Sets of chunks (bits) that decide what may be read from where.
+
+    ``missing`` is neither held nor on its way, ``importable`` is what this
+    host fetches over the region link on behalf of its region, and
+    ``from_origin`` is what it is this host's turn to ask the origin for.
+    """
+
+    missing: int
+    importable: int
+    from_origin: int
+
+
 def plan_reads(
+    wants: Wants,
+    sources: Sequence[Source],
     *,
-    version: str,
-    host: str,
-    missing: Sequence[int],
-    peers: Mapping[str, frozenset[int]],
-    idle_peers: Sequence[str],
     room: int,
+    origin_room: int,
     random: Random,
-) -> list[FromPeer | FromOrigin]:
-    """Give up to ``room`` reads to start now.
+    order: ChunkOrder = ChunkOrder.RAREST,
+) -> list[Read]:
+    """Give up to ``room`` reads to start now, those of the origin first.
 
-    ``peers`` maps each live host that wants the version to the chunks it
-    holds; ``idle_peers`` are those with a free upload slot. A chunk that no
-    peer holds is read from the origin by its first host in rendezvous order.
+    A chunk that some reachable host holds is never read from the origin.
     """
-    order = list(missing)
-    random.shuffle(order)
-    free = set(idle_peers)
-    reads: list[FromPeer | FromOrigin] = []
-    for index in order:
-        if len(reads) >= room:
+    usable = [_usable(source, wants) for source in sources]
+    held = reduce(or_, usable, 0)
+    due = wants.from_origin & wants.missing & ~held
+    reads: list[Read] = [
+        FromOrigin(index)
+        for index in list(indices(due))[: min(origin_room, room)]
+    ]
+    missing = wants.missing & held
+    while len(reads) < room:
+        read = _next_from_peer(missing, sources, usable, random, order)
+        if read is None:
             break
-        read = _plan_one(version, host, index, peers, free, random)
-        if isinstance(read, FromPeer):
-            free.discard(read.host)
-        if read is not None:
-            reads.append(read)
+        missing &= ~(1 << read.index)
+        reads.append(read)
     return reads
 
 
-def origin_reader(version: str, index: int, hosts: Sequence[str]) -> str:
-    """Give the host that reads a chunk from the origin."""
-    return ranked(f'{version}/{index}', hosts)[0]
-
-
-def _plan_one(
-    version: str,
-    host: str,
-    index: int,
-    peers: Mapping[str, frozenset[int]],
-    free: set[str],
+def _next_from_peer(
+    missing: int,
+    sources: Sequence[Source],
+    usable: Sequence[int],
+    random: Random,
+    order: ChunkOrder,
+) -> FromPeer | None:
+    """Choose one chunk and its source, and take the source's room."""
+    at_hand = [
+        (source, chunks)
+        for source, chunks in zip(sources, usable, strict=True)
+        if source.room > 0
+    ]
+    candidates = missing & reduce(or_, (chunks for _, chunks in at_hand), 0)
+    if not candidates:
+        return None
+    index = _choose(candidates, usable, random, order)
+    holders = [source for source, chunks in at_hand if chunks >> index & 1]
+    source = min(
+        holders,
+        key=lambda item: (item.distance, item.load, random.random()),
+    )
+    source.room -= 1
+    source.load += 1
+    return FromPeer(index, source.host)
+
+
+def _choose(
+    candidates: int,
+    usable: Sequence[int],
     random: Random,
-) -> FromPeer | FromOrigin | None:
-    holders = [name for name, chunks in peers.items() if index in chunks]
-    if holders:
-        open_holders = sorted(free.intersection(holders))
-        if not open_holders:
-            return None
-        return FromPeer(index, random.choice(open_holders))
-    if origin_reader(version, index, [host, *peers]) == host:
-        return FromOrigin(index)
-    return None
+    order: ChunkOrder,
+) -> int:
+    match order:
+        case ChunkOrder.RAREST:
+            return pick(rarest(candidates, usable), random)
+        case ChunkOrder.RANDOM:
+            return pick(candidates, random)
+        case ChunkOrder.BY_INDEX:
+            return next(indices(candidates))
+
+
+def _usable(source: Source, wants: Wants) -> int:
+    if source.distance == OTHER_REGION:
+        return source.chunks & wants.importable
+    return source.chunks
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -2,84 +2,249 @@
 
 from __future__ import annotations
 
-import enum
 import hashlib
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+from crowrudder_core.transfer._bits import full, indices
+from crowrudder_core.transfer._origin import OriginDuty
+from crowrudder_core.transfer._pace import pace_for
+from crowrudder_core.transfer._peers import PeerBook, Place, Stock
+from crowrudder_core.transfer._planner import (
+    FromOrigin,
+    FromPeer,
+    Read,
+    Wants,
+    plan_reads,
+)
+from crowrudder_core.transfer._progress import Progress
 from crowrudder_model import InvariantError
 
 if TYPE_CHECKING:
-    from crowrudder_core.transfer._manifest import Manifest
+    from collections.abc import Mapping
+    from random import Random
 
+    from crowrudder_core.transfer._manifest import Manifest
+    from crowrudder_core.transfer._pace import Pace
+    from crowrudder_core.transfer._store import ChunkStore
 
-class ChunkState(enum.Enum):
-    """What this host has of a chunk."""
+LATE_CHUNKS = 4
+"""Chunk times after which a chunk on its way may be asked for once more."""
 
-    MISSING = 'missing'
-    READING = 'reading'
-    HELD = 'held'
+MOST_WAITS = 3
 
 
 @define
+class _Flight:
+    """A read on its way."""
+
+    began: float
+    moved_at: float
+
+
+@define(kw_only=True)
 class Transfer:
-    """Chunks of one version, each verified before it counts.
+    """One version on its way to one host; every chunk verified as it comes.
+
+    It takes what happened and the time, and gives the reads to start next.
+
+    Invariants: a chunk counts only if its bytes have the digest that exactly
+    this version's manifest gives for its index; nothing is read or taken
+    after the version was dropped; `assert_whole` passes only for a whole
+    whose bytes match the manifest; reads from the origin stay below the cap.
 
-    Invariant: `whole` gives bytes only when every chunk and the whole match
-    the manifest of exactly this version.
+    Parameters
+    ----------
+    host, place
+        This host and where it stands.
+    store
+        Where the chunks are held, together with those of other versions.
+    pace
+        Times and counts.
+    copies
+        Copies that the service declares to take from the origin.
+    manifest_digest
+        The digest by which the files declare the manifest.
     """
 
     manifest: Manifest
-    held: dict[int, bytes] = field(factory=dict, init=False)
-    reading: set[int] = field(factory=set, init=False)
+    host: str
+    place: Place
+    store: ChunkStore
+    pace: Pace
+    random: Random
+    copies: int = 1
+    manifest_digest: str = ''
+    dropped: bool = field(default=False, init=False)
+    held: int = field(default=0, init=False)
+    peers: PeerBook = field(init=False)
+    origin: OriginDuty = field(init=False)
+    progress: Progress = field(init=False)
+    flights: dict[Read, _Flight] = field(factory=dict, init=False)
+    _same: dict[str, int] = field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Count the chunks that another version brought already."""
+        self.peers = PeerBook(self.host, self.place, self.pace)
+        self.origin = OriginDuty(
+            version=self.manifest.version,
+            host=self.host,
+            region=self.place.region,
+            count=self.count,
+            copies=self.copies,
+            pace=self.pace,
+        )
+        self.progress = Progress(self.manifest.size)
+        for index, digest in enumerate(self.manifest.chunks):
+            self._same[digest] = self._same.get(digest, 0) | 1 << index
+        for digest, bits in self._same.items():
+            if digest in self.store:
+                self._note_held(bits)
+
+    @property
+    def count(self) -> int:
+        """Number of chunks."""
+        return len(self.manifest.chunks)
 
     @property
     def share(self) -> float:
         """Share of chunks held and verified, 0 to 1."""
-        return len(self.held) / max(len(self.manifest.chunks), 1)
+        return self.held.bit_count() / self.count
 
     @property
     def complete(self) -> bool:
         """Whether every chunk is held."""
-        return len(self.held) == len(self.manifest.chunks)
-
-    def state(self, index: int) -> ChunkState:
-        """Give a chunk's state."""
-        if index in self.held:
-            return ChunkState.HELD
-        if index in self.reading:
-            return ChunkState.READING
-        return ChunkState.MISSING
-
-    def missing(self) -> list[int]:
-        """Give the indices that are neither held nor being read."""
+        return self.held == full(self.count)
+
+    @property
+    def at_hand(self) -> int:
+        """The chunks (bits) that can be given to others now.
+
+        Chunks of a version that is no longer wanted leave the store when
+        others need their room.
+        """
+        return sum(
+            bits
+            for digest, bits in self._same.items()
+            if bits & self.held and digest in self.store
+        )
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether it can go on: not dropped, and all it counts is there."""
+        return not self.dropped and self.held == self.at_hand
+
+    def chunk(self, index: int) -> bytes | None:
+        """Give a chunk's bytes, if this host holds it verified."""
+        if not self.held >> index & 1:
+            return None
+        return self.store.get(self.manifest.chunks[index])
+
+    def on_hosts(self, places: Mapping[str, Place]) -> None:
+        """Take the hosts that shall have this version, this one included."""
+        self.peers.on_hosts(places)
+        self.origin.on_hosts(places)
+
+    def on_stock(self, stock: Stock, *, now: float) -> None:
+        """Take a peer's word on what it holds."""
+        self.peers.on_stock(stock, now)
+
+    def on_silence(self, host: str, *, now: float) -> None:
+        """Note that a peer didn't answer."""
+        self.peers.on_silence(host, now)
+
+    def peers_to_ask(self, *, now: float) -> list[str]:
+        """Give the hosts to ask for their chunks now."""
+        if self.dropped or self.complete:
+            return []
+        seeds = self.origin.seeds if self.origin.is_seed else ()
+        return self.peers.to_ask(seeds, now)
+
+    def next_reads(self, *, now: float) -> list[Read]:
+        """Give the reads to start now; they count as started."""
+        if self.dropped or self.complete:
+            return []
+        reads = plan_reads(
+            self._wants(now),
+            self.peers.sources(now),
+            room=self.pace.reads_at_once - len(self.flights),
+            origin_room=self._origin_room(now),
+            random=self.random,
+            order=self.pace.order,
+        )
+        for read in reads:
+            self._start(read, now)
+        return reads
+
+    def overdue(self, *, now: float) -> list[Read]:
+        """Give the reads that stall, to be ended with `on_failed`."""
         return [
-            index
-            for index in range(len(self.manifest.chunks))
-            if self.state(index) is ChunkState.MISSING
+            read
+            for read, flight in self.flights.items()
+            if now - flight.moved_at >= self.pace.stall_s
         ]
 
-    def on_started(self, index: int) -> None:
-        """Note that a read has begun."""
-        self.reading.add(index)
+    def on_moved(self, read: Read, *, now: float) -> None:
+        """Note that some bytes of a read came."""
+        flight = self.flights.get(read)
+        if flight is not None:
+            flight.moved_at = now
 
-    def on_failed(self, index: int) -> None:
-        """Note that a read failed; the chunk is missing again."""
-        self.reading.discard(index)
+    def on_chunk(self, read: Read, payload: bytes, *, now: float) -> bool:
+        """Take a chunk's bytes; false when they are of no use.
 
-    def on_chunk(self, index: int, payload: bytes) -> bool:
-        """Take a chunk; false when it is corrupted."""
-        self.reading.discard(index)
-        if hashlib.sha256(payload).hexdigest() != self.manifest.chunks[index]:
+        They may come late, after the read was given up or the version was
+        dropped: each is verified by itself, whatever came before.
+        """
+        self._end(read)
+        if self.dropped:
+            return False
+        digest = self.manifest.chunks[read.index]
+        if not self.store.put(digest, payload):
+            self._on_corrupted(read, now)
             return False
-        self.held[index] = payload
+        self._on_good(read)
+        fresh = self._same[digest] & ~self.held
+        if fresh:
+            self._note_held(fresh)
+            self.progress.on_bytes(len(payload), now)
         return True
 
-    def bitmap(self) -> bytes:
-        """Give the held chunks as bits, chunk 0 lowest."""
-        bits = sum(1 << index for index in self.held)
-        return bits.to_bytes(len(self.manifest.chunks) // 8 + 1, 'little')
+    def on_failed(
+        self,
+        read: Read,
+        *,
+        now: float,
+        was_sent: bool = True,
+    ) -> None:
+        """Note that a read ended without its chunk.
+
+        ``was_sent`` is false when the source surely sent no byte.
+        """
+        if not self._end(read):
+            return
+        match read:
+            case FromPeer(host=host):
+                self.peers.on_silence(host, now)
+            case FromOrigin(index=index):
+                self.origin.on_failed(index, was_sent=was_sent, now=now)
+
+    def on_busy(self, read: FromPeer, *, now: float) -> None:
+        """Note that a peer had no free slot, or the chunk no longer."""
+        self._end(read)
+        self.peers.on_busy(read.host, now)
+
+    def abandon_reads(self) -> None:
+        """Forget the reads on their way, as those who made them ended."""
+        for read in list(self.flights):
+            self._end(read)
+
+    def drop(self) -> None:
+        """Give the version up; what is held stays for other versions."""
+        self.dropped = True
+        self.abandon_reads()
 
     def assert_whole(self) -> None:
         """Verify the whole before anything of it is loaded.
@@ -87,13 +252,140 @@
         Raises
         ------
         InvariantError
-            When a chunk is missing or the whole has another digest.
+            When a chunk is missing, the whole has another digest, or the
+            version was dropped.
         """
         whole = hashlib.sha256()
-        for index, _ in enumerate(self.manifest.chunks):
-            whole.update(self.held.get(index, b''))
-        if not self.complete or whole.hexdigest() != self.manifest.digest:
+        for index in range(self.count):
+            whole.update(self.chunk(index) or b'')
+        good = whole.hexdigest() == self.manifest.digest
+        if self.dropped or not self.complete or not good:
             raise InvariantError(
                 f'{self.manifest.version} is not whole; it is not loaded',
                 step='verify',
             )
+
+    def waits_for(self) -> list[str]:
+        """Say in a few words from whom chunks come or are waited for."""
+        if self.complete:
+            return []
+        reading = Counter(_source_of(read) for read in self.flights)
+        said = [
+            f'{count} from {source}'
+            for source, count in reading.most_common(MOST_WAITS)
+        ]
+        if said:
+            return said
+        missing = full(self.count) & ~self.held
+        index = next(indices(missing))
+        reader = self.origin.reader(index, self._is_out)
+        return [f'chunk {index}, which {reader or "nobody"} reads first']
+
+    def _wants(self, now: float) -> Wants:
+        turns = self.origin.turns(self._is_out, self.peers.stamp)
+        missing = full(self.count) & ~self.held & ~self._under_way(now)
+        return Wants(
+            missing=missing,
+            importable=turns.importable,
+            from_origin=turns.from_origin,
+        )
+
+    def _under_way(self, now: float) -> int:
+        """Give the chunks not to ask for: on their way, and not late.
+
+        One slow source would else hold up the end: it is seen as a host that
+        has all chunks but one or two for long. No chunk is asked for more
+        than twice at a time.
+        """
+        late_s = LATE_CHUNKS * self.pace.chunk_s
+        asked = Counter(read.index for read in self.flights)
+        bits = 0
+        for read, flight in self.flights.items():
+            late = self.pace.duplicates and now - flight.began > late_s
+            if not late or asked[read.index] > 1:
+                bits |= 1 << read.index
+        return bits
+
+    def _is_out(self, host: str, index: int) -> bool:
+        return self.peers.is_out(host) or self.peers.passed(host, index)
+
+    def _origin_room(self, now: float) -> int:
+        if not self.origin.may_ask(now):
+            return 0
+        reading = sum(isinstance(read, FromOrigin) for read in self.flights)
+        return min(
+            self.pace.origin_reads - reading,
+            self.origin.share - self.origin.spent,
+        )
+
+    def _start(self, read: Read, now: float) -> None:
+        match read:
+            case FromPeer(host=host):
+                self.peers.peers[host].reading += 1
+            case FromOrigin():
+                self.origin.on_started()
+        self.flights[read] = _Flight(now, now)
+
+    def _end(self, read: Read) -> bool:
+        if self.flights.pop(read, None) is None:
+            return False
+        if isinstance(read, FromPeer) and read.host in self.peers.peers:
+            peer = self.peers.peers[read.host]
+            peer.reading = max(peer.reading - 1, 0)
+        return True
+
+    def _on_good(self, read: Read) -> None:
+        match read:
+            case FromPeer(host=host):
+                self.peers.on_good(host)
+            case FromOrigin():
+                self.origin.on_good()
+
+    def _on_corrupted(self, read: Read, now: float) -> None:
+        match read:
+            case FromPeer(host=host):
+                self.peers.on_corrupted(host, now)
+            case FromOrigin(index=index):
+                self.origin.on_failed(index, was_sent=True, now=now)
+
+    def _note_held(self, bits: int) -> None:
+        self.held |= bits
+        for index in indices(bits):
+            self.origin.on_held(index)
+
+
+def transfer_of(
+    manifest: Manifest,
+    *,
+    host: str,
+    place: Place,
+    store: ChunkStore,
+    link_bytes_per_s: float,
+    random: Random,
+    copies: int = 1,
+    manifest_digest: str = '',
+) -> Transfer:
+    """Begin a transfer with the times that follow from sizes and link."""
+    pace = pace_for(
+        size=manifest.size,
+        chunk_bytes=manifest.chunk_bytes,
+        link_bytes_per_s=link_bytes_per_s,
+    )
+    return Transfer(
+        manifest=manifest,
+        host=host,
+        place=place,
+        store=store,
+        pace=pace,
+        random=random,
+        copies=copies,
+        manifest_digest=manifest_digest,
+    )
+
+
+def _source_of(read: Read) -> str:
+    match read:
+        case FromPeer(host=host):
+            return host
+        case FromOrigin():
+            return 'the origin'
--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -9,7 +9,7 @@
 from crowrudder_daemon.agent._run_service import RunService
 from crowrudder_daemon.agent._runs import DrainRuns, ResumeRuns, RunsTask
 from crowrudder_daemon.agent._upstream import EngineClient, PlainClient
-from crowrudder_daemon.agent._weights import SnapshotCame, WeightsTask
+from crowrudder_daemon.agent.weights import SnapshotCame, WeightsTask
 from crowrudder_daemon.knowledge import KnowledgeTask, Snapshot
 from crowrudder_daemon.rpc import PeerClient, PeerServer
 
@@ -92,6 +92,7 @@
             'declared_version': weights.declared if weights else '',
             'loaded_version': weights.loaded if weights else '',
             'progress': weights.progress if weights else 1.0,
+            'weights': weights.status() if weights else [],
             'hinders': self._hindrances(),
             'running': state.running,
             'queued': state.queued,
--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -138,6 +138,7 @@
     slots: int = 0
     service_s: float = 0
     leaving: bool = False
+    sent_bytes: int = 0
     changed: asyncio.Event = Factory(asyncio.Event)
 
 
@@ -357,6 +358,7 @@
             if isinstance(part, Final):
                 return part
             self._assert_version(part, version)
+            self.state.sent_bytes += len(part.text) + len(part.body)
             kept.answers.add(RunDown(piece=part))
         raise UpstreamError('no final message', step='run')
 
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_goal.py
@@ -0,0 +1,61 @@
+"""What the declared files want of this host's engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from crowrudder_core.orders import Target
+from crowrudder_core.transfer import Place
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.knowledge import Snapshot
+    from crowrudder_model.declared import Service, Version
+
+
+@frozen
+class Goal:
+    """What this host's engine shall answer with, and who else shall."""
+
+    service: Service
+    version: Version
+    order: tuple[int, str]
+
+    @property
+    def target(self) -> Target:
+        """What the engine is ordered."""
+        generation, digest = self.order
+        return Target(
+            generation=generation,
+            digest=digest,
+            model=self.service.model,
+            version=self.version.name,
+        )
+
+    def same_weights(self, other: Goal | None) -> bool:
+        """Whether the other goal is reached by the same transfer."""
+        return (
+            other is not None
+            and other.version == self.version
+            and other.service.name == self.service.name
+        )
+
+
+def goal_of(snapshot: Snapshot, host: str) -> Goal | None:
+    """Give a host's goal; None when no version is placed on it."""
+    service = snapshot.placement.get(host)
+    if service is None or snapshot.bundle is None:
+        return None
+    version = snapshot.bundle.declaration.version(service.version)
+    if version is None:
+        return None
+    return Goal(service, version, snapshot.order)
+
+
+def places_of(snapshot: Snapshot, service: str) -> dict[str, Place]:
+    """Give the place of each host that a service is placed on."""
+    return {
+        member.host: Place(member.region, member.failure_domain)
+        for member in snapshot.hosts_of(service)
+    }
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
@@ -0,0 +1,110 @@
+"""The versions that this host holds, whole or in part."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from crowrudder_core.transfer import (
+    ChunkStore,
+    Manifest,
+    Place,
+    Transfer,
+    decode_manifest,
+    transfer_of,
+)
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_daemon.settings import WeightsSection
+
+MOST_VERSIONS = 4
+
+
+class Shelf:
+    """Transfers and manifests by version, over one bounded store.
+
+    The version before stays for others while there is room: a host that
+    joins late, or a fleet that goes back, then needs no origin.
+    """
+
+    def __init__(self, runtime: Runtime, weights: WeightsSection) -> None:
+        process = runtime.cfg.process
+        self.host = process.host
+        self.store = ChunkStore(weights.memory_bytes)
+        self.transfers: dict[str, Transfer] = {}
+        self._link_bytes_per_s = weights.link_bytes_per_s
+        self._place = Place(process.region, process.failure_domain)
+        self._manifests: dict[str, bytes] = {}
+        self._random = random.Random(runtime.incarnation)
+
+    def manifest(self, version: str, declared: str) -> bytes:
+        """Give the bytes of a manifest of that digest, empty for none."""
+        transfer = self.transfers.get(version)
+        if transfer is None or transfer.manifest_digest != declared:
+            return b''
+        return self._manifests[version]
+
+    def find(self, version: str, declared: str) -> Transfer | None:
+        """Give the transfer of exactly this version, if there is one."""
+        transfer = self.transfers.get(version)
+        if transfer is None or transfer.manifest_digest != declared:
+            return None
+        return transfer
+
+    def open(
+        self,
+        payload: bytes,
+        declared: str,
+        *,
+        copies: int,
+    ) -> Transfer:
+        """Begin or go on with the version of a manifest.
+
+        Raises
+        ------
+        NoRoomError
+            When it doesn't fit into the memory that the settings allow.
+        """
+        manifest = decode_manifest(payload, declared=declared, peer=self.host)
+        known = self.find(manifest.version, declared)
+        self.store.want([manifest])
+        if known is not None and known.is_sound:
+            return known
+        transfer = self._begin(manifest, declared, copies)
+        self._manifests[manifest.version] = payload
+        self.transfers.pop(manifest.version, None)
+        self.transfers[manifest.version] = transfer
+        self._forget_oldest()
+        return transfer
+
+    def drop_others(self, version: str) -> None:
+        """Give up what is on its way for other versions.
+
+        Of a version that is whole the chunks are still given to others.
+        """
+        for name, transfer in self.transfers.items():
+            if name != version and not transfer.complete:
+                transfer.drop()
+
+    def _begin(
+        self,
+        manifest: Manifest,
+        declared: str,
+        copies: int,
+    ) -> Transfer:
+        return transfer_of(
+            manifest,
+            manifest_digest=declared,
+            host=self.host,
+            place=self._place,
+            store=self.store,
+            link_bytes_per_s=self._link_bytes_per_s,
+            random=self._random,
+            copies=copies,
+        )
+
+    def _forget_oldest(self) -> None:
+        for name in list(self.transfers)[:-MOST_VERSIONS]:
+            self.transfers.pop(name).drop()
+            self._manifests.pop(name)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -0,0 +1,272 @@
+"""The task that keeps this host's engine at the declared version."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+from crowrudder_core.transfer import LinkShare
+from crowrudder_daemon._task import Task
+from crowrudder_daemon.agent._orders import EngineOrderer
+from crowrudder_daemon.agent._required import required
+from crowrudder_daemon.agent._runs import PauseRuns, ResumeRuns
+from crowrudder_daemon.agent.weights._collect import Collector
+from crowrudder_daemon.agent.weights._goal import Goal, goal_of, places_of
+from crowrudder_daemon.agent.weights._loading import Loader
+from crowrudder_daemon.agent.weights._manifests import ManifestReader
+from crowrudder_daemon.agent.weights._shelf import Shelf
+from crowrudder_daemon.agent.weights._sources import OriginSource, PeerSource
+from crowrudder_daemon.agent.weights._uploads import (
+    ChunkService,
+    EngineNote,
+    UploadSlots,
+)
+from crowrudder_daemon.agent.weights._watch import WeightsWatch
+from crowrudder_daemon.knowledge import Snapshot
+from crowrudder_model import CrowrudderError, InvariantError
+
+if TYPE_CHECKING:
+    from crowrudder_core.transfer import Transfer
+    from crowrudder_daemon.agent._runs import RunsTask
+    from crowrudder_daemon.agent._upstream import EngineClient, EngineState
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_daemon.rpc import PeerClient, PeerServer
+    from crowrudder_daemon.settings import WeightsSection
+
+RETRY_S = 0.5
+LIVE_S = 0.2
+BURST_S = 0.05
+
+
+@frozen
+class SnapshotCame:
+    """Configuration or members changed."""
+
+    snapshot: Snapshot
+
+
+class WeightsTask(Task):
+    """Owns the transfers of a host and the way of its engine to the goal."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        engine: EngineClient,
+        runs: RunsTask,
+        peers: PeerClient,
+    ) -> None:
+        super().__init__(runtime.log)
+        weights = required(runtime.cfg.weights, 'weights')
+        self.hinders = ''
+        self._runtime = runtime
+        self._engine = engine
+        self._runs = runs
+        self._host = runtime.cfg.process.host
+        self._snapshot = Snapshot()
+        self._goal: Goal | None = None
+        self._job: asyncio.Task[Any] | None = None
+        self._note = EngineNote()
+        self._shelf = Shelf(runtime, weights)
+        self._watch = WeightsWatch(runtime, self._shelf)
+        self._links = (_link(weights), _link(weights))
+        self._peers = PeerSource(peers)
+        self._origin = OriginSource(weights)
+        self._manifests = ManifestReader(
+            self._host,
+            self._peers,
+            self._origin,
+            random.Random(runtime.incarnation),
+        )
+        self._orders = EngineOrderer(engine)
+        self._loader = Loader(
+            engine=engine,
+            orders=self._orders,
+            runs=runs,
+            peers=self._peers,
+            note=self._note,
+            say=self._say,
+        )
+        self._service = ChunkService(
+            self._shelf,
+            self._note,
+            UploadSlots(weights.upload_slots),
+            self._links[1],
+            self._watch.sent,
+        )
+
+    def serve(self, server: PeerServer) -> None:
+        """Answer the calls of other agents."""
+        self._service.serve(server)
+
+    def start(self) -> None:
+        """Start the loop and the look at live requests."""
+        super().start()
+        self.spawn(self._yield_to_live())
+
+    @property
+    def loaded(self) -> str:
+        """The version that the engine was last read back with."""
+        return self._note.loaded
+
+    @property
+    def declared(self) -> str:
+        """The version that this host shall have."""
+        return self._goal.version.name if self._goal else ''
+
+    @property
+    def progress(self) -> float:
+        """Share of the declared version's chunks held, 0 to 1."""
+        if self._goal and self.loaded == self.declared:
+            return 1
+        transfer = self._shelf.transfers.get(self.declared)
+        return transfer.share if transfer else 0
+
+    def status(self) -> list[dict[str, Any]]:
+        """Tell of each version how far it is and what it waits for."""
+        now = asyncio.get_running_loop().time()
+        return [
+            {
+                'version': name,
+                'share': transfer.share,
+                'bytes_per_s': transfer.progress.rate(now),
+                'waits_for': transfer.waits_for(),
+                'ends_in_s': transfer.progress.left_s(now),
+                'origin_chunks': transfer.origin.spent,
+                'dropped': transfer.dropped,
+            }
+            for name, transfer in self._shelf.transfers.items()
+        ]
+
+    def on_snapshot_came(self, message: SnapshotCame) -> None:
+        """Pursue the goal that the declared files give this host."""
+        self._snapshot = message.snapshot
+        goal = goal_of(message.snapshot, self._host)
+        same = goal is not None and goal.same_weights(self._goal)
+        self._goal = goal
+        self._note.wanted = self.declared
+        self._tell_hosts()
+        if same and self._job is not None and not self._job.done():
+            return
+        if self._job is not None:
+            self._job.cancel()
+        self._shelf.drop_others(self.declared)
+        if goal is not None:
+            self._job = self.spawn(self._pursue(goal))
+
+    def _tell_hosts(self) -> None:
+        """Tell the transfer under way which hosts there are."""
+        transfer = self._shelf.transfers.get(self.declared)
+        if transfer is not None and self._goal is not None:
+            transfer.on_hosts(
+                places_of(self._snapshot, self._goal.service.name)
+            )
+
+    async def _pursue(self, goal: Goal) -> None:
+        """Bring the engine to the goal's version, and keep it there."""
+        while True:
+            goal = self._goal or goal
+            try:
+                await self._reach(goal)
+            except CrowrudderError as exc:
+                self._on_hindrance(exc)
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.hinders = ''
+            await self._keep(goal)
+
+    def _on_hindrance(self, exc: CrowrudderError) -> None:
+        self.hinders = str(exc)
+        if isinstance(exc, InvariantError):
+            self._watch.refused(exc)
+        self._log.warning('not loaded yet: %s', exc)
+
+    async def _keep(self, goal: Goal) -> None:
+        """Wait until the engine has something else, then stop the runs."""
+        try:
+            await self._orders.until_changed(goal.target)
+        except CrowrudderError as exc:
+            self._log.warning('the engine was not read: %s', exc)
+            return
+        self._note.loaded = ''
+        self.hinders = 'the engine no longer shows the declared version'
+        idle = asyncio.get_running_loop().create_future()
+        self._runs.post(PauseRuns(idle))
+
+    async def _reach(self, goal: Goal) -> None:
+        state = await self._orders.loaded(goal.target)
+        if state is None:
+            transfer = await self._collect(goal)
+            state = await self._loader.load(
+                goal, transfer, lambda: self._snapshot
+            )
+        self._note_loaded(goal, state)
+
+    async def _collect(self, goal: Goal) -> Transfer:
+        """Read the version's chunks until all are held."""
+        version = goal.version
+        self._say('waits for the manifest')
+        payload = self._shelf.manifest(version.name, version.manifest)
+        if not payload:
+            payload = await self._manifests.read(goal, self._snapshot)
+        transfer = self._shelf.open(
+            payload,
+            version.manifest,
+            copies=goal.service.origin_copies,
+        )
+        self._tell_hosts()
+        self._say('weights are on their way')
+        collector = Collector(
+            transfer,
+            peers=self._peers,
+            origin=self._origin,
+            downlink=self._links[0],
+            address_of=self._address_of,
+            watch=self._watch,
+        )
+        await collector.run()
+        return transfer
+
+    def _note_loaded(self, goal: Goal, state: EngineState) -> None:
+        before = self._note.loaded
+        self._note.loaded = state.version
+        self._runs.post(
+            ResumeRuns(goal.service.name, state.version, state.adapters),
+        )
+        if before != state.version:
+            self._runtime.audit.note(
+                kind='loaded_version',
+                teller=self._engine.address,
+                subject=goal.service.name,
+                before=before,
+                after=state.version,
+            )
+
+    async def _yield_to_live(self) -> None:
+        """Tell the links again and again what live requests take."""
+        seen = 0
+        while True:
+            await asyncio.sleep(LIVE_S)
+            state = self._runs.state
+            now = asyncio.get_running_loop().time()
+            for link in self._links:
+                link.on_live(state.sent_bytes - seen, state.running, now=now)
+            seen = state.sent_bytes
+
+    def _address_of(self, host: str) -> str | None:
+        member = self._snapshot.member(host)
+        return member.rpc_address if member else None
+
+    def _say(self, what: str) -> None:
+        self.hinders = what
+
+
+def _link(weights: WeightsSection) -> LinkShare:
+    rate = float(weights.link_bytes_per_s)
+    return LinkShare(
+        rate=rate,
+        burst=BURST_S * rate,
+        live_share=weights.live_share,
+    )
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_uploads.py
@@ -0,0 +1,157 @@
+"""Serve chunks, manifests and the list of what is held to other agents."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from crowrudder_core.transfer import pack
+from crowrudder_model import InvariantError
+from crowrudder_model.messages import (
+    ChunkAsk,
+    ChunkPiece,
+    ManifestAsk,
+    ManifestReply,
+    StockAsk,
+    StockReply,
+)
+from crowrudder_model.rpc import CHUNK, MANIFEST, STOCK
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from crowrudder_core.transfer import LinkShare, Transfer
+    from crowrudder_daemon.agent.weights._shelf import Shelf
+    from crowrudder_daemon.rpc import PeerServer
+
+PIECE_BYTES = 256 * 1024
+
+
+@define
+class UploadSlots:
+    """Chunks that may be sent at the same time."""
+
+    total: int
+    taken: int = 0
+
+    def take(self) -> bool:
+        """Take a slot if one is free."""
+        if self.taken >= self.total:
+            return False
+        self.taken += 1
+        return True
+
+    def release(self) -> None:
+        """Free a slot."""
+        if self.taken <= 0:
+            raise InvariantError('a slot that nobody holds', step='upload')
+        self.taken -= 1
+
+
+@define
+class EngineNote:
+    """What other agents are told of this host's engine."""
+
+    loaded: str = ''
+    changing: bool = False
+    wanted: str = ''
+
+
+class ChunkService:
+    """The calls by which other agents read weights from this one."""
+
+    def __init__(
+        self,
+        shelf: Shelf,
+        note: EngineNote,
+        slots: UploadSlots,
+        uplink: LinkShare,
+        on_sent: Callable[[int], None],
+    ) -> None:
+        self._shelf = shelf
+        self._note = note
+        self._slots = slots
+        self._uplink = uplink
+        self._on_sent = on_sent
+
+    def serve(self, server: PeerServer) -> None:
+        """Add the calls to the server."""
+        server.add(STOCK, self.on_stock)
+        server.add(MANIFEST, self.on_manifest)
+        server.add(CHUNK, self.on_chunk)
+
+    async def on_stock(self, ask: StockAsk, _context: object) -> StockReply:
+        """Tell what is held of a version."""
+        transfer = self._shelf.find(ask.version, ask.manifest)
+        return self._stock(ask.version, transfer)
+
+    async def on_manifest(
+        self,
+        ask: ManifestAsk,
+        _context: object,
+    ) -> ManifestReply:
+        """Give a manifest."""
+        payload = self._shelf.manifest(ask.version, ask.manifest)
+        return ManifestReply(payload=payload)
+
+    async def on_chunk(
+        self,
+        ask: ChunkAsk,
+        _context: object,
+    ) -> AsyncIterator[ChunkPiece]:
+        """Send a chunk; its slot is held until the last piece is out."""
+        transfer = self._shelf.find(ask.version, ask.manifest)
+        payload = transfer.chunk(ask.index) if transfer else None
+        stock = self._stock(ask.version, transfer)
+        if payload is None:
+            yield ChunkPiece(absent=True, stock=stock)
+            return
+        if not self._slots.take():
+            yield ChunkPiece(busy=True, stock=stock)
+            return
+        try:
+            async for piece in self._paced(payload, stock):
+                yield piece
+        finally:
+            self._slots.release()
+
+    async def _paced(
+        self,
+        payload: bytes,
+        stock: StockReply,
+    ) -> AsyncIterator[ChunkPiece]:
+        """Cut a chunk into pieces, at the rate that the uplink has left.
+
+        The link is reserved for the whole chunk at once: one that isn't
+        taken off by its reader must not hold up those behind it.
+        """
+        yield ChunkPiece(stock=stock)
+        loop = asyncio.get_running_loop()
+        rate = self._uplink.weights_rate
+        wait_s = self._uplink.reserve(len(payload), now=loop.time())
+        starts_at = loop.time() + wait_s - len(payload) / rate
+        for start in range(0, len(payload), PIECE_BYTES):
+            piece = payload[start : start + PIECE_BYTES]
+            due_at = starts_at + (start + len(piece)) / rate
+            await asyncio.sleep(max(due_at - loop.time(), 0))
+            self._on_sent(len(piece))
+            yield ChunkPiece(payload=piece)
+
+    def _stock(self, version: str, transfer: Transfer | None) -> StockReply:
+        held = passes = b''
+        if transfer is not None:
+            held = pack(transfer.at_hand, transfer.count)
+            passes = pack(transfer.origin.passes, transfer.count)
+        return StockReply(
+            host=self._shelf.host,
+            version=version,
+            chunks=held,
+            loaded=self._note.loaded,
+            busy=self._slots.taken,
+            slots=self._slots.total,
+            changing=self._note.changing,
+            passes=passes,
+            wants=self._note.wanted == version,
+        )
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_watch.py
@@ -0,0 +1,97 @@
+"""Metrics and log lines of the transfers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from crowrudder_core.transfer import FromOrigin, FromPeer
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from crowrudder_core.transfer import Read
+    from crowrudder_daemon.agent.weights._shelf import Shelf
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_model import CrowrudderError
+
+
+class WeightsWatch:
+    """Counts what happens to reads, and says what went wrong."""
+
+    def __init__(self, runtime: Runtime, shelf: Shelf) -> None:
+        metrics = runtime.metrics
+        self._log = runtime.log
+        self._metrics = metrics
+        self._shelf = shelf
+        self._bytes = metrics.counter(
+            'weights_read_bytes',
+            'Verified bytes of weights read.',
+            labels=('source',),
+        )
+        self._sent = metrics.counter(
+            'weights_sent_bytes',
+            'Bytes of weights sent to other agents.',
+        )
+        self._lost = metrics.counter(
+            'weights_reads_lost',
+            'Reads that ended without a good chunk.',
+            labels=('source', 'reason'),
+        )
+        metrics.gauge(
+            'weights_held_bytes',
+            'Bytes of chunks held in memory.',
+            lambda: float(shelf.store.held_bytes),
+        )
+        metrics.gauges(
+            'weights_share',
+            'Share of the chunks of a version that is held.',
+            self._shares,
+        )
+
+    def read(self, read: Read, size: int) -> None:
+        """Count a good chunk."""
+        self._bytes.add(size, source=_kind(read))
+
+    def sent(self, size: int) -> None:
+        """Count bytes that went out."""
+        self._sent.add(size)
+
+    def failed(self, read: Read, exc: CrowrudderError) -> None:
+        """Note a read that failed."""
+        self._lost.add(source=_kind(read), reason='failed')
+        self._log.info('chunk %d not read: %s', read.index, exc)
+
+    def stalled(self, read: Read) -> None:
+        """Note a read without a byte for too long."""
+        self._lost.add(source=_kind(read), reason='stalled')
+        self._log.warning('chunk %d stalls from %s', read.index, _name(read))
+
+    def corrupted(self, read: Read) -> None:
+        """Note a chunk with another digest."""
+        self._lost.add(source=_kind(read), reason='corrupted')
+        self._log.warning(
+            'chunk %d came corrupted from %s', read.index, _name(read)
+        )
+
+    def refused(self, exc: CrowrudderError) -> None:
+        """Note an unsafe act that an invariant refused."""
+        self._metrics.invariant_violated(f'weights_{exc.step}')
+        self._log.error('refused: %s', exc)
+
+    def _shares(self) -> list[tuple[Mapping[str, str], float]]:
+        return [
+            ({'version': name}, transfer.share)
+            for name, transfer in self._shelf.transfers.items()
+        ]
+
+
+def _kind(read: Read) -> str:
+    match read:
+        case FromPeer():
+            return 'peer'
+        case FromOrigin():
+            return 'origin'
+
+
+def _name(read: Read) -> str:
+    return read.host if isinstance(read, FromPeer) else 'the origin'
--- a/packages/daemon/src/crowrudder_daemon/http/_fetch.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_fetch.py
@@ -13,7 +13,7 @@
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 MOST_CONNECTIONS = 512
 CONNECT_TIMEOUT_S = 3.0
@@ -74,15 +74,20 @@
         body: bytes | None = None,
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float = 10.0,
+        on_piece: Callable[[bytes], None] | None = None,
     ) -> Answer:
         """Make one call; never retried, never redirected.
 
+        With ``on_piece`` the body goes there as it comes, and the answer's
+        body is empty.
+
         Raises
         ------
         UpstreamError
             When there was no whole HTTP answer in time.
         """
         req = self._request(path, method, body, headers, timeout_s)
+        req.streaming_callback = on_piece
         try:
             reply = await self._client.fetch(req, raise_error=False)
         except (HTTPError, OSError) as exc:
--- a/packages/daemon/src/crowrudder_daemon/settings/_sections.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/_sections.py
@@ -78,6 +78,7 @@
         whole(1, MOST_BYTES), scope=Scope.ENGINE_NEEDS, absent=0
     )
     upload_slots: int = key(whole(1, 64), default=4)
+    live_share: float = key(decimal(0.05, 1), default=0.9)
 
 
 @frozen(kw_only=True)
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -25,7 +25,7 @@
 )
 from crowrudder_model.messages._weights import (
     ChunkAsk,
-    ChunkReply,
+    ChunkPiece,
     ManifestAsk,
     ManifestReply,
     StockAsk,
@@ -39,7 +39,7 @@
     'BundleReply',
     'Cancel',
     'ChunkAsk',
-    'ChunkReply',
+    'ChunkPiece',
     'Final',
     'Hello',
     'ManifestAsk',
--- a/packages/model/src/crowrudder_model/messages/_weights.py
+++ b/packages/model/src/crowrudder_model/messages/_weights.py
@@ -18,8 +18,10 @@
 class StockReply:
     """Bit i of ``chunks`` (little-endian) is set when chunk i is held.
 
-    ``loaded`` is the version with which the engine answers; ``busy`` tells
-    how many upload slots are taken.
+    ``passes`` are, as bits, the chunks that the agent tried to read from the
+    origin and leaves to the next in order; ``wants`` is false when it doesn't
+    know that it shall have the version. ``loaded`` is the version with which
+    the engine answers; ``busy`` tells how many upload slots are taken.
     """
 
     host: str
@@ -29,6 +31,8 @@
     busy: int
     slots: int
     changing: bool = False
+    passes: bytes = b''
+    wants: bool = False
 
 
 @frozen(kw_only=True)
@@ -57,8 +61,14 @@
 
 
 @frozen(kw_only=True)
-class ChunkReply:
-    """The chunk's bytes; empty with ``busy`` when no slot is free."""
+class ChunkPiece:
+    """Some bytes of a chunk, in order.
 
-    payload: bytes
+    The first piece tells what the agent holds; ``busy`` when no upload slot
+    is free, ``absent`` when it doesn't hold the chunk. Then nothing follows.
+    """
+
+    payload: bytes = b''
+    stock: StockReply | None = None
     busy: bool = False
+    absent: bool = False
--- a/packages/model/src/crowrudder_model/rpc/_methods.py
+++ b/packages/model/src/crowrudder_model/rpc/_methods.py
@@ -61,4 +61,9 @@
 FETCH_BUNDLE = Method('FetchBundle', messages.BundleAsk, messages.BundleReply)
 STOCK = Method('Stock', messages.StockAsk, messages.StockReply)
 MANIFEST = Method('Manifest', messages.ManifestAsk, messages.ManifestReply)
-CHUNK = Method('Chunk', messages.ChunkAsk, messages.ChunkReply)
+CHUNK = Method(
+    'Chunk',
+    messages.ChunkAsk,
+    messages.ChunkPiece,
+    CallKind.DOWN_STREAM,
+)
--- /dev/null
+++ b/tests/weights/test_rules.py
@@ -0,0 +1,155 @@
+"""Small rules of a transfer: sets of chunks, planner, rolling change, links."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_core.transfer import (
+    ChunkOrder,
+    FromOrigin,
+    FromPeer,
+    LinkShare,
+    Source,
+    Wants,
+    full,
+    indices,
+    may_change,
+    pack,
+    plan_reads,
+    predecessors,
+    unpack,
+)
+from crowrudder_core.transfer._bits import rarest
+
+SETS = st.integers(0, 2**20 - 1)
+
+
+class TestBits:
+    @given(SETS)
+    def test_pack_and_unpack(self, bits):
+        assert unpack(pack(bits, 20), 20) == bits
+
+    @given(SETS, st.lists(SETS, max_size=9))
+    def test_rarest_counts_like_a_plain_count(self, candidates, holdings):
+        counts = {
+            index: sum(held >> index & 1 for held in holdings)
+            for index in indices(candidates)
+        }
+        least = min(counts.values(), default=0)
+        expected = {index for index in counts if counts[index] == least}
+        assert set(indices(rarest(candidates, holdings))) == expected
+
+
+def plan(missing, sources, **more):
+    wants = Wants(
+        missing=missing,
+        importable=more.pop('importable', 0),
+        from_origin=more.pop('from_origin', 0),
+    )
+    more.setdefault('room', 4)
+    return plan_reads(
+        wants, sources, origin_room=1, random=random.Random(1), **more
+    )
+
+
+class TestPlanner:
+    def test_rarest_chunk_first(self):
+        sources = [
+            Source('a', 0b11, distance=0, room=1),
+            Source('b', 1, distance=0, room=0),
+        ]
+        assert plan(0b11, sources) == [FromPeer(1, 'a')]
+
+    def test_own_failure_domain_first(self):
+        sources = [
+            Source('far', 1, distance=1, room=1),
+            Source('near', 1, distance=0, room=1, load=3),
+        ]
+        assert plan(1, sources) == [FromPeer(0, 'near')]
+
+    def test_other_region_only_for_the_importer(self):
+        sources = [Source('away', 1, distance=2, room=1)]
+        assert not plan(1, sources)
+        assert plan(1, sources, importable=1) == [FromPeer(0, 'away')]
+
+    def test_origin_only_for_what_no_peer_holds(self):
+        sources = [Source('a', 1, distance=0, room=0)]
+        assert plan(0b11, sources, from_origin=0b11) == [FromOrigin(1)]
+
+    def test_by_index(self):
+        sources = [Source('a', 0b110, distance=0, room=1)]
+        reads = plan(0b111, sources, order=ChunkOrder.BY_INDEX)
+        assert reads == [FromPeer(1, 'a')]
+
+
+class TestRollingChange:
+    @given(
+        st.integers(1, 30),
+        st.floats(0.05, 1.0),
+        st.randoms(use_true_random=False),
+    )
+    def test_never_more_than_the_share_at_once(self, count, share, rng):
+        hosts = [f'h{number}' for number in range(count)]
+        loaded = dict.fromkeys(hosts, 'v1')
+        changing: set[str] = set()
+        allowed = max(int(share * count), 1)
+        while 'v1' in loaded.values():
+            free = [
+                host
+                for host in hosts
+                if loaded[host] == 'v1'
+                and host not in changing
+                and may_change(
+                    'v2',
+                    predecessors(
+                        service='s',
+                        version='v2',
+                        host=host,
+                        hosts=hosts,
+                        share=share,
+                    ),
+                    loaded,
+                    has_loaded=True,
+                )
+            ]
+            changing.update(free)
+            assert 0 < len(changing) <= allowed
+            done = rng.choice(sorted(changing))
+            changing.discard(done)
+            loaded[done] = 'v2'
+
+    def test_silent_host_holds_up_nobody(self):
+        chain = ['silent', 'done']
+        assert may_change('v2', chain, {'done': 'v2'}, has_loaded=True)
+        assert not may_change('v2', chain, {'done': 'v1'}, has_loaded=True)
+
+    def test_empty_host_loads_at_once(self):
+        assert may_change('v2', ['a'], {'a': 'v1'}, has_loaded=False)
+
+
+class TestLinkShare:
+    def test_takers_queue(self):
+        link = LinkShare(rate=10, burst=0)
+        assert link.reserve(10, now=0) == 1
+        assert link.reserve(10, now=0) == 2
+        assert link.reserve(10, now=5) == 1
+
+    def test_yields_to_live_requests(self):
+        link = LinkShare(rate=100, burst=0, live_share=0.9)
+        link.on_live(50, 1, now=1)
+        assert link.weights_rate == pytest.approx(40)
+        link.on_live(0, 0, now=2)
+        assert link.weights_rate == 100
+
+    def test_never_stops_for_good(self):
+        link = LinkShare(rate=100, burst=0)
+        link.on_live(1000, 9, now=1)
+        assert link.weights_rate == pytest.approx(5)
+
+
+def test_full():
+    assert list(indices(full(3))) == [0, 1, 2]
