--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -39,6 +39,8 @@
 SHARE_IDEMPOTENT = 0.3
 SHARE_LEAVES = 0.06
 SHARE_REPEATS = 0.5
+# Malformed, not allowed, unknown, too large: none of it is ever sent.
+BLAMES = frozenset((400, 403, 404, 413))
 
 
 def plan_of(rng: random.Random) -> FleetPlan:
@@ -199,6 +201,7 @@
         books = Books.read(self.fleet.journals())
         verdict = compare(books, answers, excused=chaos.excused)
         problems.extend(verdict.misses)
+        problems.extend(_wrong_refusals(answers))
         for problem in problems:
             self.say(problem)
         outcomes = Counter(_told(each) for each in answers)
@@ -216,6 +219,15 @@
     return f'{answer.status} {answer.outcome}'
 
 
+def _wrong_refusals(answers: list[Answer]) -> list[str]:
+    """Name refusals that blame a caller who did nothing wrong."""
+    return [
+        f'blames the caller: {each.request.request_id}: {each.detail}'
+        for each in answers
+        if each.status in BLAMES
+    ]
+
+
 def _last_line(verdict: Verdict, *, ok: bool) -> str:
     return (
         f'soak: {"ok" if ok else "failed"} requests={verdict.requests} '
