Configuration and members: few watch the platform, peers tell the rest

Cause: every process held two watches at the platform and read both anew at each change (2 calls a process in the second after it, 4,280 at 2,140 processes), and heard of changes from one random peer a second.

Change: three processes of a failure domain, by rendezvous, watch; a process that hears no peer, or of no reading for a long time, polls with jitter and backoff. Greetings carry generation, list edition and the age of the last reading. Each process exchanges with five stable neighbours (the next in a hash ring, four by rendezvous), one every 2 s, and with all of them at once after a change; what a peer lacks is sent as the change of the bundle or list that it has. A start asks members, then peers, and only then puts a bundle in force; a process that stood still asks them first.

The member list gets editions (epoch, revision), so that a rebuilt platform is followed and a stale read isn't. News are ordered by a beat that only its process raises: a leaving of an earlier life no longer sticks to the next one, a suspicion is refuted, and a process whose host was given to another one gives way. Of racing bundles the loser is told once, with the winner; in_force_since is wall time. GET /v1/entries leaves out suspects.

The roles pass no peers to KnowledgeTask any more: channels to former neighbours are closed, which must not cut off a request.

--- a/packages/core/src/crowrudder_core/config/__init__.py
+++ b/packages/core/src/crowrudder_core/config/__init__.py
@@ -1,11 +1,35 @@
-"""Configuration: which bundle is in force, in one total order."""
+"""Configuration: which bundle is in force, and who reads the platform."""
 
 from crowrudder_core.config._book import (
     Accepted,
     ConfigBook,
+    ConfigOrder,
+    Held,
     Ignored,
     Lost,
+    Offer,
     Refused,
+    Verdict,
+    order_of,
+)
+from crowrudder_core.config._reading import (
+    PlatformReading,
+    ReadingMode,
+    watchers_of,
 )
 
-__all__ = ('Accepted', 'ConfigBook', 'Ignored', 'Lost', 'Refused')
+__all__ = (
+    'Accepted',
+    'ConfigBook',
+    'ConfigOrder',
+    'Held',
+    'Ignored',
+    'Lost',
+    'Offer',
+    'PlatformReading',
+    'ReadingMode',
+    'Refused',
+    'Verdict',
+    'order_of',
+    'watchers_of',
+)
--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -36,7 +36,7 @@
         self._server = PeerServer(
             f'{cfg.process.address}:{cfg.process.rpc_port}',
         )
-        self.knowledge = KnowledgeTask(runtime, self._peers, self._on_snapshot)
+        self.knowledge = KnowledgeTask(runtime, self._on_snapshot)
         self.weights: WeightsTask | None = None
         upstream = required(cfg.upstream, 'upstream')
         if upstream.kind == 'engine':
@@ -101,6 +101,8 @@
     def readiness(self) -> list[str]:
         """Give what keeps this agent from serving; empty when ready."""
         reasons = []
+        if self.knowledge.hinders:
+            reasons.append(self.knowledge.hinders)
         if self.knowledge.snapshot.bundle is None:
             reasons.append('no configuration was accepted yet')
         if self.weights is not None and self.weights.hinders:
--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -70,15 +70,16 @@
         self._requests = requests
 
     def get(self) -> None:
-        """Give the live entries, spread by a random order."""
+        """Give the live entries; ones that may be dead are left out."""
+        snapshot = self._requests.snapshot
         entries = [
             {
                 'host': member.host,
                 'address': member.address,
                 'port': member.http_port,
             }
-            for member in self._requests.snapshot.by_role('entry')
-            if member.state == 'live'
+            for member in snapshot.by_role('entry')
+            if member.state == 'live' and member.host not in snapshot.suspects
         ]
         self.write({'entries': entries, 'keep_s': KEEP_S})
 
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -35,7 +35,7 @@
         self._runtime = runtime
         self._peers = PeerClient()
         self._server = PeerServer(f'{process.address}:{process.rpc_port}')
-        self.knowledge = KnowledgeTask(runtime, self._peers, self._on_snapshot)
+        self.knowledge = KnowledgeTask(runtime, self._on_snapshot)
         self.requests = RequestsTask(runtime, self._peers)
         self.links = LinksTask(runtime, self._peers, self.requests)
         self._http = HTTPServer(
@@ -87,6 +87,8 @@
     def readiness(self) -> list[str]:
         """Give what keeps this entry from serving; empty when ready."""
         reasons = []
+        if self.knowledge.hinders:
+            reasons.append(self.knowledge.hinders)
         if self.knowledge.snapshot.bundle is None:
             reasons.append('no configuration was accepted yet')
         if self.requests.leaving:
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_snapshot.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_snapshot.py
@@ -16,10 +16,15 @@
 
 @frozen(slots=False)
 class Snapshot:
-    """The bundle in force and the members, as one process sees them."""
+    """The bundle in force and the members, as one process sees them.
+
+    ``suspects`` may be dead: the list still has them as live, so that every
+    process places services alike, but callers are better sent elsewhere.
+    """
 
     bundle: Bundle | None = None
     members: tuple[Member, ...] = field(default=())
+    suspects: frozenset[str] = frozenset()
 
     @property
     def order(self) -> tuple[int, str]:
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
@@ -4,310 +4,290 @@
 
 import asyncio
 import random
+import time
 from typing import TYPE_CHECKING, Any
 
-import attrs
-from attrs import frozen
-
-from crowrudder_core.config import Accepted, ConfigBook, Lost, Refused
-from crowrudder_core.membership import MembershipView
+from crowrudder_core.config import ConfigOrder, Offer, ReadingMode
 from crowrudder_daemon._task import Task
-from crowrudder_daemon.http import Fetcher
-from crowrudder_daemon.knowledge._snapshot import Snapshot
-from crowrudder_model import (
-    Member,
-    MembersError,
-    PeerLostError,
-    UpstreamError,
-    decode_members,
+from crowrudder_daemon.knowledge._peers import (
+    HelloHeard,
+    KnowledgeCame,
+    PeerCalls,
+    PeerSilent,
+    order_in,
 )
-from crowrudder_model.messages import (
-    BundleAsk,
-    BundleReply,
-    Hello,
-    ProcessNews,
+from crowrudder_daemon.knowledge._platform import (
+    BundleRead,
+    MembersRead,
+    NothingNew,
+    PlatformClient,
+    ReadFailed,
+    Source,
 )
-from crowrudder_model.rpc import EXCHANGE, FETCH_BUNDLE
+from crowrudder_daemon.knowledge._snapshot import Snapshot
+from crowrudder_daemon.knowledge._state import KnowledgeState
+from crowrudder_model import PeerLostError
+from crowrudder_model.messages import Hello, Knowledge
+from crowrudder_model.rpc import EXCHANGE, GIVE, TAKE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from crowrudder_daemon.http import Answer
+    from crowrudder_core.config import ConfigBook
     from crowrudder_daemon.process import Runtime
-    from crowrudder_daemon.rpc import PeerClient, PeerServer
-
-WATCH_S = 20
-MOST_NEWS = 64
-HTTP_OK = 200
-
+    from crowrudder_daemon.rpc import PeerServer
+    from crowrudder_model import Member
+    from crowrudder_model.messages import TakeAsk
 
-@frozen
-class BundleRead:
-    """Bytes of a bundle that the platform or a peer gave."""
+EXCHANGE_S = 2.0
+"""Mean time between two exchanges with neighbours, in turn."""
 
-    payload: bytes
-    revision: int
-    teller: str
+PROBE_EVERY = 4
+"""Every so many exchanges go to any member, also to a suspect: after a
+partition, the neighbours of both sides are all on their own side."""
 
+PUSH_GAP_S = 0.1
+"""Between two rounds of telling all neighbours, so that news gathers."""
 
-@frozen
-class MembersRead:
-    """The platform's member list."""
-
-    members: tuple[Member, ...]
-    revision: int
-
-
-@frozen
-class NewsHeard:
-    """What peers say of themselves and of others."""
-
-    news: tuple[ProcessNews, ...]
-    teller: str
+TICK_S = 0.5
+FROZEN_S = 5.0
+"""A loop that stood still for so long was frozen with its process."""
 
 
 class KnowledgeTask(Task):
-    """Owns the configuration and membership aggregates of a process."""
+    """Owns what a process knows of configuration and membership."""
 
     def __init__(
         self,
         runtime: Runtime,
-        peers: PeerClient,
         on_change: Callable[[Snapshot], None],
     ) -> None:
         super().__init__(runtime.log)
+        self.hinders = ''
         self.snapshot = Snapshot()
-        self.book = ConfigBook()
-        self._view = MembershipView()
-        self._runtime = runtime
-        self._peers = peers
+        self._state = KnowledgeState(runtime, self._take_snapshot)
         self._on_change = on_change
-        self._platform = Fetcher(runtime.cfg.platform.address)
-        self._beat = 0
-        self._leaving = False
+        self._poll_s = runtime.cfg.platform.poll_s
+        self._platform = PlatformClient(runtime)
+        self._calls = PeerCalls()
+        self._turn = 0
+        self._urgent = asyncio.Event()
         self._random = random.Random(runtime.incarnation)
 
+    @property
+    def book(self) -> ConfigBook:
+        """The bundle in force."""
+        return self._state.book
+
     def serve(self, server: PeerServer) -> None:
         """Answer the calls of peers."""
         server.add(EXCHANGE, self._on_exchange)
-        server.add(FETCH_BUNDLE, self._on_fetch)
+        server.add(GIVE, self._on_give)
+        server.add(TAKE, self._on_take)
 
     def start(self) -> None:
-        """Start the loop, the watches and the exchange with peers."""
+        """Start to learn, and to exchange with peers."""
         super().start()
-        self.spawn(self._watch_bundle())
-        self.spawn(self._watch_members())
-        self.spawn(self._exchange_for_ever())
+        self.spawn(self._begin())
+        self.spawn(self._notice_freezes())
+
+    async def stop(self) -> None:
+        """End all jobs and close the connections."""
+        await super().stop()
+        self._platform.close()
+        await self._calls.close()
 
     async def leave(self) -> None:
-        """Tell every member that this process takes no new work."""
-        self._leaving = True
-        await asyncio.gather(
-            *(self._exchange(member) for member in self._others()),
-        )
+        """Tell the neighbours that this process takes no new work.
+
+        They tell theirs at once, so that all know after a few hops.
+        """
+        self._state.view.own.leave()
+        self._state.publish()
+        await self._tell_neighbours()
 
     def status(self) -> dict[str, Any]:
         """Tell what is in force here, since when, and what was refused."""
-        generation, digest = self.book.order
-        refused = self.book.refused
-        lost = self.book.lost
-        return {
-            'generation': generation,
-            'digest': digest,
-            'in_force_since': self.book.in_force_since,
-            'revision': self.book.revision,
-            'refused': attrs.asdict(refused) if refused else None,
-            'lost': attrs.asdict(lost) if lost else None,
-        }
+        return self._state.status()
 
     def on_bundle_read(self, message: BundleRead) -> None:
-        """Offer a bundle to the aggregate and tell what became of it."""
-        verdict = self.book.offer(
-            message.payload,
-            revision=message.revision,
-            teller=message.teller,
-            now=asyncio.get_running_loop().time(),
+        """Offer the platform's value to the aggregate."""
+        self._state.reading.on_read(time.monotonic())
+        self._push_if(
+            self._state.take_offer(
+                Offer(
+                    payload=message.payload,
+                    revision=message.revision,
+                    teller='platform',
+                )
+            )
         )
-        match verdict:
-            case Accepted(bundle=bundle, before=before):
-                self._audit(message.teller, 'bundle', before, bundle.digest)
-                self._publish()
-            case Refused(reason=reason):
-                self._audit(message.teller, 'refused', '', reason)
-            case Lost(digest=digest):
-                self._audit(message.teller, 'lost', digest, self.book.order[1])
-            case _:
-                return
 
     def on_members_read(self, message: MembersRead) -> None:
-        """Take the platform's list."""
-        before = self._view.members()
-        self._view.on_published(message.members, message.revision)
-        self._note_members(before, 'platform')
-
-    def on_news_heard(self, message: NewsHeard) -> None:
-        """Take what processes say of themselves."""
-        before = self._view.members()
-        for news in message.news:
-            self._view.on_news(news)
-        self._note_members(before, message.teller)
-
-    def _note_members(self, before: tuple[Member, ...], teller: str) -> None:
-        after = self._view.members()
-        if before == after:
-            return
-        self._runtime.audit.note(
-            kind='membership',
-            teller=teller,
-            subject='members',
-            before=_names(before),
-            after=_names(after),
+        """Take the platform's member list."""
+        self._state.reading.on_read(time.monotonic())
+        self._state.take_members(message.members, message.revision)
+
+    def on_nothing_new(self, message: NothingNew) -> None:
+        """Note that the platform answers."""
+        self._state.reading.on_read(time.monotonic())
+        if message.source is Source.MEMBERS:
+            self._state.take_same_members()
+
+    def on_read_failed(self, message: ReadFailed) -> None:
+        """Note that the platform doesn't answer."""
+        self._state.reading.on_failed()
+        self._log.warning(
+            'platform not read: %s',
+            message.reason,
+            extra={'step': message.source.value},
         )
-        self._publish()
-
-    def _publish(self) -> None:
-        self.snapshot = Snapshot(self.book.bundle, self._view.members())
-        self._on_change(self.snapshot)
 
-    def _audit(
-        self,
-        teller: str,
-        subject: str,
-        before: str,
-        after: str,
-    ) -> None:
-        self._runtime.audit.note(
-            kind='configuration',
-            teller=teller,
-            subject=subject,
-            before=before,
-            after=after,
-        )
+    def on_hello_heard(self, message: HelloHeard) -> None:
+        """Take what a peer says of itself and of others."""
+        self._push_if(self._state.take_hello(message.hello))
+
+    def on_peer_silent(self, message: PeerSilent) -> None:
+        """Take note of a call that failed."""
+        self._log.debug('no exchange: %s', message.reason)
+        self._state.take_silence(message.host)
+
+    def on_knowledge_came(self, message: KnowledgeCame) -> None:
+        """Take what a peer had newer."""
+        self._push_if(self._state.take_knowledge(message.knowledge))
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        self.snapshot = snapshot
+        self._on_change(snapshot)
+
+    def _push_if(self, urgent: bool) -> None:
+        if urgent:
+            self._urgent.set()
+
+    async def _begin(self) -> None:
+        """Learn the members, ask peers, and only then trust the platform.
+
+        The first call waits for a random time: hosts that come up together,
+        as after a power cut, must not call all at once.
+        """
+        self.hinders = 'asks platform and peers what is in force'
+        await asyncio.sleep(self._random.uniform(0, self._poll_s))
+        while not self._state.knows_members:
+            await self._read(Source.MEMBERS, watch=False)
+            if not self._state.knows_members:
+                await asyncio.sleep(self._pause_s())
+        await self._tell_neighbours()
+        self._push_if(self._state.open_book())
+        self.hinders = ''
+        for source in Source:
+            self.spawn(self._follow(source))
+        self.spawn(self._exchange_for_ever())
+        self.spawn(self._push_for_ever())
 
-    async def _watch_bundle(self) -> None:
-        revision = -1
+    async def _follow(self, source: Source) -> None:
+        """Read one source for ever, in the way that the aggregate says."""
         while True:
-            answer = await self._read('/v1/config/bundle', revision)
-            if answer is None or answer.status != HTTP_OK:
-                await self._pause(answer)
-                continue
-            revision = int(answer.header('X-Revision') or 0)
-            self.post(BundleRead(answer.body, revision, 'platform'))
-
-    async def _watch_members(self) -> None:
-        revision = -1
+            match self._state.reading.mode(time.monotonic()):
+                case ReadingMode.WATCH:
+                    pause_s = await self._read(source, watch=True)
+                case ReadingMode.POLL:
+                    await self._read(source, watch=False)
+                    # Two sources: each is due half as often.
+                    pause_s = 2 * self._pause_s()
+                case ReadingMode.LISTEN:
+                    pause_s = TICK_S
+            await asyncio.sleep(pause_s)
+
+    async def _read(self, source: Source, *, watch: bool) -> float:
+        """Read once; the seconds to wait before the next, if it failed."""
+        word = await self._platform.read(source, watch=watch)
+        await self._handle(word)
+        return self._pause_s() if isinstance(word, ReadFailed) else 0
+
+    def _pause_s(self) -> float:
+        return self._state.reading.pause_s(self._poll_s, self._random)
+
+    async def _notice_freezes(self) -> None:
+        """Ask the neighbours first after the process stood still.
+
+        A process that was frozen believes what was true before; it would be
+        seen as old rules in force on one host for some seconds.
+        """
+        last = time.monotonic()
         while True:
-            answer = await self._read('/v1/members', revision)
-            if answer is None or answer.status != HTTP_OK:
-                await self._pause(answer)
-                continue
-            try:
-                revision, members = decode_members(answer.body)
-            except MembersError as exc:
-                self._log.warning('member list unreadable: %s', exc)
-                await self._pause(None)
-                continue
-            self.post(MembersRead(members, revision))
-
-    async def _read(self, path: str, revision: int) -> Answer | None:
-        watch = f'?after={revision}&wait={WATCH_S}' if revision >= 0 else ''
-        try:
-            return await self._platform.fetch(
-                path + watch,
-                timeout_s=WATCH_S + 5.0,
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            stood_s, last = now - last, now
+            if stood_s > FROZEN_S and self.book.is_open:
+                self._log.warning('stood still for %.1f s', stood_s)
+                self.hinders = 'stood still and asks peers what is in force'
+                await self._tell_neighbours()
+                self.hinders = ''
+
+    async def _exchange_for_ever(self) -> None:
+        while True:
+            pause_s = EXCHANGE_S * self._random.uniform(0.5, 1.5)
+            await asyncio.sleep(pause_s)
+            member = self._next_partner()
+            if member is not None:
+                await self._exchange(member)
+            neighbours = self._state.neighbours
+            await self._calls.keep_only(
+                {neighbour.rpc_address for neighbour in neighbours}
             )
-        except UpstreamError as exc:
-            self._log.warning('platform unreachable: %s', exc)
-            return None
 
-    async def _pause(self, answer: Answer | None) -> None:
-        """Wait with jitter after anything but news."""
-        if answer is not None and answer.status == 204:
-            return
-        poll_s = self._runtime.cfg.platform.poll_s
-        await asyncio.sleep(poll_s * self._random.uniform(0.1, 0.3))
+    def _next_partner(self) -> Member | None:
+        self._turn += 1
+        neighbours = self._state.neighbours
+        if neighbours and self._turn % PROBE_EVERY:
+            return neighbours[self._turn % len(neighbours)]
+        others = self._state.others()
+        return self._random.choice(others) if others else None
 
-    async def _exchange_for_ever(self) -> None:
+    async def _push_for_ever(self) -> None:
+        """Tell all neighbours at once what can't wait for their turn."""
         while True:
-            await asyncio.sleep(self._random.uniform(0.5, 1.5))
-            others = self._others()
-            if others:
-                await self._exchange(self._random.choice(others))
+            await self._urgent.wait()
+            self._urgent.clear()
+            await self._tell_neighbours()
+            await asyncio.sleep(PUSH_GAP_S)
+
+    async def _tell_neighbours(self) -> None:
+        await asyncio.gather(
+            *(self._exchange(member) for member in self._state.neighbours),
+        )
 
     async def _exchange(self, member: Member) -> None:
+        ours = self._state.hello(member.host)
         try:
-            hello = await self._peers.call(
-                member.rpc_address,
-                EXCHANGE,
-                self._hello(),
-                timeout_s=1.0,
-            )
+            hello = await self._calls.hello(member, ours)
+            await self._handle(HelloHeard(hello))
+            await self._level(member, hello)
         except PeerLostError as exc:
-            self._log.debug('no exchange: %s', exc)
-            return
-        self._heard(hello, member)
+            await self._handle(PeerSilent(member.host, str(exc)))
+
+    async def _level(self, member: Member, hello: Hello) -> None:
+        """Give the peer what it lacks, and take what this process lacks."""
+        given = self._state.lacking(order_in(hello), hello)
+        if given is not None:
+            after = await self._calls.give(member, given)
+            # It may no longer have had the base of the change.
+            whole = self._state.lacking(order_in(after), after, whole=True)
+            if whole is not None and given.bundle is not None:
+                await self._calls.give(member, whole)
+        if self._state.is_behind(hello):
+            taken = await self._calls.take(member, self._state.ask())
+            await self._handle(KnowledgeCame(taken))
 
     async def _on_exchange(self, hello: Hello, _context: object) -> Hello:
-        member = self.snapshot.member(hello.sender.host)
-        self._heard(hello, member)
-        return self._hello()
-
-    def _heard(self, hello: Hello, member: Member | None) -> None:
-        self.post(NewsHeard((hello.sender, *hello.news), hello.sender.host))
-        behind = self.book.order < (hello.generation, hello.digest)
-        if behind and member is not None:
-            self.spawn(self._fetch_bundle(member))
-
-    async def _fetch_bundle(self, member: Member) -> None:
-        ask = BundleAsk(host=self._runtime.cfg.process.host)
-        try:
-            reply = await self._peers.call(
-                member.rpc_address,
-                FETCH_BUNDLE,
-                ask,
-            )
-        except PeerLostError as exc:
-            self._log.info('no bundle from peer: %s', exc)
-            return
-        self.post(BundleRead(reply.payload, reply.revision, member.host))
-
-    async def _on_fetch(self, _ask: BundleAsk, _context: object) -> BundleReply:
-        return BundleReply(
-            payload=self.book.payload,
-            revision=self.book.revision,
-        )
-
-    def _hello(self) -> Hello:
-        self._beat += 1
-        generation, digest = self.book.order
-        leaving = [news for news in self._view.news.values() if news.leaving]
-        return Hello(
-            sender=self._own_news(),
-            generation=generation,
-            digest=digest,
-            news=tuple(leaving[:MOST_NEWS]),
-        )
-
-    def _own_news(self) -> ProcessNews:
-        process = self._runtime.cfg.process
-        return ProcessNews(
-            host=process.host,
-            role=process.role,
-            incarnation=self._runtime.incarnation,
-            beat=self._beat,
-            leaving=self._leaving,
-            rpc_address=f'{process.address}:{process.rpc_port}',
-        )
-
-    def _others(self) -> list[Member]:
-        own = self._runtime.cfg.process.host
-        return [
-            member for member in self.snapshot.members if member.host != own
-        ]
+        await self._handle(HelloHeard(hello))
+        return self._state.hello(hello.sender.host)
 
+    async def _on_give(self, knowledge: Knowledge, _context: object) -> Hello:
+        await self._handle(KnowledgeCame(knowledge))
+        return self._state.hello(knowledge.host)
 
-def _names(members: tuple[Member, ...]) -> str:
-    return ' '.join(
-        member.host if member.state == 'live' else f'{member.host}(leaving)'
-        for member in members
-    )
+    async def _on_take(self, ask: TakeAsk, _context: object) -> Knowledge:
+        order = ConfigOrder(ask.generation, ask.digest)
+        found = self._state.lacking(order, ask)
+        return found or Knowledge(host=self._state.host)
--- a/packages/daemon/src/crowrudder_daemon/rpc/_client.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_client.py
@@ -134,6 +134,11 @@
         if channel is not None:
             await channel.close(None)
 
+    async def keep_only(self, peers: set[str]) -> None:
+        """Close the channels to all others; calls on them are cut off."""
+        for peer in self._channels.keys() - peers:
+            await self.forget(peer)
+
     async def close(self) -> None:
         """Close all channels."""
         for peer in list(self._channels):
--- a/packages/model/src/crowrudder_model/declared/__init__.py
+++ b/packages/model/src/crowrudder_model/declared/__init__.py
@@ -11,6 +11,11 @@
 )
 from crowrudder_model.declared._checks import Fault, faults_of, section_of
 from crowrudder_model.declared._declaration import Declaration
+from crowrudder_model.declared._delta import (
+    BundleDelta,
+    apply_delta,
+    delta_between,
+)
 from crowrudder_model.declared._difference import Change, difference
 from crowrudder_model.declared._files import Reading, read_files
 from crowrudder_model.declared._parts import (
@@ -30,6 +35,7 @@
     'MOST_BUNDLE_BYTES',
     'Adapter',
     'Bundle',
+    'BundleDelta',
     'BundleError',
     'Change',
     'Customer',
@@ -40,8 +46,10 @@
     'Reading',
     'Service',
     'Version',
+    'apply_delta',
     'bundle_of',
     'decode_bundle',
+    'delta_between',
     'difference',
     'digest_of',
     'eligible',
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -1,10 +1,15 @@
 """The messages that crowrudder processes send each other."""
 
 from crowrudder_model.messages._knowledge import (
-    BundleAsk,
-    BundleReply,
+    BundlePart,
     Hello,
+    Knowledge,
+    ListEdition,
+    MembersDelta,
+    MembersPart,
     ProcessNews,
+    ProcessState,
+    TakeAsk,
 )
 from crowrudder_model.messages._report import Report, ReportAsk
 from crowrudder_model.messages._run import (
@@ -35,19 +40,23 @@
 __all__ = (
     'Attempt',
     'AttemptKey',
-    'BundleAsk',
-    'BundleReply',
+    'BundlePart',
     'Cancel',
     'ChunkAsk',
     'ChunkPiece',
     'Final',
     'Hello',
+    'Knowledge',
+    'ListEdition',
     'ManifestAsk',
     'ManifestReply',
+    'MembersDelta',
+    'MembersPart',
     'Permit',
     'PermitAsk',
     'Piece',
     'ProcessNews',
+    'ProcessState',
     'Queued',
     'Refusal',
     'Report',
@@ -59,4 +68,5 @@
     'SettledState',
     'StockAsk',
     'StockReply',
+    'TakeAsk',
 )
--- a/packages/model/src/crowrudder_model/rpc/__init__.py
+++ b/packages/model/src/crowrudder_model/rpc/__init__.py
@@ -3,13 +3,14 @@
 from crowrudder_model.rpc._methods import (
     CHUNK,
     EXCHANGE,
-    FETCH_BUNDLE,
+    GIVE,
     MANIFEST,
     REPORTS,
     RUN,
     SERVICE_NAME,
     SETTLE,
     STOCK,
+    TAKE,
     CallKind,
     Method,
 )
@@ -17,13 +18,14 @@
 __all__ = (
     'CHUNK',
     'EXCHANGE',
-    'FETCH_BUNDLE',
+    'GIVE',
     'MANIFEST',
     'REPORTS',
     'RUN',
     'SERVICE_NAME',
     'SETTLE',
     'STOCK',
+    'TAKE',
     'CallKind',
     'Method',
 )
--- a/packages/model/src/crowrudder_model/rpc/_methods.py
+++ b/packages/model/src/crowrudder_model/rpc/_methods.py
@@ -58,7 +58,8 @@
     CallKind.DOWN_STREAM,
 )
 EXCHANGE = Method('Exchange', messages.Hello, messages.Hello)
-FETCH_BUNDLE = Method('FetchBundle', messages.BundleAsk, messages.BundleReply)
+TAKE = Method('Take', messages.TakeAsk, messages.Knowledge)
+GIVE = Method('Give', messages.Knowledge, messages.Hello)
 STOCK = Method('Stock', messages.StockAsk, messages.StockReply)
 MANIFEST = Method('Manifest', messages.ManifestAsk, messages.ManifestReply)
 CHUNK = Method(
