Load and experiments: files that say what comes, fails and has to hold

Cause: the demo and the soak show that nothing forbidden happens, but not how much is answered in time, by whom, and at which load.

Change: `make load` sends open-loop arrivals (Poisson or constant, bursts, Zipf-like prefixes) from an INI file, as http.md asks of callers, only to loopback. `make experiment` adds a fleet, faults at their times and promises on figures; the engines' books are compared with the callers' at the end. Latency counts from the planned arrival, so a slow load tool shows as latency. Ruled out: waiting for answers before the next arrival, which hides overload. `excused` of the soak became a function, used by both.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 #   make test | lint | format
 #   make measure                          the measurements of measure/
 #   make soak [DURATION=60] [SEED=1]      random load and faults
+#   make load FILE=F [ENTRY=IP:PORT]      a file's load
+#   make experiment FILE=F [OUT=DIR]      a file's load, faults and promises
 
 SHELL := /bin/bash
 BIN := .venv/bin
@@ -16,8 +18,11 @@
 KEEP ?=
 DURATION ?= 60
 SEED ?= 1
+FILE ?= examples/experiments/steady.ini
+ENTRY ?=
+OUT ?=
 
-.PHONY: demo test lint format measure soak
+.PHONY: demo test lint format measure soak load experiment
 
 $(STAMP): constraints.txt pyproject.toml $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv .venv
@@ -49,3 +54,9 @@
 
 soak: $(STAMP)
 	$(BIN)/python scripts/soak.py --duration '$(DURATION)' --seed '$(SEED)'
+
+load: $(STAMP)
+	$(BIN)/python scripts/load.py $(if $(ENTRY),'--entry=$(ENTRY)') '$(FILE)'
+
+experiment: $(STAMP)
+	$(BIN)/python scripts/experiment.py $(if $(OUT),'--out=$(OUT)') $(FILE)
--- a/scripts/_chaos.py
+++ b/scripts/_chaos.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from _caller import Answer
     from _fleet import Fleet, Host, Outside, Process
@@ -77,6 +77,23 @@
     until_s: float
 
 
+def excused(
+    answer: Answer, entries: Iterable[Host], endings: Iterable[Ending]
+) -> bool:
+    """Tell whether the answer's entry was gone while it was awaited."""
+    names = {
+        host.name
+        for host in entries
+        if answer.url.endswith(f':{host.member["http_port"]}')
+    }
+    return any(
+        ending.name in names
+        and ending.from_s <= answer.ended_at
+        and answer.began_at <= ending.until_s
+        for ending in endings
+    )
+
+
 @define
 class Chaos:
     """Plays faults on a fleet, two at once at most."""
@@ -102,17 +119,7 @@
 
     def excused(self, answer: Answer) -> bool:
         """Tell whether the answer's entry was killed under it."""
-        names = {
-            host.name
-            for host in self.fleet.entries
-            if answer.url.endswith(f':{host.member["http_port"]}')
-        }
-        return any(
-            ending.name in names
-            and ending.from_s <= answer.ended_at
-            and answer.began_at <= ending.until_s
-            for ending in self.endings
-        )
+        return excused(answer, self.fleet.entries, self.endings)
 
     def _draw(self) -> Fault:
         while True:
--- /dev/null
+++ b/scripts/_experiment_faults.py
@@ -0,0 +1,185 @@
+"""The faults of an experiment, done to the processes of its fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from _chaos import Ending, excused
+from _declare import Weights
+from _experiment_plan import (
+    Drain,
+    EngineFault,
+    Freeze,
+    Kill,
+    PlatformFault,
+    Publish,
+    Restart,
+    Step,
+)
+from _fleet import FleetError, until
+from attrs import define, evolve, field
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from _caller import Answer
+    from _declare import Declared
+    from _fleet import Fleet, Host, Outside
+
+FIRST = Weights('listing-v1', seed=1)
+
+
+@define
+class Absences:
+    """When which killed process was gone, in seconds of one clock.
+
+    >>> absences = Absences()
+    >>> absences.gone('entry-1', 5.0)
+    >>> absences.back('entry-1', 8.0)
+    >>> absences.spans
+    [Ending(name='entry-1', from_s=5.0, until_s=8.0)]
+    """
+
+    spans: list[Ending] = field(factory=list)
+
+    def gone(self, name: str, now: float) -> None:
+        """Note that a process was killed."""
+        self.spans.append(Ending(name, now, float('inf')))
+
+    def back(self, name: str, now: float) -> None:
+        """Note that it runs again."""
+        self.spans = [
+            evolve(span, until_s=min(now, span.until_s))
+            if span.name == name
+            else span
+            for span in self.spans
+        ]
+
+    def excuse(self, answer: Answer, entries: Iterable[Host]) -> bool:
+        """Tell whether a broken connection was one to a killed entry."""
+        return excused(answer, entries, self.spans)
+
+
+class Injector:
+    """Does the steps of an experiment to its fleet."""
+
+    def __init__(self, fleet: Fleet, declared: Declared) -> None:
+        self.absences = Absences()
+        self._fleet = fleet
+        self._declared = declared
+        self._seed = FIRST.seed
+
+    async def act(self, step: Step) -> None:
+        """Do one step, with the undoing that belongs to it.
+
+        Raises
+        ------
+        FleetError
+            If it doesn't come off, or not in its time.
+        """
+        match step:
+            case Kill():
+                await self._kill(step)
+            case Restart():
+                await self._restart(step)
+            case Freeze():
+                await self._freeze(step)
+            case Drain():
+                await self._drain(step)
+            case EngineFault():
+                await self._engine_fault(step)
+            case PlatformFault():
+                await self._switch(self._fleet.platform, step)
+            case Publish():
+                await self._publish(step)
+
+    async def publish(self, weights: Weights, within_s: float) -> None:
+        """Declare a version and wait until every engine has it."""
+        await self._declared.publish(self._fleet, weights)
+
+        async def loaded() -> bool:
+            states = [
+                await self._fleet.status(agent)
+                for agent in self._fleet.engine_agents
+                if agent.process.running
+            ]
+            shown = {(each or {}).get('loaded_version') for each in states}
+            return shown == {weights.version}
+
+        step = f'load {weights.version}'
+        await until(loaded, step=step, timeout_s=within_s)
+
+    async def _kill(self, step: Kill) -> None:
+        hosts = hosts_of(self._fleet.hosts, step.target)
+        for host in hosts:
+            self.absences.gone(host.name, time.monotonic())
+            host.process.kill()
+            if host.upstream is not None:
+                host.upstream.process.kill()
+        await asyncio.sleep(step.unlisted_after_s)
+        for host in hosts:
+            await self._fleet.unlist_member(host)
+
+    async def _restart(self, step: Restart) -> None:
+        for host in hosts_of(self._fleet.hosts, step.target):
+            if host.upstream is not None and not host.upstream.process.running:
+                host.upstream.process.start()
+            if not host.process.running:
+                host.process.start()
+            await self._fleet.await_alive(host)
+            self.absences.back(host.name, time.monotonic())
+            await self._fleet.list_member(host)
+
+    async def _freeze(self, step: Freeze) -> None:
+        hosts = hosts_of(self._fleet.hosts, step.target)
+        for host in hosts:
+            host.process.freeze()
+        await asyncio.sleep(step.lasts_s)
+        for host in hosts:
+            host.process.thaw()
+
+    async def _drain(self, step: Drain) -> None:
+        hosts = hosts_of(self._fleet.hosts, step.target)
+        codes = await self._fleet.drain(hosts)
+        bad = {name: code for name, code in codes.items() if code != 0}
+        if bad:
+            raise FleetError('drain', step.target, f'exit codes {bad}')
+
+    async def _engine_fault(self, step: EngineFault) -> None:
+        agent = step.target.replace('engine', 'agent')
+        (host,) = hosts_of(self._fleet.engine_agents, agent)
+        if host.upstream is not None:
+            await self._switch(host.upstream, step)
+
+    async def _switch(
+        self, outside: Outside, step: EngineFault | PlatformFault
+    ) -> None:
+        await self._fleet.fault(outside, step.fault, amount=step.amount)
+        await asyncio.sleep(step.lasts_s)
+        if outside.process.running:
+            await self._fleet.fault(outside, step.fault, on=False)
+
+    async def _publish(self, step: Publish) -> None:
+        self._seed += 1
+        weights = Weights(step.version, seed=self._seed)
+        await self.publish(weights, step.within_s)
+
+
+def hosts_of(hosts: Iterable[Host], target: str) -> list[Host]:
+    """Find a host by its name, or all of `domain:NAME`.
+
+    Raises
+    ------
+    FleetError
+        If there is none.
+    """
+    domain = target.removeprefix('domain:')
+    key = 'host' if domain == target else 'failure_domain'
+    by_name = [(str(host.member[key]), host) for host in hosts]
+    found = [host for name, host in by_name if name == domain]
+    if not found:
+        known = ', '.join(sorted({name for name, _ in by_name}))
+        raise FleetError('find', target, f'use one of {known}')
+    return found
--- /dev/null
+++ b/tests/scripts/test_experiment.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from _books import Books, compare
+from _caller import Answer, Request
+from _experiment_faults import Absences, hosts_of
+from _experiment_plan import Promise, read_experiment
+from _experiment_verdict import StepReport, judge
+from _fleet import FleetError, Host, Process
+from _load_arrivals import Arrival
+from _load_run import CallResult
+from _load_summary import summarize
+from attrs import evolve
+
+EXPERIMENTS = Path(__file__).parents[2] / 'examples' / 'experiments'
+STEADY = read_experiment(EXPERIMENTS / 'steady.ini')
+REQUEST = Request(request_id='r1', customer='breeder-portal', service='portal')
+WHOLE = Answer(request=REQUEST, status=200, outcome='answered')
+STEP = StepReport(name='s', kind='publish', at_s=1, took_s=1, error='')
+
+
+def report_on(*promises, result=None, starts=1, steps=()):
+    arrival = Arrival(at_s=0, phase='low', request=REQUEST)
+    result = result or CallResult(
+        arrival=arrival, answer=WHOLE, sendings=1, latency_s=0.5
+    )
+    answers = [result.answer] if result.answer else []
+    experiment = evolve(STEADY, promises=promises)
+    books = Books(Counter(r1=starts), frozenset())
+    summary = summarize(experiment.load, [result], answers)
+    return judge(experiment, summary, compare(books, answers), steps)
+
+
+class TestVerdict:
+    @pytest.mark.parametrize(
+        ('promise', 'kept'),
+        [
+            (Promise(name='n', figure='good_share', least=1), True),
+            (Promise(name='n', figure='latency_p95_s', most=0.4), False),
+            (Promise(name='n', figure='latency_p95_s', most=0.6), True),
+            (Promise(name='n', figure='overdue', most=0), True),
+            (Promise(name='n', figure='sendings_per_request', most=0.9), False),
+            # Nothing was measured here, so nothing is kept.
+            (Promise(name='n', figure='latency_p95_s', phase='high'), True),
+            (
+                Promise(name='n', figure='latency_p95_s', phase='high', most=9),
+                False,
+            ),
+            (
+                Promise(
+                    name='n', figure='good_share', customer='riding-school'
+                ),
+                False,
+            ),
+        ],
+    )
+    def test_promises(self, promise, kept):
+        report = report_on(promise)
+        assert [each.kept for each in report.promises] == [kept]
+        assert report.passed is kept
+        told = 'ok' if kept else 'failed'
+        assert f'experiment steady: {told} seed=1' in report.lines()[-1]
+
+    def test_books_count_without_any_promise(self):
+        assert report_on().passed
+        assert not report_on(starts=2).passed
+        assert not report_on(starts=0).passed
+
+    def test_request_without_end(self):
+        arrival = Arrival(at_s=0, phase='low', request=REQUEST)
+        report = report_on(result=CallResult(arrival=arrival, sendings=1))
+        assert 'never got a final word' in report.broken[0]
+
+    def test_fault_that_did_not_come_off(self):
+        late = evolve(STEP, error='load v2: fleet: not within 5 s')
+        assert report_on(steps=(STEP,)).passed
+        assert not report_on(steps=(late,)).passed
+
+
+ENTRY = Host(
+    {'host': 'entry-1', 'http_port': 9, 'failure_domain': 'caen-0'},
+    Process('entry-1', [], Path('entry-1.log')),
+)
+
+
+class TestHosts:
+    def test_by_name_and_by_failure_domain(self):
+        assert hosts_of([ENTRY], 'entry-1') == [ENTRY]
+        assert hosts_of([ENTRY], 'domain:caen-0') == [ENTRY]
+        with pytest.raises(FleetError, match='use one of caen-0'):
+            hosts_of([ENTRY], 'domain:entry-1')
+
+    def test_broken_connection_is_excused_by_a_kill_only(self):
+        absences = Absences()
+        broken = Answer(
+            request=REQUEST,
+            broken=True,
+            url='http://127.0.0.1:9',
+            began_at=4,
+            ended_at=5.5,
+        )
+        assert not absences.excuse(broken, [ENTRY])
+        absences.gone('entry-1', 5)
+        assert absences.excuse(broken, [ENTRY])
+        assert not absences.excuse(evolve(broken, url='http://x:19'), [ENTRY])
+        absences.back('entry-1', 7)
+        assert absences.excuse(broken, [ENTRY])
+        after = evolve(broken, began_at=8, ended_at=9)
+        assert not absences.excuse(after, [ENTRY])
--- /dev/null
+++ b/tests/scripts/test_load.py
@@ -0,0 +1,253 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+
+import pytest
+from _caller import NO_ANSWER, REFUSED, Answer, Flaw, Request
+from _experiment_plan import read_experiment
+from _load_arrivals import Arrival, arrival_times, arrivals, popularity
+from _load_plan import Bounds, LoadPlan, Phase, Traffic
+from _load_run import (
+    CallResult,
+    LoadRun,
+    NotLoopbackError,
+    pause_before_resend,
+    require_loopback,
+)
+from _load_summary import Quantiles, summarize
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_daemon.settings import SettingsError
+from support import aio
+
+EXPERIMENTS = Path(__file__).parents[2] / 'examples' / 'experiments'
+REQUEST = Request(
+    request_id='r1', customer='c', model='m', prompt='p', deadline_ms=1000
+)
+WHOLE = Answer(request=REQUEST, status=200, outcome='answered')
+BUSY = Answer(
+    request=REQUEST, status=503, outcome='not_run', retry_after_s=0.06
+)
+BROKEN = Answer(request=REQUEST, broken=True, detail='HTTP 599')
+PHASE = Phase(name='p', seconds=2, rate_per_s=50, traffic=(('t', 1.0),))
+PLAN = LoadPlan(
+    bounds=Bounds(),
+    traffic=(Traffic(name='t', customer='c', model='m', prefixes=10),),
+    phases=(PHASE, evolve(PHASE, name='q', seconds=1)),
+)
+
+
+class TestFile:
+    def test_ready_experiments_have_no_fault(self):
+        names = [each.stem for each in sorted(EXPERIMENTS.glob('*.ini'))]
+        read = [
+            read_experiment(EXPERIMENTS / f'{name}.ini').name for name in names
+        ]
+        assert read == names
+        assert len(names) >= 5
+
+    def test_all_faults_at_once(self, tmp_path):
+        path = tmp_path / 'bad.ini'
+        path.write_text(
+            '[load]\nseed = x\n'
+            '[flood]\n'
+            '[traffic:t]\ncustomer = c\nmodel = m\nrate = 1\n'
+            '[traffic:both]\ncustomer = c\nmodel = m\nservice = s\n'
+            '[phase:p]\nseconds = 40\nrate_per_s = 1\ntraffic = t:1, u:2\n'
+            '[phase:q]\nseconds = 40\nrate_per_s = 1\ntraffic = t:1\n'
+            '[phase:r]\nseconds = -1\nrate_per_s = 1\n'
+            '[fault:f]\nkind = kill\nat_s = 1\ntarget = agent-9\n'
+            '[fault:g]\nkind = burn\n'
+            '[promise:n]\nfigure = good_share\nphase = none\n'
+        )
+        with pytest.raises(SettingsError) as caught:
+            read_experiment(path)
+        found = {(each.section, each.key) for each in caught.value.faults}
+        assert found == {
+            ('flood', ''),
+            ('load', 'seed'),
+            ('traffic:t', 'rate'),
+            ('traffic:both', 'model'),
+            ('phase:NAME', 'seconds'),
+            ('phase:p', 'traffic'),
+            ('phase:r', 'seconds'),
+            ('phase:r', 'traffic'),
+            ('fault:f', 'target'),
+            ('fault:g', 'kind'),
+            ('promise:n', 'phase'),
+        }
+        assert str(path) in str(caught.value)
+
+    @pytest.mark.parametrize('text', ['', 'x = 1', '[a]\n[a]', '[load', '\0'])
+    def test_garbage(self, tmp_path, text):
+        path = tmp_path / 'bad.ini'
+        path.write_text(text)
+        with pytest.raises(SettingsError):
+            read_experiment(path)
+
+
+class TestArrivals:
+    def test_same_seed_same_arrivals(self):
+        assert arrivals(PLAN, tag='a') == arrivals(PLAN, tag='a')
+        other = evolve(PLAN, bounds=Bounds(seed=2))
+        assert arrivals(other, tag='a') != arrivals(PLAN, tag='a')
+
+    def test_phases_follow_each_other(self):
+        planned = arrivals(PLAN, tag='a')
+        assert {each.phase for each in planned if each.at_s < 2} == {'p'}
+        assert {each.phase for each in planned if each.at_s >= 2} == {'q'}
+
+    def test_count_is_bounded(self):
+        few = evolve(PLAN, bounds=Bounds(requests_at_most=7))
+        assert len(arrivals(few, tag='a')) == 7
+
+    @given(st.randoms(use_true_random=False), st.booleans())
+    def test_times_are_in_order_and_in_the_phase(self, rng, poisson):
+        kind = 'poisson' if poisson else 'constant'
+        phase = evolve(PHASE, arrivals=kind, burst_every_s=0.5, burst_size=3)
+        times = list(arrival_times(phase, rng))
+        assert times == sorted(times)
+        assert times[0] >= 0
+        assert times[-1] < phase.seconds
+        assert [times.count(at_s) >= 3 for at_s in (0, 0.5, 1, 1.5)] == [
+            True
+        ] * 4
+
+    def test_constant_rate(self):
+        phase = evolve(PHASE, arrivals='constant')
+        assert len(list(arrival_times(phase, random.Random(1)))) == 100
+
+    def test_popular_prefixes_come_more_often(self):
+        steep = evolve(PLAN.traffic[0], zipf=1.5)
+        plan = evolve(PLAN, traffic=(steep,))
+        prompts = [each.request.prompt for each in arrivals(plan, tag='a')]
+        counts = [
+            sum(prompt.startswith(f't {rank} ') for prompt in prompts)
+            for rank in (0, 9)
+        ]
+        assert counts[0] > 3 * counts[1]
+        assert popularity(3, 0) == [1, 1, 1]
+
+
+class TestCallers:
+    @pytest.mark.parametrize(
+        ('answer', 'pause_s'),
+        [
+            (WHOLE, None),
+            (BUSY, 0.06),
+            (evolve(BUSY, status=429, retry_after_s=7), 7),
+            (evolve(BUSY, status=409), None),
+            (evolve(BUSY, status=504, outcome='unknown'), None),
+            (Answer(request=REQUEST, detail=REFUSED), 0.05),
+            (BROKEN, None),
+            (evolve(BROKEN, request=evolve(REQUEST, idempotent=True)), 0.05),
+        ],
+    )
+    def test_what_may_be_sent_again(self, answer, pause_s):
+        told = pause_before_resend(answer, resend_lost='idempotent')
+        assert told == pause_s
+
+    def test_lost_ones_stay_lost_if_told_so(self):
+        lost = evolve(BROKEN, request=evolve(REQUEST, idempotent=True))
+        assert pause_before_resend(lost, resend_lost='none') is None
+
+    @pytest.mark.parametrize('address', ['10.0.0.1', 'localhost', '', '::'])
+    def test_other_machines_are_refused(self, address):
+        with pytest.raises(NotLoopbackError):
+            require_loopback(address)
+
+
+class FakeCaller:
+    """Answers by a script; the last answer goes on for ever."""
+
+    def __init__(self, *script, takes_s=0.0):
+        self.script = list(script)
+        self.takes_s = takes_s
+        self.sent = []
+
+    async def send(self, request, *, on_chunk):
+        self.sent.append(request)
+        await asyncio.sleep(self.takes_s)
+        on_chunk()
+        answer = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        return evolve(answer, request=request)
+
+
+def run_load(caller, count=1, **bounds):
+    planned = [
+        Arrival(
+            at_s=0,
+            phase='p',
+            request=evolve(REQUEST, request_id=f'r{number}'),
+        )
+        for number in range(count)
+    ]
+    return aio.run(LoadRun(caller, Bounds(**bounds)).run(planned))
+
+
+class TestRun:
+    def test_retry_after_is_honoured_and_the_deadline_shrinks(self):
+        caller = FakeCaller(BUSY, BUSY, WHOLE)
+        (result,) = run_load(caller)
+        assert (result.outcome, result.sendings) == ('answered', 3)
+        assert result.latency_s >= 2 * BUSY.retry_after_s
+        left = [request.deadline_ms for request in caller.sent]
+        assert left == sorted(left, reverse=True)
+        assert left[-1] <= 1000 - 2 * 60
+
+    def test_no_sending_after_the_deadline(self):
+        late = evolve(BUSY, retry_after_s=5)
+        (result,) = run_load(FakeCaller(late))
+        assert (result.outcome, result.sendings) == ('not_run', 1)
+
+    def test_arrivals_do_not_wait_for_answers(self):
+        results = run_load(FakeCaller(WHOLE, takes_s=0.1), count=20)
+        assert max(each.latency_s for each in results) < 1
+
+    def test_above_the_bound_nothing_is_sent(self):
+        caller = FakeCaller(WHOLE, takes_s=0.05)
+        results = run_load(caller, count=5, concurrent_at_most=2)
+        assert sorted(each.outcome for each in results) == [
+            *['answered'] * 2,
+            *['not_sent'] * 3,
+        ]
+        assert len(caller.sent) == 2
+
+    def test_ends_by_itself(self):
+        (result,) = run_load(FakeCaller(WHOLE, takes_s=60), wait_s=0.05)
+        assert (result.never_ended, result.overdue) == (True, True)
+        assert (result.outcome, result.good) == ('no_answer', False)
+
+
+class TestSummary:
+    def test_quantiles_are_nearest_ranks(self):
+        of_100 = Quantiles.of(float(number) for number in range(1, 101))
+        assert (of_100.p50, of_100.p95, of_100.p99) == (50, 95, 99)
+        assert Quantiles.of([]).p99 is None
+
+    def test_groups_and_flaws(self):
+        arrival = Arrival(at_s=0, phase='p', request=REQUEST)
+        cut = evolve(WHOLE, flaw=Flaw.CUT)
+        given_back = [
+            CallResult(
+                arrival=arrival, answer=WHOLE, sendings=1, latency_s=0.5
+            ),
+            CallResult(arrival=arrival, answer=WHOLE, sendings=2, latency_s=3),
+            CallResult(arrival=arrival, answer=cut, sendings=1, latency_s=0.1),
+            CallResult(arrival=arrival),
+        ]
+        answers = [WHOLE, WHOLE, cut, evolve(BROKEN, flaw=Flaw.CUT)]
+        summary = summarize(PLAN, given_back, answers)
+        group = summary.group('p', 'c')
+        assert group is not None
+        assert (group.requests, group.good, group.overdue) == (4, 1, 1)
+        assert group.outcomes['answered'] == 2
+        assert group.outcomes[NO_ANSWER] == 1
+        assert (group.goodput_per_s, group.good_share) == (0.5, 0.25)
+        assert summary.flaws.false_claims == 1
+        assert summary.flaws.broken_off == 1
+        assert [each.requests for each in summary.phases] == [4, 0]
