--- a/packages/daemon/src/crowrudder_daemon/knowledge/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/__init__.py
@@ -1,6 +1,6 @@
 """What a process knows of configuration and members, and how it learns."""
 
 from crowrudder_daemon.knowledge._snapshot import Snapshot
-from crowrudder_daemon.knowledge._task import KnowledgeTask
+from crowrudder_daemon.knowledge._task import KnowledgeTask, Pace
 
-__all__ = ('KnowledgeTask', 'Snapshot')
+__all__ = ('KnowledgeTask', 'Pace', 'Snapshot')
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
@@ -7,6 +7,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from attrs import frozen
+
 from crowrudder_core.config import ConfigOrder, Offer, ReadingMode
 from crowrudder_daemon._task import Task
 from crowrudder_daemon.knowledge._peers import (
@@ -39,21 +41,31 @@
     from crowrudder_model import Member
     from crowrudder_model.messages import TakeAsk
 
-EXCHANGE_S = 2.0
-"""Mean time between two exchanges with neighbours, in turn."""
-
 PROBE_EVERY = 4
 """Every so many exchanges go to any member, also to a suspect: after a
 partition, the neighbours of both sides are all on their own side."""
 
-PUSH_GAP_S = 0.1
-"""Between two rounds of telling all neighbours, so that news gathers."""
-
-TICK_S = 0.5
 FROZEN_S = 5.0
 """A loop that stood still for so long was frozen with its process."""
 
 
+@frozen(kw_only=True)
+class Pace:
+    """How often a process acts by itself, in seconds.
+
+    ``exchange_s`` is the mean time between exchanges with one neighbour after
+    the other; ``push_gap_s`` stands between two rounds of telling all of
+    them, so that news gathers; ``tick_s`` is how often times are looked at.
+    """
+
+    exchange_s: float = 2.0
+    push_gap_s: float = 0.1
+    tick_s: float = 0.5
+
+
+DEFAULT_PACE = Pace()
+
+
 class KnowledgeTask(Task):
     """Owns what a process knows of configuration and membership."""
 
@@ -61,6 +73,10 @@
         self,
         runtime: Runtime,
         on_change: Callable[[Snapshot], None],
+        *,
+        calls: PeerCalls | None = None,
+        platform: PlatformClient | None = None,
+        pace: Pace = DEFAULT_PACE,
     ) -> None:
         super().__init__(runtime.log)
         self.hinders = ''
@@ -68,8 +84,9 @@
         self._state = KnowledgeState(runtime, self._take_snapshot)
         self._on_change = on_change
         self._poll_s = runtime.cfg.platform.poll_s
-        self._platform = PlatformClient(runtime)
-        self._calls = PeerCalls()
+        self._platform = platform or PlatformClient(runtime)
+        self._calls = calls or PeerCalls()
+        self._pace = pace
         self._turn = 0
         self._urgent = asyncio.Event()
         self._random = random.Random(runtime.incarnation)
@@ -195,7 +212,7 @@
                     # Two sources: each is due half as often.
                     pause_s = 2 * self._pause_s()
                 case ReadingMode.LISTEN:
-                    pause_s = TICK_S
+                    pause_s = self._pace.tick_s
             await asyncio.sleep(pause_s)
 
     async def _read(self, source: Source, *, watch: bool) -> float:
@@ -215,7 +232,7 @@
         """
         last = time.monotonic()
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(self._pace.tick_s)
             now = time.monotonic()
             stood_s, last = now - last, now
             if stood_s > FROZEN_S and self.book.is_open:
@@ -226,7 +243,7 @@
 
     async def _exchange_for_ever(self) -> None:
         while True:
-            pause_s = EXCHANGE_S * self._random.uniform(0.5, 1.5)
+            pause_s = self._pace.exchange_s * self._random.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
             member = self._next_partner()
             if member is not None:
@@ -250,7 +267,7 @@
             await self._urgent.wait()
             self._urgent.clear()
             await self._tell_neighbours()
-            await asyncio.sleep(PUSH_GAP_S)
+            await asyncio.sleep(self._pace.push_gap_s)
 
     async def _tell_neighbours(self) -> None:
         await asyncio.gather(
