--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make demo [KEEP=1]                    clone to served request
 #   make test | lint | format
 #   make measure                          the measurements of measure/
+#   make explore [STATES=200000]         every order of events of a request
 #   make soak [DURATION=60] [SEED=1]      random load and faults
 #   make load FILE=F [ENTRY=IP:PORT]      a file's load
 #   make experiment FILE=F [OUT=DIR]      a file's load, faults and promises
@@ -18,11 +19,12 @@
 KEEP ?=
 DURATION ?= 60
 SEED ?= 1
+STATES ?= 200000
 FILE ?= examples/experiments/steady.ini
 ENTRY ?=
 OUT ?=
 
-.PHONY: demo test lint format measure soak load experiment
+.PHONY: demo test lint format measure soak explore
 
 $(STAMP): constraints.txt pyproject.toml $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv .venv
@@ -60,3 +62,6 @@
 
 experiment: $(STAMP)
 	$(BIN)/python scripts/experiment.py $(if $(OUT),'--out=$(OUT)') $(FILE)
+
+explore: $(STAMP)
+	$(BIN)/python scripts/explore.py --states '$(STATES)'
--- a/scripts/_explore_world.py
+++ b/scripts/_explore_world.py
@@ -46,6 +46,16 @@
     FINAL = 'final'
 
 
+_TO_AGENT = frozenset(
+    (
+        Kind.ATTEMPT,
+        Kind.GRANTED,
+        Kind.DENIED,
+        Kind.SETTLE,
+    )
+)
+
+
 @frozen(order=True)
 class Flying:
     """A message between the entry and one incarnation of an agent."""
@@ -259,11 +269,10 @@
             self.owner.close(verdict)
 
     def _arrive(self, flying: Flying) -> None:
-        match Kind(flying.kind):
-            case Kind.ATTEMPT | Kind.GRANTED | Kind.DENIED | Kind.SETTLE:
-                self._at_agent(flying)
-            case _ if self.entry_alive:
-                self._at_entry(flying)
+        if Kind(flying.kind) in _TO_AGENT:
+            self._at_agent(flying)
+        elif self.entry_alive:
+            self._at_entry(flying)
 
     def _at_agent(self, flying: Flying) -> None:
         agent = flying.agent.split('.')[0]
@@ -305,10 +314,10 @@
                 self._fly(answer, flying.agent, flying.attempt)
             case Kind.SETTLED:
                 self._settled(key, SettledState(flying.note))
-            case Kind.REFUSED if self._streaming(key):
+            case Kind.REFUSED if _streaming(self.owner, key):
                 if flying.note != 'duplicate_message':
                     self.owner.refused(key)
-            case Kind.FINAL if self._streaming(key):
+            case Kind.FINAL if _streaming(self.owner, key):
                 self.owner.ended(key)
                 if self.owner.closed is None:
                     self.owner.close(Outcome.ANSWERED)
@@ -321,11 +330,6 @@
         if isinstance(verdict, Outcome):
             self.owner.close(verdict)
 
-    def _streaming(self, key: AttemptKey) -> bool:
-        """Whether the entry still listens to the attempt's stream."""
-        hold = self.owner.holds.get(key)
-        return hold is not None and hold.name in {'WAITING', 'GRANTED'}
-
     def _life(self, agent: str) -> str:
         return f'{agent}.{self.lives[agent]}'
 
@@ -361,6 +365,12 @@
     )
 
 
+def _streaming(owner: RequestOwner, key: AttemptKey) -> bool:
+    """Whether the entry still listens to the attempt's stream."""
+    hold = owner.holds.get(key)
+    return hold is not None and hold.name in {'WAITING', 'GRANTED'}
+
+
 def _key(attempt: int) -> AttemptKey:
     return AttemptKey(request_id=REQUEST_ID, attempt=attempt, entry='e')
 
