Report: figures and experiments as tables and plots, goals beside them

Cause: `make measure` prints lines and an experiment writes JSON; whether a goal of the issues was met had to be looked up by hand.

Change: `make report` reads both. Each goal stands beside its figures as met, not met or not measured; a goal without a figure isn't met. PLOTS=1 installs the extra `report` (matplotlib, pinned) and draws. matplotlib is imported by name, so that the type check gives one verdict with and without it.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,13 @@
 #   make explore [STATES=200000]         every order of events of a request
 #   make soak [DURATION=60] [SEED=1]      random load and faults
 #   make load FILE=F [ENTRY=IP:PORT]      a file's load
+#   make report [FIGURES=F] [RESULTS=F]   tables and plots of what was measured
 #   make experiment FILE=F [OUT=DIR]      a file's load, faults and promises
 
 SHELL := /bin/bash
 BIN := .venv/bin
 STAMP := .venv/.installed
+REPORT_STAMP := .venv/.installed-report
 PACKAGES := $(foreach name,model core daemon client standins,packages/$(name))
 PROGRAMS := $(patsubst %/,%,$(sort $(dir $(wildcard measure/*.py scripts/*.py))))
 SOURCES := packages tests $(PROGRAMS)
@@ -23,8 +25,11 @@
 FILE ?= examples/experiments/steady.ini
 ENTRY ?=
 OUT ?=
+FIGURES ?=
+RESULTS ?= $(wildcard results/*.json)
+PLOTS ?=
 
-.PHONY: demo test lint format measure soak explore
+.PHONY: demo test lint format measure soak explore load experiment report
 
 $(STAMP): constraints.txt pyproject.toml $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv .venv
@@ -65,3 +70,13 @@
 
 explore: $(STAMP)
 	$(BIN)/python scripts/explore.py --states '$(STATES)'
+
+$(REPORT_STAMP): $(STAMP)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--constraint constraints.txt --no-build-isolation \
+		--editable '.[report]'
+	touch $@
+
+report: $(if $(PLOTS),$(REPORT_STAMP),$(STAMP))
+	$(BIN)/python measure/report.py $(if $(FIGURES),'--figures=$(FIGURES)') \
+		'--out=$(or $(OUT),report)' $(RESULTS)
--- /dev/null
+++ b/measure/_report_tables.py
@@ -0,0 +1,115 @@
+"""Measured figures as Markdown tables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from _report_figures import series_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from _report_figures import ExperimentResult, Figure, Group, Promise, Series
+    from _report_goals import Judged
+
+
+def markdown(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Lay out a table.
+
+    >>> print(markdown(('a', 'b'), [('1', '2')]))
+    | a | b |
+    |---|---|
+    | 1 | 2 |
+    """
+    lines = [head, *rows]
+    shown = [f'| {" | ".join(line)} |' for line in lines]
+    shown.insert(1, f'|{"---|" * len(head)}')
+    return '\n'.join(shown)
+
+
+def goals_table(judged: Iterable[Judged]) -> str:
+    """Show each goal with its figure and whether it was met."""
+    rows = [
+        (
+            str(each.goal.issue),
+            f'`{each.figure.name if each.figure else each.goal.names}`',
+            str(each.goal),
+            each.figure.text if each.figure else '',
+            each.verdict.value,
+        )
+        for each in judged
+    ]
+    return markdown(('issue', 'figure', 'goal', 'measured', ''), rows)
+
+
+def sizes_table(figures: Sequence[Figure], prefix: str) -> str:
+    """Show a figure and its variants over the numbers of processes."""
+    series = series_of(figures, prefix)
+    sizes = sorted({size for each in series for size, _ in each.points})
+    head = ('', *(f'N = {size}' for size in sizes))
+    return markdown(head, (_sizes_row(each, sizes) for each in series))
+
+
+def figures_table(figures: Iterable[Figure]) -> str:
+    """Show all figures as they were printed."""
+    rows = [(f'`{figure.name}`', figure.text) for figure in figures]
+    return markdown(('figure', 'measured'), rows)
+
+
+def phases_table(result: ExperimentResult) -> str:
+    """Show the phases of an experiment; times in seconds."""
+    head = (
+        'phase',
+        'requests',
+        'rate/s',
+        'goodput/s',
+        'p50',
+        'p95',
+        'p99',
+        'first token p95',
+    )
+    groups = (*result.summary.phases, result.summary.total)
+    return markdown(head, map(_phase_row, groups))
+
+
+def promises_table(result: ExperimentResult) -> str:
+    """Show the promises of an experiment."""
+    rows = [
+        (
+            each.name,
+            f'`{each.figure}`',
+            _bounds(each),
+            _time(each.measured),
+            'kept' if each.kept else 'broken',
+        )
+        for each in result.promises
+    ]
+    return markdown(('promise', 'figure', 'bound', 'measured', ''), rows)
+
+
+def _sizes_row(series: Series, sizes: Iterable[int]) -> list[str]:
+    points = dict(series.points)
+    row = [f'`{series.name}`']
+    row.extend(_time(points.get(size)) for size in sizes)
+    return row
+
+
+def _phase_row(group: Group) -> list[str]:
+    latency = group.latency
+    row = [group.name, str(group.requests)]
+    row.extend(
+        f'{rate:.1f}' for rate in (group.rate_per_s, group.goodput_per_s)
+    )
+    times = (latency.p50, latency.p95, latency.p99, group.first_token.p95)
+    row.extend(_time(time_s) for time_s in times)
+    return row
+
+
+def _time(measured: float | None) -> str:
+    return '' if measured is None else f'{measured:.3g}'
+
+
+def _bounds(promise: Promise) -> str:
+    least = f'≥ {promise.least:g}' if promise.least else ''
+    most = '' if promise.most is None else f'≤ {promise.most:g}'
+    return f'{least} {most}'.strip()
