--- a/measure/run.py
+++ b/measure/run.py
@@ -3,7 +3,7 @@
 Usage:
   run.py [--out=FILE] [AREA ...]
 
-AREA is the name of a module beside this one (weights, route, config); without
+AREA is the name of a module beside this one (weights, route, config, codec); without
 one, all run. ``--out`` appends the lines to a file as well.
 
 Each area is a module with ``run(show)``, where ``show(name, value)`` prints.
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-AREAS = ('weights', 'route', 'config')
+AREAS = ('weights', 'route', 'config', 'codec')
 
 
 def available() -> list[str]:
