--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -255,7 +255,9 @@
     def _parse(self, service: str, path: str) -> CallerRequest:
         head = self._head()
         known = self._requests.service_of(service)
-        if known is None or known.is_engine:
+        # Before the first bundle nothing is known: the requests' task says so.
+        informed = self._requests.snapshot.bundle is not None
+        if informed and (known is None or known.is_engine):
             raise BadRequestError(
                 f'no plain service {service[:64]!r}',
                 status=404,
@@ -264,7 +266,7 @@
         query = f'?{self.request.query}' if self.request.query else ''
         return CallerRequest(
             head=head,
-            service=known.name,
+            service=known.name if known else '',
             plain=PlainCall(
                 method=self.request.method or 'GET',
                 path=path + query,
