--- a/packages/core/src/crowrudder_core/transfer/_manifest.py
+++ b/packages/core/src/crowrudder_core/transfer/_manifest.py
@@ -53,7 +53,7 @@
         )
     try:
         manifest = msgspec.json.decode(payload, type=Manifest)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise ManifestError(
             f'not a manifest: {exc}',
             step='manifest',
--- a/packages/daemon/src/crowrudder_daemon/admin.py
+++ b/packages/daemon/src/crowrudder_daemon/admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -23,6 +24,8 @@
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 # Nothing here takes a body.
 MOST_BODY_BYTES = 4096
+# Python itself refuses to read a number of more than 4300 digits.
+_NUMBER = re.compile('[0-9]{1,18}')
 
 
 @frozen(kw_only=True)
@@ -130,7 +133,7 @@
 
     def _after(self) -> int:
         text = self.get_argument('after', '0')
-        if not (text.isascii() and text.isdigit()):
+        if not _NUMBER.fullmatch(text):
             raise HTTPError(
                 HTTPStatus.BAD_REQUEST, 'after: a whole number from 0'
             )
--- a/packages/daemon/src/crowrudder_daemon/agent/_upstream.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_upstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 from attrs import frozen
@@ -17,6 +17,8 @@
 
     from crowrudder_daemon.http import Answer
 
+_Event = TypeVar('_Event')
+
 HTTP_OK = 200
 NOT_RUN_STATUSES = frozenset((409, 429))
 """The engine's word that it did not begin: another version, or no slot."""
@@ -176,10 +178,8 @@
 
     def take(self, event: ServerEvent) -> Piece | Final:
         if event.name == 'done':
-            return self._done(
-                msgspec.json.decode(event.payload, type=EngineDone)
-            )
-        token = msgspec.json.decode(event.payload, type=EngineToken)
+            return self._done(self._decoded(event, EngineDone))
+        token = self._decoded(event, EngineToken)
         self._same(token.request_id, token.version)
         if token.index != self._next:
             raise self._crossed(f'token {token.index} for {self._next}')
@@ -202,6 +202,16 @@
             pieces=done.tokens,
         )
 
+    def _decoded(self, event: ServerEvent, kind: type[_Event]) -> _Event:
+        try:
+            return msgspec.json.decode(event.payload, type=kind)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            raise UpstreamError(
+                f'not a {kind.__name__}: {exc}',
+                step='answer',
+                peer=self._peer,
+            ) from exc
+
     def _same(self, request_id: str, version: str) -> None:
         if request_id != self._attempt.key.request_id:
             raise self._crossed(f'a part of {request_id}')
--- a/packages/daemon/src/crowrudder_daemon/http/_fetch.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_fetch.py
@@ -171,7 +171,7 @@
     for line in block.splitlines():
         field, _, text = line.partition(b':')
         if field == b'event':
-            name = text.strip().decode()
+            name = text.strip().decode(errors='replace')
         if field == b'data':
             lines.append(text.strip())
     return ServerEvent(name, b'\n'.join(lines))
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_platform.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -27,6 +28,8 @@
 HTTP_SAME = 204
 HTTP_NONE = 404
 
+_REVISION = re.compile('[0-9]{1,18}')
+
 
 class Source(enum.Enum):
     """What the platform has."""
@@ -123,7 +126,7 @@
 
     def _bundle(self, answer: Answer) -> PlatformWord:
         text = answer.header('X-Revision')
-        if not text.isdecimal():
+        if not _REVISION.fullmatch(text):
             return ReadFailed(Source.BUNDLE, f'X-Revision is {text[:20]!r}')
         revision = int(text)
         self._revisions[Source.BUNDLE] = revision
--- a/packages/daemon/src/crowrudder_daemon/rpc/_client.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_client.py
@@ -9,7 +9,12 @@
 from grpc import aio
 
 from crowrudder_daemon.rpc._options import CHANNEL_OPTIONS
-from crowrudder_model import PeerLostError, decode_message, encode_message
+from crowrudder_model import (
+    MalformedMessageError,
+    PeerLostError,
+    decode_message,
+    encode_message,
+)
 from crowrudder_model.rpc import CallKind, Method
 
 if TYPE_CHECKING:
@@ -46,7 +51,7 @@
         except asyncio.CancelledError:
             self._call.cancel()
             raise
-        return None if reply is _END else reply
+        return None if reply is _END else self._readable(reply)
 
     def __aiter__(self) -> AsyncIterator[_Reply]:
         """Iterate until the orderly end."""
@@ -60,6 +65,11 @@
         while (reply := await self.read()) is not None:
             yield reply
 
+    def _readable(self, reply: _Reply | MalformedMessageError) -> _Reply:
+        if isinstance(reply, MalformedMessageError):
+            raise self._lost(reply) from reply
+        return reply
+
     def _lost(self, exc: BaseException) -> PeerLostError:
         return PeerLostError(_reason(exc), step=self._step, peer=self._peer)
 
@@ -89,19 +99,26 @@
             method.path,
             request_serializer=encode_message,
             response_deserializer=partial(
-                decode_message,
+                _decode,
                 kind=method.reply,
                 peer=peer,
             ),
         )
         try:
-            return await multi(ask, timeout=timeout_s)
+            reply = await multi(ask, timeout=timeout_s)
         except aio.AioRpcError as exc:
             raise PeerLostError(
                 _reason(exc),
                 step=method.name,
                 peer=peer,
             ) from exc
+        if isinstance(reply, MalformedMessageError):
+            raise PeerLostError(
+                _reason(reply),
+                step=method.name,
+                peer=peer,
+            ) from reply
+        return reply
 
     def open(
         self,
@@ -120,7 +137,7 @@
             method.path,
             request_serializer=encode_message,
             response_deserializer=partial(
-                decode_message,
+                _decode,
                 kind=method.reply,
                 peer=peer,
             ),
@@ -152,6 +169,23 @@
         return channel
 
 
+def _decode(
+    payload: bytes,
+    kind: type[_Reply],
+    peer: str,
+) -> _Reply | MalformedMessageError:
+    """Decode an answer, or give what is wrong with it as a value.
+
+    grpcio logs what a deserializer raises and hands on None: the end of a
+    stream to its reader, and to a caller no reply at all. So the fault comes
+    as a value, and is raised where the answer is read.
+    """
+    try:
+        return decode_message(payload, kind, peer=peer)
+    except MalformedMessageError as exc:
+        return exc
+
+
 def _reason(exc: BaseException) -> str:
     if isinstance(exc, aio.AioRpcError):
         return f'{exc.code().name}: {exc.details()}'
--- a/packages/model/src/crowrudder_model/_codec.py
+++ b/packages/model/src/crowrudder_model/_codec.py
@@ -9,6 +9,8 @@
 from crowrudder_model._errors import MalformedMessageError
 
 _Message = TypeVar('_Message')
+# Keys that this release doesn't know are skipped by recursion.
+_UNREADABLE = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -32,7 +34,7 @@
     """
     try:
         return msgspec.msgpack.decode(payload, type=kind)
-    except (msgspec.MsgspecError, ValueError, TypeError) as exc:
+    except _UNREADABLE as exc:
         raise MalformedMessageError(
             f'not a {kind.__name__}: {exc}; check that both run one release',
             step='decode',
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -146,7 +146,7 @@
             code, page = await made.get('/audit?after=1')
             assert (code, page['last']) == (200, 2)
             assert [event['after'] for event in page['events']] == ['2']
-            for bad in ('-1', 'x', quote('²')):
+            for bad in ('-1', 'x', quote('²'), '9' * 5000):
                 assert (await made.get(f'/audit?after={bad}'))[0] == 400
 
         with_bench(check)
