Agent: a host that the files no longer place stops answering

Cause: the weights task cancelled the transfer of a host without a goal and left its runs going; a list that lacked the host for a moment also threw away its chunks. The engine keeps the version staged; it is not ordered to unload.

--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -7,9 +7,18 @@
 
 from crowrudder_daemon.agent._required import required
 from crowrudder_daemon.agent._run_service import RunService
-from crowrudder_daemon.agent._runs import DrainRuns, ResumeRuns, RunsTask
+from crowrudder_daemon.agent._runs import (
+    DrainRuns,
+    PauseRuns,
+    ResumeRuns,
+    RunsTask,
+)
 from crowrudder_daemon.agent._upstream import EngineClient, PlainClient
-from crowrudder_daemon.agent.weights import SnapshotCame, WeightsTask
+from crowrudder_daemon.agent.weights import (
+    SnapshotCame,
+    WeightsTask,
+    is_withdrawn,
+)
 from crowrudder_daemon.knowledge import KnowledgeTask, Snapshot
 from crowrudder_daemon.rpc import PeerClient, PeerServer
 
@@ -144,3 +153,6 @@
         service = snapshot.placement.get(self._runtime.cfg.process.host)
         if service is not None:
             self.runs.post(ResumeRuns(service.name, PLAIN_VERSION, ()))
+        elif is_withdrawn(snapshot, self._runtime.cfg.process.host):
+            idle = asyncio.get_running_loop().create_future()
+            self.runs.post(PauseRuns(idle))
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/__init__.py
@@ -1,5 +1,6 @@
 """Bring the declared weights to this host's engine, and to other hosts."""
 
+from crowrudder_daemon.agent.weights._goal import is_withdrawn
 from crowrudder_daemon.agent.weights._task import SnapshotCame, WeightsTask
 
-__all__ = ('SnapshotCame', 'WeightsTask')
+__all__ = ('SnapshotCame', 'WeightsTask', 'is_withdrawn')
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_goal.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_goal.py
@@ -53,6 +53,18 @@
     return Goal(service, version, snapshot.order)
 
 
+def is_withdrawn(snapshot: Snapshot, host: str) -> bool:
+    """Whether the files place nothing on a host that is listed as live.
+
+    A host that the list lacks is not withdrawn: the list lags, and may be
+    wrong for a while, and a host that goes by it would stop for nothing.
+    """
+    member = snapshot.member(host)
+    listed = member is not None and member.state == 'live'
+    placed = host in snapshot.placement
+    return snapshot.bundle is not None and listed and not placed
+
+
 def places_of(snapshot: Snapshot, service: str) -> dict[str, Place]:
     """Give the place of each host that a service is placed on."""
     return {
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -14,7 +14,12 @@
 from crowrudder_daemon.agent._required import required
 from crowrudder_daemon.agent._runs import PauseRuns, ResumeRuns
 from crowrudder_daemon.agent.weights._collect import Collector
-from crowrudder_daemon.agent.weights._goal import Goal, goal_of, places_of
+from crowrudder_daemon.agent.weights._goal import (
+    Goal,
+    goal_of,
+    is_withdrawn,
+    places_of,
+)
 from crowrudder_daemon.agent.weights._loading import Loader
 from crowrudder_daemon.agent.weights._manifests import ManifestReader
 from crowrudder_daemon.agent.weights._shelf import Shelf
@@ -39,6 +44,8 @@
 RETRY_S = 0.5
 LIVE_S = 0.2
 BURST_S = 0.05
+WITHDRAW_AFTER_S = 5.0
+"""Seconds for which a host must stay without a service before it stops."""
 
 
 @frozen
@@ -144,17 +151,53 @@
         """Pursue the goal that the declared files give this host."""
         self._snapshot = message.snapshot
         goal = goal_of(message.snapshot, self._host)
-        same = goal is not None and goal.same_weights(self._goal)
-        self._goal = goal
+        if goal is None and not is_withdrawn(message.snapshot, self._host):
+            return
+        before, self._goal = self._goal, goal
         self._note.wanted = self.declared
         self._tell_hosts()
-        if same and self._job is not None and not self._job.done():
-            return
+        if not self._goes_on(before):
+            self._begin()
+
+    def _goes_on(self, before: Goal | None) -> bool:
+        """Whether the job under way is still the right one."""
+        if self._job is None:
+            return False
+        if self._goal is None:
+            return before is None
+        return self._goal.same_weights(before) and not self._job.done()
+
+    def _begin(self) -> None:
+        """Start the job that the goal asks for, in place of the last."""
         if self._job is not None:
             self._job.cancel()
+            self._job = None
         self._shelf.drop_others(self.declared)
-        if goal is not None:
-            self._job = self.spawn(self._pursue(goal))
+        goal = self._goal
+        work = self._pursue(goal) if goal else self._withdraw()
+        self._job = self.spawn(work)
+
+    async def _withdraw(self) -> None:
+        """Answer no more on a host that the files no longer place.
+
+        Without this the host would go on with a model that was withdrawn,
+        seen as answers of a version that no file declares. The wait keeps a
+        member list that flaps from costing a replica.
+        """
+        await asyncio.sleep(WITHDRAW_AFTER_S)
+        idle = asyncio.get_running_loop().create_future()
+        self._runs.post(PauseRuns(idle))
+        await idle
+        before, self._note.loaded = self._note.loaded, ''
+        self.hinders = ''
+        if before:
+            self._runtime.audit.note(
+                kind='loaded_version',
+                teller='configuration',
+                subject='withdrawn',
+                before=before,
+                after='',
+            )
 
     def _tell_hosts(self) -> None:
         """Tell the transfer under way which hosts there are."""
--- /dev/null
+++ b/tests/weights/test_withdrawn.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from crowrudder_daemon.agent import build_agent
+from crowrudder_daemon.agent._runs import PauseRuns
+from crowrudder_daemon.agent.weights import SnapshotCame, _task
+from crowrudder_daemon.knowledge import Snapshot
+from crowrudder_daemon.process import Runtime
+from crowrudder_daemon.settings import parse_settings
+from crowrudder_model import Member
+from crowrudder_model.declared import (
+    Declaration,
+    Model,
+    Service,
+    Version,
+    bundle_of,
+)
+from support.aio import run
+from support.settings import ENGINE, text_of
+
+MODELS = (Model('listing'),)
+VERSIONS = (Version('listing-v1', 'listing', 'a' * 64, size=8, chunks=1),)
+LISTING = Service('listing', model='listing', version='listing-v1')
+PLACED = bundle_of(
+    Declaration(
+        generation=1,
+        services=(LISTING,),
+        models=MODELS,
+        versions=VERSIONS,
+    ),
+)
+WITHDRAWN = bundle_of(
+    Declaration(generation=2, models=MODELS, versions=VERSIONS),
+)
+OWN = Member('engine-1', 'agent', '127.0.0.1', upstream='engine')
+OTHER = Member('other', 'agent', '127.0.0.1', upstream='engine')
+
+
+class RecordedRuns:
+    """Takes the messages of the runs task and reports that nothing runs."""
+
+    def __init__(self):
+        self.paused = asyncio.Event()
+
+    def post(self, message):
+        if isinstance(message, PauseRuns):
+            self.paused.set()
+            message.idle.set_result(None)
+
+
+async def paused_after(monkeypatch, *snapshots) -> tuple[bool, str]:
+    """Whether an agent with a loaded version stopped its runs."""
+    monkeypatch.setattr(_task, 'WITHDRAW_AFTER_S', 0)
+    runtime = Runtime(cfg=parse_settings(text_of(ENGINE)), log=logging.root)
+    weights = build_agent(runtime).weights
+    assert weights is not None
+    runs = RecordedRuns()
+    monkeypatch.setattr(weights, '_runs', runs)
+    weights._note.loaded = 'listing-v1'
+    for snapshot in snapshots:
+        weights.on_snapshot_came(SnapshotCame(snapshot))
+    job = weights._job
+    if job is not None and weights.declared == '':
+        await job
+    await weights.stop()
+    runtime.metrics.close()
+    return runs.paused.is_set(), weights.loaded
+
+
+class TestWithdrawnHost:
+    """Symptom: a model that no file declares any more still answers.
+
+    Sequence: a version is loaded; a bundle without the service is accepted;
+    the host goes on answering for it. Cause: the weights task cancelled the
+    transfer of a host without a goal, and left its runs as they were.
+    """
+
+    def test_runs_stop_when_the_files_place_nothing(self, monkeypatch):
+        found = run(
+            paused_after(
+                monkeypatch,
+                Snapshot(PLACED, (OWN,)),
+                Snapshot(WITHDRAWN, (OWN,)),
+            )
+        )
+        assert found == (True, '')
+
+    def test_a_list_without_the_host_changes_nothing(self, monkeypatch):
+        found = run(
+            paused_after(
+                monkeypatch,
+                Snapshot(PLACED, (OWN,)),
+                Snapshot(PLACED, (OTHER,)),
+            )
+        )
+        assert found == (False, 'listing-v1')
