--- a/packages/core/src/crowrudder_core/requests/_ledger.py
+++ b/packages/core/src/crowrudder_core/requests/_ledger.py
@@ -59,6 +59,7 @@
 
     records: dict[AttemptKey, Record] = field(factory=dict, init=False)
     started_ids: dict[str, float] = field(factory=dict, init=False)
+    """Ids that ran here, with the time of their last start or end."""
 
     def receive(self, attempt: Attempt, *, now: float) -> Refusal | None:
         """Take an attempt in, or say why it never starts here."""
@@ -114,8 +115,22 @@
         self.started_ids[key.request_id] = now
         return True
 
-    def finish(self, key: AttemptKey, *, now: float) -> None:
-        """Note that the upstream is done with the attempt."""
+    def finish(
+        self,
+        key: AttemptKey,
+        *,
+        now: float,
+        ran: bool = True,
+    ) -> None:
+        """Note that the upstream is done with the attempt.
+
+        Where it said that it did not begin (``ran`` false), the id is free:
+        the caller is told "not run" and may send it again.
+        """
+        if not ran:
+            self.started_ids.pop(key.request_id, None)
+        elif key.request_id in self.started_ids:
+            self.started_ids[key.request_id] = now
         self._end(self.records[key], Stage.FINISHED, now)
 
     def refuse(self, key: AttemptKey, *, now: float) -> None:
@@ -154,15 +169,25 @@
         ]
         for key in old:
             self.records.pop(key)
+        running = {
+            record.key.request_id
+            for record in self.records.values()
+            if record.stage is Stage.STARTED
+        }
         stale = [
             request_id
             for request_id, at in self.started_ids.items()
-            if now - at > KEEP_S
+            if now - at > KEEP_S and request_id not in running
         ]
         for request_id in stale:
             self.started_ids.pop(request_id)
         return len(old)
 
+    def stage_of(self, key: AttemptKey) -> Stage | None:
+        """Give how far an attempt has come; None where it is not known."""
+        record = self.records.get(key)
+        return None if record is None else record.stage
+
     def _ran(self, request_id: str) -> bool:
         return request_id in self.started_ids
 
--- a/packages/core/src/crowrudder_core/requests/_owner.py
+++ b/packages/core/src/crowrudder_core/requests/_owner.py
@@ -45,7 +45,8 @@
     """All that an entry has promised about one request.
 
     Invariant: at most one permit of a request that is not idempotent is out
-    at any time, and `Outcome.NOT_RUN` is never said while one is out.
+    at any time, and `Outcome.NOT_RUN` is never said while one is out or after
+    an attempt ran.
     """
 
     request_id: str
@@ -54,6 +55,7 @@
     deadline: float = field(kw_only=True)
     holds: dict[AttemptKey, _Hold] = field(factory=dict, init=False)
     closed: Outcome | None = field(default=None, init=False)
+    _ran: Outcome | None = field(default=None, init=False)
 
     def open_attempt(self) -> AttemptKey:
         """Begin a further attempt and give its key."""
@@ -108,17 +110,22 @@
         """Nobody can settle the attempt any more."""
         return self._gone(key)
 
-    def ended(self, key: AttemptKey) -> None:
+    def ended(self, key: AttemptKey, outcome: Outcome) -> None:
         """Take note of the final message of an attempt."""
         self.holds[key] = _Hold.ENDED
+        if outcome is not Outcome.NOT_RUN:
+            self._note_ran(outcome)
 
     def close(self, outcome: Outcome) -> Outcome:
         """Fix what the caller is told; no permit is granted after it.
 
         Where a permit is out, "not run" would be a guess: it becomes unknown.
+        Where an earlier attempt ran, it becomes what that attempt came to.
         """
         if outcome is Outcome.NOT_RUN and self.permit_out:
             outcome = Outcome.UNKNOWN
+        if outcome is Outcome.NOT_RUN and self._ran is not None:
+            outcome = self._ran
         if self.closed is not None:
             raise InvariantError(
                 f'{self.request_id} was already told {self.closed.value}',
@@ -127,6 +134,11 @@
         self.closed = outcome
         return outcome
 
+    @property
+    def may_hedge(self) -> bool:
+        """Whether a further attempt may wait beside the present ones."""
+        return self.closed is None and (self.idempotent or not self.permit_out)
+
     @property
     def permit_out(self) -> bool:
         """Whether an attempt may be running somewhere."""
@@ -135,6 +147,12 @@
         )
 
     def _gone(self, key: AttemptKey) -> MoveOn | Outcome:
-        if self.idempotent:
-            return self.refused(key)
-        return Outcome.UNKNOWN
+        if not self.idempotent:
+            return Outcome.UNKNOWN
+        self._note_ran(Outcome.UNKNOWN)
+        return self.refused(key)
+
+    def _note_ran(self, outcome: Outcome) -> None:
+        """Keep the weaker of two words: unknown goes before failed."""
+        if self._ran is not Outcome.UNKNOWN:
+            self._ran = outcome
--- a/packages/core/src/crowrudder_core/requests/_queue.py
+++ b/packages/core/src/crowrudder_core/requests/_queue.py
@@ -2,20 +2,65 @@
 
 from __future__ import annotations
 
-from attrs import define, field, frozen
+import math
+from collections import Counter
+from collections.abc import Callable
+
+from attrs import define, evolve, field, frozen
 
 from crowrudder_model.messages import AttemptKey
 
+USAGE_TAU_S = 5.0
+"""Seconds over which past use of the slots counts."""
+
+FADED = 0.01
+"""Use below this is forgotten."""
+
+LEAST_WEIGHT = 0.01
+"""Weight of a customer without a share where the others' shares fill all."""
+
+
+@frozen(kw_only=True)
+class Waiting:
+    """An attempt in the queue.
+
+    ``share`` is the part of the slots that is kept for the customer, ``cost``
+    the work in tokens.
+    """
 
-@frozen(order=True)
-class _Place:
+    key: AttemptKey
+    customer: str
     priority: int
-    order: int
+    share: float
+    cost: float = 1
+    order: int = 0
+
+
+@define
+class _Usage:
+    """Work given to one customer, fading with time."""
+
+    amount: float = 0
+    at: float = 0
+
+    def read(self, now: float) -> float:
+        passed = max(now - self.at, 0)
+        return self.amount * math.exp(-passed / USAGE_TAU_S)
+
+    def add(self, cost: float, now: float) -> None:
+        self.amount = self.read(now) + cost
+        self.at = now
 
 
 @define
 class AdmissionQueue:
-    """Attempts by priority, then in order of arrival.
+    """Attempts of many customers; who is below the share goes first.
+
+    Among the customers below their declared share, and then among the others,
+    the better priority goes first, then the customer that has used least for
+    its weight, then the order of arrival. A full queue drops the latest
+    attempt of the customer that has most in it for its weight, so that one
+    customer can't keep the others out.
 
     Parameters
     ----------
@@ -24,29 +69,99 @@
     """
 
     length: int
-    places: dict[AttemptKey, _Place] = field(factory=dict, init=False)
-    counter: int = field(default=0, init=False)
+    waiting: dict[AttemptKey, Waiting] = field(factory=dict, init=False)
+    _counter: int = field(default=0, init=False)
+    _used: dict[str, _Usage] = field(factory=dict, init=False)
 
     def __len__(self) -> int:
         """Give the number of waiting attempts."""
-        return len(self.places)
-
-    def push(self, key: AttemptKey, *, priority: int) -> bool:
-        """Put an attempt in; false when the queue is full."""
-        if len(self.places) >= self.length:
-            return False
-        self.counter += 1
-        self.places[key] = _Place(priority, self.counter)
-        return True
-
-    def pop(self) -> AttemptKey | None:
-        """Take the next attempt out."""
-        if not self.places:
+        return len(self.waiting)
+
+    def push(self, item: Waiting) -> AttemptKey | None:
+        """Put an attempt in; give the one that has no place, perhaps itself."""
+        self._counter += 1
+        self.waiting[item.key] = evolve(item, order=self._counter)
+        if len(self.waiting) <= self.length:
+            return None
+        dropped = self._least_entitled()
+        self.waiting.pop(dropped)
+        return dropped
+
+    def pop(self, *, now: float) -> AttemptKey | None:
+        """Take the next attempt out and count its work."""
+        if not self.waiting:
             return None
-        key = min(self.places, key=self.places.__getitem__)
-        self.places.pop(key)
-        return key
+        chosen = min(self.waiting.values(), key=self._order(now))
+        self.waiting.pop(chosen.key)
+        self._used.setdefault(chosen.customer, _Usage()).add(chosen.cost, now)
+        return chosen.key
 
     def remove(self, key: AttemptKey) -> None:
         """Take an attempt out that no longer waits."""
-        self.places.pop(key, None)
+        self.waiting.pop(key, None)
+
+    def ahead_of(self, customer: str, share: float) -> float:
+        """Estimate how many attempts start before a new one of a customer.
+
+        A customer with a share waits for its own attempts at its share of the
+        speed, if that is sooner than its turn behind everybody.
+        """
+        everybody = len(self.waiting)
+        if share <= 0:
+            return everybody
+        own = self._count()[customer]
+        return min(everybody, own / share)
+
+    def forget(self, *, now: float) -> None:
+        """Drop customers whose use has faded."""
+        self._used = {
+            customer: usage
+            for customer, usage in self._used.items()
+            if usage.read(now) > FADED
+        }
+
+    def _order(
+        self,
+        now: float,
+    ) -> Callable[[Waiting], tuple[bool, int, float, int]]:
+        """Give the key by which the next attempt is found."""
+        used = {name: usage.read(now) for name, usage in self._used.items()}
+        total = sum(used.values())
+        weights = self._weights()
+
+        def order(item: Waiting) -> tuple[bool, int, float, int]:
+            own = used.get(item.customer, 0)
+            above = own >= item.share * (total + item.cost)
+            return (
+                above,
+                item.priority,
+                own / weights[item.customer],
+                item.order,
+            )
+
+        return order
+
+    def _least_entitled(self) -> AttemptKey:
+        counts = self._count()
+        weights = self._weights()
+        return max(
+            self.waiting.values(),
+            key=lambda item: (
+                counts[item.customer] / weights[item.customer],
+                item.priority,
+                item.order,
+            ),
+        ).key
+
+    def _weights(self) -> dict[str, float]:
+        """Give each waiting customer its share, or a part of what is left."""
+        shares = {item.customer: item.share for item in self.waiting.values()}
+        without = sum(1 for share in shares.values() if share <= 0)
+        left = max(1 - sum(shares.values()), 0) / max(without, 1)
+        return {
+            customer: max(share or left, LEAST_WEIGHT)
+            for customer, share in shares.items()
+        }
+
+    def _count(self) -> Counter[str]:
+        return Counter(item.customer for item in self.waiting.values())
--- a/packages/core/src/crowrudder_core/routing/__init__.py
+++ b/packages/core/src/crowrudder_core/routing/__init__.py
@@ -1,5 +1,7 @@
-"""Routing: which agent is asked next."""
+"""Routing: which agent takes a request."""
 
-from crowrudder_core.routing._router import AgentState, Need, Router
+from crowrudder_core.routing._agent_state import AgentState
+from crowrudder_core.routing._router import Choice, Need, Router
+from crowrudder_core.routing._subset import covered
 
-__all__ = ('AgentState', 'Need', 'Router')
+__all__ = ('AgentState', 'Choice', 'Need', 'Router', 'covered')
--- /dev/null
+++ b/packages/core/src/crowrudder_core/routing/_agent_state.py
@@ -0,0 +1,97 @@
+"""What an entry knows of one agent, and what it expects of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from crowrudder_model.messages import Report
+
+SLOW_START_S = 8.0
+"""Seconds in which a fresh agent is given less than its share."""
+
+SLOW_START_FACTOR = 2.0
+STALL_FLOOR_S = 2.0
+STALL_RUNS = 4.0
+"""An upstream is stalled after so many mean run times without a sign."""
+
+STALLED_FACTOR = 50.0
+LEAST_PACE = 0.25
+MOST_PACE = 8.0
+WEIGHT = 0.2
+
+
+@define(kw_only=True)
+class AgentState:
+    """One incarnation of an agent, as seen from this entry.
+
+    ``outstanding`` counts what this entry has sent and not seen end; ``base``
+    is the part of it that the latest report already contains.
+    """
+
+    report: Report
+    since: float = 0
+    linked: bool = True
+    outstanding: int = 0
+    suspected_until: float = 0
+    first_piece_s: float = 0
+    _base: int = field(default=0, init=False)
+
+    def on_report(self, report: Report, *, now: float) -> None:
+        """Take a newer report of the same incarnation."""
+        if report.version != self.report.version:
+            self.since = now
+        self.report = report
+        self.linked = True
+        self._base = self.outstanding
+
+    def on_first_piece(self, took_s: float) -> None:
+        """Take a time from permit to first piece."""
+        weight = WEIGHT if self.first_piece_s else 1
+        self.first_piece_s += weight * (took_s - self.first_piece_s)
+
+    @property
+    def load(self) -> int:
+        """Attempts that wait or run there: the report, and what came since."""
+        reported = self.report.running + self.report.queued
+        return max(reported + self.outstanding - self._base, self.outstanding)
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the upstream accepts work and gives nothing back."""
+        limit_s = max(STALL_FLOOR_S, STALL_RUNS * self.report.service_s)
+        return self.report.silent_s > limit_s
+
+    def cost(self, *, pace_s: float, now: float) -> float:
+        """Weigh one more attempt: filled slots, times how slow it is.
+
+        Parameters
+        ----------
+        pace_s
+            The mean pace over the agents of the service, in seconds a piece.
+        """
+        filled = (self.load + 1) / max(self.report.slots, 1)
+        return filled * self._factor(pace_s, now)
+
+    def wait_s(self, *, pace_s: float) -> float:
+        """Give the seconds until one more attempt would get a slot."""
+        slots = max(self.report.slots, 1)
+        ahead = max(self.load + 1 - slots, 0)
+        return ahead / slots * self.report.service_s * self._slowness(pace_s)
+
+    def _factor(self, pace_s: float, now: float) -> float:
+        factor = self._slowness(pace_s)
+        if self.stalled:
+            factor *= STALLED_FACTOR
+        age = (now - self.since) / SLOW_START_S
+        if age < 1:
+            factor *= 1 + SLOW_START_FACTOR * (1 - age)
+        return factor
+
+    def _slowness(self, pace_s: float) -> float:
+        if not pace_s or not self.report.pace_s:
+            return 1
+        slowness = self.report.pace_s / pace_s
+        return min(max(slowness, LEAST_PACE), MOST_PACE)
--- a/packages/core/src/crowrudder_core/routing/_router.py
+++ b/packages/core/src/crowrudder_core/routing/_router.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from statistics import median
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
 
+from crowrudder_core.routing._agent_state import AgentState
 from crowrudder_model import score
 
 if TYPE_CHECKING:
@@ -14,6 +16,11 @@
     from crowrudder_model.messages import Report
 
 CHOICES = 2
+BOUND = 1.25
+"""How far above the mean cost an agent may be for its cached prefixes."""
+
+LEAST_PATIENCE_S = 0.5
+PATIENCE_FACTOR = 5.0
 
 
 @frozen(kw_only=True)
@@ -22,37 +29,61 @@
 
     service: str
     adapter: str = ''
+    version: str = ''
+    """The only version that may go on with an answer begun."""
+
     prefix: str = ''
+    """The start of the prompt, where the service caches prompts."""
+
     avoid: frozenset[str] = frozenset()
 
 
-@define(kw_only=True)
-class AgentState:
-    """What this entry knows of one agent."""
+@frozen
+class Choice:
+    """A chosen agent, and the seconds until it is expected to start."""
 
-    report: Report
-    outstanding: int = 0
-    suspected_until: float = 0
+    host: str
+    wait_s: float
 
 
 @define
 class Router:
-    """The entry's knowledge of agents and the choice among them."""
+    """The entry's knowledge of agents and the choice among them.
+
+    Work goes to the agent that has the start of the prompt in its cache, as
+    long as that one is not much fuller than the mean; otherwise to the better
+    one of two drawn at random, so that entries with the same old reports
+    don't all choose the same agent.
+    """
 
     _random: Random
+    affinity: bool = True
     agents: dict[str, AgentState] = field(factory=dict, init=False)
+    _started: bool = field(default=False, init=False)
 
-    def on_report(self, report: Report) -> None:
+    def on_report(self, report: Report, *, now: float) -> None:
         """Take a report; a new incarnation starts with a clean slate."""
         known = self.agents.get(report.host)
-        if known is None or known.report.incarnation != report.incarnation:
-            self.agents[report.host] = AgentState(report=report)
+        if known is not None and known.report.incarnation == report.incarnation:
+            known.on_report(report, now=now)
             return
-        known.report = report
+        # Agents that were there before this entry need no slow start.
+        since = now if self._started else -1.0e9
+        self.agents[report.host] = AgentState(report=report, since=since)
+
+    def on_started(self) -> None:
+        """Treat agents that come from now on as fresh ones."""
+        self._started = True
 
     def on_gone(self, host: str) -> None:
-        """Forget an agent."""
-        self.agents.pop(host, None)
+        """Use an agent no more until it reports again.
+
+        What is outstanding there stays counted: the stream of reports may
+        have broken alone.
+        """
+        state = self.agents.get(host)
+        if state is not None:
+            state.linked = False
 
     def on_failed(self, host: str, *, until: float) -> None:
         """Avoid an agent for a time after a failed call."""
@@ -60,54 +91,99 @@
         if state is not None:
             state.suspected_until = until
 
-    def on_sent(self, host: str) -> None:
+    def on_sent(self, host: str, incarnation: str) -> None:
         """Count an attempt that this entry has sent."""
-        state = self.agents.get(host)
+        state = self._same(host, incarnation)
         if state is not None:
             state.outstanding += 1
 
-    def on_ended(self, host: str) -> None:
+    def on_ended(self, host: str, incarnation: str) -> None:
         """Count an attempt that has ended."""
-        state = self.agents.get(host)
+        state = self._same(host, incarnation)
         if state is not None and state.outstanding:
             state.outstanding -= 1
 
+    def on_first_piece(self, host: str, took_s: float) -> None:
+        """Take a time from permit to first piece."""
+        state = self.agents.get(host)
+        if state is not None:
+            state.on_first_piece(took_s)
+
+    def patience_s(self, service: str) -> float:
+        """Give the wait after which a second attempt is worth its cost."""
+        times = [
+            state.first_piece_s
+            for state in self.agents.values()
+            if state.report.service == service and state.first_piece_s
+        ]
+        usual_s = median(times) if times else 0.0
+        return max(LEAST_PATIENCE_S, PATIENCE_FACTOR * usual_s)
+
     def candidates(self, need: Need, *, now: float) -> list[str]:
         """Give the hosts that could serve, in no order."""
         return [
             host
             for host, state in self.agents.items()
-            if self._can_serve(host, state, need, now)
+            if _can_serve(host, state, need, now)
         ]
 
-    def choose(self, need: Need, *, now: float) -> str | None:
-        """Choose a host by the power of two choices on expected wait."""
+    def choose(self, need: Need, *, now: float) -> Choice | None:
+        """Choose a host; None where no one can serve."""
         hosts = self.candidates(need, now=now)
         if not hosts:
             return None
-        drawn = self._random.sample(hosts, min(CHOICES, len(hosts)))
-        return min(drawn, key=lambda host: self._rank(host, need))
-
-    def _rank(self, host: str, need: Need) -> tuple[float, int]:
-        state = self.agents[host]
-        load = max(
-            state.report.running + state.report.queued,
-            state.outstanding,
-        )
-        return (load / max(state.report.slots, 1), -score(need.prefix, host))
-
-    def _can_serve(
+        pace_s = self._pace_s(hosts)
+        chosen = None
+        if self.affinity and need.prefix:
+            chosen = self._nearest(need.prefix, hosts, pace_s, now)
+        if chosen is None:
+            drawn = self._random.sample(hosts, min(CHOICES, len(hosts)))
+            chosen = min(
+                drawn,
+                key=lambda host: self.agents[host].cost(pace_s=pace_s, now=now),
+            )
+        return Choice(chosen, self.agents[chosen].wait_s(pace_s=pace_s))
+
+    def _nearest(
         self,
-        host: str,
-        state: AgentState,
-        need: Need,
+        prefix: str,
+        hosts: list[str],
+        pace_s: float,
         now: float,
-    ) -> bool:
-        report = state.report
-        if host in need.avoid or report.leaving:
-            return False
-        if state.suspected_until > now or report.service != need.service:
-            return False
-        if need.adapter and need.adapter not in report.adapters:
-            return False
-        return bool(report.version)
+    ) -> str | None:
+        """Give the first host in the prefix's order that isn't too full."""
+        costs = {
+            host: self.agents[host].cost(pace_s=pace_s, now=now)
+            for host in hosts
+        }
+        usual = median(costs.values())
+        fit = [host for host in hosts if costs[host] <= BOUND * usual]
+        return max(fit, key=lambda host: (score(prefix, host), host))
+
+    def _pace_s(self, hosts: list[str]) -> float:
+        """Give the middle pace, which one slow agent doesn't move."""
+        paces = [
+            self.agents[host].report.pace_s
+            for host in hosts
+            if self.agents[host].report.pace_s
+        ]
+        return median(paces) if paces else 0.0
+
+    def _same(self, host: str, incarnation: str) -> AgentState | None:
+        state = self.agents.get(host)
+        if state is None or state.report.incarnation != incarnation:
+            return None
+        return state
+
+
+def _can_serve(host: str, state: AgentState, need: Need, now: float) -> bool:
+    report = state.report
+    if host in need.avoid or report.leaving or not state.linked:
+        return False
+    if state.suspected_until > now or report.service != need.service:
+        return False
+    if need.adapter and need.adapter not in report.adapters:
+        return False
+    if need.version and need.version != report.version:
+        return False
+    return bool(report.version)
--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from crowrudder_daemon.agent._claims import ClaimService
 from crowrudder_daemon.agent._required import required
 from crowrudder_daemon.agent._run_service import RunService
 from crowrudder_daemon.agent._runs import (
@@ -60,11 +61,14 @@
         else:
             self.runs = RunsTask(runtime, PlainClient(upstream.address))
         self._service = RunService(runtime, self.runs, self.knowledge)
+        self._claims = ClaimService(runtime, self._peers, self.knowledge)
 
     async def start(self) -> None:
         """Listen and begin to learn."""
         self.knowledge.serve(self._server)
         self._service.serve(self._server)
+        self._claims.serve(self._server)
+        self._claims.start()
         if self.weights is not None:
             self.weights.serve(self._server)
             self.weights.start()
@@ -78,6 +82,8 @@
         self.runs.post(DrainRuns(idle))
         await self.knowledge.leave()
         await idle
+        await self._service.read_to_the_end()
+        await self._claims.hand_over()
 
     async def stop(self) -> None:
         """Close everything."""
--- a/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
@@ -25,8 +25,9 @@
     RunUp,
     SettleAsk,
     SettledState,
+    Taken,
 )
-from crowrudder_model.rpc import REPORTS, RUN, SETTLE
+from crowrudder_model.rpc import CANCEL, REPORTS, RUN, SETTLE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -49,13 +50,24 @@
         self._runtime = runtime
         self._runs = runs
         self._knowledge = knowledge
+        self._readers: set[asyncio.Future[None]] = set()
 
     def serve(self, server: PeerServer) -> None:
         """Add the calls to the server."""
         server.add(RUN, self._on_run)
         server.add(SETTLE, self._on_settle)
+        server.add(CANCEL, self._on_cancel)
         server.add(REPORTS, self._on_reports)
 
+    async def read_to_the_end(self) -> None:
+        """Wait until entries have read what was answered.
+
+        A run that has ended may still have its last pieces on the way; a
+        server that stops then would cut them off.
+        """
+        if self._readers:
+            await asyncio.wait(set(self._readers))
+
     async def _on_run(
         self,
         ups: AsyncIterator[RunUp],
@@ -69,12 +81,25 @@
         self._runs.post(AttemptCame(first.attempt, answers))
         reader = asyncio.ensure_future(self._read_ups(ups, key))
         try:
-            async for event in answers.read():
+            async for event in self._watched(answers.read()):
                 yield event
         finally:
             reader.cancel()
             self._runs.post(OwnerLost(key))
 
+    async def _watched(
+        self,
+        events: AsyncIterator[RunDown],
+    ) -> AsyncIterator[RunDown]:
+        ended = asyncio.get_running_loop().create_future()
+        self._readers.add(ended)
+        try:
+            async for event in events:
+                yield event
+        finally:
+            self._readers.discard(ended)
+            ended.set_result(None)
+
     async def _read_ups(
         self,
         ups: AsyncIterator[RunUp],
@@ -84,11 +109,13 @@
             match up.body:
                 case Permit(granted=granted):
                     self._runs.post(PermitCame(key, granted))
-                case Cancel():
-                    self._runs.post(CancelCame(key))
                 case Attempt() | None:
                     return
 
+    async def _on_cancel(self, ask: Cancel, _context: object) -> Taken:
+        self._runs.post(CancelCame(ask.key))
+        return Taken(count=1)
+
     async def _on_settle(
         self,
         ask: SettleAsk,
@@ -104,7 +131,8 @@
         state, answers = await reply
         yield settled_message(state)
         if state is SettledState.ATTACHED and answers is not None:
-            async for event in answers.read_from_piece(ask.next_index):
+            rest = answers.read_from_piece(ask.next_index)
+            async for event in self._watched(rest):
                 yield event
 
     async def _on_reports(
@@ -132,6 +160,8 @@
             queued=state.queued,
             slots=state.slots,
             service_s=state.service_s,
+            pace_s=state.pace_s,
+            silent_s=self._runs.silent_s,
             leaving=state.leaving,
             generation=generation,
             digest=digest,
--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -7,7 +7,12 @@
 
 from attrs import Factory, define, frozen
 
-from crowrudder_core.requests import AdmissionQueue, AgentLedger
+from crowrudder_core.requests import (
+    AdmissionQueue,
+    AgentLedger,
+    Stage,
+    Waiting,
+)
 from crowrudder_daemon._task import Task
 from crowrudder_daemon.agent._answer_log import AnswerLog
 from crowrudder_model import InvariantError, Outcome, UpstreamError
@@ -31,8 +36,14 @@
 PERMIT_WAIT_S = 1.0
 """Longest wait for the owner's word while a slot is held for it."""
 
-FORGET_EVERY_S = 30.0
+FORGET_EVERY_S = 5.0
+
+KEEP_ANSWER_S = 15.0
+"""Seconds for which an ended answer can be read again: three times as long
+as an entry goes on asking."""
+
 MEAN_WEIGHT = 0.1
+SHORTEST_RETRY_S = 0.1
 
 
 @frozen
@@ -86,6 +97,8 @@
 
     key: AttemptKey
     took_s: float
+    pieces: int
+    ran: bool = True
 
 
 @frozen
@@ -123,7 +136,12 @@
     attempt: Attempt
     answers: AnswerLog
     deadline: float
+    version: str = ''
+    """The version that the permit was asked for."""
+
     cancelled: bool = False
+    pieces: int = 0
+    ended_at: float | None = None
 
 
 @define
@@ -137,6 +155,7 @@
     queued: int = 0
     slots: int = 0
     service_s: float = 0
+    pace_s: float = 0
     leaving: bool = False
     sent_bytes: int = 0
     changed: asyncio.Event = Factory(asyncio.Event)
@@ -160,6 +179,7 @@
         self._kept: dict[AttemptKey, _Kept] = {}
         self._held: set[AttemptKey] = set()
         self._running: dict[AttemptKey, asyncio.Task[None]] = {}
+        self._heard_at = 0.0
         self._paused = True
         self._idle: list[asyncio.Future[None]] = []
 
@@ -181,13 +201,12 @@
             message.answers,
             self._now() + attempt.budget_s,
         )
-        message.answers.add(
-            RunDown(
-                queued=Queued(
-                    ahead=len(self._queue) - 1, wait_s=self._wait_s()
-                ),
-            ),
+        queued = Queued(
+            ahead=len(self._queue),
+            wait_s=self._wait_s(attempt.customer, attempt.share),
         )
+        message.answers.add(RunDown(queued=queued))
+        self._enqueue(attempt)
         self._advance()
 
     def on_permit_came(self, message: PermitCame) -> None:
@@ -195,17 +214,30 @@
         kept = self._kept.get(message.key)
         if kept is None or message.key not in self._held:
             return
-        may_start = self._ledger.permit(
-            message.key,
-            granted=message.granted,
-            now=self._now(),
-        )
-        if may_start and self._ledger.start(message.key, now=self._now()):
+        if self._may_start(message):
+            if not self._running:
+                self._heard_at = self._now()
             self._running[message.key] = self.spawn(self._run(kept))
             self._note_load()
             return
         self._release(message.key, 'not_permitted')
 
+    def _may_start(self, message: PermitCame) -> bool:
+        """Enter the ledger's irreversible step; a broken rule stops it."""
+        permitted = self._ledger.permit(
+            message.key,
+            granted=message.granted,
+            now=self._now(),
+        )
+        if not permitted:
+            return False
+        try:
+            return self._ledger.start(message.key, now=self._now())
+        except InvariantError as exc:
+            self._runtime.metrics.invariant_violated('at_most_once')
+            self._log.error('start refused: %s', exc)
+            return False
+
     def on_permit_overdue(self, message: PermitOverdue) -> None:
         """Give the slot to the next when the owner stays silent."""
         self._give_up(message.key, 'permit_overdue')
@@ -215,11 +247,16 @@
         self._give_up(message.key, 'owner_lost')
 
     def on_cancel_came(self, message: CancelCame) -> None:
-        """Stop the attempt wherever it stands."""
+        """Stop the attempt wherever it stands.
+
+        The cancel may overtake the attempt, which then never starts.
+        """
+        if self._ledger.stage_of(message.key) is None:
+            self._ledger.settle(message.key, now=self._now())
         self._give_up(message.key, 'cancelled')
         kept = self._kept.get(message.key)
         running = self._running.get(message.key)
-        if kept is not None and running is not None:
+        if kept is not None and running is not None and not kept.cancelled:
             kept.cancelled = True
             running.cancel()
             self.spawn(self._cancel_upstream(message.key.request_id))
@@ -238,11 +275,27 @@
         """Free the slot."""
         self._running.pop(message.key, None)
         self._held.discard(message.key)
-        self._ledger.finish(message.key, now=self._now())
-        weight = MEAN_WEIGHT if self.state.service_s else 1
-        self.state.service_s += weight * (message.took_s - self.state.service_s)
+        self._ledger.finish(message.key, now=self._now(), ran=message.ran)
+        kept = self._kept.get(message.key)
+        if kept is not None:
+            kept.ended_at = self._now()
+        if message.ran:
+            self._note_took(message.took_s, message.pieces)
         self._advance()
 
+    def _note_took(self, took_s: float, pieces: int) -> None:
+        state = self.state
+        state.service_s = _mean(state.service_s, took_s)
+        if pieces:
+            state.pace_s = _mean(state.pace_s, took_s / pieces)
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the upstream gave anything while it had work."""
+        if not self._running:
+            return 0
+        return self._now() - self._heard_at
+
     def on_pause_runs(self, message: PauseRuns) -> None:
         """Start nothing more until `ResumeRuns`."""
         self._paused = True
@@ -261,35 +314,51 @@
     def on_drain_runs(self, message: DrainRuns) -> None:
         """Refuse what waits, finish what runs."""
         self.state.leaving = True
-        while (key := self._queue.pop()) is not None:
+        while (key := self._queue.pop(now=self._now())) is not None:
             self._release(key, 'draining')
         self._idle.append(message.idle)
         self._note_load()
 
     def on_forget_old(self, _message: ForgetOld) -> None:
-        """Drop ended attempts whose owners can no longer come back."""
-        self._ledger.forget(now=self._now())
-        for key in list(self._kept):
-            if key not in self._ledger.records:
-                self._kept.pop(key)
+        """Drop ended attempts, and answers that nobody reads again."""
+        now = self._now()
+        self._ledger.forget(now=now)
+        old = [
+            key
+            for key, kept in self._kept.items()
+            if kept.ended_at is not None and now - kept.ended_at > KEEP_ANSWER_S
+        ]
+        for key in old:
+            self._kept.pop(key)
+        self._queue.forget(now=now)
 
     def _refusal(self, attempt: Attempt) -> Refusal | None:
         if self.state.leaving:
             return Refusal(reason='draining', retry_after_s=1)
         if attempt.service != self.state.service:
             return Refusal(reason='not_loaded', retry_after_s=1)
-        refusal = self._ledger.receive(attempt, now=self._now())
-        if refusal is not None:
-            return refusal
-        if self._queue.push(attempt.key, priority=attempt.priority):
-            return None
-        self._ledger.refuse(attempt.key, now=self._now())
-        return Refusal(reason='queue_full', retry_after_s=self._wait_s())
+        wait_s = self._wait_s(attempt.customer, attempt.share)
+        if wait_s >= attempt.budget_s:
+            return Refusal(reason='deadline_unreachable', retry_after_s=wait_s)
+        return self._ledger.receive(attempt, now=self._now())
+
+    def _enqueue(self, attempt: Attempt) -> None:
+        dropped = self._queue.push(
+            Waiting(
+                key=attempt.key,
+                customer=attempt.customer,
+                priority=attempt.priority,
+                share=attempt.share,
+                cost=max(attempt.max_tokens, 1),
+            ),
+        )
+        if dropped is not None:
+            self._release(dropped, 'queue_full')
 
     def _advance(self) -> None:
         """Ask for permits while slots are free."""
         while not self._paused and len(self._held) < self.state.slots:
-            key = self._queue.pop()
+            key = self._queue.pop(now=self._now())
             if key is None:
                 break
             self._ask(key)
@@ -305,13 +374,15 @@
             self._release(key, 'deadline_passed')
             return
         self._held.add(key)
-        ask = PermitAsk(key=key, version=self.state.version)
+        kept.version = self.state.version
+        ask = PermitAsk(key=key, version=kept.version)
         kept.answers.add(RunDown(permit_ask=ask))
         loop = asyncio.get_running_loop()
         loop.call_later(PERMIT_WAIT_S, self.post, PermitOverdue(key))
 
     def _give_up(self, key: AttemptKey, reason: str) -> None:
-        if key in self._running or key not in self._kept:
+        stage = self._ledger.stage_of(key)
+        if stage is None or stage >= Stage.STARTED:
             return
         self._queue.remove(key)
         self._release(key, reason)
@@ -322,7 +393,12 @@
         if kept is None:
             return
         self._ledger.refuse(key, now=self._now())
-        refusal = Refusal(reason=reason, retry_after_s=self._wait_s())
+        attempt = kept.attempt
+        wait_s = self._wait_s(attempt.customer, attempt.share)
+        refusal = Refusal(
+            reason=reason,
+            retry_after_s=max(wait_s, SHORTEST_RETRY_S),
+        )
         kept.answers.add(RunDown(refusal=refusal))
         kept.answers.close()
         if key in self._held:
@@ -331,34 +407,42 @@
 
     async def _run(self, kept: _Kept) -> None:
         began = self._now()
-        version = self.state.version
-        final = Final(
-            request_id=kept.attempt.key.request_id,
-            outcome=Outcome.UNKNOWN,
-            version=version,
-            message='the run was stopped',
-        )
+        final = _final_of(kept, Outcome.UNKNOWN, 'the run was stopped')
         try:
-            final = await self._relay(kept, version)
+            final = await self._relay(kept, kept.version)
         except asyncio.CancelledError:
-            final = _failed(final, 'cancelled by its owner')
+            if kept.cancelled:
+                message = 'cancelled by its owner'
+                final = _final_of(kept, Outcome.FAILED, message)
         except (UpstreamError, InvariantError) as exc:
-            final = _failed(final, str(exc))
+            final = _final_of(kept, Outcome.FAILED, str(exc))
         except Exception as exc:
             self._log.exception('run failed', extra={'step': 'run'})
-            final = _failed(final, str(exc))
+            final = _final_of(kept, Outcome.FAILED, str(exc))
         finally:
             kept.answers.add(RunDown(final=final))
             kept.answers.close()
-            self.post(RunEnded(kept.attempt.key, self._now() - began))
+            ran = final.outcome is not Outcome.NOT_RUN
+            took_s = self._now() - began
+            key = kept.attempt.key
+            self.post(RunEnded(key, took_s, kept.pieces, ran=ran))
 
     async def _relay(self, kept: _Kept, version: str) -> Final:
-        """Pass pieces on until the final message."""
+        """Pass pieces on until the final message.
+
+        A process that is paused between the start and this call would hand
+        over work that nobody waits for; nothing has left this process yet.
+        """
+        if self._now() >= kept.deadline:
+            message = 'the deadline passed before the upstream was asked'
+            return _final_of(kept, Outcome.NOT_RUN, message)
         async for part in self._upstream.run(kept.attempt, version):
             if isinstance(part, Final):
                 return part
             self._assert_version(part, version)
             self.state.sent_bytes += len(part.text) + len(part.body)
+            self._heard_at = self._now()
+            kept.pieces += 1
             kept.answers.add(RunDown(piece=part))
         raise UpstreamError('no final message', step='run')
 
@@ -393,24 +477,31 @@
                     idle.set_result(None)
             self._idle.clear()
 
-    def _wait_s(self) -> float:
-        ahead = len(self._queue) + len(self._held)
-        rounds = ahead / max(self.state.slots, 1)
-        return max(rounds * self.state.service_s, 0.1)
+    def _wait_s(self, customer: str, share: float) -> float:
+        """Estimate the seconds until a new attempt would get a slot."""
+        free = self.state.slots - len(self._held)
+        ahead = self._queue.ahead_of(customer, share)
+        turns = max(ahead + 1 - free, 0) / max(self.state.slots, 1)
+        return turns * self.state.service_s
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
 
+def _mean(before: float, measured: float) -> float:
+    weight = MEAN_WEIGHT if before else 1
+    return before + weight * (measured - before)
+
+
 def settled_message(state: SettledState) -> RunDown:
     """Wrap the word on an attempt."""
     return RunDown(settled=Settled(state=state))
 
 
-def _failed(final: Final, message: str) -> Final:
+def _final_of(kept: _Kept, outcome: Outcome, message: str) -> Final:
     return Final(
-        request_id=final.request_id,
-        outcome=Outcome.FAILED,
-        version=final.version,
+        request_id=kept.attempt.key.request_id,
+        outcome=outcome,
+        version=kept.version,
         message=message,
     )
--- a/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
@@ -16,7 +16,7 @@
 DEFAULT_PRIORITY = 5
 MOST_TOKENS = 100_000
 LONGEST_DEADLINE_MS = 3_600_000
-PREFIX_LENGTH = 64
+PREFIX_LENGTH = 32
 _ID = re.compile('[A-Za-z0-9._-]{1,128}')
 _NAME = re.compile('[A-Za-z0-9._-]{1,64}')
 
@@ -45,6 +45,8 @@
     budget_s: float
     idempotent: bool
     priority: int
+    id_made_here: bool = False
+    """Whether the caller gave no id, so that nobody else can know it."""
 
 
 class CompletionBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -78,10 +80,11 @@
 
     @property
     def prefix(self) -> str:
-        """The part of the prompt that decides on affinity."""
+        """The part of the prompt that decides on affinity; empty for none."""
         if self.completion is None:
-            return self.head.request_id
-        return self.completion.prompt[:PREFIX_LENGTH]
+            return ''
+        start = self.completion.prompt[:PREFIX_LENGTH]
+        return f'{self.completion.adapter}|{start}'
 
 
 def parse_head(headers: Mapping[str, str], *, default_s: float) -> CallHead:
@@ -95,7 +98,8 @@
     customer = headers.get('X-Customer', '')
     if not _NAME.fullmatch(customer):
         raise _bad('X-Customer must be 1 to 64 of A-Z a-z 0-9 . _ -')
-    request_id = headers.get('X-Request-Id') or uuid.uuid4().hex
+    given_id = headers.get('X-Request-Id', '')
+    request_id = given_id or uuid.uuid4().hex
     if not _ID.fullmatch(request_id):
         raise _bad('X-Request-Id must be 1 to 128 of A-Z a-z 0-9 . _ -')
     budget_ms = _whole(
@@ -106,6 +110,7 @@
     )
     return CallHead(
         request_id=request_id,
+        id_made_here=not given_id,
         customer=customer,
         budget_s=budget_ms / 1000,
         idempotent=headers.get('X-Idempotent', '').lower() == 'true',
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -3,45 +3,40 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
 from attrs import define, field
 
-from crowrudder_core.requests import Attach, MoveOn, RequestOwner, Settle
+from crowrudder_core.requests import RequestOwner, Vote
 from crowrudder_core.routing import Need
-from crowrudder_daemon.entry._parts import Ended
+from crowrudder_daemon.entry._attempt_call import AttemptCall
+from crowrudder_daemon.entry._claims import Claim, homes_among, take_claim
+from crowrudder_daemon.entry._parts import Ended, outcome_unknown, refused
 from crowrudder_model import CrowrudderError, Outcome, PeerLostError
-from crowrudder_model.messages import (
-    Attempt,
-    AttemptKey,
-    Cancel,
-    Final,
-    Permit,
-    PermitAsk,
-    Piece,
-    Refusal,
-    RunDown,
-    RunUp,
-    SettleAsk,
-    Settled,
-    SettledState,
-)
-from crowrudder_model.rpc import RUN, SETTLE
+from crowrudder_model.messages import Attempt, Piece, Refusal
 
 if TYPE_CHECKING:
+    from crowrudder_daemon.entry._attempt_call import AgentRef
     from crowrudder_daemon.entry._caller_request import CallerRequest
-    from crowrudder_daemon.entry._requests import AgentRef, RequestsTask
-    from crowrudder_daemon.rpc import PeerClient, PeerStream
+    from crowrudder_daemon.entry._requests import RequestsTask
+    from crowrudder_daemon.rpc import PeerClient
 
-SUSPECT_S = 1.0
-"""Seconds for which an agent is avoided after a failed call."""
+MOST_AT_ONCE = 2
+"""Attempts of one request that wait or run at the same time."""
 
-SETTLE_EVERY_S = 0.25
-SETTLE_FOR_S = 5.0
+NO_COST = frozenset(('draining', 'not_loaded', 'other_version'))
+"""Refusals that follow from old knowledge and took no slot anywhere.
 
+The entry learns of the state with the refusal, so they can't become a storm;
+spending the retry budget on them would fail requests during a plain rollout.
+"""
 
-@define
+CONTENDED_RETRY_S = 2.0
+HEDGE_TURN_S = 0.1
+
+
+@define(eq=False)
 class Drive:
     """One request on its way; owned by the requests task."""
 
@@ -50,253 +45,269 @@
     parts: asyncio.Queue[Piece | Ended]
     _task: RequestsTask
     _peers: PeerClient
+    _serial: int
     next_index: int = 0
     version: str = ''
-    avoid: set[str] = field(factory=set)
-    last_refusal: Refusal | None = None
+    claim: Claim | None = None
+    _calls: dict[asyncio.Task[Ended | None], AttemptCall] = field(factory=dict)
+    _leader: AttemptCall | None = None
+    _avoid: set[str] = field(factory=set)
+    _last_refusal: Refusal | None = None
+    _free_retry: bool = True
 
     async def run(self) -> None:
         """Go on until the caller has its final word."""
-        left_s = self.owner.deadline - _now()
         ended = None
         try:
-            async with asyncio.timeout(max(left_s, 0)):
-                ended = await self._attempts()
-        except TimeoutError:
-            ended = self._not_run('deadline_passed', 'the deadline passed')
+            ended = await self._run_in_time()
         except CrowrudderError as exc:
-            ended = Ended(
-                outcome=Outcome.UNKNOWN,
-                code='internal',
-                message=str(exc),
-            )
+            ended = outcome_unknown('internal', str(exc))
+        except Exception as exc:
+            # Without a final word the caller would wait for ever.
+            self._task.on_fault(exc)
+            ended = outcome_unknown('internal', 'an error inside the entry')
         finally:
             if ended is not None:
                 self._finish(ended)
 
-    def _finish(self, ended: Ended) -> None:
-        outcome = self.owner.close(ended.outcome)
-        if outcome is not ended.outcome:
-            ended = Ended(
-                outcome=outcome,
-                code='outcome_unknown',
-                message=ended.message,
-            )
-        if outcome is Outcome.NOT_RUN:
-            self._task.forget(self.owner.request_id)
-        self.parts.put_nowait(ended)
-
-    async def _attempts(self) -> Ended:
-        while True:
-            agent = self._task.choose(self._need())
-            if agent is None:
-                return self._no_agent()
-            ended = await self._one(agent)
-            if ended is not None:
-                return ended
-            self.avoid.add(agent.host)
-            if not self._task.may_retry():
-                return self._not_run('overloaded', 'the retry budget is spent')
+    def withdraw(self) -> bool:
+        """Give up work whose caller has gone; false where it must go on."""
+        if self.owner.permit_out and not self.owner.idempotent:
+            return False
+        if self.owner.closed is None:
+            self._close(Outcome.NOT_RUN)
+        return True
 
-    async def _one(self, agent: AgentRef) -> Ended | None:
-        """Make one attempt; None when another one elsewhere is safe."""
-        key = self.owner.open_attempt()
-        self._task.on_sent(agent)
-        stream = self._peers.open(agent.address, RUN)
-        try:
-            await stream.send(RunUp(attempt=self._attempt(key)))
-            return await self._follow(stream, stream, key, agent)
-        except PeerLostError as exc:
-            self._task.on_failed(agent, exc)
-            return await self._lost(key, agent, exc)
-        except asyncio.CancelledError:
-            await _cancel_quietly(stream, key)
-            raise
-        finally:
-            stream.cancel()
-            self._task.on_ended(agent)
-
-    async def _follow(
-        self,
-        events: PeerStream[Any, RunDown],
-        stream: PeerStream[RunUp, RunDown] | None,
-        key: AttemptKey,
-        agent: AgentRef,
-    ) -> Ended | None:
-        async for event in events:
-            match event.body:
-                case PermitAsk(version=version) if stream is not None:
-                    granted = self._grant(key, version)
-                    permit = Permit(key=key, granted=granted)
-                    await stream.send(RunUp(permit=permit))
-                case Piece() as piece:
-                    self._take(piece, agent)
-                case Refusal() as refusal:
-                    self.last_refusal = refusal
-                    self.owner.refused(key)
-                    return None
-                case Final() as final:
-                    return self._final(key, final, agent)
-        raise PeerLostError(
-            'the stream ended without a final message',
-            step='run',
-            peer=agent.address,
+    def attempt(self, call: AttemptCall) -> Attempt:
+        """Give the message that opens an attempt."""
+        head = self.req.head
+        attempt = Attempt(
+            key=call.key,
+            customer=head.customer,
+            share=self._task.share_of(head.customer),
+            service=self.req.service,
+            priority=head.priority,
+            budget_s=self.owner.deadline - _now(),
+            idempotent=head.idempotent,
+            version=self.version,
         )
+        return _with_work(attempt, self.req, self.next_index)
 
-    def _grant(self, key: AttemptKey, version: str) -> bool:
-        if self.version and version != self.version:
+    def grant(self, call: AttemptCall, version: str) -> bool:
+        """Decide on a permit; an answer begun goes on on its version alone."""
+        if self.next_index and version != self.version:
             return False
-        granted = self.owner.grant(key, now=_now())
+        granted = self.owner.grant(call.key, now=_now())
         if granted:
-            self.version = version
+            call.version = version
+        if granted and not self.owner.idempotent:
+            self._drop_others(call)
         return granted
 
-    def _take(self, piece: Piece, agent: AgentRef) -> None:
-        """Check a piece and hand it on.
+    def take(self, call: AttemptCall, piece: Piece) -> None:
+        """Hand a piece on if it is the next one of the attempt that leads.
 
-        A crossed, doubled or missing piece would be seen as wrong text in an
-        answer that looks whole; such an attempt is given up instead.
+        Two attempts of a repeatable request may answer at once. The text of
+        one is passed on; a younger attempt takes over where it has caught up.
         """
-        if piece.index < self.next_index:
+        if call is not self._leader and not self._takes_over(call, piece):
             return
-        own = piece.request_id == self.owner.request_id
-        if not own or piece.version != self.version:
-            raise _crossed('a piece of another answer', agent)
         if piece.index != self.next_index:
-            raise _crossed('a piece is missing', agent)
+            return
+        if not self.next_index:
+            self._task.on_first_piece(call.agent, call.waited_s)
         self.next_index += 1
         self.parts.put_nowait(piece)
 
-    def _final(
-        self,
-        key: AttemptKey,
-        final: Final,
-        agent: AgentRef,
-    ) -> Ended | None:
-        self.owner.ended(key)
-        match final.outcome:
-            case Outcome.ANSWERED:
-                return self._answered(final, agent)
-            case Outcome.NOT_RUN:
-                self.last_refusal = Refusal(reason=final.message)
-                return None
-            case Outcome.FAILED | Outcome.UNKNOWN as outcome:
-                if self.owner.idempotent:
-                    return None
-                return Ended(
-                    outcome=outcome,
-                    code='upstream_failed',
-                    message=final.message,
-                )
+    def note_refusal(self, call: AttemptCall, refusal: Refusal) -> None:
+        """Keep the reason and the time after which to come back."""
+        self._last_refusal = refusal
+        self._free_retry = refusal.reason in NO_COST
+        self._task.on_refused(call.agent, refusal)
 
-    def _answered(self, final: Final, agent: AgentRef) -> Ended:
-        if final.pieces != self.next_index or final.version != self.version:
-            raise _crossed('the answer is not whole', agent)
-        return Ended(
-            outcome=Outcome.ANSWERED,
-            code='ok',
-            status=final.status,
-            version=final.version,
-            pieces=final.pieces,
-            headers=final.headers,
-        )
+    def note_lost(self, call: AttemptCall, exc: PeerLostError) -> None:
+        """Tell the router of a broken stream."""
+        self._free_retry = False
+        self._task.on_failed(call.agent, exc)
 
-    async def _lost(
-        self,
-        key: AttemptKey,
-        agent: AgentRef,
-        exc: PeerLostError,
-    ) -> Ended | None:
-        """Find out what became of an attempt whose stream broke."""
-        match self.owner.lost(key):
-            case MoveOn():
-                return None
-            case Settle():
-                return await self._settle(key, agent, exc)
-
-    async def _settle(
-        self,
-        key: AttemptKey,
-        agent: AgentRef,
-        exc: PeerLostError,
-    ) -> Ended | None:
-        until = _now() + SETTLE_FOR_S
-        while _now() < until:
-            try:
-                return await self._settle_once(key, agent)
-            except PeerLostError as again:
-                exc = again
-                await asyncio.sleep(SETTLE_EVERY_S)
-        return self._after(self.owner.unreachable(key), str(exc))
-
-    async def _settle_once(
-        self,
-        key: AttemptKey,
-        agent: AgentRef,
-    ) -> Ended | None:
-        ask = SettleAsk(
-            key=key,
-            incarnation=agent.incarnation,
-            next_index=self.next_index,
+    async def _run_in_time(self) -> Ended:
+        left_s = self.owner.deadline - _now()
+        try:
+            async with asyncio.timeout(max(left_s, 0)):
+                refusal = await self._claim_id(left_s)
+                return refusal or await self._attempts()
+        except TimeoutError:
+            return self._not_run('deadline_passed', 'the deadline passed')
+
+    async def _claim_id(self, left_s: float) -> Ended | None:
+        """Claim the id, so that it runs through no other entry as well."""
+        head = self.req.head
+        if head.idempotent or head.id_made_here:
+            return None
+        self.claim = Claim(
+            head.request_id,
+            owner=self.owner.entry,
+            serial=self._serial,
+            addresses=homes_among(
+                head.request_id,
+                self._task.snapshot.members,
+            ),
         )
-        stream = self._peers.open(agent.address, SETTLE, ask)
+        vote = await take_claim(self._peers, self.claim, budget_s=left_s)
+        match vote:
+            case Vote.HELD:
+                return None
+            case Vote.TAKEN:
+                return refused('already_used', 409)
+            case Vote.CONTENDED:
+                return refused('contended', 503, CONTENDED_RETRY_S)
+            case _:
+                return refused('claim_out_of_reach', 503, 1)
+
+    async def _attempts(self) -> Ended:
         try:
-            first = await stream.read()
-            state = _settled_state(first, agent)
-            match self.owner.settled(key, state):
-                case Attach():
-                    return await self._follow(stream, None, key, agent)
-                case verdict:
-                    return self._after(verdict, f'settled as {state.value}')
+            while True:
+                ended = await self._step()
+                if ended is not None:
+                    return ended
         finally:
-            stream.cancel()
+            self._drop_others(None)
 
-    def _after(self, verdict: MoveOn | Outcome, message: str) -> Ended | None:
-        match verdict:
-            case MoveOn():
-                return None
-            case outcome:
-                return Ended(
+    async def _step(self) -> Ended | None:
+        """Start what is missing and wait for the next event."""
+        if not self._calls:
+            ended = self._start_next()
+            if ended is not None:
+                return ended
+        done, _ = await asyncio.wait(
+            self._calls,
+            timeout=self._patience_s(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not done:
+            self._hedge()
+        for job in done:
+            call = self._calls.pop(job)
+            self._avoid.add(call.agent.host)
+            ended = None if job.cancelled() else job.result()
+            if ended is not None:
+                return ended
+        return None
+
+    def _start_next(self) -> Ended | None:
+        """Start the first attempt, or one more after all others ended."""
+        agent = self._task.choose(self._need())
+        if agent is None:
+            return self._no_agent()
+        if agent.wait_s >= self.owner.deadline - _now():
+            return refused('overloaded', 503, agent.wait_s)
+        if not self._free_retry and not self._task.may_retry():
+            return self._not_run('overloaded', 'the retry budget is spent')
+        self._start(agent)
+        return None
+
+    def _start(self, agent: AgentRef) -> None:
+        self._free_retry = False
+        call = AttemptCall(
+            agent=agent,
+            key=self.owner.open_attempt(),
+            next_index=self.next_index,
+            progress_at=_now(),
+            request=self,
+            peers=self._peers,
+        )
+        self._task.on_sent(agent)
+        job = self._task.spawn(call.run())
+        job.add_done_callback(lambda _: self._task.on_ended(agent))
+        self._calls[job] = call
+
+    def _patience_s(self) -> float | None:
+        """Give how long to wait before a second attempt is worth its cost."""
+        if not self.owner.may_hedge or len(self._calls) >= MOST_AT_ONCE:
+            return None
+        latest = max(call.progress_at for call in self._calls.values())
+        patience_s = self._task.patience_s(self.req.service)
+        return max(latest + patience_s - _now(), HEDGE_TURN_S)
+
+    def _hedge(self) -> None:
+        """Queue the request at a second agent as well.
+
+        The first may be paused, or its upstream may accept and never answer;
+        only the permit decides which of the two runs.
+        """
+        busy = {call.agent.host for call in self._calls.values()}
+        agent = self._task.choose(self._need(also_avoid=busy))
+        for call in self._calls.values():
+            call.progress_at = _now()
+        if agent is not None and self._task.may_retry():
+            self._start(agent)
+
+    def _takes_over(self, call: AttemptCall, piece: Piece) -> bool:
+        younger = (
+            self._leader is None or call.key.attempt > self._leader.key.attempt
+        )
+        if not younger or piece.index != self.next_index:
+            return False
+        self._leader = call
+        self.version = call.version
+        self._drop_others(call)
+        return True
+
+    def _drop_others(self, kept: AttemptCall | None) -> None:
+        """Cancel the attempts that nobody waits for any more."""
+        for job, call in self._calls.items():
+            if call is not kept and not job.done():
+                job.cancel()
+                self._task.cancel_at(call.agent, call.key)
+
+    def _finish(self, ended: Ended) -> None:
+        outcome = self._close(ended.outcome)
+        match outcome:
+            case ended.outcome:
+                pass
+            case Outcome.FAILED:
+                ended = Ended(
                     outcome=outcome,
-                    code='outcome_unknown',
-                    message=message,
+                    code='upstream_failed',
+                    message=ended.message,
                 )
+            case _:
+                ended = outcome_unknown('outcome_unknown', ended.message)
+        self._task.note_end(ended)
+        self.parts.put_nowait(ended)
 
-    def _attempt(self, key: AttemptKey) -> Attempt:
-        head = self.req.head
-        attempt = Attempt(
-            key=key,
-            customer=head.customer,
-            service=self.req.service,
-            priority=head.priority,
-            budget_s=self.owner.deadline - _now(),
-            idempotent=head.idempotent,
-            version=self.version,
-        )
-        return _with_work(attempt, self.req, self.next_index)
+    def _close(self, outcome: Outcome) -> Outcome:
+        closed = self.owner.close(outcome)
+        if closed is Outcome.NOT_RUN:
+            self._task.forget(self.owner.request_id, self.claim)
+        return closed
 
-    def _need(self) -> Need:
+    def _need(self, *, also_avoid: set[str] | None = None) -> Need:
         completion = self.req.completion
         return Need(
             service=self.req.service,
             adapter=completion.adapter if completion else '',
+            version=self.version,
             prefix=self.req.prefix,
-            avoid=frozenset(self.avoid),
+            avoid=frozenset(self._avoid | (also_avoid or set())),
         )
 
     def _no_agent(self) -> Ended:
-        refusal = self.last_refusal
+        refusal = self._last_refusal
         if refusal is None:
             return self._not_run('no_replica', 'no replica can serve this now')
         return self._not_run('overloaded', refusal.reason)
 
     def _not_run(self, code: str, message: str) -> Ended:
-        refusal = self.last_refusal
+        refusal = self._last_refusal
+        waits = [call.queued_wait_s for call in self._calls.values()]
+        if refusal is not None:
+            waits.append(refusal.retry_after_s)
         return Ended(
             outcome=Outcome.NOT_RUN,
             code=code,
             message=message,
-            retry_after_s=refusal.retry_after_s if refusal else 1,
+            retry_after_s=max(waits, default=1),
         )
 
 
@@ -327,29 +338,5 @@
     )
 
 
-def _settled_state(first: RunDown | None, agent: AgentRef) -> SettledState:
-    if first is None or not isinstance(first.body, Settled):
-        raise PeerLostError(
-            'no word on the attempt',
-            step='settle',
-            peer=agent.address,
-        )
-    return first.body.state
-
-
-async def _cancel_quietly(
-    stream: PeerStream[RunUp, RunDown],
-    key: AttemptKey,
-) -> None:
-    try:
-        await stream.send(RunUp(cancel=Cancel(key=key)))
-    except PeerLostError:
-        return
-
-
-def _crossed(message: str, agent: AgentRef) -> CrowrudderError:
-    return CrowrudderError(message, step='answer', peer=agent.address)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/daemon/src/crowrudder_daemon/entry/_links.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_links.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from typing import TYPE_CHECKING, Any
 
 from attrs import frozen
 
+from crowrudder_core.routing import covered
 from crowrudder_daemon._task import Task
 from crowrudder_model import CrowrudderError
 from crowrudder_model.messages import Report, ReportAsk
@@ -85,11 +87,18 @@
             await asyncio.sleep(RECONNECT_S)
 
 
-def links_of(snapshot: Snapshot) -> LinksWanted:
-    """Give the agents that an entry shall be linked to."""
+def links_of(snapshot: Snapshot, host: str) -> LinksWanted:
+    """Give the agents that an entry shall be linked to, service by service."""
+    entries = [member.host for member in snapshot.by_role('entry')]
+    by_service: defaultdict[str, list[str]] = defaultdict(list)
+    agents = {member.host: member for member in snapshot.by_role('agent')}
+    for agent in agents:
+        service = snapshot.placement.get(agent)
+        by_service[service.name if service else ''].append(agent)
     return LinksWanted(
         tuple(
-            (member.host, member.rpc_address)
-            for member in snapshot.by_role('agent')
+            (agent, agents[agent].rpc_address)
+            for hosts in by_service.values()
+            for agent in sorted(covered(host, entries, hosts))
         ),
     )
--- a/packages/daemon/src/crowrudder_daemon/entry/_parts.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_parts.py
@@ -31,3 +31,19 @@
     def http_status(self) -> int:
         """The status code that says the same."""
         return self.status or STATUSES[self.outcome]
+
+
+def refused(code: str, status: int, retry_after_s: float = 0) -> Ended:
+    """Say that a request did not run."""
+    return Ended(
+        outcome=Outcome.NOT_RUN,
+        code=code,
+        message=code.replace('_', ' '),
+        status=status,
+        retry_after_s=retry_after_s,
+    )
+
+
+def outcome_unknown(code: str, message: str) -> Ended:
+    """Say that a request may have run."""
+    return Ended(outcome=Outcome.UNKNOWN, code=code, message=message)
--- a/packages/daemon/src/crowrudder_daemon/entry/_requests.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_requests.py
@@ -6,37 +6,40 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from attrs import frozen
-
-from crowrudder_core.limits import RetryBudget, TokenBucket
-from crowrudder_core.requests import RequestOwner
+from attrs import evolve, frozen
+
+from crowrudder_core.limits import (
+    ConcurrencyShares,
+    RetryBudget,
+    TokenBucket,
+)
+from crowrudder_core.requests import REMEMBER_S, RequestOwner
 from crowrudder_core.routing import Need, Router
 from crowrudder_daemon._task import Task
-from crowrudder_daemon.entry._drive import SUSPECT_S, Drive
-from crowrudder_daemon.entry._parts import Ended
+from crowrudder_daemon.entry._attempt_call import AgentRef
+from crowrudder_daemon.entry._claims import release_claim
+from crowrudder_daemon.entry._drive import Drive
+from crowrudder_daemon.entry._parts import Ended, refused
 from crowrudder_daemon.knowledge import Snapshot
-from crowrudder_model import Outcome
+from crowrudder_model import PeerLostError
+from crowrudder_model.messages import Cancel
+from crowrudder_model.rpc import CANCEL
 
 if TYPE_CHECKING:
     from crowrudder_daemon.entry._caller_request import CallerRequest
+    from crowrudder_daemon.entry._claims import Claim
     from crowrudder_daemon.entry._links import AgentLost, ReportCame
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient
-    from crowrudder_model import PeerLostError
     from crowrudder_model.declared import Customer, Service
-    from crowrudder_model.messages import Piece
-
-REMEMBER_S = 600.0
-"""Seconds for which the id of a request that may not repeat is kept."""
-
+    from crowrudder_model.messages import AttemptKey, Piece, Refusal
 
-@frozen
-class AgentRef:
-    """An agent as it was chosen: the incarnation matters for settling."""
+SUSPECT_S = 1.0
+"""Seconds for which an agent is avoided after a failed call."""
 
-    host: str
-    address: str
-    incarnation: str
+CANCEL_TIMEOUT_S = 1.0
+FORGET_EVERY_S = 30.0
+CUSTOMER_RETRY_S = 1.0
 
 
 @frozen
@@ -79,8 +82,19 @@
         self._addresses: dict[str, str] = {}
         self._budget = RetryBudget(runtime.cfg.limits.retry_share)
         self._buckets: dict[Customer, TokenBucket] = {}
+        self._room = ConcurrencyShares(runtime.cfg.limits.max_concurrent)
         self._seen: dict[str, float] = {}
+        self._serial = 0
         self._drives: dict[int, tuple[Drive, asyncio.Task[Any]]] = {}
+        self._shown_attempts = runtime.metrics.counter(
+            'attempts',
+            'Attempts sent to agents.',
+        )
+        self._shown_ends = runtime.metrics.counter(
+            'requests',
+            'Requests by their final word.',
+            labels=('outcome', 'code'),
+        )
 
     def start(self) -> None:
         """Start the loop and the clock that forgets."""
@@ -99,7 +113,7 @@
     def on_report_came(self, message: ReportCame) -> None:
         """Take an agent's report."""
         self._addresses[message.report.host] = message.address
-        self._router.on_report(message.report)
+        self._router.on_report(message.report, now=self._now())
 
     def on_agent_lost(self, message: AgentLost) -> None:
         """Use an agent no more until it reports again."""
@@ -109,19 +123,31 @@
         """Start a request, or refuse it at once."""
         refusal = self._refusal(message.req)
         if refusal is not None:
+            self.note_end(refusal)
             message.parts.put_nowait(refusal)
             return
-        head = message.req.head
+        req = self._with_floor(message.req)
+        head = req.head
+        now = self._now()
         if not head.idempotent:
-            self._seen[head.request_id] = self._now()
+            # A run may last until the deadline; the window comes after it.
+            self._seen[head.request_id] = now + head.budget_s + REMEMBER_S
         self._budget.on_first()
+        self._serial += 1
         owner = RequestOwner(
             head.request_id,
             entry=self._runtime.incarnation,
             idempotent=head.idempotent,
-            deadline=self._now() + head.budget_s,
+            deadline=now + head.budget_s,
+        )
+        drive = Drive(
+            req,
+            owner,
+            message.parts,
+            self,
+            self._peers,
+            self._serial,
         )
-        drive = Drive(message.req, owner, message.parts, self, self._peers)
         job = self.spawn(drive.run())
         self._drives[id(message.parts)] = (drive, job)
         job.add_done_callback(lambda _: self._on_done(message.parts))
@@ -132,52 +158,91 @@
             await asyncio.wait([job for _, job in self._drives.values()])
 
     def on_caller_lost(self, message: CallerLost) -> None:
-        """Stop repeatable work; what may not repeat is brought to its end."""
+        """Stop what nobody waits for, unless it runs and may not repeat."""
         known = self._drives.get(id(message.parts))
-        if known is not None and known[0].req.head.idempotent:
+        if known is not None and known[0].withdraw():
             known[1].cancel()
 
     def on_forget_old(self, _message: ForgetOld) -> None:
-        """Drop ids that are older than the window."""
-        limit = self._now() - REMEMBER_S
+        """Drop ids whose window is over."""
+        now = self._now()
         self._seen = {
-            request_id: at
-            for request_id, at in self._seen.items()
-            if at > limit
+            request_id: until
+            for request_id, until in self._seen.items()
+            if until > now
         }
 
     def choose(self, need: Need) -> AgentRef | None:
         """Choose an agent for an attempt."""
-        host = self._router.choose(need, now=self._now())
-        if host is None:
+        choice = self._router.choose(need, now=self._now())
+        if choice is None:
             return None
-        report = self._router.agents[host].report
-        return AgentRef(host, self._addresses[host], report.incarnation)
+        report = self._router.agents[choice.host].report
+        return AgentRef(
+            choice.host,
+            self._addresses[choice.host],
+            report.incarnation,
+            choice.wait_s,
+        )
 
     def may_retry(self) -> bool:
         """Spend one retry."""
         return self._budget.take()
 
+    def patience_s(self, service: str) -> float:
+        """Give the wait after which a second attempt is worth its cost."""
+        return self._router.patience_s(service)
+
+    def share_of(self, customer: str) -> float:
+        """Give the part of the slots that is declared for a customer."""
+        bundle = self.snapshot.bundle
+        known = bundle.declaration.customer(customer) if bundle else None
+        return known.share if known else 0.0
+
     def on_sent(self, agent: AgentRef) -> None:
         """Count an attempt."""
-        self._router.on_sent(agent.host)
+        self._shown_attempts.add()
+        self._router.on_sent(agent.host, agent.incarnation)
 
     def on_ended(self, agent: AgentRef) -> None:
         """Count an attempt's end."""
-        self._router.on_ended(agent.host)
+        self._router.on_ended(agent.host, agent.incarnation)
+
+    def on_first_piece(self, agent: AgentRef, took_s: float) -> None:
+        """Note how long the upstream took for its first piece."""
+        self._router.on_first_piece(agent.host, took_s)
+
+    def on_refused(self, agent: AgentRef, refusal: Refusal) -> None:
+        """Use a leaving agent no more, whatever its last report says."""
+        if refusal.reason == 'draining':
+            self._router.on_gone(agent.host)
 
     def on_failed(self, agent: AgentRef, exc: PeerLostError) -> None:
         """Avoid an agent after a failed call."""
         self._log.warning('attempt lost: %s', exc)
         self._router.on_failed(agent.host, until=self._now() + SUSPECT_S)
 
-    def forget(self, request_id: str) -> None:
+    def on_fault(self, exc: Exception) -> None:
+        """Report a fault that no one expected."""
+        self._runtime.fault('request', exc)
+
+    def cancel_at(self, agent: AgentRef, key: AttemptKey) -> None:
+        """Tell an agent that nobody waits for an attempt any more."""
+        self.spawn(self._cancel(agent, key))
+
+    def forget(self, request_id: str, claim: Claim | None) -> None:
         """Let an id that never ran be used again.
 
         A caller who is told "not run, try again" sends the same id again; it
         would be refused for good as already used.
         """
         self._seen.pop(request_id, None)
+        if claim is not None:
+            self.spawn(release_claim(self._peers, claim))
+
+    def note_end(self, ended: Ended) -> None:
+        """Count a final word."""
+        self._shown_ends.add(outcome=ended.outcome.value, code=ended.code)
 
     def explain(self, customer: str, model: str) -> dict[str, Any]:
         """Tell where a request would go now, and why."""
@@ -213,19 +278,33 @@
     def _refusal(self, req: CallerRequest) -> Ended | None:
         bundle = self.snapshot.bundle
         if bundle is None:
-            return _refused('no_configuration', 503)
+            return refused('no_configuration', 503, 1)
         if self.leaving:
-            return _refused('draining', 503, retry_after_s=1)
+            return refused('draining', 503, 1)
         customer = bundle.declaration.customer(req.head.customer)
         if customer is None:
-            return _refused('unknown_customer', 404)
+            return refused('unknown_customer', 404)
         if not customer.may_use(req.service):
-            return _refused('not_allowed', 403)
-        if len(self._drives) >= self._runtime.cfg.limits.max_concurrent:
-            return _refused('overloaded', 503, retry_after_s=1)
+            return refused('not_allowed', 403)
         if not req.head.idempotent and req.head.request_id in self._seen:
-            return _refused('already_used', 409)
-        return self._over_limit(customer)
+            return refused('already_used', 409)
+        over = self._over_limit(customer)
+        if over is not None:
+            return over
+        if not self._room.enter(customer.name, share=customer.share):
+            return refused('overloaded', 503, CUSTOMER_RETRY_S)
+        return None
+
+    def _with_floor(self, req: CallerRequest) -> CallerRequest:
+        """Give a customer no better priority than is declared for it."""
+        bundle = self.snapshot.bundle
+        customer = (
+            bundle.declaration.customer(req.head.customer) if bundle else None
+        )
+        floor = customer.priority_floor if customer else 0
+        if req.head.priority >= floor:
+            return req
+        return evolve(req, head=evolve(req.head, priority=floor))
 
     def _over_limit(self, customer: Customer) -> Ended | None:
         now = self._now()
@@ -240,30 +319,30 @@
         if bucket.take(1, now=now):
             return None
         wait_s = bucket.wait_s(1, now=now)
-        return _refused('over_limit', 429, retry_after_s=wait_s)
+        return refused('over_limit', 429, wait_s)
 
     def _on_done(self, parts: asyncio.Queue[Piece | Ended]) -> None:
-        self._drives.pop(id(parts), None)
+        drive, _ = self._drives.pop(id(parts))
+        self._room.leave(drive.req.head.customer)
+
+    async def _cancel(self, agent: AgentRef, key: AttemptKey) -> None:
+        try:
+            await self._peers.call(
+                agent.address,
+                CANCEL,
+                Cancel(key=key),
+                timeout_s=CANCEL_TIMEOUT_S,
+            )
+        except PeerLostError as exc:
+            self._log.debug('cancel not delivered: %s', exc)
 
     async def _forget_for_ever(self) -> None:
+        # Reports of agents that were there before come within seconds.
+        await asyncio.sleep(FORGET_EVERY_S / 10)
+        self._router.on_started()
         while True:
-            await asyncio.sleep(REMEMBER_S / 10)
+            await asyncio.sleep(FORGET_EVERY_S)
             self.post(ForgetOld())
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _refused(
-    code: str,
-    status: int,
-    *,
-    retry_after_s: float = 0,
-) -> Ended:
-    return Ended(
-        outcome=Outcome.NOT_RUN,
-        code=code,
-        message=code.replace('_', ' '),
-        status=status,
-        retry_after_s=retry_after_s,
-    )
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -109,4 +109,4 @@
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self.requests.post(SnapshotCame(snapshot))
-        self.links.post(links_of(snapshot))
+        self.links.post(links_of(snapshot, self._runtime.cfg.process.host))
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -1,5 +1,14 @@
 """The messages that crowrudder processes send each other."""
 
+from crowrudder_model.messages._claim import (
+    ClaimAsk,
+    ClaimReply,
+    ClaimState,
+    HandOver,
+    HeldClaim,
+    ReleaseAsk,
+    Taken,
+)
 from crowrudder_model.messages._knowledge import (
     BundlePart,
     Hello,
@@ -44,7 +53,12 @@
     'Cancel',
     'ChunkAsk',
     'ChunkPiece',
+    'ClaimAsk',
+    'ClaimReply',
+    'ClaimState',
     'Final',
+    'HandOver',
+    'HeldClaim',
     'Hello',
     'Knowledge',
     'ListEdition',
@@ -59,6 +73,7 @@
     'ProcessState',
     'Queued',
     'Refusal',
+    'ReleaseAsk',
     'Report',
     'ReportAsk',
     'RunDown',
@@ -69,4 +84,5 @@
     'StockAsk',
     'StockReply',
     'TakeAsk',
+    'Taken',
 )
--- a/packages/model/src/crowrudder_model/messages/_report.py
+++ b/packages/model/src/crowrudder_model/messages/_report.py
@@ -17,7 +17,9 @@
 class Report:
     """State of an agent at the moment of sending.
 
-    ``service_s`` is the mean time in seconds that one attempt holds a slot.
+    ``service_s`` is the mean time in seconds that one attempt holds a slot,
+    ``pace_s`` the same for one piece of an answer, and ``silent_s`` the time
+    since the upstream gave anything while it had work.
     """
 
     host: str
@@ -29,6 +31,8 @@
     queued: int
     slots: int
     service_s: float
+    pace_s: float = 0
+    silent_s: float = 0
     leaving: bool
     generation: int
     digest: str
--- a/packages/model/src/crowrudder_model/messages/_run.py
+++ b/packages/model/src/crowrudder_model/messages/_run.py
@@ -60,8 +60,8 @@
     path: str = ''
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
-    age_s: float = 0
-    """Seconds since the caller's request id was first seen by the entry."""
+    share: float = 0
+    """The part of the slots that is declared for the customer."""
 
 
 @frozen(kw_only=True)
@@ -74,7 +74,10 @@
 
 @frozen(kw_only=True)
 class Cancel:
-    """The owner no longer wants the attempt."""
+    """The owner no longer wants the attempt.
+
+    A call of its own: a stream whose reader was cancelled can't send it.
+    """
 
     key: AttemptKey
 
@@ -85,12 +88,11 @@
 
     attempt: Attempt | None = None
     permit: Permit | None = None
-    cancel: Cancel | None = None
 
     @property
-    def body(self) -> Attempt | Permit | Cancel | None:
+    def body(self) -> Attempt | Permit | None:
         """The message inside."""
-        return self.attempt or self.permit or self.cancel
+        return self.attempt or self.permit
 
 
 @frozen(kw_only=True)
--- a/packages/model/src/crowrudder_model/rpc/__init__.py
+++ b/packages/model/src/crowrudder_model/rpc/__init__.py
@@ -1,10 +1,14 @@
 """The table of remote calls between crowrudder processes."""
 
 from crowrudder_model.rpc._methods import (
+    CANCEL,
     CHUNK,
+    CLAIM,
     EXCHANGE,
     GIVE,
+    HAND_OVER,
     MANIFEST,
+    RELEASE,
     REPORTS,
     RUN,
     SERVICE_NAME,
@@ -16,10 +20,14 @@
 )
 
 __all__ = (
+    'CANCEL',
     'CHUNK',
+    'CLAIM',
     'EXCHANGE',
     'GIVE',
+    'HAND_OVER',
     'MANIFEST',
+    'RELEASE',
     'REPORTS',
     'RUN',
     'SERVICE_NAME',
--- a/packages/model/src/crowrudder_model/rpc/_methods.py
+++ b/packages/model/src/crowrudder_model/rpc/_methods.py
@@ -51,6 +51,7 @@
     messages.RunDown,
     CallKind.DOWN_STREAM,
 )
+CANCEL = Method('Cancel', messages.Cancel, messages.Taken)
 REPORTS = Method(
     'Reports',
     messages.ReportAsk,
@@ -68,3 +69,6 @@
     messages.ChunkPiece,
     CallKind.DOWN_STREAM,
 )
+CLAIM = Method('Claim', messages.ClaimAsk, messages.ClaimReply)
+RELEASE = Method('Release', messages.ReleaseAsk, messages.Taken)
+HAND_OVER = Method('HandOver', messages.HandOver, messages.Taken)
