Requests: two faults found by the state machine; an entry's admission apart

The machine that sends one id through three entries found two runs of one id: - a release freed the claim of another request of the same entry; - the attempts of two requests with one id had the same key, so that a late message of the first could start the second. Seen by a caller: "not run" again and again from a service of one replica.

--- a/packages/core/src/crowrudder_core/requests/_claims.py
+++ b/packages/core/src/crowrudder_core/requests/_claims.py
@@ -78,9 +78,7 @@
         after its release would block the id for the whole window.
         """
         known = self._known(ask.request_id, now)
-        if known is not None and known.owner != ask.owner:
-            return
-        if known is not None and known.serial > ask.serial:
+        if known is not None and not _may_release(known, ask):
             return
         self._records[ask.request_id] = _Record(
             owner=ask.owner,
@@ -144,6 +142,19 @@
     return known.owner == ask.owner and known.serial == ask.serial
 
 
+def _may_release(known: _Record, ask: ReleaseAsk) -> bool:
+    """Only the request that holds an id gives it back.
+
+    A second request of the same owner was refused; its release must not free
+    what the first one still runs.
+    """
+    if known.owner != ask.owner:
+        return False
+    if known.released:
+        return ask.serial > known.serial
+    return ask.serial == known.serial
+
+
 def _is_later(claim: HeldClaim, known: _Record) -> bool:
     return claim.owner != known.owner or claim.serial > known.serial
 
--- a/packages/core/src/crowrudder_core/requests/_ledger.py
+++ b/packages/core/src/crowrudder_core/requests/_ledger.py
@@ -127,9 +127,8 @@
         Where it said that it did not begin (``ran`` false), the id is free:
         the caller is told "not run" and may send it again.
         """
-        if not ran:
-            self.started_ids.pop(key.request_id, None)
-        elif key.request_id in self.started_ids:
+        started = self.started_ids.pop(key.request_id, None)
+        if ran and started is not None:
             self.started_ids[key.request_id] = now
         self._end(self.records[key], Stage.FINISHED, now)
 
--- a/packages/core/src/crowrudder_core/requests/_owner.py
+++ b/packages/core/src/crowrudder_core/requests/_owner.py
@@ -53,6 +53,7 @@
     entry: str = field(kw_only=True)
     idempotent: bool = field(kw_only=True)
     deadline: float = field(kw_only=True)
+    serial: int = field(default=0, kw_only=True)
     holds: dict[AttemptKey, _Hold] = field(factory=dict, init=False)
     closed: Outcome | None = field(default=None, init=False)
     _ran: Outcome | None = field(default=None, init=False)
@@ -63,6 +64,7 @@
             request_id=self.request_id,
             attempt=len(self.holds) + 1,
             entry=self.entry,
+            serial=self.serial,
         )
         self.holds[key] = _Hold.WAITING
         return key
--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -404,6 +404,8 @@
         if key in self._held:
             self._held.discard(key)
             self._advance()
+        else:
+            self._note_load()
 
     async def _run(self, kept: _Kept) -> None:
         began = self._now()
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -45,7 +45,6 @@
     parts: asyncio.Queue[Piece | Ended]
     _task: RequestsTask
     _peers: PeerClient
-    _serial: int
     next_index: int = 0
     version: str = ''
     claim: Claim | None = None
@@ -147,7 +146,7 @@
         self.claim = Claim(
             head.request_id,
             owner=self.owner.entry,
-            serial=self._serial,
+            serial=self.owner.serial,
             addresses=homes_among(
                 head.request_id,
                 self._task.snapshot.members,
--- a/packages/daemon/src/crowrudder_daemon/entry/_links.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_links.py
@@ -92,13 +92,13 @@
     entries = [member.host for member in snapshot.by_role('entry')]
     by_service: defaultdict[str, list[str]] = defaultdict(list)
     agents = {member.host: member for member in snapshot.by_role('agent')}
-    for agent in agents:
-        service = snapshot.placement.get(agent)
-        by_service[service.name if service else ''].append(agent)
+    for name in agents:
+        service = snapshot.placement.get(name)
+        by_service[service.name if service else ''].append(name)
     return LinksWanted(
         tuple(
-            (agent, agents[agent].rpc_address)
+            (known, agents[known].rpc_address)
             for hosts in by_service.values()
-            for agent in sorted(covered(host, entries, hosts))
+            for known in sorted(covered(host, entries, hosts))
         ),
     )
--- a/packages/daemon/src/crowrudder_daemon/entry/_requests.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_requests.py
@@ -6,16 +6,13 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from attrs import evolve, frozen
-
-from crowrudder_core.limits import (
-    ConcurrencyShares,
-    RetryBudget,
-    TokenBucket,
-)
-from crowrudder_core.requests import REMEMBER_S, RequestOwner
+from attrs import frozen
+
+from crowrudder_core.limits import RetryBudget
+from crowrudder_core.requests import RequestOwner
 from crowrudder_core.routing import Need, Router
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.entry._admission import Admission
 from crowrudder_daemon.entry._attempt_call import AgentRef
 from crowrudder_daemon.entry._claims import release_claim
 from crowrudder_daemon.entry._drive import Drive
@@ -31,7 +28,7 @@
     from crowrudder_daemon.entry._links import AgentLost, ReportCame
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient
-    from crowrudder_model.declared import Customer, Service
+    from crowrudder_model.declared import Service
     from crowrudder_model.messages import AttemptKey, Piece, Refusal
 
 SUSPECT_S = 1.0
@@ -39,7 +36,6 @@
 
 CANCEL_TIMEOUT_S = 1.0
 FORGET_EVERY_S = 30.0
-CUSTOMER_RETRY_S = 1.0
 
 
 @frozen
@@ -81,9 +77,7 @@
         self._router = Router(random.Random(runtime.incarnation))
         self._addresses: dict[str, str] = {}
         self._budget = RetryBudget(runtime.cfg.limits.retry_share)
-        self._buckets: dict[Customer, TokenBucket] = {}
-        self._room = ConcurrencyShares(runtime.cfg.limits.max_concurrent)
-        self._seen: dict[str, float] = {}
+        self._admission = Admission(runtime.cfg.limits.max_concurrent)
         self._serial = 0
         self._drives: dict[int, tuple[Drive, asyncio.Task[Any]]] = {}
         self._shown_attempts = runtime.metrics.counter(
@@ -121,17 +115,13 @@
 
     def on_request_came(self, message: RequestCame) -> None:
         """Start a request, or refuse it at once."""
-        refusal = self._refusal(message.req)
-        if refusal is not None:
-            self.note_end(refusal)
-            message.parts.put_nowait(refusal)
-            return
-        req = self._with_floor(message.req)
-        head = req.head
         now = self._now()
-        if not head.idempotent:
-            # A run may last until the deadline; the window comes after it.
-            self._seen[head.request_id] = now + head.budget_s + REMEMBER_S
+        entered = self._enter(message.req, now)
+        if isinstance(entered, Ended):
+            self.note_end(entered)
+            message.parts.put_nowait(entered)
+            return
+        req, head = entered, entered.head
         self._budget.on_first()
         self._serial += 1
         owner = RequestOwner(
@@ -139,6 +129,7 @@
             entry=self._runtime.incarnation,
             idempotent=head.idempotent,
             deadline=now + head.budget_s,
+            serial=self._serial,
         )
         drive = Drive(
             req,
@@ -146,7 +137,6 @@
             message.parts,
             self,
             self._peers,
-            self._serial,
         )
         job = self.spawn(drive.run())
         self._drives[id(message.parts)] = (drive, job)
@@ -165,12 +155,7 @@
 
     def on_forget_old(self, _message: ForgetOld) -> None:
         """Drop ids whose window is over."""
-        now = self._now()
-        self._seen = {
-            request_id: until
-            for request_id, until in self._seen.items()
-            if until > now
-        }
+        self._admission.forget(now=self._now())
 
     def choose(self, need: Need) -> AgentRef | None:
         """Choose an agent for an attempt."""
@@ -231,12 +216,8 @@
         self.spawn(self._cancel(agent, key))
 
     def forget(self, request_id: str, claim: Claim | None) -> None:
-        """Let an id that never ran be used again.
-
-        A caller who is told "not run, try again" sends the same id again; it
-        would be refused for good as already used.
-        """
-        self._seen.pop(request_id, None)
+        """Let an id that never ran be used again, here and elsewhere."""
+        self._admission.free(request_id)
         if claim is not None:
             self.spawn(release_claim(self._peers, claim))
 
@@ -275,55 +256,14 @@
         declaration = bundle.declaration
         return declaration.service_of_model(name) or declaration.service(name)
 
-    def _refusal(self, req: CallerRequest) -> Ended | None:
-        bundle = self.snapshot.bundle
-        if bundle is None:
-            return refused('no_configuration', 503, 1)
+    def _enter(self, req: CallerRequest, now: float) -> CallerRequest | Ended:
         if self.leaving:
             return refused('draining', 503, 1)
-        customer = bundle.declaration.customer(req.head.customer)
-        if customer is None:
-            return refused('unknown_customer', 404)
-        if not customer.may_use(req.service):
-            return refused('not_allowed', 403)
-        if not req.head.idempotent and req.head.request_id in self._seen:
-            return refused('already_used', 409)
-        over = self._over_limit(customer)
-        if over is not None:
-            return over
-        if not self._room.enter(customer.name, share=customer.share):
-            return refused('overloaded', 503, CUSTOMER_RETRY_S)
-        return None
-
-    def _with_floor(self, req: CallerRequest) -> CallerRequest:
-        """Give a customer no better priority than is declared for it."""
-        bundle = self.snapshot.bundle
-        customer = (
-            bundle.declaration.customer(req.head.customer) if bundle else None
-        )
-        floor = customer.priority_floor if customer else 0
-        if req.head.priority >= floor:
-            return req
-        return evolve(req, head=evolve(req.head, priority=floor))
-
-    def _over_limit(self, customer: Customer) -> Ended | None:
-        now = self._now()
-        bucket = self._buckets.get(customer)
-        if bucket is None:
-            bucket = TokenBucket(
-                rate=customer.rate_per_s,
-                burst=float(customer.burst),
-                at=now,
-            )
-            self._buckets[customer] = bucket
-        if bucket.take(1, now=now):
-            return None
-        wait_s = bucket.wait_s(1, now=now)
-        return refused('over_limit', 429, wait_s)
+        return self._admission.enter(req, self.snapshot, now=now)
 
     def _on_done(self, parts: asyncio.Queue[Piece | Ended]) -> None:
         drive, _ = self._drives.pop(id(parts))
-        self._room.leave(drive.req.head.customer)
+        self._admission.leave(drive.req.head.customer)
 
     async def _cancel(self, agent: AgentRef, key: AttemptKey) -> None:
         try:
--- a/packages/daemon/src/crowrudder_daemon/rpc/_server.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_server.py
@@ -33,6 +33,7 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.port = 0
         self._handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {}
         self._server = aio.server(options=SERVER_OPTIONS)
 
@@ -57,7 +58,7 @@
                 ),
             )
         )
-        self._server.add_insecure_port(self.address)
+        self.port = self._server.add_insecure_port(self.address)
         await self._server.start()
 
     async def stop(self, grace_s: float) -> None:
--- a/packages/model/src/crowrudder_model/messages/_run.py
+++ b/packages/model/src/crowrudder_model/messages/_run.py
@@ -19,10 +19,13 @@
 class AttemptKey:
     """Name one attempt at one request.
 
+    ``serial`` counts the requests of the entry: an id that did not run may
+    come again, and its attempts are others than the first ones.
+
     Example
     -------
-    >>> str(AttemptKey(request_id='r1', attempt=2, entry='e1-77'))
-    'r1/2@e1-77'
+    >>> str(AttemptKey(request_id='r1', attempt=2, entry='e1-77', serial=5))
+    'r1/5.2@e1-77'
     """
 
     request_id: str
@@ -30,9 +33,11 @@
     entry: str
     """The incarnation of the entry that owns the request."""
 
+    serial: int = 0
+
     def __str__(self) -> str:
         """Give the short form for logs."""
-        return f'{self.request_id}/{self.attempt}@{self.entry}'
+        return f'{self.request_id}/{self.serial}.{self.attempt}@{self.entry}'
 
 
 @frozen(kw_only=True)
