--- a/scripts/_explore_world.py
+++ b/scripts/_explore_world.py
@@ -318,7 +318,7 @@
                 if flying.note != 'duplicate_message':
                     self.owner.refused(key)
             case Kind.FINAL if _streaming(self.owner, key):
-                self.owner.ended(key)
+                self.owner.ended(key, Outcome.ANSWERED)
                 if self.owner.closed is None:
                     self.owner.close(Outcome.ANSWERED)
 
