--- /dev/null
+++ b/measure/_config_workedout.py
@@ -0,0 +1,105 @@
+"""What the daemon's own choices give at sizes that don't fit one machine."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from crowrudder_core.config import WATCHERS, watchers_of
+from crowrudder_core.membership import neighbours_of
+from crowrudder_model import Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FULL = 2140
+SIZES = (8, 32, 128, FULL)
+DOMAINS = 6
+ROUND_S = 2.0
+WATCH_S = 6.0
+
+
+def show_worked_out(show: Callable[[str, float | str], None]) -> None:
+    """Show hops, and the age of the last reading, from the real choices."""
+    for count in SIZES:
+        members = _members(count)
+        links = _links(members)
+        watchers = _watchers(members)
+        hops, missed = _push(links, watchers, dead=set())
+        show(f'config.worked_out.hops.{count}', hops)
+        show(f'config.worked_out.missed_by_push.{count}', missed)
+    dead = set(random.Random(1).sample(sorted(links), FULL // 3))
+    hops, missed = _push(links, watchers, dead=dead)
+    show(f'config.worked_out.hops.third_dead.{FULL}', hops)
+    show(f'config.worked_out.missed_by_push.third_dead.{FULL}', missed)
+    show(f'config.worked_out.read_age_s.{FULL}', _oldest_age(links, watchers))
+    calls = 2 * len(watchers) / WATCH_S
+    show(f'config.worked_out.platform_calls_per_s.idle.{FULL}', calls)
+    show(
+        f'config.worked_out.platform_calls_per_s.after_change.{FULL}',
+        calls + len(watchers),
+    )
+
+
+def _members(count: int) -> tuple[Member, ...]:
+    return tuple(
+        Member(
+            f'host-{number:04}',
+            'entry',
+            '127.0.0.1',
+            failure_domain=f'domain-{number % DOMAINS}',
+        )
+        for number in range(count)
+    )
+
+
+def _links(members: tuple[Member, ...]) -> dict[str, list[str]]:
+    hosts = [member.host for member in members]
+    return {host: neighbours_of(host, hosts) for host in hosts}
+
+
+def _watchers(members: tuple[Member, ...]) -> set[str]:
+    return {
+        host
+        for number in range(DOMAINS)
+        for host in watchers_of(f'domain-{number}', members)[:WATCHERS]
+    }
+
+
+def _push(
+    links: dict[str, list[str]],
+    starts: set[str],
+    *,
+    dead: set[str],
+) -> tuple[int, int]:
+    """Follow a push from the watchers; hops, and hosts that it misses."""
+    front = starts - dead
+    seen, hops = set(front), 0
+    while front:
+        told = {peer for host in front for peer in links[host]}
+        front = told - seen - dead
+        seen |= front
+        hops += bool(front)
+    return hops, len(links) - len(dead) - len(seen)
+
+
+def _oldest_age(links: dict[str, list[str]], watchers: set[str]) -> float:
+    """Let the ages travel with exchanges for a while; the oldest in force.
+
+    One exchange of each host in each round, with a random neighbour; both
+    sides have the younger age after it. A watcher reads every `WATCH_S`.
+    """
+    rng = random.Random(2)
+    ages = dict.fromkeys(links, 0.0)
+    oldest = 0.0
+    for turn in range(60):
+        for host in ages:
+            ages[host] += ROUND_S
+        for host in watchers:
+            ages[host] = min(ages[host], rng.uniform(0, WATCH_S))
+        for host in rng.sample(sorted(links), len(links)):
+            peer = rng.choice(links[host])
+            ages[host] = ages[peer] = min(ages[host], ages[peer])
+        if turn > 30:
+            oldest = max(oldest, *ages.values())
+    return oldest
--- a/packages/core/src/crowrudder_core/config/__init__.py
+++ b/packages/core/src/crowrudder_core/config/__init__.py
@@ -13,12 +13,14 @@
     order_of,
 )
 from crowrudder_core.config._reading import (
+    WATCHERS,
     PlatformReading,
     ReadingMode,
     watchers_of,
 )
 
 __all__ = (
+    'WATCHERS',
     'Accepted',
     'ConfigBook',
     'ConfigOrder',
--- a/packages/core/src/crowrudder_core/config/_reading.py
+++ b/packages/core/src/crowrudder_core/config/_reading.py
@@ -22,7 +22,7 @@
 SILENCE_S = 6.0
 """Without a word from any peer for so long, a process reads for itself."""
 
-STALE_S = 15.0
+STALE_S = 20.0
 """Without a sign that anyone still reads the platform, others step in."""
 
 STEP_S = 2.0
--- a/packages/daemon/src/crowrudder_daemon/rpc/_options.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_options.py
@@ -32,5 +32,6 @@
     ('grpc.keepalive_timeout_ms', KEEPALIVE_TIMEOUT_MS),
     ('grpc.http2.min_ping_interval_without_data_ms', 1000),
     ('grpc.http2.max_ping_strikes', 0),
-    ('grpc.keepalive_permit_without_calls', 1),
+    # Pings on idle connections would be half of a process's traffic at rest.
+    ('grpc.keepalive_permit_without_calls', 0),
 )
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -86,6 +86,11 @@
         """Whether it has been started and hasn't ended."""
         return self._child is not None and self._child.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """The id of the child process; 0 where it wasn't started."""
+        return 0 if self._child is None else self._child.pid
+
     @property
     def exit_code(self) -> int | None:
         """The code with which it ended; negative for a signal."""
