--- a/packages/client/src/crowrudder_client/_status.py
+++ b/packages/client/src/crowrudder_client/_status.py
@@ -13,6 +13,16 @@
     revision: int = 0
 
 
+@frozen
+class LostBundle:
+    """A published bundle that another operator's bundle beat."""
+
+    digest: str = ''
+    generation: int = 0
+    parent: str = ''
+    winner: str = ''
+
+
 @frozen
 class Status:
     """What a process says of itself.
@@ -28,6 +38,7 @@
     digest: str | None = ''
     in_force_since: float | str | None = None
     refused: RefusedBundle | None = None
+    lost: LostBundle | None = None
     leaving: bool = False
     service: str | None = ''
     declared_version: str | None = ''
--- a/packages/client/src/crowrudder_client/_status_text.py
+++ b/packages/client/src/crowrudder_client/_status_text.py
@@ -43,6 +43,7 @@
     parts = [
         _host_table(verdict),
         *_refusals(verdict),
+        *_losses(verdict),
         f'in the declared state: {word}, {done} of {len(counted)} hosts, '
         f'bundle {verdict.digest or "none"}',
     ]
@@ -94,5 +95,16 @@
     ]
 
 
+def _losses(verdict: Verdict) -> list[str]:
+    """Name each bundle that lost a race, and what its operator does now."""
+    losses = Counter(row.lost for row in verdict.hosts if row.lost)
+    return [
+        f'bundle {lost.digest} of generation {lost.generation} lost to '
+        f'{lost.winner}, as {count} hosts saw: whoever published it takes the '
+        "winner's change over and publishes a higher generation"
+        for lost, count in losses.items()
+    ]
+
+
 def _share(share: float | None) -> str:
     return '' if share is None else f'{share:.0%}'
--- a/packages/client/src/crowrudder_client/_verdict.py
+++ b/packages/client/src/crowrudder_client/_verdict.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from crowrudder_client._status import Status
+from crowrudder_client._status import LostBundle, Status
 from crowrudder_model._member import Member
 from crowrudder_model.declared import Bundle, Declaration, Service
 
@@ -46,6 +46,7 @@
     # Of a published value that can't come into force; no hindrance to the
     # bundle that is.
     refused: str = ''
+    lost: LostBundle | None = None
 
     @property
     def is_counted(self) -> bool:
@@ -168,6 +169,7 @@
         progress=answer.progress,
         hinders=hinders,
         refused=answer.refused.reason if answer.refused else '',
+        lost=answer.lost,
     )
 
 
--- a/tests/client/test_verdict.py
+++ b/tests/client/test_verdict.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 
-from crowrudder_client._status import RefusedBundle, Status
+from crowrudder_client._status import LostBundle, RefusedBundle, Status
 from crowrudder_client._status_text import text_of
 from crowrudder_client._verdict import Answer, Unreached, judge, newest
 from crowrudder_model._member import Member
@@ -135,3 +135,27 @@
             Unreached('gone'),
         ]
         assert newest(answers) == 'b'
+
+
+class TestRaces:
+    """Two operators published at once; one of them must publish again.
+
+    Symptom: a change was accepted and had no effect, and nobody was told.
+    Cause: `status` showed the bundle in force only.
+    """
+
+    def test_names_the_bundle_that_lost_once_and_what_to_do(self):
+        lost = LostBundle('b' * 64, 4, 'a' * 64, BUNDLE.digest)
+        answers = {
+            **DONE,
+            'a': evolve(DONE['a'], lost=lost),
+            'b': evolve(DONE['b'], lost=lost),
+        }
+        verdict = judge(
+            BUNDLE.digest, members=MEMBERS, answers=answers, bundle=BUNDLE
+        )
+        text = text_of(verdict)
+        assert verdict.is_declared
+        assert text.count('b' * 64) == 1
+        assert f'lost to {BUNDLE.digest}, as 2 hosts saw' in text
+        assert 'publishes a higher generation' in text
