--- a/packages/core/src/crowrudder_core/requests/_ledger.py
+++ b/packages/core/src/crowrudder_core/requests/_ledger.py
@@ -52,9 +52,9 @@
 
     Example
     -------
-    >>> ledger = AgentLedger()
-    >>> ledger.receive(attempt, now=0.0) is None
-    True
+    >>> key = AttemptKey(request_id='r1', attempt=1, entry='e1')
+    >>> AgentLedger().settle(key, now=0.0)
+    <SettledState.NEVER_STARTS: 'never_starts'>
     """
 
     records: dict[AttemptKey, Record] = field(factory=dict, init=False)
