--- a/scripts/_experiment_faults.py
+++ b/scripts/_experiment_faults.py
@@ -16,6 +16,7 @@
     PlatformFault,
     Publish,
     Restart,
+    Roll,
     Step,
 )
 from _fleet import FleetError, until
@@ -83,11 +84,14 @@
             case Kill():
                 await self._kill(step)
             case Restart():
-                await self._restart(step)
+                await self._start(step.target)
             case Freeze():
                 await self._freeze(step)
             case Drain():
-                await self._drain(step)
+                await self._drain(step.target)
+            case Roll():
+                await self._drain(step.target)
+                await self._start(step.target)
             case EngineFault():
                 await self._engine_fault(step)
             case PlatformFault():
@@ -122,8 +126,8 @@
         for host in hosts:
             await self._fleet.unlist_member(host)
 
-    async def _restart(self, step: Restart) -> None:
-        for host in hosts_of(self._fleet.hosts, step.target):
+    async def _start(self, target: str) -> None:
+        for host in hosts_of(self._fleet.hosts, target):
             if host.upstream is not None and not host.upstream.process.running:
                 host.upstream.process.start()
             if not host.process.running:
@@ -140,12 +144,12 @@
         for host in hosts:
             host.process.thaw()
 
-    async def _drain(self, step: Drain) -> None:
-        hosts = hosts_of(self._fleet.hosts, step.target)
+    async def _drain(self, target: str) -> None:
+        hosts = hosts_of(self._fleet.hosts, target)
         codes = await self._fleet.drain(hosts)
         bad = {name: code for name, code in codes.items() if code != 0}
         if bad:
-            raise FleetError('drain', step.target, f'exit codes {bad}')
+            raise FleetError('drain', target, f'exit codes {bad}')
 
     async def _engine_fault(self, step: EngineFault) -> None:
         agent = step.target.replace('engine', 'agent')
--- a/scripts/_experiment_plan.py
+++ b/scripts/_experiment_plan.py
@@ -141,6 +141,15 @@
     target: str = ini(target())
 
 
+@frozen(kw_only=True)
+class Roll:
+    """The daemons of hosts are told to leave, and are started again."""
+
+    name: str
+    at_s: float = ini(_AT)
+    target: str = ini(target())
+
+
 @frozen(kw_only=True)
 class EngineFault:
     """An engine misbehaves for `lasts_s` seconds."""
@@ -174,12 +183,22 @@
     within_s: float = ini(_AT)
 
 
-Step = Kill | Restart | Freeze | Drain | EngineFault | PlatformFault | Publish
+Step = (
+    Kill
+    | Restart
+    | Freeze
+    | Drain
+    | Roll
+    | EngineFault
+    | PlatformFault
+    | Publish
+)
 _STEPS: dict[str, type[Step]] = {
     'kill': Kill,
     'restart': Restart,
     'freeze': Freeze,
     'drain': Drain,
+    'roll': Roll,
     'engine': EngineFault,
     'platform': PlatformFault,
     'publish': Publish,
@@ -273,7 +292,7 @@
     for step in steps:
         section = f'fault:{step.name}'
         match step:
-            case Kill() | Restart() | Freeze() | Drain():
+            case Kill() | Restart() | Freeze() | Drain() | Roll():
                 known = fleet.hosts()
                 named = step.target
             case EngineFault():
--- a/scripts/_load_summary.py
+++ b/scripts/_load_summary.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 
@@ -11,6 +12,7 @@
 from _load_run import CallResult
 from attrs import frozen
 
+_CODE = re.compile(r'[\'"]code[\'"]: ?[\'"](\w+)')
 OUTCOMES = (
     'answered',
     'not_run',
@@ -118,7 +120,10 @@
 
 @frozen(kw_only=True)
 class Summary:
-    """All figures of a run."""
+    """All figures of a run.
+
+    `codes` counts the last answers that weren't good, by outcome and code.
+    """
 
     seed: int
     total: Group
@@ -128,6 +133,7 @@
     flaws: FlawCounts
     never_ended: int
     versions: dict[str, int]
+    codes: dict[str, int]
 
     def group(self, phase: str = '', customer: str = '') -> Group | None:
         """Find a phase, a customer, a customer in a phase, or the total."""
@@ -170,6 +176,7 @@
         flaws=_flaws(answers),
         never_ended=sum(one.never_ended for one in results),
         versions=_versions(answers),
+        codes=_codes(results),
     )
 
 
@@ -203,6 +210,24 @@
     )
 
 
+def _codes(results: Iterable[CallResult]) -> dict[str, int]:
+    counts = Counter(
+        f'{each.outcome} {code_of(each.answer)}'.strip()
+        for each in results
+        if each.answer is not None and each.outcome != 'answered'
+    )
+    return dict(sorted(counts.items()))
+
+
+def code_of(answer: Answer) -> str:
+    """Give the code in an error's text; empty where there is none.
+
+    It stands there as JSON, or as a stream's last event was decoded.
+    """
+    found = _CODE.search(answer.detail)
+    return found[1] if found else ''
+
+
 def _versions(answers: Iterable[Answer]) -> dict[str, int]:
     counts = Counter(
         version
--- a/scripts/_load_text.py
+++ b/scripts/_load_text.py
@@ -41,6 +41,7 @@
     return [
         *aligned([_HEAD, *(_row(group) for group in groups)]),
         f'answers by version: {summary.versions}',
+        f'others by code: {summary.codes}',
         f'broken_off={flaws.broken_off} truncated={flaws.truncated} '
         f'mixed={flaws.mixed} crossed={flaws.crossed} '
         f'overdue={summary.total.overdue} seed={summary.seed}',
--- a/tests/scripts/test_load.py
+++ b/tests/scripts/test_load.py
@@ -16,7 +16,7 @@
     pause_before_resend,
     require_loopback,
 )
-from _load_summary import Quantiles, summarize
+from _load_summary import Quantiles, code_of, summarize
 from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
@@ -224,6 +224,17 @@
 
 
 class TestSummary:
+    @pytest.mark.parametrize(
+        ('detail', 'code'),
+        [
+            ('{"error":{"code":"overloaded"}}', 'overloaded'),
+            ("{'code': 'internal', 'message': 'x'}", 'internal'),
+            ('HTTP 599', ''),
+        ],
+    )
+    def test_code_of_an_error(self, detail, code):
+        assert code_of(evolve(BUSY, detail=detail)) == code
+
     def test_quantiles_are_nearest_ranks(self):
         of_100 = Quantiles.of(float(number) for number in range(1, 101))
         assert (of_100.p50, of_100.p95, of_100.p99) == (50, 95, 99)
@@ -249,5 +260,6 @@
         assert group.outcomes[NO_ANSWER] == 1
         assert (group.goodput_per_s, group.good_share) == (0.5, 0.25)
         assert summary.flaws.false_claims == 1
+        assert summary.codes == {'no_answer': 1}
         assert summary.flaws.broken_off == 1
         assert [each.requests for each in summary.phases] == [4, 0]
