--- a/packages/daemon/src/crowrudder_daemon/entry/_admission.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_admission.py
@@ -40,7 +40,8 @@
         """Take a request in, with the priority it may have, or refuse it."""
         head = req.head
         bundle = snapshot.bundle
-        if bundle is None:
+        # Without a service it was read before the first bundle came.
+        if bundle is None or not req.service:
             return refused('no_configuration', 503, RETRY_S)
         customer = bundle.declaration.customer(head.customer)
         if customer is None:
--- a/tests/daemon/test_entry_refusals.py
+++ b/tests/daemon/test_entry_refusals.py
@@ -8,10 +8,15 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
+from crowrudder_daemon.entry._admission import Admission
+from crowrudder_daemon.entry._caller_request import CallerRequest, CallHead
 from crowrudder_daemon.entry._handlers import make_application
+from crowrudder_daemon.entry._parts import Ended
 from crowrudder_daemon.entry._requests import RequestsTask
+from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_daemon.process import Runtime
 from crowrudder_daemon.rpc import PeerClient
+from crowrudder_model.declared import Customer, Declaration, bundle_of
 from support.aio import run
 from support.settings import entry_settings
 
@@ -57,3 +62,26 @@
         code = json.loads(answer.body)['error']['code']
         assert (answer.code, code) == (503, 'no_configuration')
         assert answer.headers['X-Outcome'] == 'not_run'
+
+    def test_bundle_that_comes_between(self):
+        """The first bundle comes while the first requests are taken in.
+
+        Symptom: a customer got 403 `not_allowed` for a service of its own.
+        Sequence: a request is read before the entry has a bundle, and is
+        admitted after.
+        Cause: it had no service, which no customer may use.
+        """
+        customer = Customer('c', services=('portal',))
+        bundle = bundle_of(Declaration(generation=1, customers=(customer,)))
+        head = CallHead(
+            request_id='r1',
+            customer='c',
+            budget_s=1,
+            idempotent=False,
+            priority=5,
+        )
+        req = CallerRequest(head=head, service='')
+        ended = Admission(1).enter(req, Snapshot(bundle=bundle), now=0)
+        assert isinstance(ended, Ended)
+        assert (ended.http_status, ended.code) == (503, 'no_configuration')
+        assert ended.retry_after_s > 0
