Hostile callers: each bad call gets its own error

Cause: bad input was tried on the parsers, not on an entry's socket. 36 calls over plain sockets (no HTTP, cut, odd headers, bodies and paths) found four answers that http.md doesn't allow; the new test failed with all four:

- a method that isn't served: 405, but `unknown`, "an error inside the entry", as tornado asks the handler for the text and it knew faults only;
- an unknown path: no `X-Request-Id`;
- an adapter that isn't declared: 503 with `Retry-After`, for ever;
- a plain service named as the model: taken for a model, then 503.

Change: 405 and 404 with `not_run`; an answer shows the caller's id also where another header is wrong.

Not mended: a body over `max_body_bytes` gets a bare 400 of tornado's, where http.md says 413 with `not_run`.

--- a/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
@@ -87,6 +87,16 @@
         return f'{self.completion.adapter}|{start}'
 
 
+def shown_id(headers: Mapping[str, str]) -> str:
+    """Give the id for an answer: the caller's if it can be one, or a new one.
+
+    >>> shown_id({'X-Request-Id': 'r1'})
+    'r1'
+    """
+    given_id = headers.get('X-Request-Id', '')
+    return given_id if _ID.fullmatch(given_id) else uuid.uuid4().hex
+
+
 def parse_head(headers: Mapping[str, str], *, default_s: float) -> CallHead:
     """Read the headers of a call.
 
--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -17,6 +17,7 @@
     PlainCall,
     parse_completion,
     parse_head,
+    shown_id,
 )
 from crowrudder_daemon.entry._parts import Ended
 from crowrudder_daemon.entry._requests import CallerLost, RequestCame
@@ -24,12 +25,15 @@
 from crowrudder_model.messages import Piece
 
 if TYPE_CHECKING:
+    from crowrudder_daemon.entry._caller_request import CompletionBody
     from crowrudder_daemon.entry._requests import RequestsTask
     from crowrudder_daemon.process import Runtime
+    from crowrudder_model.declared import Service
 
 KEEP_S = 30
 PASSED_ON = frozenset(('content-type', 'accept', 'accept-language'))
 PLAIN_ANSWER_HEADERS = frozenset(('content-type',))
+METHOD_NOT_ALLOWED = 405
 PLAIN_METHODS = ('GET', 'POST', 'PUT', 'DELETE', 'PATCH')
 
 
@@ -56,9 +60,13 @@
 
     def prepare(self) -> None:
         """Refuse."""
+        request_id = shown_id(self.request.headers)
         self.set_status(404)
         self.set_header('X-Outcome', Outcome.NOT_RUN.value)
-        self.finish(_error_body('not_found', 'no such path', 'not_run', ''))
+        self.set_header('X-Request-Id', request_id)
+        self.finish(
+            _error_body('not_found', 'no such path', 'not_run', request_id),
+        )
 
 
 class EntriesHandler(RequestHandler):
@@ -91,13 +99,16 @@
         self._runtime = runtime
         self._requests = requests
         self._parts: asyncio.Queue[Piece | Ended] = asyncio.Queue()
-        self._request_id = ''
+        self._request_id = shown_id(self.request.headers)
 
     def on_connection_close(self) -> None:
         self._requests.post(CallerLost(self._parts))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer a fault of this process; what ran is not known."""
+        if status_code == METHOD_NOT_ALLOWED:
+            self._refuse(_wrong_method(self.request.method))
+            return
         self._finish_ended(
             Ended(
                 outcome=Outcome.UNKNOWN,
@@ -177,12 +188,8 @@
         head = self._head()
         completion = parse_completion(self.request.body)
         service = self._requests.service_of(completion.model)
-        if service is None and self._requests.snapshot.bundle is not None:
-            raise BadRequestError(
-                f'no model {completion.model[:64]!r}',
-                status=404,
-                code='unknown_model',
-            )
+        if self._requests.snapshot.bundle is not None:
+            _require_known(completion, service)
         return CallerRequest(
             head=head,
             service=service.name if service else '',
@@ -280,6 +287,30 @@
         )
 
 
+def _require_known(completion: CompletionBody, service: Service | None) -> None:
+    """Refuse what no engine is declared to serve; a retry wouldn't help."""
+    if service is None or not service.is_engine:
+        raise BadRequestError(
+            f'no model {completion.model[:64]!r}',
+            status=404,
+            code='unknown_model',
+        )
+    if completion.adapter and completion.adapter not in service.adapters:
+        raise BadRequestError(
+            f'no adapter {completion.adapter[:64]!r} of this model',
+            status=404,
+            code='unknown_adapter',
+        )
+
+
+def _wrong_method(method: str | None) -> BadRequestError:
+    return BadRequestError(
+        f'{method} is not served here',
+        status=METHOD_NOT_ALLOWED,
+        code='wrong_method',
+    )
+
+
 def _token_event(piece: Piece) -> bytes:
     payload = msgspec.json.encode({'index': piece.index, 'text': piece.text})
     return b'event: token\ndata: ' + payload + b'\n\n'
--- a/scripts/_experiment_faults.py
+++ b/scripts/_experiment_faults.py
@@ -6,12 +6,14 @@
 import time
 from typing import TYPE_CHECKING
 
+from _caller import EntryAddress
 from _chaos import Ending, excused
 from _declare import Weights
 from _experiment_plan import (
     Drain,
     EngineFault,
     Freeze,
+    Hostile,
     Kill,
     PlatformFault,
     Publish,
@@ -19,7 +21,8 @@
     Roll,
     Step,
 )
-from _fleet import FleetError, until
+from _fleet import LOOPBACK, FleetError, until
+from _hostile import misses_of
 from attrs import define, evolve, field
 
 if TYPE_CHECKING:
@@ -96,6 +99,8 @@
                 await self._engine_fault(step)
             case PlatformFault():
                 await self._switch(self._fleet.platform, step)
+            case Hostile():
+                await self._hostile(step)
             case Publish():
                 await self._publish(step)
 
@@ -165,6 +170,18 @@
         if outside.process.running:
             await self._fleet.fault(outside, step.fault, on=False)
 
+    async def _hostile(self, step: Hostile) -> None:
+        addresses = [
+            EntryAddress(entry.name, LOOPBACK, int(entry.member['http_port']))
+            for entry in self._fleet.entries
+        ]
+        misses = await asyncio.gather(
+            *(misses_of(address, step.lasts_s) for address in addresses)
+        )
+        found = sorted({miss for each in misses for miss in each})
+        if found:
+            raise FleetError('hostile', 'entries', '; '.join(found))
+
     async def _publish(self, step: Publish) -> None:
         self._seed += 1
         weights = Weights(step.version, seed=self._seed)
--- a/scripts/_experiment_plan.py
+++ b/scripts/_experiment_plan.py
@@ -173,6 +173,15 @@
     amount: float = ini(_AT, default=0.0)
 
 
+@frozen(kw_only=True)
+class Hostile:
+    """Every entry gets malformed and stalling calls for `lasts_s` seconds."""
+
+    name: str
+    at_s: float = ini(_AT)
+    lasts_s: float = ini(_AT)
+
+
 @frozen(kw_only=True)
 class Publish:
     """A new version is declared; every engine has it within `within_s`."""
@@ -191,6 +200,7 @@
     | Roll
     | EngineFault
     | PlatformFault
+    | Hostile
     | Publish
 )
 _STEPS: dict[str, type[Step]] = {
@@ -201,6 +211,7 @@
     'roll': Roll,
     'engine': EngineFault,
     'platform': PlatformFault,
+    'hostile': Hostile,
     'publish': Publish,
 }
 FIGURES = (
--- /dev/null
+++ b/tests/fuzz/test_edges.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from _caller import EntryAddress
+from _hostile import HostileAnswer, HostileCall, hostile_calls, play
+from attrs import evolve
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from crowrudder_daemon.entry._handlers import make_application
+from crowrudder_daemon.entry._requests import SnapshotCame
+from crowrudder_daemon.knowledge import Snapshot
+from crowrudder_model.declared import Customer, Service, bundle_of
+from support.aio import run
+from support.path import BUNDLE, Path
+
+DECLARED = BUNDLE.declaration
+SNAPSHOT = Snapshot(
+    bundle_of(
+        evolve(
+            DECLARED,
+            services=(*DECLARED.services, Service('portal', kind='plain')),
+            customers=(
+                Customer('breeder-portal', services=('listing', 'portal')),
+            ),
+        )
+    )
+)
+CALL = HostileCall(name='n', payload=b'')
+ERROR = b'{"error":{"code":"c","message":"m","outcome":"o","request_id":"r"}}'
+REFUSED = HostileAnswer(
+    call=CALL,
+    status=400,
+    headers={'x-outcome': 'not_run', 'x-request-id': 'r'},
+    body=ERROR,
+)
+
+
+async def misses() -> list[str]:
+    """Send all calls to one entry at once."""
+    async with Path(agents=0) as path:
+        (entry,) = path.entries
+        entry.requests.post(SnapshotCame(SNAPSHOT))
+        await asyncio.sleep(0)
+        server = HTTPServer(
+            make_application(entry.runtime, entry.requests),
+            max_body_size=entry.runtime.cfg.limits.max_body_bytes,
+        )
+        sockets = bind_sockets(0, '127.0.0.1')
+        server.add_sockets(sockets)
+        address = EntryAddress('e', *sockets[0].getsockname())
+        answers = await asyncio.gather(
+            *(play(address, call) for call in hostile_calls())
+        )
+        server.stop()
+        await server.close_all_connections()
+    return [answer.miss() for answer in answers if answer.miss()]
+
+
+class TestHostileCalls:
+    """Symptom: callers were told of faults inside the entry, or nothing.
+
+    Sequence: a method that isn't served gave 405 with the outcome `unknown`;
+    an unknown path no `X-Request-Id`; an adapter that isn't declared 503, so
+    that its caller tries for ever; a plain service named as the model was
+    taken for one.
+    Cause: each was left to a default that is made for something else.
+    """
+
+    def test_each_gets_its_own_error(self):
+        assert run(misses()) == []
+
+
+class TestCheck:
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            evolve(REFUSED, status=500),
+            evolve(REFUSED, status=0),
+            evolve(REFUSED, hung=True),
+            evolve(REFUSED, headers={'x-outcome': 'not_run'}),
+            evolve(REFUSED, headers={'x-request-id': 'r'}),
+            evolve(REFUSED, body=b'[]'),
+            evolve(REFUSED, body=ERROR.replace(b'code', b'cod')),
+        ],
+    )
+    def test_finds_what_is_missing(self, answer):
+        assert REFUSED.miss() == ''
+        assert answer.miss().startswith('n: ')
