Entry: a body over the limit gets 413 with its outcome

Cause: tornado checks `Content-Length` below the handlers and answers a bare 400. http.md promises 413 with `not_run`; the caller learned neither that nothing ran nor what is allowed.

Ruled out: a limit of tornado's above ours, with the check in the handler, which buffers what is refused and only moves the bare 400 up; reading bodies as streams, which changes every handler.

Change: a gate before the application looks at the announced length, answers and drops what still comes for 2 s at most, as an early close would reset the connection and lose the answer. A body in chunks over the limit still gets 400.

Red before: test_edges (`oversized body: answered 400`) and the experiment hostile-callers with the same line.

--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -9,6 +9,7 @@
 from crowrudder_daemon.entry._handlers import make_application
 from crowrudder_daemon.entry._links import LinksTask, links_of
 from crowrudder_daemon.entry._requests import RequestsTask, SnapshotCame
+from crowrudder_daemon.entry._size_gate import SizeGate
 from crowrudder_daemon.knowledge import KnowledgeTask, Snapshot
 from crowrudder_daemon.rpc import PeerClient, PeerServer
 
@@ -39,7 +40,10 @@
         self.requests = RequestsTask(runtime, self._peers)
         self.links = LinksTask(runtime, self._peers, self.requests)
         self._http = HTTPServer(
-            make_application(runtime, self.requests),
+            SizeGate(
+                make_application(runtime, self.requests),
+                most_bytes=limits.max_body_bytes,
+            ),
             max_body_size=limits.max_body_bytes,
             max_buffer_size=limits.max_body_bytes + 65_536,
             idle_connection_timeout=IDLE_CONNECTION_S,
--- a/scripts/_hostile.py
+++ b/scripts/_hostile.py
@@ -175,10 +175,13 @@
             b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
             b'Transfer-Encoding: chunked\r\n\r\nzz\r\n'
         ),
-        'oversized body': _post('/v1/completions', b'x' * _OVERSIZE),
     }
     for name, payload in payloads.items():
         yield HostileCall(name=name, payload=payload, may_close=True)
+    oversized = _post('/v1/completions', b'x' * _OVERSIZE)
+    yield HostileCall(
+        name='oversized body', payload=oversized, allowed=frozenset((413,))
+    )
 
 
 def _bad_headers(good: bytes) -> Iterator[HostileCall]:
--- a/tests/fuzz/test_edges.py
+++ b/tests/fuzz/test_edges.py
@@ -11,6 +11,7 @@
 
 from crowrudder_daemon.entry._handlers import make_application
 from crowrudder_daemon.entry._requests import SnapshotCame
+from crowrudder_daemon.entry._size_gate import SizeGate
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_model.declared import Customer, Service, bundle_of
 from support.aio import run
@@ -44,9 +45,11 @@
         (entry,) = path.entries
         entry.requests.post(SnapshotCame(SNAPSHOT))
         await asyncio.sleep(0)
+        most_bytes = entry.runtime.cfg.limits.max_body_bytes
+        application = make_application(entry.runtime, entry.requests)
         server = HTTPServer(
-            make_application(entry.runtime, entry.requests),
-            max_body_size=entry.runtime.cfg.limits.max_body_bytes,
+            SizeGate(application, most_bytes=most_bytes),
+            max_body_size=most_bytes,
         )
         sockets = bind_sockets(0, '127.0.0.1')
         server.add_sockets(sockets)
@@ -65,7 +68,7 @@
     Sequence: a method that isn't served gave 405 with the outcome `unknown`;
     an unknown path no `X-Request-Id`; an adapter that isn't declared 503, so
     that its caller tries for ever; a plain service named as the model was
-    taken for one.
+    taken for one. A body over `max_body_bytes` gave a bare 400.
     Cause: each was left to a default that is made for something else.
     """
 
