Weights: the link is taken by bytes that came; knowledge rides on chunks

A read reserved the link before its source had said yes, so every busy source cost a chunk of it; and with chunks of 42 ms each agent asked its neighbours 24 times a second, 4 cores in all.

Ruled out: the uplink's bucket (it queues only what is sent), the share for live requests (the first release, without any, had the same rate).

Change: pieces take the link as they come and hold up the next ones; asks and pieces carry what their hosts hold, and questions apart come five times a second at most.

Tests that were red with the old rules put back: the reserved bytes after five refusals, and the slot that is held until the last piece is out.

Measurement: `make measure ARGS=weights` runs it all.

--- /dev/null
+++ b/measure/_weights_processes.py
@@ -0,0 +1,210 @@
+"""A new version on real agent processes, while live requests run.
+
+24 agents with their engines on loopback; links and origin are limited by the
+agents' buckets and the origin stand-in's rate.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+sys.path.insert(0, str(Path(__file__).parent.parent / 'scripts'))
+
+from _caller import Caller, Request
+from _declare import Declared, Weights
+from _fleet import Fleet, FleetPlan, until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+AGENTS = 24
+LINK_BYTES_PER_S = 3 << 19
+CHUNK_BYTES = 128 << 10
+CHUNKS = 128
+FIRST_CHUNKS = 8
+SIZE = CHUNK_BYTES * CHUNKS
+BOUND_S = SIZE / LINK_BYTES_PER_S
+REQUESTS_PER_S = 20
+CALM_S = 8.0
+WARM_S = 2.0
+LONGEST_S = 60
+POLL_S = 0.1
+TAIL = 0.95
+
+
+@frozen
+class Figures:
+    """What one run gave; times in seconds."""
+
+    loaded_s: float
+    origin_copies: float
+    calm_p95_s: float
+    burst_p95_s: float
+    transfer_p95_s: float
+    held_s: float
+    answers: int
+    whole: int
+
+
+def measure() -> Figures:
+    """Run the fleet once."""
+    with tempfile.TemporaryDirectory() as directory:
+        return asyncio.run(_run(Path(directory)))
+
+
+async def _run(directory: Path) -> Figures:
+    plan = FleetPlan(
+        engines=AGENTS,
+        plains=0,
+        origin_rate=2 * LINK_BYTES_PER_S,
+        link_bytes_per_s=LINK_BYTES_PER_S,
+    )
+    fleet = Fleet(plan, directory)
+    try:
+        return await _measure(fleet, Declared.from_example(directory / 'in'))
+    finally:
+        fleet.close()
+
+
+async def _measure(fleet: Fleet, declared: Declared) -> Figures:
+    await fleet.start()
+    declared.set_replicas(AGENTS)
+    await _release(
+        fleet, declared, _version('listing-v1', seed=1, chunks=FIRST_CHUNKS)
+    )
+    load = _Load(fleet)
+    await load.run_for(WARM_S)
+    load.times.clear()
+    await load.run_for(CALM_S)
+    calm = load.tail()
+    load.times.clear()
+    burst = asyncio.create_task(load.run_for(LONGEST_S))
+    version = _version('listing-v2', seed=2)
+    began = time.monotonic()
+    held_s, took_s = await _release(fleet, declared, version)
+    load.ends = True
+    await burst
+    books = await fleet.books(fleet.origin)
+    load.close()
+    return Figures(
+        loaded_s=took_s,
+        origin_copies=float(books['versions']['listing-v2']['copies']),
+        calm_p95_s=calm,
+        burst_p95_s=load.tail(),
+        transfer_p95_s=load.tail(until=began + held_s),
+        held_s=held_s,
+        answers=len(load.caller.answers),
+        whole=sum(answer.whole for answer in load.caller.answers),
+    )
+
+
+def _version(name: str, *, seed: int, chunks: int = CHUNKS) -> Weights:
+    return Weights(
+        name,
+        seed=seed,
+        stored=False,
+        size=CHUNK_BYTES * chunks,
+        chunk_bytes=CHUNK_BYTES,
+    )
+
+
+async def _release(
+    fleet: Fleet,
+    declared: Declared,
+    weights: Weights,
+) -> tuple[float, float]:
+    """Publish; give the seconds until all hold it, and until all load it."""
+    await declared.publish(fleet, weights)
+    began = time.monotonic()
+    held: list[float] = []
+
+    async def is_loaded() -> bool:
+        agents = fleet.engine_agents
+        states = [await fleet.status(agent) for agent in agents]
+        if not held and all(_holds(each, weights.version) for each in states):
+            held.append(time.monotonic() - began)
+        await asyncio.sleep(POLL_S)
+        return all(
+            each and each['loaded_version'] == weights.version
+            for each in states
+        )
+
+    await until(is_loaded, step=weights.version, timeout_s=LONGEST_S)
+    return held[0], time.monotonic() - began
+
+
+def _holds(status: Any, version: str) -> bool:
+    """Tell whether an agent holds every chunk, or has loaded them."""
+    return bool(
+        status
+        and status['declared_version'] == version
+        and status['progress'] == 1
+    )
+
+
+class _Load:
+    """Requests at a steady rate, whatever the answers take."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        entry = fleet.entries[0].member
+        url = f'http://{entry["address"]}:{entry["http_port"]}'
+        self.caller = Caller(url, seed=1)
+        self.times: list[tuple[float, float]] = []
+        self.ends = False
+        self._number = 0
+
+    async def run_for(self, seconds: float) -> None:
+        """Send until the time is up, and wait for the answers."""
+        ends_at = time.monotonic() + seconds
+        calls = []
+        while time.monotonic() < ends_at and not self.ends:
+            calls.append(asyncio.create_task(self._call()))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.gather(*calls)
+
+    def tail(self, until: float = math.inf) -> float:
+        """Give the 95th percentile of the times to the whole answer."""
+        times = sorted(took for began, took in self.times if began < until)
+        return times[int(TAIL * len(times))]
+
+    def close(self) -> None:
+        """Close the caller."""
+        self.caller.close()
+
+    async def _call(self) -> None:
+        self._number += 1
+        began = time.monotonic()
+        await self.caller.call(
+            Request(
+                request_id=f'live-{self._number}',
+                customer='breeder-portal',
+                model='listing',
+                prompt=f'Draft a listing for horse {self._number}',
+            )
+        )
+        self.times.append((began, time.monotonic() - began))
+
+
+def show_all(show: Callable[[str, float | str], None]) -> None:
+    """Run once and print the figures."""
+    figures = measure()
+    show('weights.processes.agents', AGENTS)
+    show('weights.processes.bound_s', BOUND_S)
+    show('weights.processes.held_over_bound', figures.held_s / BOUND_S)
+    show('weights.processes.time_over_bound', figures.loaded_s / BOUND_S)
+    show('weights.processes.origin_copies', figures.origin_copies)
+    calm = figures.calm_p95_s
+    show('weights.live_p95_ms.calm', 1000 * calm)
+    show('weights.live_p95_ms.burst', 1000 * figures.burst_p95_s)
+    show('weights.live_latency_ratio', figures.burst_p95_s / calm)
+    show('weights.live_ratio_of_transfer', figures.transfer_p95_s / calm)
+    show('weights.processes.answers', figures.answers)
+    show('weights.processes.whole_answers', figures.whole)
--- a/packages/core/src/crowrudder_core/transfer/_pace.py
+++ b/packages/core/src/crowrudder_core/transfer/_pace.py
@@ -9,7 +9,13 @@
 ORIGIN_LINKS = 2
 """What the origin's link carries, in machine links: 4 copies to 2."""
 
-SHORTEST_POLL_S = 0.02
+SHORTEST_POLL_S = 0.2
+"""A question costs a tenth of a millisecond or more on either side.
+
+Every chunk carries what its two hosts hold as well, so that small chunks need
+no questions at the same rate.
+"""
+
 LONGEST_POLL_S = 1.0
 SHORTEST_STALL_S = 1.0
 STALL_CHUNKS = 12
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
@@ -5,13 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from crowrudder_core.transfer import FromOrigin, FromPeer, Stock, unpack
+from crowrudder_core.transfer import FromOrigin, FromPeer
 from crowrudder_daemon.agent.weights._sources import (
     Asked,
     NoSourceError,
     PeerAnswer,
 )
+from crowrudder_daemon.agent.weights._stock import note_stock
 from crowrudder_model import CrowrudderError, InvariantError, PeerLostError
+from crowrudder_model.messages import ChunkAsk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +36,8 @@
     ----------
     address_of
         Gives the address of a host's agent, None for one that is gone.
+    own_stock
+        Gives what this host tells others of the version.
     """
 
     def __init__(
@@ -45,7 +49,9 @@
         downlink: LinkShare,
         address_of: Callable[[str], str | None],
         watch: WeightsWatch,
+        own_stock: Callable[[], StockReply],
     ) -> None:
+        self._own_stock = own_stock
         self._transfer = transfer
         self._peers = peers
         self._origin = origin
@@ -109,10 +115,7 @@
         self._note_stock(reply)
 
     async def _read(self, read: Read) -> None:
-        size = self._transfer.manifest.chunk_size(read.index)
-        wait_s = self._downlink.reserve(size, now=self._now())
         try:
-            await asyncio.sleep(wait_s)
             match read:
                 case FromPeer():
                     await self._from_peer(read)
@@ -140,19 +143,25 @@
         address = self._address_of(read.host)
         if address is None:
             raise PeerLostError('not a member', step='chunk', peer=read.host)
-        return await self._peers.chunk(
-            address,
-            self._asked,
-            read.index,
-            lambda: self._transfer.on_moved(read, now=self._now()),
+        ask = ChunkAsk(
+            host=self._asked.host,
+            version=self._asked.version,
+            manifest=self._asked.manifest,
+            index=read.index,
+            stock=self._own_stock(),
         )
 
+        async def on_piece(size: int) -> None:
+            await asyncio.sleep(self._take_link(read, size))
+
+        return await self._peers.chunk(address, ask, on_piece)
+
     async def _from_origin(self, read: FromOrigin) -> None:
         try:
             payload = await self._origin.chunk(
                 self._asked.version,
                 read.index,
-                lambda: self._transfer.on_moved(read, now=self._now()),
+                lambda size: self._note_bytes(read, size),
             )
         except CrowrudderError as exc:
             self._watch.failed(read, exc)
@@ -165,6 +174,15 @@
         if not self._take(read, payload):
             self._origin.distrust_store()
 
+    def _note_bytes(self, read: Read, size: int) -> None:
+        """Note bytes of the origin, whose own rate is the limit."""
+        self._take_link(read, size)
+
+    def _take_link(self, read: Read, size: int) -> float:
+        """Note bytes that came; give how long the link is full."""
+        self._transfer.on_moved(read, now=self._now())
+        return self._downlink.reserve(size, now=self._now())
+
     def _take(self, read: Read, payload: bytes) -> bool:
         try:
             good = self._transfer.on_chunk(read, payload, now=self._now())
@@ -178,18 +196,7 @@
         return good
 
     def _note_stock(self, reply: StockReply) -> None:
-        if reply.version != self._asked.version:
-            return
-        count = self._transfer.count
-        stock = Stock(
-            host=reply.host,
-            chunks=unpack(reply.chunks, count),
-            passes=unpack(reply.passes, count),
-            busy=reply.busy,
-            slots=reply.slots,
-            wants=reply.wants,
-        )
-        self._transfer.on_stock(stock, now=self._now())
+        note_stock(self._transfer, reply, now=self._now())
 
     def _spawn(self, call: Any) -> asyncio.Task[None]:
         job = asyncio.ensure_future(call)
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_loading.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_loading.py
@@ -20,7 +20,7 @@
     from crowrudder_daemon.agent._upstream import EngineClient, EngineState
     from crowrudder_daemon.agent.weights._goal import Goal
     from crowrudder_daemon.agent.weights._sources import PeerSource
-    from crowrudder_daemon.agent.weights._uploads import EngineNote
+    from crowrudder_daemon.agent.weights._stock import EngineNote
     from crowrudder_daemon.knowledge import Snapshot
 
 TURN_POLL_S = 0.2
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_sources.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_sources.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from crowrudder_daemon.http import Fetcher
-from crowrudder_model import CrowrudderError, PeerLostError, UpstreamError
+from crowrudder_model import CrowrudderError, UpstreamError
 from crowrudder_model.messages import (
     ChunkAsk,
     ManifestAsk,
@@ -18,7 +18,7 @@
 from crowrudder_model.rpc import CHUNK, MANIFEST, STOCK
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from crowrudder_daemon.rpc import PeerClient
     from crowrudder_daemon.settings import WeightsSection
@@ -82,24 +82,21 @@
     async def chunk(
         self,
         address: str,
-        asked: Asked,
-        index: int,
-        on_moved: Callable[[], None],
+        ask: ChunkAsk,
+        on_piece: Callable[[int], Awaitable[None]],
     ) -> PeerAnswer:
-        """Read a chunk piece by piece."""
-        ask = ChunkAsk(
-            host=asked.host,
-            version=asked.version,
-            manifest=asked.manifest,
-            index=index,
-        )
+        """Read a chunk piece by piece.
+
+        ``on_piece`` gets the bytes of each piece, and holds up the next one
+        as long as the link has no room.
+        """
         stream = self._peers.open(address, CHUNK, ask)
         pieces: list[bytes] = []
         stock = None
         refused = False
         try:
             async for piece in stream:
-                on_moved()
+                await on_piece(len(piece.payload))
                 pieces.append(piece.payload)
                 stock = piece.stock or stock
                 refused = refused or piece.busy or piece.absent
@@ -129,9 +126,9 @@
         self,
         version: str,
         index: int,
-        on_moved: Callable[[], None],
+        on_piece: Callable[[int], None],
     ) -> bytes:
-        """Read a chunk.
+        """Read a chunk; ``on_piece`` gets the bytes of each piece.
 
         Raises
         ------
@@ -141,37 +138,41 @@
             When the source was lost on the way.
         """
         path = f'/v1/weights/{version}/chunks/{index}'
-        return await self._read(path, on_moved)
+        return await self._read(path, on_piece)
 
-    async def _read(self, path: str, on_moved: Callable[[], None]) -> bytes:
+    async def _read(
+        self,
+        path: str,
+        on_piece: Callable[[int], None],
+    ) -> bytes:
         now = asyncio.get_running_loop().time()
         if self._store is not None and now >= self._store_opens_at:
             try:
-                return await _fetch(self._store, path, on_moved)
+                return await _fetch(self._store, path, on_piece)
             except NoSourceError:
                 self.distrust_store()
             except UpstreamError:
                 self.distrust_store()
                 raise
-        return await _fetch(self._origin, path, on_moved)
+        return await _fetch(self._origin, path, on_piece)
 
 
 async def _fetch(
     source: Fetcher,
     path: str,
-    on_moved: Callable[[], None],
+    on_piece: Callable[[int], None],
 ) -> bytes:
     pieces: list[bytes] = []
 
-    def on_piece(piece: bytes) -> None:
+    def take(piece: bytes) -> None:
         pieces.append(piece)
-        on_moved()
+        on_piece(len(piece))
 
     try:
         answer = await source.fetch(
             path,
             timeout_s=SOURCE_TIMEOUT_S,
-            on_piece=on_piece,
+            on_piece=take,
         )
     except UpstreamError as exc:
         if isinstance(exc.__cause__, ConnectionRefusedError):
@@ -186,8 +187,5 @@
     return NoSourceError(reason, step=path, peer=source.address)
 
 
-def _ignore() -> None:
+def _ignore(_size: int) -> None:
     """Take no note of a manifest's pieces."""
-
-
-LOST = (PeerLostError, UpstreamError, NoSourceError)
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -24,11 +24,8 @@
 from crowrudder_daemon.agent.weights._manifests import ManifestReader
 from crowrudder_daemon.agent.weights._shelf import Shelf
 from crowrudder_daemon.agent.weights._sources import OriginSource, PeerSource
-from crowrudder_daemon.agent.weights._uploads import (
-    ChunkService,
-    EngineNote,
-    UploadSlots,
-)
+from crowrudder_daemon.agent.weights._stock import EngineNote, UploadSlots
+from crowrudder_daemon.agent.weights._uploads import ChunkService
 from crowrudder_daemon.agent.weights._watch import WeightsWatch
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_model import CrowrudderError, InvariantError
@@ -268,6 +265,7 @@
             downlink=self._links[0],
             address_of=self._address_of,
             watch=self._watch,
+            own_stock=lambda: self._service.stock(version.name, transfer),
         )
         await collector.run()
         return transfer
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_uploads.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_uploads.py
@@ -5,10 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from attrs import define
-
-from crowrudder_core.transfer import pack
-from crowrudder_model import InvariantError
+from crowrudder_daemon.agent.weights._stock import note_stock, stock_of
 from crowrudder_model.messages import (
     ChunkAsk,
     ChunkPiece,
@@ -24,41 +21,12 @@
 
     from crowrudder_core.transfer import LinkShare, Transfer
     from crowrudder_daemon.agent.weights._shelf import Shelf
+    from crowrudder_daemon.agent.weights._stock import EngineNote, UploadSlots
     from crowrudder_daemon.rpc import PeerServer
 
 PIECE_BYTES = 256 * 1024
 
 
-@define
-class UploadSlots:
-    """Chunks that may be sent at the same time."""
-
-    total: int
-    taken: int = 0
-
-    def take(self) -> bool:
-        """Take a slot if one is free."""
-        if self.taken >= self.total:
-            return False
-        self.taken += 1
-        return True
-
-    def release(self) -> None:
-        """Free a slot."""
-        if self.taken <= 0:
-            raise InvariantError('a slot that nobody holds', step='upload')
-        self.taken -= 1
-
-
-@define
-class EngineNote:
-    """What other agents are told of this host's engine."""
-
-    loaded: str = ''
-    changing: bool = False
-    wanted: str = ''
-
-
 class ChunkService:
     """The calls by which other agents read weights from this one."""
 
@@ -85,7 +53,7 @@
     async def on_stock(self, ask: StockAsk, _context: object) -> StockReply:
         """Tell what is held of a version."""
         transfer = self._shelf.find(ask.version, ask.manifest)
-        return self._stock(ask.version, transfer)
+        return self.stock(ask.version, transfer)
 
     async def on_manifest(
         self,
@@ -103,8 +71,11 @@
     ) -> AsyncIterator[ChunkPiece]:
         """Send a chunk; its slot is held until the last piece is out."""
         transfer = self._shelf.find(ask.version, ask.manifest)
+        if transfer is not None and ask.stock is not None:
+            now = asyncio.get_running_loop().time()
+            note_stock(transfer, ask.stock, now=now)
         payload = transfer.chunk(ask.index) if transfer else None
-        stock = self._stock(ask.version, transfer)
+        stock = self.stock(ask.version, transfer)
         if payload is None:
             yield ChunkPiece(absent=True, stock=stock)
             return
@@ -139,19 +110,12 @@
             self._on_sent(len(piece))
             yield ChunkPiece(payload=piece)
 
-    def _stock(self, version: str, transfer: Transfer | None) -> StockReply:
-        held = passes = b''
-        if transfer is not None:
-            held = pack(transfer.at_hand, transfer.count)
-            passes = pack(transfer.origin.passes, transfer.count)
-        return StockReply(
-            host=self._shelf.host,
-            version=version,
-            chunks=held,
-            loaded=self._note.loaded,
-            busy=self._slots.taken,
-            slots=self._slots.total,
-            changing=self._note.changing,
-            passes=passes,
-            wants=self._note.wanted == version,
+    def stock(self, version: str, transfer: Transfer | None) -> StockReply:
+        """Tell what is held of a version."""
+        return stock_of(
+            self._shelf.host,
+            version,
+            transfer,
+            slots=self._slots,
+            note=self._note,
         )
--- a/packages/model/src/crowrudder_model/messages/_weights.py
+++ b/packages/model/src/crowrudder_model/messages/_weights.py
@@ -52,12 +52,13 @@
 
 @frozen(kw_only=True)
 class ChunkAsk:
-    """Ask for one chunk."""
+    """Ask for one chunk; ``stock`` is what the asking agent holds."""
 
     host: str
     version: str
     manifest: str
     index: int
+    stock: StockReply | None = None
 
 
 @frozen(kw_only=True)
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -53,6 +53,7 @@
     regions: tuple[str, ...] = ('rennes', 'caen')
     origin_rate: int = 8_000_000
     store_rate: int = 8_000_000
+    link_bytes_per_s: int = 50_000_000
     member_lag_s: float = 0.5
     engine_options: tuple[str, ...] = ()
     fencing: str = 'checked'
@@ -497,7 +498,7 @@
                 'origin': self.origin.address,
                 'store': self.store.address,
                 'memory_bytes': 1 << 28,
-                'link_bytes_per_s': 50_000_000,
+                'link_bytes_per_s': plan.link_bytes_per_s,
             },
         }
         return self._host(member, sections, upstream)
--- /dev/null
+++ b/tests/weights/test_service.py
@@ -0,0 +1,264 @@
+"""The chunk service and the collector, with fakes for peers and origin."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from crowrudder_core.transfer import (
+    ChunkStore,
+    FromOrigin,
+    LinkShare,
+    full,
+    transfer_of,
+)
+from crowrudder_daemon.agent.weights._collect import Collector
+from crowrudder_daemon.agent.weights._sources import PeerAnswer
+from crowrudder_daemon.agent.weights._stock import (
+    EngineNote,
+    UploadSlots,
+    stock_of,
+)
+from crowrudder_daemon.agent.weights._uploads import ChunkService
+from crowrudder_model import PeerLostError, UpstreamError
+from crowrudder_model.messages import ChunkAsk
+from support.aio import run
+from support.weights_versions import OLD, PLACE, begin, version
+
+RATE = 1e9
+
+
+class Shelf:
+    """The one version that a host holds."""
+
+    def __init__(self, transfer):
+        self.host = transfer.host
+        self._transfer = transfer
+
+    def find(self, name, _declared):
+        same = name == self._transfer.manifest.version
+        return self._transfer if same else None
+
+
+class Watch:
+    """Remembers what happened to reads."""
+
+    def __init__(self):
+        self.seen = []
+
+    def __getattr__(self, name):
+        return lambda *_: self.seen.append(name)
+
+
+def holder():
+    transfer = begin(version('old', OLD), host='b', hosts=('a', 'b'))
+    for index, payload in enumerate(OLD):
+        transfer.on_chunk(FromOrigin(index), payload, now=0)
+    return transfer
+
+
+def service(transfer, slots):
+    uplink = LinkShare(rate=RATE, burst=0)
+    shelf: Any = Shelf(transfer)
+    return ChunkService(
+        shelf, EngineNote(wanted='old'), slots, uplink, lambda _: None
+    )
+
+
+def ask(index=0, name='old'):
+    return ChunkAsk(host='a', version=name, manifest='', index=index)
+
+
+class TestUploadSlots:
+    def test_slot_is_held_until_the_last_piece(self):
+        """Slots were counted but never taken.
+
+        Symptom: one host sends to all at once, and each chunk arrives late.
+        Sequence: several asks before the first chunk has been sent. Cause:
+        the answer was made, and the slot free again, before a byte went out.
+        """
+
+        async def check():
+            slots = UploadSlots(1)
+            served = service(holder(), slots)
+            first = served.on_chunk(ask(0), None)
+            await anext(first)
+            assert slots.taken == 1
+            refused = [piece async for piece in served.on_chunk(ask(1), None)]
+            assert [piece.busy for piece in refused] == [True]
+            assert [piece.payload async for piece in first] == [OLD[0]]
+            assert slots.taken == 0
+
+        run(check())
+
+    def test_slot_is_free_when_the_reader_leaves(self):
+        async def check():
+            slots = UploadSlots(1)
+            sending = service(holder(), slots).on_chunk(ask(), None)
+            await anext(sending)
+            await sending.aclose()
+            assert slots.taken == 0
+
+        run(check())
+
+    def test_other_version_is_absent(self):
+        async def check():
+            served = service(holder(), UploadSlots(1))
+            pieces = [
+                piece async for piece in served.on_chunk(ask(0, 'new'), None)
+            ]
+            assert [piece.absent for piece in pieces] == [True]
+
+        run(check())
+
+
+class Peers:
+    """One other host, which may refuse, lose or never send chunks."""
+
+    def __init__(self, *, refusals=0, stalls=False, losses=0):
+        self.transfer = holder()
+        self.refusals = refusals
+        self.losses = losses
+        self.stalls = stalls
+        self.refused = 0
+
+    def stock_now(self):
+        return stock_of(
+            'b',
+            'old',
+            self.transfer,
+            slots=UploadSlots(4),
+            note=EngineNote(wanted='old'),
+        )
+
+    async def stock(self, _address, _asked):
+        return self.stock_now()
+
+    async def chunk(self, _address, asked, on_piece):
+        if self.stalls:
+            await asyncio.Event().wait()
+        if self.losses:
+            self.losses -= 1
+            raise PeerLostError('lost', step='chunk', peer='b')
+        if self.refusals:
+            self.refusals -= 1
+            return PeerAnswer(b'', self.stock_now(), refused=True)
+        payload = OLD[asked.index]
+        await on_piece(len(payload))
+        return PeerAnswer(payload, self.stock_now(), refused=False)
+
+
+class Origin:
+    """An origin that can't be reached, or one that answers."""
+
+    def __init__(self, *, up=False):
+        self.up = up
+        self.reads = 0
+
+    async def chunk(self, _version, index, on_piece):
+        if not self.up:
+            raise UpstreamError('down', step='chunk')
+        self.reads += 1
+        on_piece(len(OLD[index]))
+        return OLD[index]
+
+    def distrust_store(self):
+        raise AssertionError('a good chunk')
+
+
+class CountingLink(LinkShare):
+    """Counts the bytes that were reserved."""
+
+    def __init__(self, **more):
+        super().__init__(**more)
+        self.reserved = 0
+
+    def reserve(self, size, *, now):
+        self.reserved += size
+        return super().reserve(size, now=now)
+
+
+def collector(peers, origin, downlink):
+    store = ChunkStore(1000)
+    manifest = version('old', OLD)
+    store.want([manifest])
+    transfer = transfer_of(
+        manifest,
+        host='a',
+        place=PLACE,
+        store=store,
+        link_bytes_per_s=400,
+        random=random.Random(1),
+    )
+    transfer.on_hosts({'a': PLACE, 'b': PLACE})
+    watch: Any = Watch()
+    made = Collector(
+        transfer,
+        peers=peers,
+        origin=origin,
+        downlink=downlink,
+        address_of=lambda host: host,
+        watch=watch,
+        own_stock=peers.stock_now,
+    )
+    return made, transfer
+
+
+class TestCollector:
+    def test_refused_reads_take_nothing_of_the_link(self):
+        """The link was reserved before the source had said yes.
+
+        Symptom: 24 agents moved weights at two thirds of their links.
+        Sequence: a source is busy, the read ends, its share of the link is
+        gone. Cause: bytes were counted when asked for, not when they came.
+        """
+        downlink = CountingLink(rate=RATE, burst=0)
+
+        async def check():
+            made, transfer = collector(Peers(refusals=5), Origin(), downlink)
+            await made.run()
+            assert transfer.complete
+            assert downlink.reserved == transfer.manifest.size
+
+        run(check())
+
+    def test_lost_reads_are_made_again(self):
+        async def check():
+            peers = Peers(losses=2)
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, transfer = collector(peers, Origin(up=True), downlink)
+            await made.run()
+            transfer.assert_whole()
+
+        run(check())
+
+    def test_source_that_never_sends_is_given_up(self):
+        """A peer takes the question and sends nothing.
+
+        Symptom: the transfer waits for ever. Cause: no limit on the time
+        without a byte.
+        """
+
+        async def check():
+            origin = Origin(up=True)
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, transfer = collector(Peers(stalls=True), origin, downlink)
+            await made.run()
+            transfer.assert_whole()
+            assert origin.reads == transfer.count
+
+        run(check())
+
+    def test_dropped_version_ends_the_reads(self):
+        async def check():
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, transfer = collector(Peers(stalls=True), Origin(), downlink)
+            running = asyncio.ensure_future(made.run())
+            await asyncio.sleep(0)
+            transfer.drop()
+            await running
+            assert not transfer.flights
+            assert transfer.held != full(transfer.count)
+
+        run(check())
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import random
-
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -31,47 +28,17 @@
     full,
     indices,
     pace_for,
-    transfer_of,
 )
 from crowrudder_model import InvariantError
-
-PLACE = Place('rennes', 'rennes-1')
-CHUNKS = 6
-
-
-def version(name, payloads):
-    return Manifest(
-        version=name,
-        chunk_bytes=4,
-        size=4 * len(payloads),
-        digest=hashlib.sha256(b''.join(payloads)).hexdigest(),
-        chunks=tuple(hashlib.sha256(each).hexdigest() for each in payloads),
-    )
-
-
-OLD = [f'old{index}'.encode() for index in range(CHUNKS)]
-NEW = [*OLD[:2], *(f'new{index}'.encode() for index in range(2, CHUNKS))]
-
-
-def begin(manifest, store=None, host='a', hosts=('a',)):
-    if store is None:
-        store = ChunkStore(1000)
-    store.want([manifest])
-    transfer = transfer_of(
-        manifest,
-        host=host,
-        place=PLACE,
-        store=store,
-        link_bytes_per_s=4,
-        random=random.Random(1),
-    )
-    transfer.on_hosts(dict.fromkeys(hosts, PLACE))
-    return transfer
-
-
-def fill(transfer, payloads):
-    for index, payload in enumerate(payloads):
-        assert transfer.on_chunk(FromOrigin(index), payload, now=0)
+from support.weights_versions import (
+    CHUNKS,
+    NEW,
+    OLD,
+    PLACE,
+    begin,
+    fill,
+    version,
+)
 
 
 class TestWhole:
