Load: the test of a lost request fails without its mend

Now the first of two calls fails and a good one follows later. Against the code before the test fails with `DID NOT RAISE RuntimeError`; with it, passes.

--- a/tests/scripts/test_load.py
+++ b/tests/scripts/test_load.py
@@ -177,6 +177,14 @@
         return evolve(answer, request=request)
 
 
+class FirstCallFails(FakeCaller):
+    async def send(self, request, *, on_chunk):
+        if not self.sent:
+            self.sent.append(request)
+            raise RuntimeError('first')
+        return await super().send(request, on_chunk=on_chunk)
+
+
 def run_load(caller, count=1, **bounds):
     planned = [
         Arrival(
@@ -219,8 +227,11 @@
 
     def test_no_request_gets_lost_by_a_fault_of_the_tool(self):
         """A call that failed early was missing in all counts, unsaid."""
-        with pytest.raises(TypeError):
-            run_load(FakeCaller(WHOLE, takes_s=None), count=2)
+        early = Arrival(at_s=0, phase='p', request=REQUEST)
+        late = evolve(early, at_s=0.05)
+        load = LoadRun(FirstCallFails(WHOLE), Bounds())
+        with pytest.raises(RuntimeError, match='first'):
+            aio.run(load.run([early, late]))
 
     def test_ends_by_itself(self):
         (result,) = run_load(FakeCaller(WHOLE, takes_s=60), wait_s=0.05)
