--- a/tests/scripts/test_load.py
+++ b/tests/scripts/test_load.py
@@ -185,8 +185,8 @@
         return await super().send(request, on_chunk=on_chunk)
 
 
-def run_load(caller, count=1, **bounds):
-    planned = [
+def run_load(caller, count=1, planned=None, **bounds):
+    planned = planned or [
         Arrival(
             at_s=0,
             phase='p',
@@ -229,9 +229,8 @@
         """A call that failed early was missing in all counts, unsaid."""
         early = Arrival(at_s=0, phase='p', request=REQUEST)
         late = evolve(early, at_s=0.05)
-        load = LoadRun(FirstCallFails(WHOLE), Bounds())
         with pytest.raises(RuntimeError, match='first'):
-            aio.run(load.run([early, late]))
+            run_load(FirstCallFails(WHOLE), planned=[early, late])
 
     def test_ends_by_itself(self):
         (result,) = run_load(FakeCaller(WHOLE, takes_s=60), wait_s=0.05)
