--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -45,6 +45,9 @@
 MEAN_WEIGHT = 0.1
 SHORTEST_RETRY_S = 0.1
 
+RUN_MARGIN = 1.1
+"""A run begins only where so many times its usual duration is left."""
+
 
 @frozen
 class AttemptCame:
@@ -338,8 +341,11 @@
         if attempt.service != self.state.service:
             return Refusal(reason='not_loaded', retry_after_s=1)
         wait_s = self._wait_s(attempt.customer, attempt.share)
-        if wait_s >= attempt.budget_s:
-            return Refusal(reason='deadline_unreachable', retry_after_s=wait_s)
+        if wait_s + self._run_s(attempt) >= attempt.budget_s:
+            return Refusal(
+                reason='deadline_unreachable',
+                retry_after_s=max(wait_s, SHORTEST_RETRY_S),
+            )
         return self._ledger.receive(attempt, now=self._now())
 
     def _enqueue(self, attempt: Attempt) -> None:
@@ -370,6 +376,11 @@
         if wanted and wanted != self.state.version:
             self._release(key, 'other_version')
             return
+        left_s = kept.deadline - self._now()
+        if left_s <= self._run_s(kept.attempt):
+            # It would hold the slot to the deadline and still be worth nothing.
+            self._release(key, 'deadline_unreachable')
+            return
         if not self._ledger.ask(key, now=self._now()):
             self._release(key, 'deadline_passed')
             return
@@ -486,6 +497,22 @@
         turns = max(ahead + 1 - free, 0) / max(self.state.slots, 1)
         return turns * self.state.service_s
 
+    def _run_s(self, attempt: Attempt) -> float:
+        """Estimate how long an attempt would hold its slot.
+
+        ``max_tokens`` only bounds an answer, so the mean run counts as well.
+        An idle upstream is always tried: estimates only change by runs, and
+        an old one from a busy time would refuse short deadlines for ever.
+        """
+        state = self.state
+        if not self._running:
+            return 0
+        tokens = attempt.max_tokens - attempt.resume_from
+        run_s = state.service_s
+        if tokens > 0:
+            run_s = min(run_s, tokens * state.pace_s)
+        return RUN_MARGIN * run_s
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -198,7 +198,10 @@
         agent = self._task.choose(self._need())
         if agent is None:
             return self._no_agent()
-        if agent.wait_s >= self.owner.deadline - _now():
+        share = self._task.share_of(self.req.head.customer)
+        late = agent.wait_s >= self.owner.deadline - _now()
+        if late and not share:
+            # Who has a share doesn't wait behind everybody; the agent knows.
             return refused('overloaded', 503, agent.wait_s)
         if not self._free_retry and not self._task.may_retry():
             return self._not_run('overloaded', 'the retry budget is spent')
