--- a/packages/core/src/crowrudder_core/requests/__init__.py
+++ b/packages/core/src/crowrudder_core/requests/__init__.py
@@ -1,5 +1,11 @@
 """Requests: who may start an attempt, and what an agent remembers of it."""
 
+from crowrudder_core.requests._admission import (
+    Late,
+    RunEstimate,
+    SlotAdmission,
+    Start,
+)
 from crowrudder_core.requests._claims import (
     REMEMBER_S,
     ClaimBook,
@@ -22,13 +28,17 @@
     'Attach',
     'ClaimBook',
     'ClaimCount',
+    'Late',
     'MoveOn',
     'Place',
     'REMEMBER_S',
     'Record',
     'RequestOwner',
+    'RunEstimate',
     'Settle',
+    'SlotAdmission',
     'Stage',
+    'Start',
     'Vote',
     'Waiting',
     'homes_of',
--- a/packages/core/src/crowrudder_core/requests/_owner.py
+++ b/packages/core/src/crowrudder_core/requests/_owner.py
@@ -56,10 +56,15 @@
     serial: int = field(default=0, kw_only=True)
     holds: dict[AttemptKey, _Hold] = field(factory=dict, init=False)
     closed: Outcome | None = field(default=None, init=False)
+    _hedges: set[AttemptKey] = field(factory=set, init=False)
     _ran: Outcome | None = field(default=None, init=False)
 
-    def open_attempt(self) -> AttemptKey:
-        """Begin a further attempt and give its key."""
+    def open_attempt(self, *, hedge: bool = False) -> AttemptKey:
+        """Begin a further attempt and give its key.
+
+        Of an idempotent request, a hedge may run beside another attempt that
+        gives no sign of life; attempts that only wait in two queues may not.
+        """
         key = AttemptKey(
             request_id=self.request_id,
             attempt=len(self.holds) + 1,
@@ -67,6 +72,8 @@
             serial=self.serial,
         )
         self.holds[key] = _Hold.WAITING
+        if hedge:
+            self._hedges.add(key)
         return key
 
     def grant(self, key: AttemptKey, *, now: float) -> bool:
@@ -75,7 +82,8 @@
             return False
         if self.holds.get(key) is not _Hold.WAITING:
             return False
-        if not self.idempotent and self.permit_out:
+        beside = self.idempotent and key in self._hedges
+        if self.permit_out and not beside:
             return False
         self.holds[key] = _Hold.GRANTED
         return True
--- a/packages/core/src/crowrudder_core/requests/_queue.py
+++ b/packages/core/src/crowrudder_core/requests/_queue.py
@@ -24,17 +24,24 @@
 class Waiting:
     """An attempt in the queue.
 
-    ``share`` is the part of the slots that is kept for the customer, ``cost``
-    the work in tokens.
+    ``share`` is the part of the slots that is kept for the customer,
+    ``tokens`` the most that the answer may have (0 where it has none), and
+    ``deadline`` a monotonic time of this process.
     """
 
     key: AttemptKey
     customer: str
     priority: int
     share: float
-    cost: float = 1
+    deadline: float
+    tokens: int = 0
     order: int = 0
 
+    @property
+    def cost(self) -> int:
+        """The work, for the count of the customer's use."""
+        return max(self.tokens, 1)
+
 
 @define
 class _Usage:
@@ -87,14 +94,16 @@
         self.waiting.pop(dropped)
         return dropped
 
-    def pop(self, *, now: float) -> AttemptKey | None:
-        """Take the next attempt out and count its work."""
+    def pop(self, *, now: float) -> Waiting | None:
+        """Take the next attempt out."""
         if not self.waiting:
             return None
         chosen = min(self.waiting.values(), key=self._order(now))
-        self.waiting.pop(chosen.key)
-        self._used.setdefault(chosen.customer, _Usage()).add(chosen.cost, now)
-        return chosen.key
+        return self.waiting.pop(chosen.key)
+
+    def note_start(self, item: Waiting, *, now: float) -> None:
+        """Count the work of an attempt that got its slot."""
+        self._used.setdefault(item.customer, _Usage()).add(item.cost, now)
 
     def remove(self, key: AttemptKey) -> None:
         """Take an attempt out that no longer waits."""
--- a/packages/core/src/crowrudder_core/routing/_agent_state.py
+++ b/packages/core/src/crowrudder_core/routing/_agent_state.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define
 
 if TYPE_CHECKING:
     from crowrudder_model.messages import Report
@@ -18,6 +18,7 @@
 """An upstream is stalled after so many mean run times without a sign."""
 
 STALLED_FACTOR = 50.0
+FILL_WEIGHT = 1.0
 LEAST_PACE = 0.25
 MOST_PACE = 8.0
 WEIGHT = 0.2
@@ -27,8 +28,7 @@
 class AgentState:
     """One incarnation of an agent, as seen from this entry.
 
-    ``outstanding`` counts what this entry has sent and not seen end; ``base``
-    is the part of it that the latest report already contains.
+    ``outstanding`` counts what this entry has sent and not seen end.
     """
 
     report: Report
@@ -37,7 +37,6 @@
     outstanding: int = 0
     suspected_until: float = 0
     first_piece_s: float = 0
-    _base: int = field(default=0, init=False)
 
     def on_report(self, report: Report, *, now: float) -> None:
         """Take a newer report of the same incarnation."""
@@ -45,7 +44,6 @@
             self.since = now
         self.report = report
         self.linked = True
-        self._base = self.outstanding
 
     def on_first_piece(self, took_s: float) -> None:
         """Take a time from permit to first piece."""
@@ -54,9 +52,14 @@
 
     @property
     def load(self) -> int:
-        """Attempts that wait or run there: the report, and what came since."""
-        reported = self.report.running + self.report.queued
-        return max(reported + self.outstanding - self._base, self.outstanding)
+        """Attempts that wait or run there.
+
+        The report is late, so it counts only for what others have sent; what
+        this entry has sent itself it knows as of now.
+        """
+        report = self.report
+        others = max(report.running + report.queued - report.yours, 0)
+        return others + self.outstanding
 
     @property
     def stalled(self) -> bool:
@@ -65,15 +68,26 @@
         return self.report.silent_s > limit_s
 
     def cost(self, *, pace_s: float, now: float) -> float:
-        """Weigh one more attempt: filled slots, times how slow it is.
+        """Weigh one more attempt: its end, in usual run times.
+
+        A full batch runs its attempts side by side, so a free slot at a slow
+        agent still ends late. How full the agent is counts a little as well,
+        as the report is late and others send at the same time.
 
         Parameters
         ----------
         pace_s
             The mean pace over the agents of the service, in seconds a piece.
         """
-        filled = (self.load + 1) / max(self.report.slots, 1)
-        return filled * self._factor(pace_s, now)
+        slots = max(self.report.slots, 1)
+        waves = max(self.load + 1 - slots, 0) / slots
+        filled = (self.load + 1) / slots
+        return (1 + waves + FILL_WEIGHT * filled) * self._factor(pace_s, now)
+
+    def extra_s(self, *, pace_s: float) -> float:
+        """Give by how much longer a run takes here than usual."""
+        slowness = self._slowness(pace_s)
+        return self.report.service_s * max(1 - 1 / slowness, 0)
 
     def wait_s(self, *, pace_s: float) -> float:
         """Give the seconds until one more attempt would get a slot."""
--- a/packages/core/src/crowrudder_core/routing/_router.py
+++ b/packages/core/src/crowrudder_core/routing/_router.py
@@ -144,6 +144,16 @@
             )
         return Choice(chosen, self.agents[chosen].wait_s(pace_s=pace_s))
 
+    def extra_s(self, host: str, need: Need, *, now: float) -> float:
+        """Give by how much longer a run takes at a host than usual."""
+        pace_s = self._pace_s(self.candidates(need, now=now))
+        return self.agents[host].extra_s(pace_s=pace_s)
+
+    def draw(self, need: Need, count: int, *, now: float) -> list[str]:
+        """Draw hosts to be asked for their room."""
+        hosts = self.candidates(need, now=now)
+        return self._random.sample(hosts, min(count, len(hosts)))
+
     def _nearest(
         self,
         prefix: str,
--- a/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
@@ -21,13 +21,15 @@
     Permit,
     Report,
     ReportAsk,
+    RoomAsk,
+    RoomReply,
     RunDown,
     RunUp,
     SettleAsk,
     SettledState,
     Taken,
 )
-from crowrudder_model.rpc import CANCEL, REPORTS, RUN, SETTLE
+from crowrudder_model.rpc import CANCEL, REPORTS, ROOM, RUN, SETTLE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -57,6 +59,7 @@
         server.add(RUN, self._on_run)
         server.add(SETTLE, self._on_settle)
         server.add(CANCEL, self._on_cancel)
+        server.add(ROOM, self._on_room)
         server.add(REPORTS, self._on_reports)
 
     async def read_to_the_end(self) -> None:
@@ -116,6 +119,9 @@
         self._runs.post(CancelCame(ask.key))
         return Taken(count=1)
 
+    async def _on_room(self, ask: RoomAsk, _context: object) -> RoomReply:
+        return RoomReply(wait_s=self._runs.room_s(ask))
+
     async def _on_settle(
         self,
         ask: SettleAsk,
@@ -143,11 +149,11 @@
         while True:
             changed = self._runs.state.changed
             leaving = self._runs.state.leaving
-            yield self.report()
+            yield self.report(ask.entry)
             await _wait_for_news(changed, ask.interval_s, urgent=not leaving)
 
-    def report(self) -> Report:
-        """Give the agent's state now."""
+    def report(self, entry: str = '') -> Report:
+        """Give the agent's state now, as one entry is to see it."""
         state = self._runs.state
         generation, digest = self._knowledge.book.order
         return Report(
@@ -162,6 +168,7 @@
             service_s=state.service_s,
             pace_s=state.pace_s,
             silent_s=self._runs.silent_s,
+            yours=self._runs.count_of(entry),
             leaving=state.leaving,
             generation=generation,
             digest=digest,
--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -10,7 +10,10 @@
 from crowrudder_core.requests import (
     AdmissionQueue,
     AgentLedger,
+    Late,
+    SlotAdmission,
     Stage,
+    Start,
     Waiting,
 )
 from crowrudder_daemon._task import Task
@@ -24,6 +27,7 @@
     Piece,
     Queued,
     Refusal,
+    RoomAsk,
     RunDown,
     Settled,
     SettledState,
@@ -42,11 +46,8 @@
 """Seconds for which an ended answer can be read again: three times as long
 as an entry goes on asking."""
 
-MEAN_WEIGHT = 0.1
 SHORTEST_RETRY_S = 0.1
-
-RUN_MARGIN = 1.1
-"""A run begins only where so many times its usual duration is left."""
+NO_ROOM = -1.0
 
 
 @frozen
@@ -178,9 +179,11 @@
         self._runtime = runtime
         self._upstream = upstream
         self._ledger = AgentLedger()
-        self._queue = AdmissionQueue(limits.queue_length)
+        self._admission = SlotAdmission(
+            limits.slots,
+            AdmissionQueue(limits.queue_length),
+        )
         self._kept: dict[AttemptKey, _Kept] = {}
-        self._held: set[AttemptKey] = set()
         self._running: dict[AttemptKey, asyncio.Task[None]] = {}
         self._heard_at = 0.0
         self._paused = True
@@ -194,7 +197,8 @@
     def on_attempt_came(self, message: AttemptCame) -> None:
         """Queue an attempt or refuse it for good."""
         attempt = message.attempt
-        refusal = self._refusal(attempt)
+        item = _waiting(attempt, self._now())
+        refusal = self._refusal(attempt, item)
         if refusal is not None:
             message.answers.add(RunDown(refusal=refusal))
             message.answers.close()
@@ -202,20 +206,22 @@
         self._kept[attempt.key] = _Kept(
             attempt,
             message.answers,
-            self._now() + attempt.budget_s,
+            item.deadline,
         )
         queued = Queued(
-            ahead=len(self._queue),
-            wait_s=self._wait_s(attempt.customer, attempt.share),
+            ahead=self._admission.queued,
+            wait_s=self._wait_s(attempt),
         )
         message.answers.add(RunDown(queued=queued))
-        self._enqueue(attempt)
+        dropped = self._admission.add(item)
+        if dropped is not None:
+            self._release(dropped, 'queue_full')
         self._advance()
 
     def on_permit_came(self, message: PermitCame) -> None:
         """Start the attempt if the owner and the clock allow it."""
         kept = self._kept.get(message.key)
-        if kept is None or message.key not in self._held:
+        if kept is None or not self._admission.holds(message.key):
             return
         if self._may_start(message):
             if not self._running:
@@ -269,7 +275,6 @@
         state = self._ledger.settle(message.key, now=self._now())
         kept = self._kept.get(message.key)
         if state is SettledState.NEVER_STARTS:
-            self._queue.remove(message.key)
             self._release(message.key, 'settled')
         if not message.reply.done():
             message.reply.set_result((state, kept.answers if kept else None))
@@ -277,20 +282,27 @@
     def on_run_ended(self, message: RunEnded) -> None:
         """Free the slot."""
         self._running.pop(message.key, None)
-        self._held.discard(message.key)
+        self._admission.leave(message.key)
         self._ledger.finish(message.key, now=self._now(), ran=message.ran)
         kept = self._kept.get(message.key)
         if kept is not None:
             kept.ended_at = self._now()
         if message.ran:
-            self._note_took(message.took_s, message.pieces)
+            estimate = self._admission.estimate
+            estimate.on_ended(message.took_s, pieces=message.pieces)
         self._advance()
 
-    def _note_took(self, took_s: float, pieces: int) -> None:
+    def count_of(self, entry: str) -> int:
+        """Count the waiting and running attempts of one entry."""
+        return sum(key.entry == entry for key in self._admission.keys())
+
+    def room_s(self, ask: RoomAsk) -> float:
+        """Give the wait for a slot now; negative where nothing is taken."""
         state = self.state
-        state.service_s = _mean(state.service_s, took_s)
-        if pieces:
-            state.pace_s = _mean(state.pace_s, took_s / pieces)
+        shut = self._paused or state.leaving or not state.version
+        if shut or ask.service != state.service:
+            return NO_ROOM
+        return self._admission.wait_s(ask.customer, ask.share)
 
     @property
     def silent_s(self) -> float:
@@ -317,7 +329,7 @@
     def on_drain_runs(self, message: DrainRuns) -> None:
         """Refuse what waits, finish what runs."""
         self.state.leaving = True
-        while (key := self._queue.pop(now=self._now())) is not None:
+        for key in list(self._admission.queue.waiting):
             self._release(key, 'draining')
         self._idle.append(message.idle)
         self._note_load()
@@ -333,41 +345,30 @@
         ]
         for key in old:
             self._kept.pop(key)
-        self._queue.forget(now=now)
+        self._admission.queue.forget(now=now)
 
-    def _refusal(self, attempt: Attempt) -> Refusal | None:
+    def _refusal(self, attempt: Attempt, item: Waiting) -> Refusal | None:
         if self.state.leaving:
             return Refusal(reason='draining', retry_after_s=1)
         if attempt.service != self.state.service:
             return Refusal(reason='not_loaded', retry_after_s=1)
-        wait_s = self._wait_s(attempt.customer, attempt.share)
-        if wait_s + self._run_s(attempt) >= attempt.budget_s:
+        if not self._admission.in_time(item, now=self._now()):
             return Refusal(
                 reason='deadline_unreachable',
-                retry_after_s=max(wait_s, SHORTEST_RETRY_S),
+                retry_after_s=self._retry_after_s(attempt),
             )
         return self._ledger.receive(attempt, now=self._now())
 
-    def _enqueue(self, attempt: Attempt) -> None:
-        dropped = self._queue.push(
-            Waiting(
-                key=attempt.key,
-                customer=attempt.customer,
-                priority=attempt.priority,
-                share=attempt.share,
-                cost=max(attempt.max_tokens, 1),
-            ),
-        )
-        if dropped is not None:
-            self._release(dropped, 'queue_full')
-
     def _advance(self) -> None:
         """Ask for permits while slots are free."""
-        while not self._paused and len(self._held) < self.state.slots:
-            key = self._queue.pop(now=self._now())
-            if key is None:
-                break
-            self._ask(key)
+        while not self._paused:
+            match self._admission.next(now=self._now()):
+                case Start(key):
+                    self._ask(key)
+                case Late(key):
+                    self._release(key, 'deadline_unreachable')
+                case None:
+                    break
         self._note_load()
 
     def _ask(self, key: AttemptKey) -> None:
@@ -376,15 +377,9 @@
         if wanted and wanted != self.state.version:
             self._release(key, 'other_version')
             return
-        left_s = kept.deadline - self._now()
-        if left_s <= self._run_s(kept.attempt):
-            # It would hold the slot to the deadline and still be worth nothing.
-            self._release(key, 'deadline_unreachable')
-            return
         if not self._ledger.ask(key, now=self._now()):
             self._release(key, 'deadline_passed')
             return
-        self._held.add(key)
         kept.version = self.state.version
         ask = PermitAsk(key=key, version=kept.version)
         kept.answers.add(RunDown(permit_ask=ask))
@@ -395,7 +390,6 @@
         stage = self._ledger.stage_of(key)
         if stage is None or stage >= Stage.STARTED:
             return
-        self._queue.remove(key)
         self._release(key, reason)
 
     def _release(self, key: AttemptKey, reason: str) -> None:
@@ -404,16 +398,15 @@
         if kept is None:
             return
         self._ledger.refuse(key, now=self._now())
-        attempt = kept.attempt
-        wait_s = self._wait_s(attempt.customer, attempt.share)
         refusal = Refusal(
             reason=reason,
-            retry_after_s=max(wait_s, SHORTEST_RETRY_S),
+            retry_after_s=self._retry_after_s(kept.attempt),
         )
         kept.answers.add(RunDown(refusal=refusal))
         kept.answers.close()
-        if key in self._held:
-            self._held.discard(key)
+        held = self._admission.holds(key)
+        self._admission.leave(key)
+        if held:
             self._advance()
         else:
             self._note_load()
@@ -480,46 +473,39 @@
             self.post(ForgetOld())
 
     def _note_load(self) -> None:
-        self.state.running = len(self._held)
-        self.state.queued = len(self._queue)
+        admission = self._admission
+        self.state.running = admission.running
+        self.state.queued = admission.queued
+        self.state.service_s = admission.estimate.service_s
+        self.state.pace_s = admission.estimate.pace_s
         changed, self.state.changed = self.state.changed, asyncio.Event()
         changed.set()
-        if not self._held:
+        if not admission.running:
             for idle in self._idle:
                 if not idle.done():
                     idle.set_result(None)
             self._idle.clear()
 
-    def _wait_s(self, customer: str, share: float) -> float:
-        """Estimate the seconds until a new attempt would get a slot."""
-        free = self.state.slots - len(self._held)
-        ahead = self._queue.ahead_of(customer, share)
-        turns = max(ahead + 1 - free, 0) / max(self.state.slots, 1)
-        return turns * self.state.service_s
+    def _wait_s(self, attempt: Attempt) -> float:
+        return self._admission.wait_s(attempt.customer, attempt.share)
 
-    def _run_s(self, attempt: Attempt) -> float:
-        """Estimate how long an attempt would hold its slot.
-
-        ``max_tokens`` only bounds an answer, so the mean run counts as well.
-        An idle upstream is always tried: estimates only change by runs, and
-        an old one from a busy time would refuse short deadlines for ever.
-        """
-        state = self.state
-        if not self._running:
-            return 0
-        tokens = attempt.max_tokens - attempt.resume_from
-        run_s = state.service_s
-        if tokens > 0:
-            run_s = min(run_s, tokens * state.pace_s)
-        return RUN_MARGIN * run_s
+    def _retry_after_s(self, attempt: Attempt) -> float:
+        return max(self._wait_s(attempt), SHORTEST_RETRY_S)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
 
-def _mean(before: float, measured: float) -> float:
-    weight = MEAN_WEIGHT if before else 1
-    return before + weight * (measured - before)
+def _waiting(attempt: Attempt, now: float) -> Waiting:
+    tokens = attempt.max_tokens - attempt.resume_from
+    return Waiting(
+        key=attempt.key,
+        customer=attempt.customer,
+        priority=attempt.priority,
+        share=attempt.share,
+        deadline=now + attempt.budget_s,
+        tokens=max(tokens, 0),
+    )
 
 
 def settled_message(state: SettledState) -> RunDown:
--- a/packages/daemon/src/crowrudder_daemon/entry/_attempt_call.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_attempt_call.py
@@ -72,6 +72,9 @@
     def note_refusal(self, call: AttemptCall, refusal: Refusal) -> None:
         """Take an agent's word that the attempt never starts."""
 
+    def note_queued(self, call: AttemptCall, queued: Queued) -> None:
+        """Take note that the attempt waits."""
+
     def note_lost(self, call: AttemptCall, exc: PeerLostError) -> None:
         """Take note of a broken stream."""
 
@@ -86,6 +89,7 @@
     progress_at: float
     _request: CallOwner
     _peers: PeerClient
+    hedge: bool = False
     version: str = ''
     queued_wait_s: float = 0
     _granted_at: float | None = field(default=None, init=False)
@@ -126,6 +130,7 @@
             return None
         if isinstance(first.body, Queued):
             self.queued_wait_s = first.body.wait_s
+            self._request.note_queued(self, first.body)
         return await self._follow(stream, stream)
 
     async def _follow(
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -14,7 +14,7 @@
 from crowrudder_daemon.entry._claims import Claim, homes_among, take_claim
 from crowrudder_daemon.entry._parts import Ended, outcome_unknown, refused
 from crowrudder_model import CrowrudderError, Outcome, PeerLostError
-from crowrudder_model.messages import Attempt, Piece, Refusal
+from crowrudder_model.messages import Attempt, Piece, Queued, Refusal
 
 if TYPE_CHECKING:
     from crowrudder_daemon.entry._attempt_call import AgentRef
@@ -33,7 +33,6 @@
 """
 
 CONTENDED_RETRY_S = 2.0
-HEDGE_TURN_S = 0.1
 
 
 @define(eq=False)
@@ -49,6 +48,10 @@
     version: str = ''
     claim: Claim | None = None
     _calls: dict[asyncio.Task[Ended | None], AttemptCall] = field(factory=dict)
+    _ended: asyncio.Queue[asyncio.Task[Ended | None]] = field(
+        factory=asyncio.Queue,
+    )
+    _search: asyncio.Task[None] | None = None
     _leader: AttemptCall | None = None
     _avoid: set[str] = field(factory=set)
     _last_refusal: Refusal | None = None
@@ -99,7 +102,7 @@
         granted = self.owner.grant(call.key, now=_now())
         if granted:
             call.version = version
-        if granted and not self.owner.idempotent:
+        if granted and not call.hedge:
             self._drop_others(call)
         return granted
 
@@ -170,6 +173,8 @@
                 if ended is not None:
                     return ended
         finally:
+            if self._search is not None:
+                self._search.cancel()
             self._drop_others(None)
 
     async def _step(self) -> Ended | None:
@@ -178,20 +183,15 @@
             ended = self._start_next()
             if ended is not None:
                 return ended
-        done, _ = await asyncio.wait(
-            self._calls,
-            timeout=self._patience_s(),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not done:
+        try:
+            async with asyncio.timeout(self._patience_s()):
+                job = await self._ended.get()
+        except TimeoutError:
             self._hedge()
-        for job in done:
-            call = self._calls.pop(job)
-            self._avoid.add(call.agent.host)
-            ended = None if job.cancelled() else job.result()
-            if ended is not None:
-                return ended
-        return None
+            return None
+        call = self._calls.pop(job)
+        self._avoid.add(call.agent.host)
+        return None if job.cancelled() else job.result()
 
     def _start_next(self) -> Ended | None:
         """Start the first attempt, or one more after all others ended."""
@@ -208,11 +208,12 @@
         self._start(agent)
         return None
 
-    def _start(self, agent: AgentRef) -> None:
+    def _start(self, agent: AgentRef, *, hedge: bool = False) -> None:
         self._free_retry = False
         call = AttemptCall(
             agent=agent,
-            key=self.owner.open_attempt(),
+            key=self.owner.open_attempt(hedge=hedge),
+            hedge=hedge,
             next_index=self.next_index,
             progress_at=_now(),
             request=self,
@@ -221,28 +222,57 @@
         self._task.on_sent(agent)
         job = self._task.spawn(call.run())
         job.add_done_callback(lambda _: self._task.on_ended(agent))
+        job.add_done_callback(self._ended.put_nowait)
         self._calls[job] = call
 
+    def note_queued(self, call: AttemptCall, queued: Queued) -> None:
+        """Look for a free slot elsewhere where the first agent has none.
+
+        Reports are late; an agent's own word is fresh and costs a round trip
+        of one or two milliseconds, against hundreds for a run.
+        """
+        alone = len(self._calls) < MOST_AT_ONCE and self._search is None
+        if queued.wait_s <= 0 or not alone or not self.owner.may_hedge:
+            return
+        if self._task.may_queue_twice():
+            self._search = self._task.spawn(self._find_room(queued.wait_s))
+
+    async def _find_room(self, wait_s: float) -> None:
+        """Queue at a second agent too; who has a slot first gets the permit."""
+        busy = {call.agent.host for call in self._calls.values()}
+        agent = await self._task.ask_for_room(
+            self._need(also_avoid=busy),
+            self.req.head.customer,
+        )
+        sooner = agent is not None and agent.wait_s < wait_s
+        if agent is not None and sooner and self.owner.may_hedge:
+            self._start(agent)
+
     def _patience_s(self) -> float | None:
         """Give how long to wait before a second attempt is worth its cost."""
         if not self.owner.may_hedge or len(self._calls) >= MOST_AT_ONCE:
             return None
         latest = max(call.progress_at for call in self._calls.values())
         patience_s = self._task.patience_s(self.req.service)
-        return max(latest + patience_s - _now(), HEDGE_TURN_S)
+        return max(latest + patience_s - _now(), 0)
 
     def _hedge(self) -> None:
-        """Queue the request at a second agent as well.
+        """Try a second agent when the first gives no sign of life.
 
-        The first may be paused, or its upstream may accept and never answer;
-        only the permit decides which of the two runs.
+        It may be paused, or its upstream may accept and never answer.
         """
-        busy = {call.agent.host for call in self._calls.values()}
-        agent = self._task.choose(self._need(also_avoid=busy))
+        if self._patience_s() != 0:
+            return
         for call in self._calls.values():
             call.progress_at = _now()
-        if agent is not None and self._task.may_retry():
-            self._start(agent)
+        if self._task.may_retry():
+            self._start_beside(hedge=True)
+
+    def _start_beside(self, *, hedge: bool = False) -> None:
+        busy = {call.agent.host for call in self._calls.values()}
+        agent = self._task.choose(self._need(also_avoid=busy))
+        if agent is not None:
+            self._start(agent, hedge=hedge)
 
     def _takes_over(self, call: AttemptCall, piece: Piece) -> bool:
         younger = (
--- a/packages/daemon/src/crowrudder_daemon/entry/_links.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_links.py
@@ -73,6 +73,7 @@
         ask = ReportAsk(
             host=self._runtime.cfg.process.host,
             interval_s=REPORT_EVERY_S,
+            entry=self._runtime.incarnation,
         )
         while True:
             stream = self._peers.open(address, REPORTS, ask)
--- a/packages/daemon/src/crowrudder_daemon/entry/_requests.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_requests.py
@@ -19,8 +19,8 @@
 from crowrudder_daemon.entry._parts import Ended, refused
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_model import PeerLostError
-from crowrudder_model.messages import Cancel
-from crowrudder_model.rpc import CANCEL
+from crowrudder_model.messages import Cancel, RoomAsk
+from crowrudder_model.rpc import CANCEL, ROOM
 
 if TYPE_CHECKING:
     from crowrudder_daemon.entry._caller_request import CallerRequest
@@ -34,6 +34,14 @@
 SUSPECT_S = 1.0
 """Seconds for which an agent is avoided after a failed call."""
 
+SECOND_PLACE_SHARE = 0.5
+"""Second places in queues as a share of the requests."""
+
+ROOM_ASKED = 3
+"""Agents that are asked for their room at the moment of the choice."""
+
+ROOM_TIMEOUT_S = 0.05
+NO_ROOM = -1.0
 CANCEL_TIMEOUT_S = 1.0
 FORGET_EVERY_S = 30.0
 
@@ -72,11 +80,13 @@
         super().__init__(runtime.log)
         self.snapshot = Snapshot()
         self.leaving = False
+        self.attempts = 0
         self._runtime = runtime
         self._peers = peers
         self._router = Router(random.Random(runtime.incarnation))
         self._addresses: dict[str, str] = {}
         self._budget = RetryBudget(runtime.cfg.limits.retry_share)
+        self._second_places = RetryBudget(SECOND_PLACE_SHARE)
         self._admission = Admission(runtime.cfg.limits.max_concurrent)
         self._serial = 0
         self._drives: dict[int, tuple[Drive, asyncio.Task[Any]]] = {}
@@ -123,6 +133,7 @@
             return
         req, head = entered, entered.head
         self._budget.on_first()
+        self._second_places.on_first()
         self._serial += 1
         owner = RequestOwner(
             head.request_id,
@@ -162,18 +173,42 @@
         choice = self._router.choose(need, now=self._now())
         if choice is None:
             return None
-        report = self._router.agents[choice.host].report
-        return AgentRef(
-            choice.host,
-            self._addresses[choice.host],
-            report.incarnation,
-            choice.wait_s,
+        return self._agent(choice.host, choice.wait_s)
+
+    async def ask_for_room(
+        self,
+        need: Need,
+        customer: str,
+    ) -> AgentRef | None:
+        """Ask a few agents and give the one with the shortest wait."""
+        hosts = self._router.draw(need, ROOM_ASKED, now=self._now())
+        ask = RoomAsk(
+            service=need.service,
+            customer=customer,
+            share=self.share_of(customer),
         )
+        waits = await asyncio.gather(
+            *(self._ask_room(host, ask) for host in hosts),
+        )
+        now = self._now()
+        known = [
+            (wait_s + self._router.extra_s(host, need, now=now), host)
+            for wait_s, host in zip(waits, hosts, strict=True)
+            if wait_s >= 0 and host in self._router.agents
+        ]
+        if not known:
+            return None
+        wait_s, host = min(known)
+        return self._agent(host, wait_s)
 
     def may_retry(self) -> bool:
         """Spend one retry."""
         return self._budget.take()
 
+    def may_queue_twice(self) -> bool:
+        """Spend one second place in a queue."""
+        return self._second_places.take()
+
     def patience_s(self, service: str) -> float:
         """Give the wait after which a second attempt is worth its cost."""
         return self._router.patience_s(service)
@@ -186,6 +221,7 @@
 
     def on_sent(self, agent: AgentRef) -> None:
         """Count an attempt."""
+        self.attempts += 1
         self._shown_attempts.add()
         self._router.on_sent(agent.host, agent.incarnation)
 
@@ -256,6 +292,27 @@
         declaration = bundle.declaration
         return declaration.service_of_model(name) or declaration.service(name)
 
+    def _agent(self, host: str, wait_s: float) -> AgentRef:
+        report = self._router.agents[host].report
+        return AgentRef(
+            host,
+            self._addresses[host],
+            report.incarnation,
+            wait_s,
+        )
+
+    async def _ask_room(self, host: str, ask: RoomAsk) -> float:
+        try:
+            reply = await self._peers.call(
+                self._addresses[host],
+                ROOM,
+                ask,
+                timeout_s=ROOM_TIMEOUT_S,
+            )
+        except PeerLostError:
+            return NO_ROOM
+        return reply.wait_s
+
     def _enter(self, req: CallerRequest, now: float) -> CallerRequest | Ended:
         if self.leaving:
             return refused('draining', 503, 1)
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -20,7 +20,12 @@
     ProcessState,
     TakeAsk,
 )
-from crowrudder_model.messages._report import Report, ReportAsk
+from crowrudder_model.messages._report import (
+    Report,
+    ReportAsk,
+    RoomAsk,
+    RoomReply,
+)
 from crowrudder_model.messages._run import (
     Attempt,
     AttemptKey,
@@ -76,6 +81,8 @@
     'ReleaseAsk',
     'Report',
     'ReportAsk',
+    'RoomAsk',
+    'RoomReply',
     'RunDown',
     'RunUp',
     'SettleAsk',
--- a/packages/model/src/crowrudder_model/rpc/_methods.py
+++ b/packages/model/src/crowrudder_model/rpc/_methods.py
@@ -51,6 +51,7 @@
     messages.RunDown,
     CallKind.DOWN_STREAM,
 )
+ROOM = Method('Room', messages.RoomAsk, messages.RoomReply)
 CANCEL = Method('Cancel', messages.Cancel, messages.Taken)
 REPORTS = Method(
     'Reports',
