Routing measured with the daemon's own tasks; shares in queue and slots proved

measure/route.py runs RequestsTask, RunsTask and RunService as they are on a loop with virtual time, over streams in memory.

--- a/measure/_route_fleet.py
+++ b/measure/_route_fleet.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import types
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -15,7 +15,7 @@
 from crowrudder_core.routing import Router
 from crowrudder_daemon.agent._run_service import RunService
 from crowrudder_daemon.agent._runs import ResumeRuns, RunsTask
-from crowrudder_daemon.entry._links import ReportCame
+from crowrudder_daemon.entry._links import AgentLost, ReportCame
 from crowrudder_daemon.entry._requests import RequestsTask, SnapshotCame
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_daemon.process import Runtime
@@ -70,6 +70,7 @@
     runs: int = 0
     hits: int = 0
     running: int = 0
+    busy_s: float = 0
     _prefixes: OrderedDict[str, None] = field(factory=OrderedDict)
 
     async def run(
@@ -105,6 +106,7 @@
         request_id = attempt.key.request_id
         left = attempt.max_tokens - attempt.resume_from
         whole_s = self.run_s(left, hit=self._hit(attempt.prompt))
+        self.busy_s += whole_s
         first_s = whole_s - self.run_s(max(left - 1, 0)) + self.run_s(0)
         first_s = min(first_s, whole_s)
         # Two pieces stand for all tokens: the first, and what follows.
@@ -141,9 +143,11 @@
     alive: bool = True
     streams: set[MemoryStream] = field(factory=set)
 
-    def die(self) -> None:
+    def die(self, entries: list[RequestsTask]) -> None:
         """Break every stream, as the death of its host would."""
         self.alive = False
+        for entry in entries:
+            entry.post(AgentLost(self.address))
         for stream in list(self.streams):
             stream.break_off()
 
@@ -157,8 +161,8 @@
     def __init__(self, agent: MemoryAgent, method: Method[Any, Any]) -> None:
         self._agent = agent
         self._method = method
-        self._ups: asyncio.Queue[Any] = asyncio.Queue()
-        self._downs: asyncio.Queue[Any] = asyncio.Queue()
+        self._ups = _Link()
+        self._downs = _Link()
         self._pump: asyncio.Task[None] | None = None
 
     def open(self, ask: Any) -> None:
@@ -173,13 +177,13 @@
         """Send one message up."""
         if not self._agent.alive:
             raise self._lost()
-        _later(self._ups.put_nowait, message)
+        self._ups.put(message)
 
     async def read(self) -> Any:
         """Read one message; None at the orderly end."""
-        down = await self._downs.get()
+        down = await self._downs.out.get()
         if isinstance(down, PeerLostError):
-            self._downs.put_nowait(down)
+            self._downs.out.put_nowait(down)
             raise down
         return None if down is _END else down
 
@@ -196,7 +200,7 @@
     def break_off(self) -> None:
         """End both ways as a dead host does."""
         self.cancel()
-        self._downs.put_nowait(self._lost())
+        self._downs.out.put_nowait(self._lost())
 
     async def _iterate(self) -> AsyncIterator[Any]:
         while (down := await self.read()) is not None:
@@ -210,12 +214,12 @@
             else service._on_settle(ask, None)
         )
         async for event in events:
-            _later(self._downs.put_nowait, event)
-        _later(self._downs.put_nowait, _END)
+            self._downs.put(event)
+        self._downs.put(_END)
 
     async def _read_ups(self) -> AsyncIterator[Any]:
         while True:
-            yield await self._ups.get()
+            yield await self._ups.out.get()
 
     def _lost(self) -> PeerLostError:
         return PeerLostError(
@@ -225,8 +229,23 @@
         )
 
 
-def _later(act: Any, argument: Any) -> None:
-    asyncio.get_running_loop().call_later(LATENCY_S, act, argument)
+@define(eq=False)
+class _Link:
+    """One way of a stream: late by a latency, and in order.
+
+    Timers of the same moment run in no order, so each takes the eldest.
+    """
+
+    out: asyncio.Queue[Any] = field(factory=asyncio.Queue)
+    _flying: deque[Any] = field(factory=deque)
+
+    def put(self, message: Any) -> None:
+        self._flying.append(message)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LATENCY_S, self._arrive)
+
+    def _arrive(self) -> None:
+        self.out.put_nowait(self._flying.popleft())
 
 
 class MemoryPeers:
@@ -261,7 +280,7 @@
         if not agent.alive:
             raise PeerLostError('connection refused', step='call', peer=peer)
         self.calls += 1
-        handlers = {
+        handlers: dict[Any, Any] = {
             CANCEL: agent.service._on_cancel,
             ROOM: agent.service._on_room,
         }
@@ -280,9 +299,7 @@
     ) -> None:
         self.shape = shape
         self.rng = random.Random(shape.seed)
-        self.agents = [
-            _agent(shape, number) for number in range(shape.agents)
-        ]
+        self.agents = [_agent(shape, number) for number in range(shape.agents)]
         by_address = {agent.address: agent for agent in self.agents}
         self.entries = [
             _entry(number, MemoryPeers(by_address))
@@ -299,7 +316,7 @@
         for number, entry in enumerate(self.entries):
             rng = random.Random(shape.seed * 100 + number)
             router = make_router(self, rng) if make_router else Router(rng)
-            entry._router = router
+            entry.agents.router = router
             entry.post(SnapshotCame(Snapshot(bundle)))
 
     async def start(self) -> None:
--- a/measure/_route_policies.py
+++ b/measure/_route_policies.py
@@ -23,7 +23,9 @@
 class RoundRobinRouter(Router):
     """One agent after the other."""
 
-    turn = 0
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        self.turn = 0
 
     def choose(self, need: Need, *, now: float) -> Choice | None:
         """Take the next one."""
@@ -82,7 +84,7 @@
         if not alive:
             return None
         self._random.shuffle(alive)
-        best = min(alive, key=lambda agent: self._end_s(agent))
+        best = min(alive, key=self._end_s)
         return Choice(best.address, 0)
 
     def _end_s(self, agent: MemoryAgent) -> float:
@@ -90,7 +92,7 @@
         load = max(
             state.running + state.queued,
             sum(
-                entry._router.agents[agent.address].outstanding
+                entry.agents.router.agents[agent.address].outstanding
                 for entry in self.fleet.entries
             ),
         )
--- a/measure/route.py
+++ b/measure/route.py
@@ -33,6 +33,7 @@
 LOAD = 0.8
 SLOWNESS = 3.0
 SECONDS = 20.0
+CACHE_SECONDS = 40.0
 WARM_UP_S = 3.0
 DEADLINE_S = 10.0
 OVERLOAD_DEADLINE_S = 3.0
@@ -162,7 +163,7 @@
         fleet.agents[0].engine.slowness = SLOWNESS
         await fleet.start()
         loop = asyncio.get_running_loop()
-        loop.call_later(SECONDS / 2, fleet.agents[1].die)
+        loop.call_later(SECONDS / 2, fleet.agents[1].die, fleet.entries)
         # One of the agents counts for a third, and one dies.
         rate = LOAD * capacity(shape) * (shape.agents - 5 / 3) / shape.agents
         load = Load(fleet, {'large': rate})
@@ -187,10 +188,11 @@
         fleet = MemoryFleet(shape, make_router)
         await fleet.start()
         load = Load(fleet, {'large': 0.6 * capacity(shape)}, prefixes=400)
-        await load.run(SECONDS)
+        await load.run(CACHE_SECONDS)
         runs = [agent.engine.runs for agent in fleet.agents]
         hits = sum(agent.engine.hits for agent in fleet.agents)
-        return hits / sum(runs), max(runs) * len(runs) / sum(runs)
+        busy = [agent.engine.busy_s for agent in fleet.agents]
+        return hits / sum(runs), max(busy) * len(busy) / sum(busy)
 
     return run_virtual(story())
 
@@ -227,9 +229,9 @@
         await fleet.start()
         load = Load(fleet, {'large': 200.0})
         for agent in fleet.agents:
-            agent.die()
+            agent.die([])
         await load.run(SECONDS)
-        attempts = sum(entry.attempts for entry in fleet.entries)
+        attempts = sum(entry.agents.attempts for entry in fleet.entries)
         return attempts / len(load.done)
 
     return run_virtual(story())
@@ -266,8 +268,9 @@
     best, _ = measure_cache(best_placement)
     show('route.cache_hit_ratio', hits / best)
     show('route.cache_fullest_over_mean', fullest)
-    random_hits, _ = measure_cache(POLICIES['random'])
+    random_hits, random_fullest = measure_cache(POLICIES['random'])
     show('route.random.cache_hit_ratio', random_hits / best)
+    show('route.random.cache_fullest_over_mean', random_fullest)
 
 
 def run_overload(show: Show) -> None:
--- a/packages/core/src/crowrudder_core/requests/_admission.py
+++ b/packages/core/src/crowrudder_core/requests/_admission.py
@@ -81,7 +81,7 @@
         """Attempts that wait for one."""
         return len(self.queue)
 
-    def keys(self) -> Iterator[AttemptKey]:
+    def attempts(self) -> Iterator[AttemptKey]:
         """Give all attempts that wait or hold a slot."""
         yield from self._held
         yield from self.queue.waiting
--- a/packages/core/src/crowrudder_core/requests/_queue.py
+++ b/packages/core/src/crowrudder_core/requests/_queue.py
@@ -66,7 +66,7 @@
     Among the customers below their declared share, and then among the others,
     the better priority goes first, then the customer that has used least for
     its weight, then the order of arrival. A full queue drops the latest
-    attempt of the customer that has most in it for its weight, so that one
+    attempt of the customer that is furthest above its places, so that one
     customer can't keep the others out.
 
     Parameters
@@ -151,12 +151,20 @@
         return order
 
     def _least_entitled(self) -> AttemptKey:
-        counts = self._count()
+        """Find the latest attempt of who is furthest above its places.
+
+        Each customer has places by its weight, at least one: a small one that
+        comes with a single attempt isn't dropped for a large one's many.
+        """
         weights = self._weights()
+        above = {
+            customer: count - max(weights[customer] * self.length, 1)
+            for customer, count in self._count().items()
+        }
         return max(
             self.waiting.values(),
             key=lambda item: (
-                counts[item.customer] / weights[item.customer],
+                above[item.customer],
                 item.priority,
                 item.order,
             ),
--- a/packages/core/src/crowrudder_core/routing/_agent_state.py
+++ b/packages/core/src/crowrudder_core/routing/_agent_state.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 if TYPE_CHECKING:
-    from crowrudder_model.messages import Report
+    from crowrudder_model.messages import Report, RoomReply
 
 SLOW_START_S = 8.0
 """Seconds in which a fresh agent is given less than its share."""
@@ -19,7 +19,9 @@
 
 STALLED_FACTOR = 50.0
 FILL_WEIGHT = 1.0
-LEAST_PACE = 0.25
+SLOW = 1.5
+"""Below this, a difference of pace is taken for chance."""
+
 MOST_PACE = 8.0
 WEIGHT = 0.2
 
@@ -84,10 +86,17 @@
         filled = (self.load + 1) / slots
         return (1 + waves + FILL_WEIGHT * filled) * self._factor(pace_s, now)
 
-    def extra_s(self, *, pace_s: float) -> float:
-        """Give by how much longer a run takes here than usual."""
+    def end_s(
+        self,
+        room: RoomReply,
+        *,
+        pace_s: float,
+        service_s: float,
+    ) -> float:
+        """Estimate the end of one more attempt from the agent's own word."""
         slowness = self._slowness(pace_s)
-        return self.report.service_s * max(1 - 1 / slowness, 0)
+        full = FILL_WEIGHT * room.filled
+        return room.wait_s + service_s * (slowness + full)
 
     def wait_s(self, *, pace_s: float) -> float:
         """Give the seconds until one more attempt would get a slot."""
@@ -108,4 +117,6 @@
         if not pace_s or not self.report.pace_s:
             return 1
         slowness = self.report.pace_s / pace_s
-        return min(max(slowness, LEAST_PACE), MOST_PACE)
+        if slowness < SLOW:
+            return 1
+        return min(slowness, MOST_PACE)
--- a/packages/core/src/crowrudder_core/routing/_router.py
+++ b/packages/core/src/crowrudder_core/routing/_router.py
@@ -13,12 +13,15 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from crowrudder_model.messages import Report
+    from crowrudder_model.messages import Report, RoomReply
 
 CHOICES = 2
-BOUND = 1.25
+BOUND = 1.18
 """How far above the mean cost an agent may be for its cached prefixes."""
 
+SURE_PART = 0.5
+"""Below this part of its slots an agent is taken without a question."""
+
 LEAST_PATIENCE_S = 0.5
 PATIENCE_FACTOR = 5.0
 
@@ -44,6 +47,8 @@
 
     host: str
     wait_s: float
+    sure: bool = True
+    """Whether it is so empty that old reports can't be far wrong."""
 
 
 @define
@@ -142,12 +147,47 @@
                 drawn,
                 key=lambda host: self.agents[host].cost(pace_s=pace_s, now=now),
             )
-        return Choice(chosen, self.agents[chosen].wait_s(pace_s=pace_s))
+        state = self.agents[chosen]
+        return Choice(
+            chosen,
+            state.wait_s(pace_s=pace_s),
+            sure=state.load + 1 <= SURE_PART * state.report.slots,
+        )
+
+    def choose_by_word(
+        self,
+        need: Need,
+        rooms: dict[str, RoomReply],
+        *,
+        first: str,
+        now: float,
+    ) -> Choice | None:
+        """Choose among agents that have just told their room.
 
-    def extra_s(self, host: str, need: Need, *, now: float) -> float:
-        """Give by how much longer a run takes at a host than usual."""
-        pace_s = self._pace_s(self.candidates(need, now=now))
-        return self.agents[host].extra_s(pace_s=pace_s)
+        Where ``first`` has a free slot, it is taken: the start of the prompt
+        is likely to be in its cache.
+        """
+        hosts = set(self.candidates(need, now=now))
+        pace_s = self._pace_s(sorted(hosts))
+        service_s = median(
+            [self.agents[host].report.service_s for host in hosts] or [0],
+        )
+        ends = {
+            host: self.agents[host].end_s(
+                room,
+                pace_s=pace_s,
+                service_s=service_s,
+            )
+            for host, room in rooms.items()
+            if room.wait_s >= 0 and host in hosts
+        }
+        if not ends:
+            return None
+        best = min(ends, key=lambda host: (ends[host], host))
+        usual = median(ends.values())
+        if first in ends and not rooms[first].wait_s:
+            best = first if ends[first] <= BOUND * usual else best
+        return Choice(best, rooms[best].wait_s)
 
     def draw(self, need: Need, count: int, *, now: float) -> list[str]:
         """Draw hosts to be asked for their room."""
--- a/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
@@ -32,7 +32,7 @@
 from crowrudder_model.rpc import CANCEL, REPORTS, ROOM, RUN, SETTLE
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
     from crowrudder_daemon.agent._runs import RunsTask
     from crowrudder_daemon.knowledge import KnowledgeTask
@@ -120,7 +120,13 @@
         return Taken(count=1)
 
     async def _on_room(self, ask: RoomAsk, _context: object) -> RoomReply:
-        return RoomReply(wait_s=self._runs.room_s(ask))
+        runs, admission = self._runs, self._runs.admission
+        if runs.shut or ask.service != runs.state.service:
+            return RoomReply(wait_s=NO_ROOM)
+        return RoomReply(
+            wait_s=admission.wait_s(ask.customer, ask.share),
+            filled=(admission.running + admission.queued) / admission.slots,
+        )
 
     async def _on_settle(
         self,
@@ -168,14 +174,19 @@
             service_s=state.service_s,
             pace_s=state.pace_s,
             silent_s=self._runs.silent_s,
-            yours=self._runs.count_of(entry),
+            yours=_count_of(entry, self._runs.admission.attempts()),
             leaving=state.leaving,
             generation=generation,
             digest=digest,
         )
 
 
+def _count_of(entry: str, attempts: Iterable[AttemptKey]) -> int:
+    return sum(key.entry == entry for key in attempts)
+
+
 SHORTEST_INTERVAL_S = 0.05
+NO_ROOM = -1.0
 
 
 async def _wait_for_news(
--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -27,7 +27,6 @@
     Piece,
     Queued,
     Refusal,
-    RoomAsk,
     RunDown,
     Settled,
     SettledState,
@@ -47,7 +46,6 @@
 as an entry goes on asking."""
 
 SHORTEST_RETRY_S = 0.1
-NO_ROOM = -1.0
 
 
 @frozen
@@ -179,7 +177,7 @@
         self._runtime = runtime
         self._upstream = upstream
         self._ledger = AgentLedger()
-        self._admission = SlotAdmission(
+        self.admission = SlotAdmission(
             limits.slots,
             AdmissionQueue(limits.queue_length),
         )
@@ -209,11 +207,11 @@
             item.deadline,
         )
         queued = Queued(
-            ahead=self._admission.queued,
+            ahead=self.admission.queued,
             wait_s=self._wait_s(attempt),
         )
         message.answers.add(RunDown(queued=queued))
-        dropped = self._admission.add(item)
+        dropped = self.admission.add(item)
         if dropped is not None:
             self._release(dropped, 'queue_full')
         self._advance()
@@ -221,7 +219,7 @@
     def on_permit_came(self, message: PermitCame) -> None:
         """Start the attempt if the owner and the clock allow it."""
         kept = self._kept.get(message.key)
-        if kept is None or not self._admission.holds(message.key):
+        if kept is None or not self.admission.holds(message.key):
             return
         if self._may_start(message):
             if not self._running:
@@ -282,27 +280,21 @@
     def on_run_ended(self, message: RunEnded) -> None:
         """Free the slot."""
         self._running.pop(message.key, None)
-        self._admission.leave(message.key)
+        self.admission.leave(message.key)
         self._ledger.finish(message.key, now=self._now(), ran=message.ran)
         kept = self._kept.get(message.key)
         if kept is not None:
             kept.ended_at = self._now()
         if message.ran:
-            estimate = self._admission.estimate
+            estimate = self.admission.estimate
             estimate.on_ended(message.took_s, pieces=message.pieces)
         self._advance()
 
-    def count_of(self, entry: str) -> int:
-        """Count the waiting and running attempts of one entry."""
-        return sum(key.entry == entry for key in self._admission.keys())
-
-    def room_s(self, ask: RoomAsk) -> float:
-        """Give the wait for a slot now; negative where nothing is taken."""
+    @property
+    def shut(self) -> bool:
+        """Whether nothing is taken in now."""
         state = self.state
-        shut = self._paused or state.leaving or not state.version
-        if shut or ask.service != state.service:
-            return NO_ROOM
-        return self._admission.wait_s(ask.customer, ask.share)
+        return self._paused or state.leaving or not state.version
 
     @property
     def silent_s(self) -> float:
@@ -329,7 +321,7 @@
     def on_drain_runs(self, message: DrainRuns) -> None:
         """Refuse what waits, finish what runs."""
         self.state.leaving = True
-        for key in list(self._admission.queue.waiting):
+        for key in list(self.admission.queue.waiting):
             self._release(key, 'draining')
         self._idle.append(message.idle)
         self._note_load()
@@ -345,14 +337,14 @@
         ]
         for key in old:
             self._kept.pop(key)
-        self._admission.queue.forget(now=now)
+        self.admission.queue.forget(now=now)
 
     def _refusal(self, attempt: Attempt, item: Waiting) -> Refusal | None:
         if self.state.leaving:
             return Refusal(reason='draining', retry_after_s=1)
         if attempt.service != self.state.service:
             return Refusal(reason='not_loaded', retry_after_s=1)
-        if not self._admission.in_time(item, now=self._now()):
+        if not self.admission.in_time(item, now=self._now()):
             return Refusal(
                 reason='deadline_unreachable',
                 retry_after_s=self._retry_after_s(attempt),
@@ -362,7 +354,7 @@
     def _advance(self) -> None:
         """Ask for permits while slots are free."""
         while not self._paused:
-            match self._admission.next(now=self._now()):
+            match self.admission.next(now=self._now()):
                 case Start(key):
                     self._ask(key)
                 case Late(key):
@@ -404,8 +396,8 @@
         )
         kept.answers.add(RunDown(refusal=refusal))
         kept.answers.close()
-        held = self._admission.holds(key)
-        self._admission.leave(key)
+        held = self.admission.holds(key)
+        self.admission.leave(key)
         if held:
             self._advance()
         else:
@@ -473,7 +465,7 @@
             self.post(ForgetOld())
 
     def _note_load(self) -> None:
-        admission = self._admission
+        admission = self.admission
         self.state.running = admission.running
         self.state.queued = admission.queued
         self.state.service_s = admission.estimate.service_s
@@ -487,7 +479,7 @@
             self._idle.clear()
 
     def _wait_s(self, attempt: Attempt) -> float:
-        return self._admission.wait_s(attempt.customer, attempt.share)
+        return self.admission.wait_s(attempt.customer, attempt.share)
 
     def _retry_after_s(self, attempt: Attempt) -> float:
         return max(self._wait_s(attempt), SHORTEST_RETRY_S)
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -117,7 +117,7 @@
         if piece.index != self.next_index:
             return
         if not self.next_index:
-            self._task.on_first_piece(call.agent, call.waited_s)
+            self._task.agents.on_first_piece(call.agent, call.waited_s)
         self.next_index += 1
         self.parts.put_nowait(piece)
 
@@ -125,12 +125,12 @@
         """Keep the reason and the time after which to come back."""
         self._last_refusal = refusal
         self._free_retry = refusal.reason in NO_COST
-        self._task.on_refused(call.agent, refusal)
+        self._task.agents.on_refused(call.agent, refusal)
 
     def note_lost(self, call: AttemptCall, exc: PeerLostError) -> None:
         """Tell the router of a broken stream."""
         self._free_retry = False
-        self._task.on_failed(call.agent, exc)
+        self._task.agents.on_failed(call.agent, exc)
 
     async def _run_in_time(self) -> Ended:
         left_s = self.owner.deadline - _now()
@@ -180,7 +180,7 @@
     async def _step(self) -> Ended | None:
         """Start what is missing and wait for the next event."""
         if not self._calls:
-            ended = self._start_next()
+            ended = await self._start_next()
             if ended is not None:
                 return ended
         try:
@@ -193,9 +193,12 @@
         self._avoid.add(call.agent.host)
         return None if job.cancelled() else job.result()
 
-    def _start_next(self) -> Ended | None:
+    async def _start_next(self) -> Ended | None:
         """Start the first attempt, or one more after all others ended."""
-        agent = self._task.choose(self._need())
+        agent = await self._task.agents.choose_freshly(
+            self._need(),
+            self._task.room_ask(self.req),
+        )
         if agent is None:
             return self._no_agent()
         share = self._task.share_of(self.req.head.customer)
@@ -219,9 +222,9 @@
             request=self,
             peers=self._peers,
         )
-        self._task.on_sent(agent)
+        self._task.agents.on_sent(agent)
         job = self._task.spawn(call.run())
-        job.add_done_callback(lambda _: self._task.on_ended(agent))
+        job.add_done_callback(lambda _: self._task.agents.on_ended(agent))
         job.add_done_callback(self._ended.put_nowait)
         self._calls[job] = call
 
@@ -240,9 +243,9 @@
     async def _find_room(self, wait_s: float) -> None:
         """Queue at a second agent too; who has a slot first gets the permit."""
         busy = {call.agent.host for call in self._calls.values()}
-        agent = await self._task.ask_for_room(
+        agent = await self._task.agents.ask_for_room(
             self._need(also_avoid=busy),
-            self.req.head.customer,
+            self._task.room_ask(self.req),
         )
         sooner = agent is not None and agent.wait_s < wait_s
         if agent is not None and sooner and self.owner.may_hedge:
@@ -253,7 +256,7 @@
         if not self.owner.may_hedge or len(self._calls) >= MOST_AT_ONCE:
             return None
         latest = max(call.progress_at for call in self._calls.values())
-        patience_s = self._task.patience_s(self.req.service)
+        patience_s = self._task.agents.router.patience_s(self.req.service)
         return max(latest + patience_s - _now(), 0)
 
     def _hedge(self) -> None:
@@ -266,11 +269,11 @@
         for call in self._calls.values():
             call.progress_at = _now()
         if self._task.may_retry():
-            self._start_beside(hedge=True)
+            self._start_beside(hedge=self.owner.permit_out)
 
     def _start_beside(self, *, hedge: bool = False) -> None:
         busy = {call.agent.host for call in self._calls.values()}
-        agent = self._task.choose(self._need(also_avoid=busy))
+        agent = self._task.agents.choose(self._need(also_avoid=busy))
         if agent is not None:
             self._start(agent, hedge=hedge)
 
@@ -290,7 +293,7 @@
         for job, call in self._calls.items():
             if call is not kept and not job.done():
                 job.cancel()
-                self._task.cancel_at(call.agent, call.key)
+                self._task.spawn(self._task.agents.cancel(call.agent, call.key))
 
     def _finish(self, ended: Ended) -> None:
         outcome = self._close(ended.outcome)
--- a/packages/model/src/crowrudder_model/messages/_report.py
+++ b/packages/model/src/crowrudder_model/messages/_report.py
@@ -55,6 +55,10 @@
 
 @frozen(kw_only=True)
 class RoomReply:
-    """The wait for a slot in seconds; negative where nothing is taken in."""
+    """The wait for a slot in seconds; negative where nothing is taken in.
+
+    ``filled`` is the number of attempts there over the number of slots.
+    """
 
     wait_s: float
+    filled: float = 0
