Membership: streams of reports count as calls

Cause: only the exchanges of the knowledge task told of dead hosts; an entry's streams of reports notice within their keepalive, but nobody else learned of it. Two streams in a row that break without a report are now a suspicion, a report ends it here, and the host itself refutes a wrong one.

PROBE_EVERY and the choice of the next partner move to the state.

--- a/packages/daemon/src/crowrudder_daemon/entry/_links.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_links.py
@@ -10,6 +10,7 @@
 
 from crowrudder_core.routing import covered
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.knowledge import PeerAnswered, PeerSilent
 from crowrudder_model import CrowrudderError
 from crowrudder_model.messages import Report, ReportAsk
 from crowrudder_model.rpc import REPORTS
@@ -53,11 +54,13 @@
         runtime: Runtime,
         peers: PeerClient,
         consumer: Task,
+        knowledge: Task | None = None,
     ) -> None:
         super().__init__(runtime.log)
         self._runtime = runtime
         self._peers = peers
         self._consumer = consumer
+        self._knowledge = knowledge
         self._links: dict[tuple[str, str], asyncio.Task[Any]] = {}
 
     def on_links_wanted(self, message: LinksWanted) -> None:
@@ -80,13 +83,20 @@
             try:
                 async for report in stream:
                     self._consumer.post(ReportCame(report, address))
+                    self._tell(PeerAnswered(host))
             except CrowrudderError as exc:
                 self._log.debug('reports ended: %s', exc)
+                self._tell(PeerSilent(host, str(exc)))
             finally:
                 stream.cancel()
             self._consumer.post(AgentLost(host))
             await asyncio.sleep(RECONNECT_S)
 
+    def _tell(self, message: PeerAnswered | PeerSilent) -> None:
+        """Let the members' view know as well: others hear of it from there."""
+        if self._knowledge is not None:
+            self._knowledge.post(message)
+
 
 def links_of(snapshot: Snapshot, host: str) -> LinksWanted:
     """Give the agents that an entry shall be linked to, service by service."""
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -38,7 +38,9 @@
         self._server = PeerServer(f'{process.address}:{process.rpc_port}')
         self.knowledge = KnowledgeTask(runtime, self._on_snapshot)
         self.requests = RequestsTask(runtime, self._peers)
-        self.links = LinksTask(runtime, self._peers, self.requests)
+        self.links = LinksTask(
+            runtime, self._peers, self.requests, self.knowledge
+        )
         self._http = HTTPServer(
             SizeGate(
                 make_application(runtime, self.requests),
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_peers.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_peers.py
@@ -30,9 +30,16 @@
     hello: Hello
 
 
+@frozen
+class PeerAnswered:
+    """A peer answered a call, or a stream from it began."""
+
+    host: str
+
+
 @frozen
 class PeerSilent:
-    """A peer didn't answer."""
+    """A peer didn't answer, or a stream from it broke."""
 
     host: str
     reason: str
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_state.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_state.py
@@ -33,6 +33,7 @@
 from crowrudder_model.messages import Hello, Knowledge, TakeAsk
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from crowrudder_core.config import Verdict
@@ -41,6 +42,10 @@
 
 MS = 1000
 
+PROBE_EVERY = 4
+"""Every so many exchanges go to any member, also to a suspect: after a
+partition, the neighbours of both sides are all on their own side."""
+
 
 class KnowledgeState:
     """The aggregates of configuration and membership, side by side.
@@ -74,16 +79,21 @@
         self.neighbours: list[Member] = []
         self._runtime = runtime
         self._on_change = on_change
+        self._turn = 0
 
     @property
     def knows_members(self) -> bool:
         """Whether any member list was taken."""
         return bool(self.view.published.edition.digest)
 
-    def others(self) -> list[Member]:
-        """Give all members but this one."""
+    def next_partner(self, rng: random.Random) -> Member | None:
+        """Choose whom to exchange with: one neighbour after the other."""
+        self._turn += 1
+        if self.neighbours and self._turn % PROBE_EVERY:
+            return self.neighbours[self._turn % len(self.neighbours)]
         members = self.snapshot.members
-        return [member for member in members if member.host != self.host]
+        others = [member for member in members if member.host != self.host]
+        return rng.choice(others) if others else None
 
     def open_book(self) -> bool:
         """Put the newest of what the start brought in force."""
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
@@ -14,6 +14,7 @@
 from crowrudder_daemon.knowledge._peers import (
     HelloHeard,
     KnowledgeCame,
+    PeerAnswered,
     PeerCalls,
     PeerSilent,
     order_in,
@@ -41,10 +42,6 @@
     from crowrudder_model import Member
     from crowrudder_model.messages import TakeAsk
 
-PROBE_EVERY = 4
-"""Every so many exchanges go to any member, also to a suspect: after a
-partition, the neighbours of both sides are all on their own side."""
-
 FROZEN_S = 5.0
 """A loop that stood still for so long was frozen with its process."""
 
@@ -87,7 +84,6 @@
         self._platform = platform or PlatformClient(runtime)
         self._calls = calls or PeerCalls()
         self._pace = pace
-        self._turn = 0
         self._urgent = asyncio.Event()
         self._random = random.Random(runtime.incarnation)
 
@@ -166,6 +162,10 @@
         """Take what a peer says of itself and of others."""
         self._push_if(self._state.take_hello(message.hello))
 
+    def on_peer_answered(self, message: PeerAnswered) -> None:
+        """Take note of a call that another task made."""
+        self._state.view.on_call_answered(message.host)
+
     def on_peer_silent(self, message: PeerSilent) -> None:
         """Take note of a call that failed."""
         self._log.debug('no exchange: %s', message.reason)
@@ -247,7 +247,7 @@
         while True:
             pause_s = self._pace.exchange_s * self._random.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
-            member = self._next_partner()
+            member = self._state.next_partner(self._random)
             if member is not None:
                 await self._exchange(member)
             neighbours = self._state.neighbours
@@ -255,14 +255,6 @@
                 {neighbour.rpc_address for neighbour in neighbours}
             )
 
-    def _next_partner(self) -> Member | None:
-        self._turn += 1
-        neighbours = self._state.neighbours
-        if neighbours and self._turn % PROBE_EVERY:
-            return neighbours[self._turn % len(neighbours)]
-        others = self._state.others()
-        return self._random.choice(others) if others else None
-
     async def _push_for_ever(self) -> None:
         """Tell all neighbours at once what can't wait for their turn."""
         while True:
--- a/tests/config/test_knowledge_task.py
+++ b/tests/config/test_knowledge_task.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from crowrudder_daemon.knowledge import PeerAnswered, PeerSilent
 from support.aio import run
 from support.bundles import digest_in, fleet, payload
 from support.knowledge import FakeFleet
@@ -180,6 +181,34 @@
 
         run(scenario())
 
+    def test_streams_that_break_are_a_suspicion_until_it_is_refuted(
+        self,
+    ) -> None:
+        """An entry's streams tell before its own exchanges do."""
+
+        async def scenario() -> None:
+            async with FakeFleet(fleet(8, domains=2)) as hosts:
+                hosts.platform.publish(FIRST)
+                await hosts.in_force(1)
+                entry = hosts.tasks['host-0000']
+                entry.post(PeerSilent('host-0005', 'broken'))
+                entry.post(PeerAnswered('host-0005'))
+                entry.post(PeerSilent('host-0005', 'broken'))
+                entry.post(PeerSilent('host-0005', 'broken'))
+                await hosts.until(lambda task: bool(suspected(hosts)))
+                await hosts.until(lambda task: not task.snapshot.suspects)
+                assert len(suspected(hosts)) == 1
+
+        def suspected(hosts: FakeFleet) -> list[str]:
+            events = hosts.audited('host-0000', 'members')
+            return [
+                event.teller
+                for event in events
+                if 'host-0005:suspect' in event.after
+            ]
+
+        run(scenario())
+
     def test_list_is_spread_as_well(self) -> None:
         async def scenario() -> None:
             async with FakeFleet(fleet(24, domains=2)) as hosts:
