Entry: a drain waits for slow readers

Cause: a drain waited until each request had its final word; the last bytes of an answer may then still lie in the entry's buffer, and closing the connections cut a slow reader off. Change: answers are counted from the arrival of the call until their last byte is out. Before: a caller who reads 32 MB across a drain got a part (test failed); after: it passes.

--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from crowrudder_daemon.entry._caller_request import CompletionBody
+    from crowrudder_daemon.entry._open_answers import OpenAnswers
     from crowrudder_daemon.entry._requests import RequestsTask
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.declared import Service
@@ -37,14 +38,19 @@
 PLAIN_METHODS = ('GET', 'POST', 'PUT', 'DELETE', 'PATCH')
 
 
-def make_application(runtime: Runtime, requests: RequestsTask) -> Application:
+def make_application(
+    runtime: Runtime,
+    requests: RequestsTask,
+    answers: OpenAnswers,
+) -> Application:
     """Give the application that callers talk to."""
     shared = {'runtime': runtime, 'requests': requests}
+    counted = {**shared, 'answers': answers}
     return Application(
         [
-            ('/v1/completions', CompletionsHandler, shared),
+            ('/v1/completions', CompletionsHandler, counted),
             ('/v1/entries', EntriesHandler, shared),
-            ('/v1/services/([^/]+)/?(.*)', ServicesHandler, shared),
+            ('/v1/services/([^/]+)/?(.*)', ServicesHandler, counted),
         ],
         default_handler_class=UnknownHandler,
         log_function=_log_nothing,
@@ -95,14 +101,32 @@
 class _CallHandler(RequestHandler):
     """What completions and plain services share."""
 
-    def initialize(self, runtime: Runtime, requests: RequestsTask) -> None:
+    def initialize(
+        self,
+        runtime: Runtime,
+        requests: RequestsTask,
+        answers: OpenAnswers,
+    ) -> None:
         self._runtime = runtime
         self._requests = requests
+        self._answers = answers
+        self._answers.begin()
+        self._is_open = True
         self._parts: asyncio.Queue[Piece | Ended] = asyncio.Queue()
         self._request_id = shown_id(self.request.headers)
 
     def on_connection_close(self) -> None:
         self._requests.post(CallerLost(self._parts))
+        self._end()
+
+    def finish(
+        self,
+        chunk: str | bytes | dict[str, Any] | None = None,
+    ) -> asyncio.Future[None]:
+        """End the answer, and count it as out once its last byte is."""
+        fut: asyncio.Future[None] = super().finish(chunk)
+        fut.add_done_callback(lambda _: self._end())
+        return fut
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer a fault of this process; what ran is not known."""
@@ -118,6 +142,11 @@
             ),
         )
 
+    def _end(self) -> None:
+        if self._is_open:
+            self._is_open = False
+            self._answers.end()
+
     def _head(self) -> CallHead:
         limits = self._runtime.cfg.limits
         head = parse_head(
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -8,6 +8,7 @@
 
 from crowrudder_daemon.entry._handlers import make_application
 from crowrudder_daemon.entry._links import LinksTask, links_of
+from crowrudder_daemon.entry._open_answers import OpenAnswers
 from crowrudder_daemon.entry._requests import RequestsTask, SnapshotCame
 from crowrudder_daemon.entry._size_gate import SizeGate
 from crowrudder_daemon.knowledge import KnowledgeTask, Snapshot
@@ -35,6 +36,7 @@
         limits = runtime.cfg.limits
         self._runtime = runtime
         self._peers = PeerClient()
+        self._answers = OpenAnswers()
         self._server = PeerServer(f'{process.address}:{process.rpc_port}')
         self.knowledge = KnowledgeTask(runtime, self._on_snapshot)
         self.requests = RequestsTask(runtime, self._peers)
@@ -43,7 +45,7 @@
         )
         self._http = HTTPServer(
             SizeGate(
-                make_application(runtime, self.requests),
+                make_application(runtime, self.requests, self._answers),
                 most_bytes=limits.max_body_bytes,
             ),
             max_body_size=limits.max_body_bytes,
@@ -67,6 +69,7 @@
         self.requests.leaving = True
         await self.knowledge.leave()
         await self.requests.idle()
+        await self._answers.none_left()
         self._http.stop()
         await self._http.close_all_connections()
 
--- a/tests/daemon/test_entry_refusals.py
+++ b/tests/daemon/test_entry_refusals.py
@@ -11,6 +11,7 @@
 from crowrudder_daemon.entry._admission import Admission
 from crowrudder_daemon.entry._caller_request import CallerRequest, CallHead
 from crowrudder_daemon.entry._handlers import make_application
+from crowrudder_daemon.entry._open_answers import OpenAnswers
 from crowrudder_daemon.entry._parts import Ended
 from crowrudder_daemon.entry._requests import RequestsTask
 from crowrudder_daemon.knowledge import Snapshot
@@ -28,7 +29,7 @@
     requests = RequestsTask(runtime, peers)
     requests.start()
     socket, port = bind_unused_port()
-    http = HTTPServer(make_application(runtime, requests))
+    http = HTTPServer(make_application(runtime, requests, OpenAnswers()))
     http.add_socket(socket)
     try:
         return await AsyncHTTPClient(force_instance=True).fetch(
--- a/tests/fuzz/test_edges.py
+++ b/tests/fuzz/test_edges.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from crowrudder_daemon.entry._handlers import make_application
+from crowrudder_daemon.entry._open_answers import OpenAnswers
 from crowrudder_daemon.entry._requests import SnapshotCame
 from crowrudder_daemon.entry._size_gate import SizeGate
 from crowrudder_daemon.knowledge import Snapshot
@@ -46,7 +47,9 @@
         entry.requests.post(SnapshotCame(SNAPSHOT))
         await asyncio.sleep(0)
         most_bytes = entry.runtime.cfg.limits.max_body_bytes
-        application = make_application(entry.runtime, entry.requests)
+        application = make_application(
+            entry.runtime, entry.requests, OpenAnswers()
+        )
         server = HTTPServer(
             SizeGate(application, most_bytes=most_bytes),
             max_body_size=most_bytes,
