Platform: calls stay bounded when all fall silent or start at once

Cause: a process whose peers fell silent polled both sources at once and then every 10 s; its simulation at 2,140 processes allowed 1,006 calls in a second, and a start beside a dead platform tried again after half a second.

Change: the first poll of a source waits for a random part of its whole interval, 2.5 poll_s; a start that failed waits for longer than the interval over which all may have started.

--- a/packages/core/src/crowrudder_core/config/_reading.py
+++ b/packages/core/src/crowrudder_core/config/_reading.py
@@ -33,6 +33,14 @@
 """Longest pause after failures, as a multiple of the polling interval."""
 
 
+POLL_SPREAD = 2.5
+"""Polls of one source are so many polling intervals apart: there are two
+sources, and all processes may poll at once."""
+
+START_SPREAD = 1.25
+"""The same for a start, which reads the members alone."""
+
+
 class ReadingMode(enum.Enum):
     """How a process learns what the platform has."""
 
@@ -118,17 +126,33 @@
             return ReadingMode.POLL
         return ReadingMode.LISTEN
 
-    def pause_s(self, poll_s: float, random: Random) -> float:
-        """Give the time until the next poll, or the next try of a watch."""
+    def first_poll_s(self, poll_s: float, random: Random) -> float:
+        """Give the time until the first poll of a source.
+
+        A cut network silences all peers of all hosts at once. Without a first
+        pause over the whole interval, each would call in the same second.
+        """
+        return POLL_SPREAD * poll_s * random.uniform(0, 1)
+
+    def poll_pause_s(self, poll_s: float, random: Random) -> float:
+        """Give the time from one poll of a source to the next."""
+        factor = 1 << min(self.failures, BACKOFF_MOST)
         longest = poll_s * BACKOFF_MOST
-        if not self.failures:
-            return poll_s * random.uniform(0.75, 1.25)
-        if self.mode_is_watch:
-            poll_s = min(BACKOFF_FIRST_S, poll_s)
-        pause_s = poll_s * (1 << min(self.failures - 1, BACKOFF_MOST))
-        return min(pause_s, longest) * random.uniform(0.5, 1)
-
-    @property
-    def mode_is_watch(self) -> bool:
-        """Whether this host is one of the watchers of its domain."""
-        return self.rank is not None and self.rank < WATCHERS
+        pause_s = min(POLL_SPREAD * poll_s * factor, longest)
+        return pause_s * random.uniform(0.9, 1.1)
+
+    def start_pause_s(self, poll_s: float, random: Random) -> float:
+        """Give the time until a start that read no members tries again.
+
+        It is longer than the interval over which all may have started, so
+        that the second calls don't fall among the first ones.
+        """
+        tries = min(max(self.failures, 1), BACKOFF_MOST)
+        pause_s = START_SPREAD * poll_s * tries
+        return pause_s * random.uniform(0.9, 1.1)
+
+    def retry_pause_s(self, poll_s: float, random: Random) -> float:
+        """Give the time until a watch that failed is tried again."""
+        factor = 1 << min(self.failures, BACKOFF_MOST)
+        pause_s = min(BACKOFF_FIRST_S * factor, poll_s * BACKOFF_MOST)
+        return pause_s * random.uniform(0.5, 1)
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_task.py
@@ -194,7 +194,10 @@
         while not self._state.knows_members:
             await self._read(Source.MEMBERS, watch=False)
             if not self._state.knows_members:
-                await asyncio.sleep(self._pause_s())
+                reading = self._state.reading
+                await asyncio.sleep(
+                    reading.start_pause_s(self._poll_s, self._random)
+                )
         await self._tell_neighbours()
         self._push_if(self._state.open_book())
         self.hinders = ''
@@ -205,26 +208,33 @@
 
     async def _follow(self, source: Source) -> None:
         """Read one source for ever, in the way that the aggregate says."""
+        reading, is_polling = self._state.reading, False
         while True:
-            match self._state.reading.mode(time.monotonic()):
+            match reading.mode(time.monotonic()):
                 case ReadingMode.WATCH:
-                    pause_s = await self._read(source, watch=True)
-                case ReadingMode.POLL:
+                    pause_s = await self._watch(source)
+                case ReadingMode.POLL if is_polling:
                     await self._read(source, watch=False)
-                    # Two sources: each is due half as often.
-                    pause_s = 2 * self._pause_s()
+                    pause_s = reading.poll_pause_s(self._poll_s, self._random)
+                case ReadingMode.POLL:
+                    is_polling = True
+                    pause_s = reading.first_poll_s(self._poll_s, self._random)
                 case ReadingMode.LISTEN:
+                    is_polling = False
                     pause_s = self._pace.tick_s
             await asyncio.sleep(pause_s)
 
-    async def _read(self, source: Source, *, watch: bool) -> float:
-        """Read once; the seconds to wait before the next, if it failed."""
+    async def _watch(self, source: Source) -> float:
+        """Watch once; the seconds to wait before the next, if it failed."""
+        if await self._read(source, watch=True):
+            return 0
+        return self._state.reading.retry_pause_s(self._poll_s, self._random)
+
+    async def _read(self, source: Source, *, watch: bool) -> bool:
+        """Read once; false when there was no answer."""
         word = await self._platform.read(source, watch=watch)
         await self._handle(word)
-        return self._pause_s() if isinstance(word, ReadFailed) else 0
-
-    def _pause_s(self) -> float:
-        return self._state.reading.pause_s(self._poll_s, self._random)
+        return not isinstance(word, ReadFailed)
 
     async def _notice_freezes(self) -> None:
         """Ask the neighbours first after the process stood still.
