Load and experiments: ended by SIGTERM, their processes end too

Cause: SIGTERM's default action ended the script and left its fleet running, as the soak had it once; and a report without anything to draw said that matplotlib was missing.

Change: the signal cancels the run, which closes the fleet, as in the soak. The report tells "couldn't draw" from "nothing to draw".

--- a/measure/report.py
+++ b/measure/report.py
@@ -41,9 +41,15 @@
 def report_text(
     figures: Sequence[Figure],
     results: Sequence[ExperimentResult],
-    plots: Sequence[str],
+    plots: Sequence[str] | None,
 ) -> str:
-    """Give the whole report as Markdown."""
+    """Give the whole report as Markdown.
+
+    Parameters
+    ----------
+    plots
+        The files that were drawn; None if nothing could be drawn.
+    """
     judged = judge_all(figures)
     met = [each.verdict for each in judged].count(Verdict.MET)
     parts = [
@@ -65,13 +71,14 @@
         parts.extend(_experiment(result))
     if figures:
         parts.extend(('## All figures', figures_table(figures)))
-    if not plots:
+    if plots is None:
         parts.append(f'({NO_PLOTS})')
     return '\n\n'.join(parts) + '\n'
 
 
-def _image(file: str, plots: Sequence[str]) -> list[str]:
-    return [f'![{file.removesuffix(".png")}]({file})'] if file in plots else []
+def _image(file: str, plots: Sequence[str] | None) -> list[str]:
+    drawn = file in (plots or ())
+    return [f'![{file.removesuffix(".png")}]({file})'] if drawn else []
 
 
 def _experiment(result: ExperimentResult) -> list[str]:
@@ -102,11 +109,11 @@
         print(exc, file=sys.stderr)
         return 2
     out.mkdir(parents=True, exist_ok=True)
-    plots = draw_all(figures, results, out) if available() else ()
+    plots = draw_all(figures, results, out) if available() else None
     path = out / 'report.md'
     path.write_text(report_text(figures, results, plots), encoding='utf-8')
-    print(f'written: {path}', *plots)
-    if not available():
+    print(f'written: {path}', *(plots or ()))
+    if plots is None:
         print(NO_PLOTS)
     return 0
 
--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -22,7 +23,7 @@
 from _experiment_plan import Experiment, read_experiment
 from _experiment_run import ExperimentRun, log_tails
 from _experiment_verdict import Report
-from _fleet import FleetError
+from _fleet import FleetError, end_on_signal
 from attrs import evolve
 from docopt import docopt
 
@@ -41,6 +42,7 @@
 
 async def run_in(experiment: Experiment, directory: Path) -> Report | None:
     """Run an experiment on a fleet whose files are in a directory."""
+    end_on_signal(signal.SIGTERM)
     run = ExperimentRun(experiment, directory)
     try:
         async with asyncio.timeout(WHOLE_RUN_S):
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import tempfile
 import time
@@ -25,7 +26,7 @@
 import msgspec
 from _experiment_plan import Experiment, read_experiment
 from _experiment_run import ExperimentRun
-from _fleet import FleetError
+from _fleet import FleetError, end_on_signal
 from _load_arrivals import arrivals
 from _load_run import (
     LoadRun,
@@ -63,6 +64,7 @@
 
 async def to_own_fleet(experiment: Experiment) -> Summary:
     """Start the file's fleet and send to it."""
+    end_on_signal(signal.SIGTERM)
     with tempfile.TemporaryDirectory(prefix='crowrudder-') as directory:
         run = ExperimentRun(experiment, Path(directory))
         try:
--- a/tests/scripts/test_experiment.py
+++ b/tests/scripts/test_experiment.py
@@ -36,28 +36,21 @@
 
 class TestVerdict:
     @pytest.mark.parametrize(
-        ('promise', 'kept'),
+        ('figure', 'bounds', 'kept'),
         [
-            (Promise(name='n', figure='good_share', least=1), True),
-            (Promise(name='n', figure='latency_p95_s', most=0.4), False),
-            (Promise(name='n', figure='latency_p95_s', most=0.6), True),
-            (Promise(name='n', figure='overdue', most=0), True),
-            (Promise(name='n', figure='sendings_per_request', most=0.9), False),
+            ('good_share', {'least': 1}, True),
+            ('latency_p95_s', {'most': 0.4}, False),
+            ('latency_p95_s', {'most': 0.6}, True),
+            ('overdue', {'most': 0}, True),
+            ('sendings_per_request', {'most': 0.9}, False),
+            ('latency_p95_s', {'phase': 'high'}, True),
             # Nothing was measured here, so nothing is kept.
-            (Promise(name='n', figure='latency_p95_s', phase='high'), True),
-            (
-                Promise(name='n', figure='latency_p95_s', phase='high', most=9),
-                False,
-            ),
-            (
-                Promise(
-                    name='n', figure='good_share', customer='riding-school'
-                ),
-                False,
-            ),
+            ('latency_p95_s', {'phase': 'high', 'most': 9}, False),
+            ('good_share', {'customer': 'riding-school'}, False),
         ],
     )
-    def test_promises(self, promise, kept):
+    def test_promises(self, figure, bounds, kept):
+        promise = Promise(name='n', figure=figure, **bounds)
         report = report_on(promise)
         assert [each.kept for each in report.promises] == [kept]
         assert report.passed is kept
--- a/tests/scripts/test_load.py
+++ b/tests/scripts/test_load.py
@@ -188,9 +188,7 @@
 def run_load(caller, count=1, planned=None, **bounds):
     planned = planned or [
         Arrival(
-            at_s=0,
-            phase='p',
-            request=evolve(REQUEST, request_id=f'r{number}'),
+            at_s=0, phase='p', request=evolve(REQUEST, request_id=f'r{number}')
         )
         for number in range(count)
     ]
--- a/tests/scripts/test_report.py
+++ b/tests/scripts/test_report.py
@@ -22,22 +22,14 @@
     'latency': {'p50': 0.1, 'p95': 0.2, 'p99': None},
     'first_token': {'p50': None, 'p95': None, 'p99': None},
 }
+PROMISE = {'name': 'fast', 'figure': 'latency_p95_s', 'least': 0, 'most': 0.1}
 RESULT = {
     'experiment': 'steady',
     'seed': 1,
     'passed': False,
     'summary': {'total': GROUP, 'phases': [GROUP]},
     'books': {'requests': 10, 'doubled': 0},
-    'promises': [
-        {
-            'name': 'fast',
-            'figure': 'latency_p95_s',
-            'least': 0,
-            'most': 0.1,
-            'measured': 0.2,
-            'kept': False,
-        }
-    ],
+    'promises': [{**PROMISE, 'measured': 0.2, 'kept': False}],
     'broken': ['promise fast'],
 }
 FIGURES = (
@@ -112,7 +104,7 @@
     def test_text(self, tmp_path):
         path = tmp_path / 'steady.json'
         path.write_text(json.dumps(RESULT))
-        text = report_text(FIGURES, [read_result(path)], ())
+        text = report_text(FIGURES, [read_result(path)], None)
         assert (
             '| 4 | `weights.time_over_bound.128` | ≤ 1.15 | 1.3 | not met |'
             in text
