--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -19,6 +19,7 @@
 
 from attrs import define, field, frozen
 
+from crowrudder_core.transfer._bits import full
 from crowrudder_core.transfer._pace import ORIGIN_LINKS
 from crowrudder_model import InvariantError, ranked
 
@@ -67,7 +68,8 @@
     pace: Pace
     seeds: tuple[str, ...] = ()
     spent: int = 0
-    passes: int = 0
+    failed: int = 0
+    reading: int = 0
     _regions: dict[str, str] = field(factory=dict)
     _orders: list[list[str]] = field(factory=list)
     _began: float | None = None
@@ -87,6 +89,17 @@
         """The chunks that this host may read from the origin in a window."""
         return max(SHARED_COPIES * self.count // max(len(self.seeds), 1), 1)
 
+    @property
+    def passes(self) -> int:
+        """The chunks (bits) that this host leaves to the next in order.
+
+        Those that it failed to read, and all once its share is spent: the
+        others would else wait for it to the end of the window.
+        """
+        if self.spent >= self.share:
+            return full(self.count) & ~self.reading
+        return self.failed
+
     def on_hosts(self, places: Mapping[str, Place]) -> None:
         """Take all hosts of the service, live or not."""
         seeds = choose_seeds(self.version, places)
@@ -100,7 +113,7 @@
         ]
         self._stamp = None
 
-    def on_started(self) -> None:
+    def on_started(self, index: int) -> None:
         """Spend one read of the share.
 
         Raises
@@ -111,10 +124,12 @@
         if self.spent >= self.share:
             raise InvariantError('a read over the cap', step='origin')
         self.spent += 1
+        self.reading |= 1 << index
 
     def on_held(self, index: int) -> None:
         """Note that a chunk came, from wherever."""
-        self.passes &= ~(1 << index)
+        self.failed &= ~(1 << index)
+        self.reading &= ~(1 << index)
 
     @property
     def is_failing(self) -> bool:
@@ -124,7 +139,7 @@
     def on_good(self) -> None:
         """Note that the origin delivered; what was passed is taken back."""
         self._wait_s = 0
-        self.passes = 0
+        self.failed = 0
 
     def on_failed(self, index: int, *, was_sent: bool, now: float) -> None:
         """Pass a chunk on to the next seed, and wait longer each time.
@@ -132,7 +147,8 @@
         ``was_sent`` is false when it is certain that no byte came, as with a
         refused connection; the read then costs nothing of the share.
         """
-        self.passes |= 1 << index
+        self.failed |= 1 << index
+        self.reading &= ~(1 << index)
         if not was_sent:
             self.spent = max(self.spent - 1, 0)
         self._wait_s = min(
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -228,19 +228,25 @@
 
     def sources(self, now: float) -> list[Source]:
         """List those that hold anything, as the planner wants them."""
-        most = self.pace.reads_of_one_peer
+        near = frozenset(self.neighbours())
         return [
-            Source(
-                host,
-                peer.chunks,
-                peer.distance,
-                peer.room(most, now),
-                peer.busy,
-            )
+            self._source(host, peer, host in near, now)
             for host, peer in self.peers.items()
             if peer.offers(now)
         ]
 
+    def _source(
+        self,
+        host: str,
+        peer: Peer,
+        is_near: bool,
+        now: float,
+    ) -> Source:
+        room = 0
+        if is_near or peer.distance == OTHER_REGION:
+            room = peer.room(self.pace.reads_of_one_peer, now)
+        return Source(host, peer.chunks, peer.distance, room, peer.busy)
+
     def neighbours(self) -> list[str]:
         """Give the hosts to read from: near ones, failed ones replaced."""
         if self._near_stamp != self.stamp:
--- a/packages/core/src/crowrudder_core/transfer/_planner.py
+++ b/packages/core/src/crowrudder_core/transfer/_planner.py
@@ -126,7 +126,7 @@
     candidates = missing & reduce(or_, (chunks for _, chunks in at_hand), 0)
     if not candidates:
         return None
-    index = _choose(candidates, usable, random, order)
+    index = _choose(candidates, sources, random, order)
     holders = [source for source, chunks in at_hand if chunks >> index & 1]
     source = min(
         holders,
@@ -139,19 +139,31 @@
 
 def _choose(
     candidates: int,
-    usable: Sequence[int],
+    sources: Sequence[Source],
     random: Random,
     order: ChunkOrder,
 ) -> int:
     match order:
         case ChunkOrder.RAREST:
-            return pick(rarest(candidates, usable), random)
+            return pick(rarest(candidates, _in_region(sources)), random)
         case ChunkOrder.RANDOM:
             return pick(candidates, random)
         case ChunkOrder.BY_INDEX:
             return next(indices(candidates))
 
 
+def _in_region(sources: Sequence[Source]) -> list[int]:
+    """Give what the own region holds.
+
+    A chunk that the other region has many times, and this one not at all, is
+    the rarest here; counted over both, its importer would fetch it last while
+    all the region waits.
+    """
+    return [
+        source.chunks for source in sources if source.distance != OTHER_REGION
+    ]
+
+
 def _usable(source: Source, wants: Wants) -> int:
     if source.distance == OTHER_REGION:
         return source.chunks & wants.importable
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -330,8 +330,8 @@
         match read:
             case FromPeer(host=host):
                 self.peers.peers[host].reading += 1
-            case FromOrigin():
-                self.origin.on_started()
+            case FromOrigin(index=index):
+                self.origin.on_started(index)
         self.flights[read] = _Flight(now, now)
 
     def _end(self, read: Read) -> bool:
--- a/tests/weights/test_failures.py
+++ b/tests/weights/test_failures.py
@@ -38,6 +38,17 @@
         assert done.origin_copies <= copies
         assert done.region_copies <= 1.2
 
+    def test_reader_with_its_share_spent_passes(self):
+        """A host is first in order for more chunks than it may read.
+
+        Symptom: all hosts lack one chunk until the window ends, at seven times the
+        bound. Sequence: 12 seeds share 8 chunks, so a share is 2 chunks, and
+        one host stands first for 3. Cause: it waited for a new share and
+        told nobody; the others waited for it, as it was alive.
+        """
+        done = run(Fleet(Scene(hosts=12, chunks=8)))
+        assert done.time_over_bound < 4
+
 
 class TestDeaths:
     def test_third_dies_in_the_middle(self):
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -241,11 +241,11 @@
             alone = duty(host, self.hosts)
             alone.may_ask(now=0)
             while alone.may_ask(now=100):
-                alone.on_started()
+                alone.on_started(0)
                 total += 1
             if alone.is_seed:
                 with pytest.raises(InvariantError):
-                    alone.on_started()
+                    alone.on_started(0)
         assert 2 * 256 < total <= MOST_COPIES * 256
 
     def test_cap_holds_with_a_third_replaced(self):
@@ -261,7 +261,7 @@
     def test_refused_connection_costs_nothing(self):
         alone = duty('h0', ('h0',))
         assert alone.may_ask(now=0)
-        alone.on_started()
+        alone.on_started(0)
         alone.on_failed(0, was_sent=False, now=0)
         assert alone.spent == 0
         assert not alone.may_ask(now=0.1)
