Weights: adapters with weights of their own, beside the version

Cause: a service's declared adapters were never loaded; the engine's state with them was only read. An adapter may now declare its manifest; its chunks come as those of a version do, and share the bounded store with it. One without a manifest came with its version. The order is load_adapter with the version's name, read back after; an engine that answers 200 without showing the adapter is an error. The version answers meanwhile.

The manifest must name what was asked for: a digest declared for the wrong one was filed under the other's name.

`python measure/run.py weights_choices` measures the ways weighed.

--- /dev/null
+++ b/measure/weights_choices.py
@@ -0,0 +1,86 @@
+"""The other ways that were weighed for weights, over the same links.
+
+Run by name only. Each figure is the time over the bound T/2; one value differs
+from the shipped ones at a time. `docs/decisions` draws on it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+import _weights_fleet
+from _weights_fleet import Fleet, Scene
+from _weights_trees import one_tree, tree_per_chunk
+
+from crowrudder_core.transfer import ChunkOrder, _origin, _transfer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Show = Callable[[str, float | str], None]
+
+HOSTS = 32
+CHUNKS = 128
+NO_STAGGER = 1_000_000
+STALLED_SHARE = 0.1
+
+
+def run(show: Show) -> None:
+    """Measure each way; about a minute and a half."""
+    _time(show, 'shipped')
+    for order in ChunkOrder:
+        _time(show, f'order.{order.value}', order=order)
+    for neighbours in (4, 8, 24):
+        _time(show, f'neighbours.{neighbours}', neighbours=neighbours)
+    for reads in (2, 4, 6):
+        _time(show, f'reads_at_once.{reads}', reads_at_once=reads)
+    for slots in (1, 4):
+        with mock.patch.object(_weights_fleet, 'UPLOAD_SLOTS', slots):
+            _time(show, f'upload_slots.{slots}')
+    with mock.patch.object(_origin, 'ORIGIN_LINKS', NO_STAGGER):
+        _time(show, 'origin.no_stagger')
+    for seeds in (4, 8, 16):
+        with mock.patch.object(_origin, 'MOST_SEEDS', seeds):
+            _time(show, f'seeds.{seeds}')
+    for chunks in (32, 64, 256, 512):
+        fleet = _run(Scene(hosts=HOSTS, chunks=chunks))
+        show(f'weights.choice.chunks.{chunks}', fleet.time_over_bound)
+    for width in (1, 2, 3, 4):
+        tree = one_tree(HOSTS, CHUNKS, width=width)
+        show(f'weights.choice.one_tree.{width}', tree)
+        tree = tree_per_chunk(HOSTS, CHUNKS, width=width)
+        show(f'weights.choice.tree_per_chunk.{width}', tree)
+    _duplicates(show)
+
+
+def _duplicates(show: Show) -> None:
+    """Ask twice for chunks that are late, with a tenth of uplinks dead."""
+    for late in (1, 2, 4, 8):
+        with mock.patch.object(_transfer, 'LATE_CHUNKS', late):
+            fleet = _run(_stalled())
+        show(f'weights.choice.late.{late}.stalled', fleet.time_over_bound)
+        doubled = fleet.events['doubled'] / CHUNKS / HOSTS
+        show(f'weights.choice.late.{late}.doubled_share', doubled)
+    fleet = _run(_stalled(duplicates=False))
+    show('weights.choice.no_duplicates.stalled', fleet.time_over_bound)
+
+
+def _time(show: Show, name: str, **changes: Any) -> None:
+    fleet = _run(Scene(hosts=HOSTS, chunks=CHUNKS, changes=changes))
+    show(f'weights.choice.{name}', fleet.time_over_bound)
+
+
+def _stalled(**changes: Any) -> Scene:
+    return Scene(
+        hosts=HOSTS,
+        chunks=CHUNKS,
+        stalled_share=STALLED_SHARE,
+        changes=changes,
+    )
+
+
+def _run(scene: Scene) -> Fleet:
+    fleet = Fleet(scene)
+    fleet.run(until_us=scene.bound_us * 5)
+    return fleet
--- a/packages/daemon/src/crowrudder_daemon/agent/_orders.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_orders.py
@@ -87,6 +87,38 @@
             )
         return state
 
+    async def load_adapter(
+        self,
+        target: Target,
+        adapter: str,
+        staged: StagedWeights,
+    ) -> EngineState:
+        """Order an adapter of the target, which is loaded, and read it back.
+
+        Raises
+        ------
+        OutdatedError
+            when the engine has orders of a newer configuration.
+        UpstreamError
+            when the engine refused, or doesn't show target and adapter.
+        """
+        state = await self._engine.state()
+        decision = self._orders.on_read(_read_of(state), target)
+        self._refuse_outdated(decision, target)
+        if isinstance(decision, Loaded) and adapter not in state.adapters:
+            order = GiveOrder(fence=self._orders.seen.packed)
+            await self._give(order, target, staged, adapter=adapter)
+            state = await self._engine.state()
+        confirmed = self._orders.confirms(_read_of(state), target)
+        if not confirmed or adapter not in state.adapters:
+            raise UpstreamError(
+                f'the engine has {state.version!r} with {state.adapters} '
+                f'after the order for {adapter}',
+                step='read back',
+                peer=self._engine.address,
+            )
+        return state
+
     async def until_changed(self, target: Target) -> None:
         """Return once the engine no longer shows the target."""
         while True:
@@ -100,14 +132,16 @@
         decision: GiveOrder,
         target: Target,
         staged: StagedWeights,
+        *,
+        adapter: str = '',
     ) -> None:
         answer = await self._engine.order(
             {
-                'order': 'load',
+                'order': 'load_adapter' if adapter else 'load',
                 'fence': decision.fence,
                 'model': target.model,
                 'version': target.version,
-                'adapter': '',
+                'adapter': adapter,
                 'role': '',
                 'chunks': staged.chunks,
                 'digest': staged.digest,
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_goal.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_goal.py
@@ -14,6 +14,14 @@
     from crowrudder_model.declared import Service, Version
 
 
+@frozen
+class Artifact:
+    """Weights at the origin: a version or an adapter, and its manifest."""
+
+    name: str
+    manifest: str
+
+
 @frozen
 class Goal:
     """What this host's engine shall answer with, and who else shall."""
@@ -21,6 +29,17 @@
     service: Service
     version: Version
     order: tuple[int, str]
+    adapters: tuple[Artifact, ...] = ()
+
+    @property
+    def artifact(self) -> Artifact:
+        """The weights of the version."""
+        return Artifact(self.version.name, self.version.manifest)
+
+    @property
+    def names(self) -> frozenset[str]:
+        """The names of all weights that are wanted."""
+        return frozenset((self.version.name, *(a.name for a in self.adapters)))
 
     @property
     def target(self) -> Target:
@@ -38,6 +57,7 @@
         return (
             other is not None
             and other.version == self.version
+            and other.adapters == self.adapters
             and other.service.name == self.service.name
         )
 
@@ -50,7 +70,14 @@
     version = snapshot.bundle.declaration.version(service.version)
     if version is None:
         return None
-    return Goal(service, version, snapshot.order)
+    adapters = tuple(
+        Artifact(adapter.name, adapter.manifest)
+        for adapter in map(
+            snapshot.bundle.declaration.adapter, service.adapters
+        )
+        if adapter is not None
+    )
+    return Goal(service, version, snapshot.order, adapters)
 
 
 def is_withdrawn(snapshot: Snapshot, host: str) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_loading.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_loading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from typing import TYPE_CHECKING
 
 from crowrudder_core.transfer import may_change, predecessors
@@ -24,6 +25,7 @@
     from crowrudder_daemon.knowledge import Snapshot
 
 TURN_POLL_S = 0.2
+EMPTY_DIGEST = hashlib.sha256(b'').hexdigest()
 
 
 class Loader:
@@ -67,7 +69,7 @@
         """
         await asyncio.to_thread(transfer.assert_whole)
         self._say('hands the weights to the engine')
-        await self._stage(transfer)
+        await self._stage(transfer, goal.version.name)
         self._say('waits for its turn in the rolling change')
         await self._await_turn(goal, transfer, snapshot)
         self._note.changing = True
@@ -76,9 +78,28 @@
         finally:
             self._note.changing = False
 
-    async def _stage(self, transfer: Transfer) -> None:
+    async def load_adapter(
+        self,
+        goal: Goal,
+        name: str,
+        transfer: Transfer | None,
+    ) -> EngineState:
+        """Have the engine load an adapter beside its version, which answers on.
+
+        An adapter without a transfer came with the version's own weights.
+        """
+        staged = StagedWeights(chunks=0, digest=EMPTY_DIGEST)
+        if transfer is not None:
+            await asyncio.to_thread(transfer.assert_whole)
+            await self._stage(transfer, goal.version.name)
+            staged = StagedWeights(
+                chunks=transfer.count,
+                digest=transfer.manifest.digest,
+            )
+        return await self._orders.load_adapter(goal.target, name, staged)
+
+    async def _stage(self, transfer: Transfer, version: str) -> None:
         """Hand the verified chunks to the engine; it answers meanwhile."""
-        version = transfer.manifest.version
         for index in range(transfer.count):
             payload = transfer.chunk(index)
             if payload is not None:
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_manifests.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_manifests.py
@@ -12,12 +12,11 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from crowrudder_daemon.agent.weights._goal import Goal
+    from crowrudder_daemon.agent.weights._goal import Artifact
     from crowrudder_daemon.agent.weights._sources import (
         OriginSource,
         PeerSource,
     )
-    from crowrudder_daemon.knowledge import Snapshot
 
 TRY_S = 0.25
 OTHERS_ASKED = 2
@@ -42,46 +41,47 @@
         self._origin = origin
         self._random = random
 
-    async def read(self, goal: Goal, snapshot: Snapshot) -> bytes:
-        """Give a manifest whose digest is the declared one."""
-        members = {
-            member.host: member.rpc_address
-            for member in snapshot.hosts_of(goal.service.name)
-        }
-        order = ranked(f'{goal.version.name}/manifest', members)
+    async def read(
+        self,
+        artifact: Artifact,
+        members: dict[str, str],
+    ) -> bytes:
+        """Give a manifest whose digest is the declared one.
+
+        ``members`` gives the addresses of the hosts that want it, by name.
+        """
+        order = ranked(f'{artifact.name}/manifest', members)
         own = order.index(self._host) if self._host in order else len(order)
         tries = 0
         while own > tries:
-            payload = await self._from_peers(goal, members, order)
+            payload = await self._from_peers(artifact, members, order)
             if payload:
                 return payload
             tries += 1
             await asyncio.sleep(TRY_S)
-        return await self._origin.manifest(goal.version.name)
+        return await self._origin.manifest(artifact.name)
 
     async def _from_peers(
         self,
-        goal: Goal,
+        artifact: Artifact,
         members: dict[str, str],
         order: list[str],
     ) -> bytes:
         others = [host for host in order[1:] if host != self._host]
         count = min(OTHERS_ASKED, len(others))
         for host in (order[0], *self._random.sample(others, count)):
-            payload = await self._from_peer(goal, members[host])
+            payload = await self._from_peer(artifact, members[host])
             if payload:
                 return payload
         return b''
 
-    async def _from_peer(self, goal: Goal, address: str) -> bytes:
-        version = goal.version
-        asked = Asked(self._host, version.name, version.manifest)
+    async def _from_peer(self, artifact: Artifact, address: str) -> bytes:
+        declared = artifact.manifest
+        asked = Asked(self._host, artifact.name, declared)
         try:
             payload = await self._peers.manifest(address, asked)
             if payload:
-                decode_manifest(
-                    payload, declared=version.manifest, peer=address
-                )
+                decode_manifest(payload, declared=declared, peer=address)
         except (PeerLostError, ManifestError):
             return b''
         return payload
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
@@ -8,6 +8,7 @@
 from crowrudder_core.transfer import (
     ChunkStore,
     Manifest,
+    ManifestError,
     Place,
     Transfer,
     decode_manifest,
@@ -15,10 +16,11 @@
 )
 
 if TYPE_CHECKING:
+    from crowrudder_daemon.agent.weights._goal import Artifact
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.settings import WeightsSection
 
-MOST_VERSIONS = 4
+MOST_VERSIONS = 8
 
 
 class Shelf:
@@ -36,6 +38,7 @@
         self._link_bytes_per_s = weights.link_bytes_per_s
         self._place = Place(process.region, process.failure_domain)
         self._manifests: dict[str, bytes] = {}
+        self._names: frozenset[str] = frozenset()
         self._random = random.Random(runtime.incarnation)
 
     def manifest(self, version: str, declared: str) -> bytes:
@@ -55,20 +58,27 @@
     def open(
         self,
         payload: bytes,
-        declared: str,
+        artifact: Artifact,
         *,
         copies: int,
     ) -> Transfer:
-        """Begin or go on with the version of a manifest.
+        """Begin or go on with the weights of a manifest.
 
         Raises
         ------
         NoRoomError
             When it doesn't fit into the memory that the settings allow.
         """
+        declared = artifact.manifest
         manifest = decode_manifest(payload, declared=declared, peer=self.host)
-        known = self.find(manifest.version, declared)
-        self.store.want([manifest])
+        if manifest.version != artifact.name:
+            raise ManifestError(
+                f'the manifest is of {manifest.version}, not {artifact.name}; '
+                'declare the digest of the right one',
+                step='manifest',
+            )
+        known = self.find(artifact.name, declared)
+        self.store.want([*self._wanted(artifact.name), manifest])
         if known is not None and known.is_sound:
             return known
         transfer = self._begin(manifest, declared, copies)
@@ -78,15 +88,23 @@
         self._forget_oldest()
         return transfer
 
-    def drop_others(self, version: str) -> None:
-        """Give up what is on its way for other versions.
+    def drop_others(self, names: frozenset[str]) -> None:
+        """Give up what is on its way for others than the wanted weights.
 
         Of a version that is whole the chunks are still given to others.
         """
+        self._names = names
         for name, transfer in self.transfers.items():
-            if name != version and not transfer.complete:
+            if name not in names and not transfer.complete:
                 transfer.drop()
 
+    def _wanted(self, but: str) -> list[Manifest]:
+        return [
+            transfer.manifest
+            for name, transfer in self.transfers.items()
+            if name in self._names and name != but
+        ]
+
     def _begin(
         self,
         manifest: Manifest,
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_stock.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_stock.py
@@ -41,7 +41,7 @@
 
     loaded: str = ''
     changing: bool = False
-    wanted: str = ''
+    wanted: frozenset[str] = frozenset()
 
 
 def note_stock(transfer: Transfer, reply: StockReply, *, now: float) -> None:
@@ -81,5 +81,5 @@
         slots=slots.total,
         changing=note.changing,
         passes=passes,
-        wants=note.wanted == version,
+        wants=version in note.wanted,
     )
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -15,6 +15,7 @@
 from crowrudder_daemon.agent._runs import PauseRuns, ResumeRuns
 from crowrudder_daemon.agent.weights._collect import Collector
 from crowrudder_daemon.agent.weights._goal import (
+    Artifact,
     Goal,
     goal_of,
     is_withdrawn,
@@ -151,7 +152,7 @@
         if goal is None and not is_withdrawn(message.snapshot, self._host):
             return
         before, self._goal = self._goal, goal
-        self._note.wanted = self.declared
+        self._note.wanted = goal.names if goal else frozenset()
         self._tell_hosts()
         if not self._goes_on(before):
             self._begin()
@@ -169,7 +170,7 @@
         if self._job is not None:
             self._job.cancel()
             self._job = None
-        self._shelf.drop_others(self.declared)
+        self._shelf.drop_others(self._note.wanted)
         goal = self._goal
         work = self._pursue(goal) if goal else self._withdraw()
         self._job = self.spawn(work)
@@ -197,12 +198,12 @@
             )
 
     def _tell_hosts(self) -> None:
-        """Tell the transfer under way which hosts there are."""
-        transfer = self._shelf.transfers.get(self.declared)
-        if transfer is not None and self._goal is not None:
-            transfer.on_hosts(
-                places_of(self._snapshot, self._goal.service.name)
-            )
+        """Tell the transfers under way which hosts there are."""
+        if self._goal is None:
+            return
+        places = places_of(self._snapshot, self._goal.service.name)
+        for name in self._goal.names & self._shelf.transfers.keys():
+            self._shelf.transfers[name].on_hosts(places)
 
     async def _pursue(self, goal: Goal) -> None:
         """Bring the engine to the goal's version, and keep it there."""
@@ -238,22 +239,37 @@
     async def _reach(self, goal: Goal) -> None:
         state = await self._orders.loaded(goal.target)
         if state is None:
-            transfer = await self._collect(goal)
+            transfer = await self._collect(goal, goal.artifact)
             state = await self._loader.load(
                 goal, transfer, lambda: self._snapshot
             )
         self._note_loaded(goal, state)
+        for adapter in goal.adapters:
+            if adapter.name not in state.adapters:
+                await self._add_adapter(goal, adapter)
+
+    async def _add_adapter(self, goal: Goal, adapter: Artifact) -> None:
+        """Bring an adapter to the engine, which answers meanwhile."""
+        transfer = None
+        if adapter.manifest:
+            transfer = await self._collect(goal, adapter)
+        self._say(f'the engine is loading {adapter.name}')
+        state = await self._loader.load_adapter(goal, adapter.name, transfer)
+        self._note_loaded(goal, state)
 
-    async def _collect(self, goal: Goal) -> Transfer:
-        """Read the version's chunks until all are held."""
-        version = goal.version
+    async def _collect(self, goal: Goal, artifact: Artifact) -> Transfer:
+        """Read chunks until all of a version or an adapter are held."""
         self._say('waits for the manifest')
-        payload = self._shelf.manifest(version.name, version.manifest)
+        payload = self._shelf.manifest(artifact.name, artifact.manifest)
         if not payload:
-            payload = await self._manifests.read(goal, self._snapshot)
+            members = {
+                member.host: member.rpc_address
+                for member in self._snapshot.hosts_of(goal.service.name)
+            }
+            payload = await self._manifests.read(artifact, members)
         transfer = self._shelf.open(
             payload,
-            version.manifest,
+            artifact,
             copies=goal.service.origin_copies,
         )
         self._tell_hosts()
@@ -265,7 +281,7 @@
             downlink=self._links[0],
             address_of=self._address_of,
             watch=self._watch,
-            own_stock=lambda: self._service.stock(version.name, transfer),
+            own_stock=lambda: self._service.stock(artifact.name, transfer),
         )
         await collector.run()
         return transfer
--- a/packages/model/src/crowrudder_model/declared/_parts.py
+++ b/packages/model/src/crowrudder_model/declared/_parts.py
@@ -61,6 +61,13 @@
     version: str = field(
         metadata=rule(Name(), 'the version that the adapter was made for'),
     )
+    manifest: str = field(
+        default='',
+        metadata=rule(
+            Digest(may_be_empty=True),
+            "SHA-256 of the manifest's bytes; empty: it comes with the version",
+        ),
+    )
 
 
 @frozen
--- a/tests/weights/test_service.py
+++ b/tests/weights/test_service.py
@@ -62,7 +62,11 @@
     uplink = LinkShare(rate=RATE, burst=0)
     shelf: Any = Shelf(transfer)
     return ChunkService(
-        shelf, EngineNote(wanted='old'), slots, uplink, lambda _: None
+        shelf,
+        EngineNote(wanted=frozenset(('old',))),
+        slots,
+        uplink,
+        lambda _: None,
     )
 
 
@@ -129,7 +133,7 @@
             'old',
             self.transfer,
             slots=UploadSlots(4),
-            note=EngineNote(wanted='old'),
+            note=EngineNote(wanted=frozenset(('old',))),
         )
 
     async def stock(self, _address, _asked):
