Weights: a chunk that no neighbour offers is read from any host

Cause: since hosts read only from their neighbours, a stalled host that had fetched a chunk for its region was never read from by hosts that aren't its neighbours, so they never saw it stall and counted the chunk as held: 39 of 40 hosts lacked chunks after 6 times the bound (40 chunks, a tenth of the uplinks dead).

Change: what no near source offers is read from any.

--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -242,10 +242,14 @@
         is_near: bool,
         now: float,
     ) -> Source:
-        room = 0
-        if is_near or peer.distance == OTHER_REGION:
-            room = peer.room(self.pace.reads_of_one_peer, now)
-        return Source(host, peer.chunks, peer.distance, room, peer.busy)
+        return Source(
+            host,
+            peer.chunks,
+            peer.distance,
+            peer.room(self.pace.reads_of_one_peer, now),
+            peer.busy,
+            is_near or peer.distance == OTHER_REGION,
+        )
 
     def neighbours(self) -> list[str]:
         """Give the hosts to read from: near ones, failed ones replaced."""
--- a/packages/core/src/crowrudder_core/transfer/_planner.py
+++ b/packages/core/src/crowrudder_core/transfer/_planner.py
@@ -56,7 +56,8 @@
 class Source:
     """A host to read from: the chunks it holds and the reads it has room for.
 
-    ``load`` is the number of its upload slots that are taken.
+    ``load`` is the number of its upload slots that are taken; from one that
+    isn't ``is_near`` only what no near one offers is read.
     """
 
     host: str
@@ -64,6 +65,7 @@
     distance: int
     room: int
     load: int = 0
+    is_near: bool = True
 
 
 @frozen(kw_only=True)
@@ -119,17 +121,18 @@
 ) -> FromPeer | None:
     """Choose one chunk and its source, and take the source's room."""
     at_hand = [
-        (source, chunks)
+        (source, chunks & missing)
         for source, chunks in zip(sources, usable, strict=True)
-        if source.room > 0
+        if source.room > 0 and chunks & missing
     ]
-    candidates = missing & reduce(or_, (chunks for _, chunks in at_hand), 0)
-    if not candidates:
+    near = [each for each in at_hand if each[0].is_near]
+    offers = near or at_hand
+    if not offers:
         return None
+    candidates = reduce(or_, (chunks for _, chunks in offers))
     index = _choose(candidates, sources, random, order)
-    holders = [source for source, chunks in at_hand if chunks >> index & 1]
     source = min(
-        holders,
+        (source for source, chunks in offers if chunks >> index & 1),
         key=lambda item: (item.distance, item.load, random.random()),
     )
     source.room -= 1
--- a/tests/weights/test_failures.py
+++ b/tests/weights/test_failures.py
@@ -79,6 +79,16 @@
         """
         run(fleet(stalled_share=0.1))
 
+    def test_stalled_host_that_is_no_neighbour(self):
+        """More hosts than a host has neighbours; a tenth sends no chunk.
+
+        Symptom: some hosts lack a chunk for good. Sequence: a stalled host
+        fetches it for its region; hosts that don't read from it can't notice
+        that it stalls, and count the chunk as held. Cause: reads from the
+        neighbours only.
+        """
+        run(Fleet(Scene(hosts=40, chunks=40, stalled_share=0.1)))
+
     def test_source_that_always_spoils_is_shunned(self):
         """One host corrupts every chunk that it sends.
 
