--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -37,9 +37,6 @@
 PASSED_ON = frozenset(('content-type', 'accept', 'accept-language'))
 PLAIN_ANSWER_HEADERS = frozenset(('content-type',))
 METHOD_NOT_ALLOWED = 405
-CLOSE_AFTER_S = 0.2
-"""Time for the caller to read an answer before the connection is closed."""
-
 PLAIN_METHODS = ('GET', 'POST', 'PUT', 'DELETE', 'PATCH')
 
 
@@ -158,9 +155,22 @@
         )
 
     def _end(self) -> None:
-        if self._is_open:
-            self._is_open = False
-            self._answers.end()
+        if not self._is_open:
+            return
+        self._is_open = False
+        self._answers.end()
+        if self._requests.leaving:
+            self._close()
+
+    def _close(self) -> None:
+        """Close a kept connection after its last answer.
+
+        Tornado only tells the caller to close. One that doesn't would go on
+        to send new requests to a leaving entry until the process ends.
+        """
+        conn = self.request.connection
+        if isinstance(conn, HTTP1Connection):
+            conn.close()
 
     def _head(self) -> CallHead:
         limits = self._runtime.cfg.limits
@@ -181,21 +191,6 @@
             ),
         )
 
-    def on_finish(self) -> None:
-        """Close a kept connection after its last answer when leaving.
-
-        Tornado only tells the caller to close. One that doesn't would go on
-        to send new requests to a leaving entry until the process ends.
-        """
-        if self._requests.leaving:
-            loop = asyncio.get_running_loop()
-            loop.call_later(CLOSE_AFTER_S, self._close)
-
-    def _close(self) -> None:
-        conn = self.request.connection
-        if isinstance(conn, HTTP1Connection):
-            conn.close()
-
     def _set_outcome(self, ended: Ended) -> None:
         self.set_status(ended.http_status)
         self.set_header('X-Outcome', ended.outcome.value)
--- a/tests/requests/test_leaving_entry.py
+++ b/tests/requests/test_leaving_entry.py
@@ -11,6 +11,7 @@
 from tornado.testing import bind_unused_port
 
 from crowrudder_daemon.entry._handlers import make_application
+from crowrudder_daemon.entry._open_answers import OpenAnswers
 from crowrudder_daemon.entry._requests import SnapshotCame
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_model import Member
@@ -31,7 +32,9 @@
         self.entry.requests.post(SnapshotCame(Snapshot(BUNDLE, MEMBERS)))
         socket, self.port = bind_unused_port()
         self.http = HTTPServer(
-            make_application(self.entry.runtime, self.entry.requests),
+            make_application(
+                self.entry.runtime, self.entry.requests, OpenAnswers()
+            ),
         )
         self.http.add_socket(socket)
         await asyncio.sleep(0)
