Knowledge: every neighbour has its turn; the list's invariant is counted

Cause: the turn counted the probes as well, so with four neighbours, a fleet of five, the first one was never called in turn. The test failed with that neighbour missing; turns are now counted without probes.

A member list that would go back is counted as the violation member_order, like config_order.

--- a/packages/daemon/src/crowrudder_daemon/knowledge/_state.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -34,7 +35,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from crowrudder_core.config import Verdict
     from crowrudder_daemon.process import Runtime
@@ -89,8 +90,10 @@
     def next_partner(self, rng: random.Random) -> Member | None:
         """Choose whom to exchange with: one neighbour after the other."""
         self._turn += 1
-        if self.neighbours and self._turn % PROBE_EVERY:
-            return self.neighbours[self._turn % len(self.neighbours)]
+        probes, is_no_probe = divmod(self._turn, PROBE_EVERY)
+        if self.neighbours and is_no_probe:
+            turn = self._turn - probes
+            return self.neighbours[turn % len(self.neighbours)]
         members = self.snapshot.members
         others = [member for member in members if member.host != self.host]
         return rng.choice(others) if others else None
@@ -106,17 +109,15 @@
 
     def take_offer(self, offer: Offer) -> bool:
         """Offer a bundle to the aggregate and tell what became of it."""
-        try:
+        with self._counted('config_order'):
             verdict = self.book.offer(offer, now=time.time())
-        except InvariantError:
-            self._runtime.metrics.invariant_violated('config_order')
-            raise
         return self._tell(verdict, offer.teller)
 
     def take_members(self, members: tuple[Member, ...], revision: int) -> bool:
         """Take the platform's member list."""
         now = time.monotonic()
-        is_new = self.view.published.on_platform(members, revision, now)
+        with self._counted('member_order'):
+            is_new = self.view.published.on_platform(members, revision, now)
         if is_new:
             self.note_members('platform')
         return is_new
@@ -257,13 +258,23 @@
         self._on_change(snapshot)
         return True
 
+    @contextmanager
+    def _counted(self, invariant: str) -> Iterator[None]:
+        """Count an act that an invariant refuses."""
+        try:
+            yield
+        except InvariantError:
+            self._runtime.metrics.invariant_violated(invariant)
+            raise
+
     def _take_parts(self, knowledge: Knowledge) -> bool:
         bundle, listed = knowledge.bundle, knowledge.members
         published, teller = self.view.published, knowledge.host
         is_new = False
         if listed is not None:
             members = members_of(listed, published, teller)
-            is_new = published.offer(listed.edition, members)
+            with self._counted('member_order'):
+                is_new = published.offer(listed.edition, members)
         if is_new:
             self.note_members(teller)
         if bundle is None:
--- a/tests/config/test_knowledge_task.py
+++ b/tests/config/test_knowledge_task.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from crowrudder_daemon.knowledge import PeerAnswered, PeerSilent
+from crowrudder_daemon.knowledge._state import KnowledgeState
 from support.aio import run
 from support.bundles import digest_in, fleet, payload
-from support.knowledge import FakeFleet
+from support.knowledge import FakeFleet, runtime_of
 
 FIRST = payload(1)
 SECOND = payload(2, parent=digest_in(FIRST))
@@ -44,6 +47,19 @@
         run(scenario())
 
 
+class TestPartners:
+    def test_every_neighbour_has_its_turn(self) -> None:
+        """Symptom: of four neighbours one is never called in turn.
+
+        Every fourth exchange is a probe, and the turn counted the probes.
+        """
+        members = fleet(5)
+        state = KnowledgeState(runtime_of(members[0]), lambda _snapshot: None)
+        state.neighbours = list(members[1:])
+        partners = [state.next_partner(Random(1)) for _ in range(16)]
+        assert set(members[1:]) <= set(partners)
+
+
 class TestPlatformFaults:
     @pytest.mark.parametrize(
         'fault',
--- a/tests/support/knowledge.py
+++ b/tests/support/knowledge.py
@@ -196,7 +196,7 @@
     def start(self, member: Member) -> KnowledgeTask:
         """Start a new life of a host."""
         host = member.host
-        runtime = _runtime(member)
+        runtime = runtime_of(member)
         seen: list[Snapshot] = []
 
         def on_change(snapshot: Snapshot) -> None:
@@ -267,7 +267,8 @@
     return decode_message(encode_message(message), type(message))
 
 
-def _runtime(member: Member) -> Runtime:
+def runtime_of(member: Member) -> Runtime:
+    """Make the surroundings of an entry's knowledge."""
     process = ProcessSection(
         role='entry',
         host=member.host,
