Routing: an upstream that fails at once is left out

Ruled out: the retry budget itself, which has to hold under a failure of all. Change: the router weighs an agent by the share of its runs that failed; the caution halves in 3 s. Before: both new tests fail with the factor at 0.

--- a/packages/core/src/crowrudder_core/routing/_agent_state.py
+++ b/packages/core/src/crowrudder_core/routing/_agent_state.py
@@ -23,6 +23,11 @@
 """Below this, a difference of pace is taken for chance."""
 
 MOST_PACE = 8.0
+FAILED_FACTOR = 40.0
+FAILED_WEIGHT = 0.3
+FAILED_HALF_S = 3.0
+"""Seconds in which half of the caution after failed runs is gone."""
+
 WEIGHT = 0.2
 
 
@@ -39,6 +44,8 @@
     outstanding: int = 0
     suspected_until: float = 0
     first_piece_s: float = 0
+    failed_share: float = 0
+    failed_at: float = 0
 
     def on_report(self, report: Report, *, now: float) -> None:
         """Take a newer report of the same incarnation."""
@@ -52,6 +59,16 @@
         weight = WEIGHT if self.first_piece_s else 1
         self.first_piece_s += weight * (took_s - self.first_piece_s)
 
+    def on_outcome(self, *, failed: bool, now: float) -> None:
+        """Take what a run came to.
+
+        An upstream that fails at once is always free. Without this it would
+        draw most requests, seen as answers that fail while others would run.
+        """
+        share = self._failing(now)
+        self.failed_share = share + FAILED_WEIGHT * (failed - share)
+        self.failed_at = now
+
     @property
     def load(self) -> int:
         """Attempts that wait or run there.
@@ -92,9 +109,10 @@
         *,
         pace_s: float,
         service_s: float,
+        now: float,
     ) -> float:
         """Estimate the end of one more attempt from the agent's own word."""
-        slowness = self._slowness(pace_s)
+        slowness = self._slowness(pace_s) * self._caution(now)
         full = FILL_WEIGHT * room.filled
         return room.wait_s + service_s * (slowness + full)
 
@@ -105,7 +123,7 @@
         return ahead / slots * self.report.service_s * self._slowness(pace_s)
 
     def _factor(self, pace_s: float, now: float) -> float:
-        factor = self._slowness(pace_s)
+        factor = self._slowness(pace_s) * self._caution(now)
         if self.stalled:
             factor *= STALLED_FACTOR
         age = (now - self.since) / SLOW_START_S
@@ -113,6 +131,14 @@
             factor *= 1 + SLOW_START_FACTOR * (1 - age)
         return factor
 
+    def _caution(self, now: float) -> float:
+        return 1 + FAILED_FACTOR * self._failing(now)
+
+    def _failing(self, now: float) -> float:
+        """Give the share of failed runs, which fades while none is seen."""
+        halves = max(now - self.failed_at, 0) / FAILED_HALF_S
+        return self.failed_share * 0.5**halves
+
     def _slowness(self, pace_s: float) -> float:
         if not pace_s or not self.report.pace_s:
             return 1
--- a/packages/core/src/crowrudder_core/routing/_router.py
+++ b/packages/core/src/crowrudder_core/routing/_router.py
@@ -114,6 +114,12 @@
         if state is not None:
             state.on_first_piece(took_s)
 
+    def on_outcome(self, host: str, *, failed: bool, now: float) -> None:
+        """Take what a run on the host's upstream came to."""
+        state = self.agents.get(host)
+        if state is not None:
+            state.on_outcome(failed=failed, now=now)
+
     def patience_s(self, service: str) -> float:
         """Give the wait after which a second attempt is worth its cost."""
         times = [
@@ -177,6 +183,7 @@
                 room,
                 pace_s=pace_s,
                 service_s=service_s,
+                now=now,
             )
             for host, room in rooms.items()
             if room.wait_s >= 0 and host in hosts
--- a/packages/daemon/src/crowrudder_daemon/entry/_agents.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_agents.py
@@ -111,6 +111,10 @@
         """Note how long the upstream took for its first piece."""
         self.router.on_first_piece(agent.host, took_s)
 
+    def on_outcome(self, agent: AgentRef, *, failed: bool) -> None:
+        """Note whether the upstream answered or failed."""
+        self.router.on_outcome(agent.host, failed=failed, now=_now())
+
     def on_refused(self, agent: AgentRef, refusal: Refusal) -> None:
         """Use a leaving agent no more, whatever its last report says."""
         if refusal.reason == 'draining':
--- a/packages/daemon/src/crowrudder_daemon/entry/_attempt_call.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_attempt_call.py
@@ -75,6 +75,9 @@
     def note_queued(self, call: AttemptCall, queued: Queued) -> None:
         """Take note that the attempt waits."""
 
+    def note_outcome(self, call: AttemptCall, *, failed: bool) -> None:
+        """Take note of what a run came to."""
+
     def note_lost(self, call: AttemptCall, exc: PeerLostError) -> None:
         """Take note of a broken stream."""
 
@@ -193,6 +196,7 @@
         if not (own and whole and final.version == self.version):
             raise self._crossed('the answer is not whole')
         self._request.owner.ended(self.key, Outcome.ANSWERED)
+        self._request.note_outcome(self, failed=False)
         return Ended(
             outcome=Outcome.ANSWERED,
             code='ok',
@@ -211,6 +215,7 @@
         """End the attempt; an idempotent request may go on elsewhere."""
         owner = self._request.owner
         owner.ended(self.key, outcome)
+        self._request.note_outcome(self, failed=True)
         if owner.idempotent:
             self._request.note_refusal(self, Refusal(reason=message))
             return None
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -127,6 +127,10 @@
         self._free_retry = refusal.reason in NO_COST
         self._task.agents.on_refused(call.agent, refusal)
 
+    def note_outcome(self, call: AttemptCall, *, failed: bool) -> None:
+        """Tell the router what the run came to."""
+        self._task.agents.on_outcome(call.agent, failed=failed)
+
     def note_lost(self, call: AttemptCall, exc: PeerLostError) -> None:
         """Tell the router of a broken stream."""
         self._free_retry = False
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -109,6 +109,33 @@
         )
         assert not picks['dead']
 
+    def test_an_upstream_that_fails_at_once_is_left_out(self):
+        """Symptom: a tenth of the idempotent requests fail.
+
+        Sequence: an engine answers crossed; each run there fails at once;
+        the entry goes on sending there until the retry budget is spent.
+        Cause: what fails at once is always free.
+        """
+        router = router_of(report('bad'), report('a'), report('b'))
+        for _ in range(3):
+            router.on_outcome('bad', failed=True, now=0.0)
+        needs = [Need(service='s', prefix=f'p{n}') for n in range(300)]
+        picks = Counter(chosen(router, need, now=0.5) for need in needs)
+        assert not picks['bad']
+        later = Counter(chosen(router, need, now=60.0) for need in needs)
+        assert later['bad']
+
+    def test_own_word_of_a_failing_agent_counts_less(self):
+        router = router_of(report('bad'), report('a', running=7))
+        router.on_outcome('bad', failed=True, now=0.0)
+        rooms = {
+            'bad': RoomReply(wait_s=0.0, filled=0.0),
+            'a': RoomReply(wait_s=0.5, filled=0.9),
+        }
+        choice = router.choose_by_word(NEED, rooms, first='', now=0.1)
+        assert choice is not None
+        assert choice.host == 'a'
+
     def test_a_fresh_agent_starts_slowly(self):
         router = router_of(report('a'), report('b'), affinity=False)
         router.on_report(report('new'), now=10.0)
