--- a/measure/_route_real.py
+++ b/measure/_route_real.py
@@ -166,8 +166,11 @@
         asyncio.ensure_future(_send_at(caller, number / DRAIN_RATE, number))
         for number in range(int((2 + DRAIN_WATCH_S) * DRAIN_RATE))
     ]
-    await asyncio.sleep(2)
+    await asyncio.sleep(1)
+    earlier = len((await fleet.books(upstream))['runs'])
+    await asyncio.sleep(1)
     runs = len((await fleet.books(upstream))['runs'])
+    show('drain.new_work_in_the_second_before', runs - earlier)
     began = time.monotonic()
     last_s = 0.0
     leaving.process.terminate()
