--- a/packages/core/src/crowrudder_core/config/_reading.py
+++ b/packages/core/src/crowrudder_core/config/_reading.py
@@ -26,13 +26,14 @@
 """Without a sign that anyone still reads the platform, others step in."""
 
 STEP_S = 2.0
-"""After which time the next ranks step in."""
+"""So much later the next three ranks of a failure domain step in."""
 
 BACKOFF_FIRST_S = 0.5
+"""Half of the first pause before a watch that failed is tried again."""
+
 BACKOFF_MOST = 8
 """Longest pause after failures, as a multiple of the polling interval."""
 
-
 POLL_SPREAD = 2.5
 """Polls of one source are so many polling intervals apart: there are two
 sources, and all processes may poll at once."""
