Weights: rate, estimated end and what is waited for, where operators look

`crowrudder status` said only that weights are on their way. The hindrance of a host now tells share, rate, estimated end and sources; the metrics have rate and end for each version.

Two faults found while reading: chunks that another version had brought weren't counted for the estimate, and a read of the origin that was given up with its job was still told to others as under way, so that they would have waited for it to the end of the window. Both tests fail on the code before.

--- a/packages/core/src/crowrudder_core/transfer/_manifest.py
+++ b/packages/core/src/crowrudder_core/transfer/_manifest.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import hashlib
+from typing import TYPE_CHECKING
 
 import msgspec
 from attrs import frozen
 
 from crowrudder_model import CrowrudderError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class ManifestError(CrowrudderError):
     """Manifest bytes that are not what the declared files name."""
@@ -28,6 +32,10 @@
         """Give the bytes of a chunk; the last one may be shorter."""
         return min(self.chunk_bytes, self.size - index * self.chunk_bytes)
 
+    def size_of(self, chunks: Iterable[int]) -> int:
+        """Give the bytes of some chunks."""
+        return sum(self.chunk_size(index) for index in chunks)
+
     def sizes(self) -> dict[str, int]:
         """Give the bytes of each distinct chunk by its digest."""
         return {
--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -126,10 +126,13 @@
         self.spent += 1
         self.reading |= 1 << index
 
+    def on_ended(self, index: int) -> None:
+        """Note that a read ended, however it did."""
+        self.reading &= ~(1 << index)
+
     def on_held(self, index: int) -> None:
         """Note that a chunk came, from wherever."""
         self.failed &= ~(1 << index)
-        self.reading &= ~(1 << index)
 
     @property
     def is_failing(self) -> bool:
@@ -148,7 +151,6 @@
         refused connection; the read then costs nothing of the share.
         """
         self.failed |= 1 << index
-        self.reading &= ~(1 << index)
         if not was_sent:
             self.spent = max(self.spent - 1, 0)
         self._wait_s = min(
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -210,6 +210,12 @@
         peer.shun_until = 0
         self._note_change(before, peer)
 
+    def on_ended(self, host: str) -> None:
+        """Note that a read from a source ended, however it did."""
+        peer = self.peers.get(host)
+        if peer is not None:
+            peer.reading = max(peer.reading - 1, 0)
+
     def on_busy(self, host: str, now: float) -> None:
         """Ask a source again only when a slot can have become free."""
         peer = self.peers.get(host)
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -101,6 +101,7 @@
         for digest, bits in self._same.items():
             if digest in self.store:
                 self._note_held(bits)
+        self.progress.held = self.manifest.size_of(indices(self.held))
 
     @property
     def count(self) -> int:
@@ -209,7 +210,7 @@
         fresh = self._same[digest] & ~self.held
         if fresh:
             self._note_held(fresh)
-            self.progress.on_bytes(len(payload), now)
+            self.progress.on_bytes(self.manifest.size_of(indices(fresh)), now)
         return True
 
     def on_failed(
@@ -330,9 +331,11 @@
     def _end(self, read: Read) -> bool:
         if self.flights.pop(read, None) is None:
             return False
-        if isinstance(read, FromPeer) and read.host in self.peers.peers:
-            peer = self.peers.peers[read.host]
-            peer.reading = max(peer.reading - 1, 0)
+        match read:
+            case FromPeer(host=host):
+                self.peers.on_ended(host)
+            case FromOrigin(index=index):
+                self.origin.on_ended(index)
         return True
 
     def _on_good(self, read: Read) -> None:
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -28,6 +28,7 @@
 from crowrudder_daemon.agent.weights._stock import EngineNote, UploadSlots
 from crowrudder_daemon.agent.weights._uploads import ChunkService
 from crowrudder_daemon.agent.weights._watch import WeightsWatch
+from crowrudder_daemon.agent.weights._words import progress_line
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_model import CrowrudderError, InvariantError
 
@@ -65,7 +66,8 @@
     ) -> None:
         super().__init__(runtime.log)
         weights = required(runtime.cfg.weights, 'weights')
-        self.hinders = ''
+        self._hinders = ''
+        self._collecting: Transfer | None = None
         self._runtime = runtime
         self._engine = engine
         self._runs = runs
@@ -76,7 +78,8 @@
         self._note = EngineNote()
         self._shelf = Shelf(runtime, weights)
         self._watch = WeightsWatch(runtime, self._shelf)
-        self._links = (_link(weights), _link(weights))
+        self._downlink = _link(weights)
+        self._uplink = _link(weights)
         self._peers = PeerSource(peers)
         self._origin = OriginSource(weights)
         self._manifests = ManifestReader(
@@ -98,7 +101,7 @@
             self._shelf,
             self._note,
             UploadSlots(weights.upload_slots),
-            self._links[1],
+            self._uplink,
             self._watch.sent,
         )
 
@@ -111,6 +114,14 @@
         super().start()
         self.spawn(self._yield_to_live())
 
+    @property
+    def hinders(self) -> str:
+        """What keeps the engine from the declared version; empty for none."""
+        if self._collecting is None:
+            return self._hinders
+        now = asyncio.get_running_loop().time()
+        return progress_line(self._collecting, now=now)
+
     @property
     def loaded(self) -> str:
         """The version that the engine was last read back with."""
@@ -187,7 +198,7 @@
         self._runs.post(PauseRuns(idle))
         await idle
         before, self._note.loaded = self._note.loaded, ''
-        self.hinders = ''
+        self._hinders = ''
         if before:
             self._runtime.audit.note(
                 kind='loaded_version',
@@ -215,11 +226,11 @@
                 self._on_hindrance(exc)
                 await asyncio.sleep(RETRY_S)
                 continue
-            self.hinders = ''
+            self._hinders = ''
             await self._keep(goal)
 
     def _on_hindrance(self, exc: CrowrudderError) -> None:
-        self.hinders = str(exc)
+        self._hinders = str(exc)
         if isinstance(exc, InvariantError):
             self._watch.refused(exc)
         self._log.warning('not loaded yet: %s', exc)
@@ -232,7 +243,7 @@
             self._log.warning('the engine was not read: %s', exc)
             return
         self._note.loaded = ''
-        self.hinders = 'the engine no longer shows the declared version'
+        self._hinders = 'the engine no longer shows the declared version'
         idle = asyncio.get_running_loop().create_future()
         self._runs.post(PauseRuns(idle))
 
@@ -273,17 +284,20 @@
             copies=goal.service.origin_copies,
         )
         self._tell_hosts()
-        self._say('weights are on their way')
         collector = Collector(
             transfer,
             peers=self._peers,
             origin=self._origin,
-            downlink=self._links[0],
+            downlink=self._downlink,
             address_of=self._address_of,
             watch=self._watch,
             own_stock=lambda: self._service.stock(artifact.name, transfer),
         )
-        await collector.run()
+        self._collecting = transfer
+        try:
+            await collector.run()
+        finally:
+            self._collecting = None
         return transfer
 
     def _note_loaded(self, goal: Goal, state: EngineState) -> None:
@@ -308,7 +322,7 @@
             await asyncio.sleep(LIVE_S)
             state = self._runs.state
             now = asyncio.get_running_loop().time()
-            for link in self._links:
+            for link in (self._downlink, self._uplink):
                 link.on_live(state.sent_bytes - seen, state.running, now=now)
             seen = state.sent_bytes
 
@@ -317,7 +331,7 @@
         return member.rpc_address if member else None
 
     def _say(self, what: str) -> None:
-        self.hinders = what
+        self._hinders = what
 
 
 def _link(weights: WeightsSection) -> LinkShare:
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from crowrudder_core.transfer import FromOrigin, FromPeer
@@ -47,6 +48,16 @@
             'Share of the chunks of a version that is held.',
             self._shares,
         )
+        metrics.gauges(
+            'weights_rate_bytes',
+            'Bytes of a version that came in a second, of late.',
+            self._rates,
+        )
+        metrics.gauges(
+            'weights_left_seconds',
+            'Estimated seconds to the last chunk of a version.',
+            self._ends,
+        )
 
     def read(self, read: Read, size: int) -> None:
         """Count a good chunk."""
@@ -84,6 +95,25 @@
             for name, transfer in self._shelf.transfers.items()
         ]
 
+    def _rates(self) -> list[tuple[Mapping[str, str], float]]:
+        now = time.monotonic()
+        return [
+            ({'version': name}, transfer.progress.rate(now))
+            for name, transfer in self._shelf.transfers.items()
+        ]
+
+    def _ends(self) -> list[tuple[Mapping[str, str], float]]:
+        now = time.monotonic()
+        ends = {
+            name: transfer.progress.left_s(now)
+            for name, transfer in self._shelf.transfers.items()
+        }
+        return [
+            ({'version': name}, left_s)
+            for name, left_s in ends.items()
+            if left_s is not None
+        ]
+
 
 def _kind(read: Read) -> str:
     match read:
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -29,6 +29,7 @@
     indices,
     pace_for,
 )
+from crowrudder_daemon.agent.weights._words import progress_line
 from crowrudder_model import InvariantError
 from support.weights_versions import (
     CHUNKS,
@@ -146,6 +147,31 @@
         assert all(isinstance(read, FromOrigin) for read in reads)
 
 
+class TestProgress:
+    def test_common_chunks_count_as_there(self):
+        store = ChunkStore(1000)
+        fill(begin(version('old', OLD), store), OLD)
+        new = begin(version('new', NEW), store)
+        assert new.progress.left_s(0) is None
+        assert new.on_chunk(FromOrigin(2), NEW[2], now=2)
+        # Three of six chunks are left, and one came in the last second.
+        assert new.progress.left_s(2) == 3
+        assert progress_line(new, now=2).startswith('new is on its way: 50%')
+
+    def test_read_of_the_origin_that_was_given_up_is_not_under_way(self):
+        """A transfer is restarted while it reads from the origin.
+
+        Symptom: others wait for a chunk until the window ends. Sequence: the
+        share is spent, the job restarts. Cause: the host still said that it
+        reads the chunk, in place of passing it.
+        """
+        transfer = begin(version('old', OLD))
+        read = transfer.next_reads(now=0)[0]
+        transfer.abandon_reads()
+        transfer.origin.spent = transfer.origin.share
+        assert transfer.origin.passes >> read.index & 1
+
+
 class TestTwoVersionsAtOnce:
     def test_each_counts_its_own_chunks(self):
         """Two versions and an adapter share a store, and chunks, only."""
