Explain: why each host can or can't serve; undeclared names are errors

Cause: /explain answered an undeclared customer with 200 and no routes, where the client's page promises 404, and gave no reasons. Change: the router names the obstacle of each host (the same rule that choosing uses), the entry says whether the customer may use the service. The new tests fail on the code before (no error, no key 'why').

--- a/packages/core/src/crowrudder_core/routing/_router.py
+++ b/packages/core/src/crowrudder_core/routing/_router.py
@@ -135,9 +135,16 @@
         return [
             host
             for host, state in self.agents.items()
-            if _can_serve(host, state, need, now)
+            if not _obstacle(host, state, need, now)
         ]
 
+    def obstacles(self, need: Need, *, now: float) -> dict[str, str]:
+        """Say of each known host why it can't serve; empty where it can."""
+        return {
+            host: _obstacle(host, state, need, now)
+            for host, state in sorted(self.agents.items())
+        }
+
     def choose(self, need: Need, *, now: float) -> Choice | None:
         """Choose a host; None where no one can serve."""
         hosts = self.candidates(need, now=now)
@@ -233,14 +240,23 @@
         return state
 
 
-def _can_serve(host: str, state: AgentState, need: Need, now: float) -> bool:
+def _obstacle(host: str, state: AgentState, need: Need, now: float) -> str:
+    """Say why a host can't serve; empty where it can."""
     report = state.report
-    if host in need.avoid or report.leaving or not state.linked:
-        return False
-    if state.suspected_until > now or report.service != need.service:
-        return False
-    if need.adapter and need.adapter not in report.adapters:
-        return False
-    if need.version and need.version != report.version:
-        return False
-    return bool(report.version)
+    obstacles = (
+        (host in need.avoid, 'was tried before'),
+        (report.leaving, 'is leaving'),
+        (not state.linked, 'sends no reports'),
+        (state.suspected_until > now, 'failed a call just now'),
+        (report.service != need.service, 'serves something else'),
+        (not report.version, 'has nothing loaded'),
+        (
+            bool(need.adapter) and need.adapter not in report.adapters,
+            'has not loaded the adapter',
+        ),
+        (
+            bool(need.version) and need.version != report.version,
+            'has another version',
+        ),
+    )
+    return next((reason for applies, reason in obstacles if applies), '')
--- a/packages/daemon/src/crowrudder_daemon/admin.py
+++ b/packages/daemon/src/crowrudder_daemon/admin.py
@@ -13,6 +13,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, HTTPError, RequestHandler
 
+from crowrudder_model import CrowrudderError
+
 if TYPE_CHECKING:
     from types import TracebackType
 
@@ -46,6 +48,10 @@
     on_fault: Callable[[str, BaseException | None], None]
 
 
+class UnknownNameError(CrowrudderError):
+    """A customer or model was asked for that no file declares."""
+
+
 class _AdminHandler(RequestHandler):
     def initialize(self, view: AdminView) -> None:
         self.view = view
@@ -151,6 +157,8 @@
             raise HTTPError(
                 HTTPStatus.NOT_FOUND, 'this role does not route: ask an entry'
             ) from exc
+        except UnknownNameError as exc:
+            raise HTTPError(HTTPStatus.NOT_FOUND, str(exc)) from exc
         self.reply(explained)
 
     def _needed(self, name: str) -> str:
--- a/packages/daemon/src/crowrudder_daemon/entry/_agents.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_agents.py
@@ -127,7 +127,7 @@
 
     def routes(self, need: Need) -> list[dict[str, Any]]:
         """Show what is known of each agent, and who could serve now."""
-        able = set(self.router.candidates(need, now=_now()))
+        obstacles = self.router.obstacles(need, now=_now())
         return [
             {
                 'host': host,
@@ -136,9 +136,11 @@
                 'running': state.report.running,
                 'queued': state.report.queued,
                 'outstanding': state.outstanding,
-                'candidate': host in able,
+                'candidate': not why,
+                'why': why or 'can serve',
             }
-            for host, state in sorted(self.router.agents.items())
+            for host, why in obstacles.items()
+            for state in (self.router.agents[host],)
         ]
 
     def _agent(self, host: str, wait_s: float) -> AgentRef:
--- a/packages/daemon/src/crowrudder_daemon/entry/_requests.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_requests.py
@@ -11,6 +11,7 @@
 from crowrudder_core.requests import RequestOwner
 from crowrudder_core.routing import Need
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.admin import UnknownNameError
 from crowrudder_daemon.entry._admission import Admission
 from crowrudder_daemon.entry._agents import AgentPool
 from crowrudder_daemon.entry._claims import release_claim
@@ -187,14 +188,27 @@
         self._shown_ends.add(outcome=ended.outcome.value, code=ended.code)
 
     def explain(self, customer: str, model: str) -> dict[str, Any]:
-        """Tell where a request would go now, and why."""
+        """Tell where a request would go now, and why.
+
+        Raises
+        ------
+        UnknownNameError
+            Where no file declares the customer or the model.
+        """
+        bundle = self.snapshot.bundle
+        declared = bundle.declaration.customer(customer) if bundle else None
         service = self.service_of(model)
-        need = Need(service=service.name if service else '')
+        if declared is None or service is None:
+            name = model if declared else customer
+            raise UnknownNameError(f'{name!r} is not declared', step='explain')
+        may_use = declared.may_use(service.name)
         return {
             'customer': customer,
             'model': model,
-            'service': need.service,
-            'routes': self.agents.routes(need),
+            'service': service.name,
+            'allowed': may_use,
+            'why': 'may use it' if may_use else 'may not use this service',
+            'routes': self.agents.routes(Need(service=service.name)),
         }
 
     def service_of(self, name: str) -> Service | None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -154,6 +154,13 @@
         router.on_failed('failed', until=5.0)
         need = evolve(NEED, version='v1')
         assert router.candidates(need, now=1.0) == ['good']
+        assert router.obstacles(need, now=1.0) == {
+            'empty': 'has nothing loaded',
+            'failed': 'failed a call just now',
+            'good': '',
+            'leaving': 'is leaving',
+            'old': 'has another version',
+        }
         assert 'failed' in router.candidates(need, now=6.0)
 
 
