Soak: links that are cut, frozen and slowed; the end state is checked

Processes were killed and frozen, but none was cut off from another, so that nothing drawn led to two sides that both keep callers. A relay before each process and before the platform and the weight sources cuts, freezes in one direction and slows the links of single pairs; the caller of a connection is read off the system's table of sockets.

A process behind it has another port to listen on than the list names: `rpc_listen_port`, which a host with forwarded ports needs as well. Without it a restarted process would take the list for naming a successor and give way.

New draws: platform, origin and store killed, frozen and restarted (the platform keeps its state and counts revisions anew), a dying engine, drains and rolling restarts, two publications of one generation. New checks: one bundle everywhere, no bundle order back in any trail, engines on the declared version, no violated invariant, no unhandled fault in any log, no answer later than its deadline and 1.5 s.

--- a/measure/_config_fleet.py
+++ b/measure/_config_fleet.py
@@ -124,7 +124,7 @@
                 'host': f'host-{number:04}',
                 'role': 'entry',
                 'address': LOOPBACK,
-                'rpc_port': self.base.free_port(),
+                'rpc_port': self.base.ports.free(),
                 'http_port': 1,
                 'admin_port': 1,
                 'region': 'north',
--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -43,9 +43,7 @@
         cfg = runtime.cfg
         self._runtime = runtime
         self._peers = PeerClient()
-        self._server = PeerServer(
-            f'{cfg.process.address}:{cfg.process.rpc_port}',
-        )
+        self._server = PeerServer(cfg.process.rpc_listen_address)
         self.knowledge = KnowledgeTask(runtime, self._on_snapshot)
         self.weights: WeightsTask | None = None
         upstream = required(cfg.upstream, 'upstream')
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -37,7 +37,7 @@
         self._runtime = runtime
         self._peers = PeerClient()
         self._answers = OpenAnswers()
-        self._server = PeerServer(f'{process.address}:{process.rpc_port}')
+        self._server = PeerServer(process.rpc_listen_address)
         self.knowledge = KnowledgeTask(runtime, self._on_snapshot)
         self.requests = RequestsTask(runtime, self._peers)
         self.links = LinksTask(
--- a/packages/daemon/src/crowrudder_daemon/settings/_read.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/_read.py
@@ -173,7 +173,8 @@
     def _check_ports(self, process: Mapping[str, object]) -> None:
         """Name two keys with one port here, not at the second `bind`."""
         taken: dict[object, str] = {}
-        for key in ('rpc_port', 'admin_port', 'http_port'):
+        rpc = 'rpc_listen_port' if 'rpc_listen_port' in process else 'rpc_port'
+        for key in (rpc, 'admin_port', 'http_port'):
             number = process.get(key)
             if number is None:
                 continue
--- a/packages/daemon/src/crowrudder_daemon/settings/_sections.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/_sections.py
@@ -28,18 +28,25 @@
 class ProcessSection:
     """Who this process is and where it listens.
 
-    `http_port` is 0 in an agent, which has no callers.
+    `http_port` is 0 in an agent, which has no callers. `rpc_listen_port` is 0
+    where the process listens on the port that others call.
     """
 
     role: str = key(word('entry', 'agent'))
     host: str = key(name())
     address: str = key(ip_number())
     rpc_port: int = key(port())
+    rpc_listen_port: int = key(port(), default=0)
     admin_port: int = key(port())
     http_port: int = key(port(), scope=Scope.ENTRY, absent=0)
     region: str = key(name())
     failure_domain: str = key(name())
 
+    @property
+    def rpc_listen_address(self) -> str:
+        """Where it listens for other processes."""
+        return f'{self.address}:{self.rpc_listen_port or self.rpc_port}'
+
 
 @frozen(kw_only=True)
 class PlatformSection:
--- a/packages/standins/src/crowrudder_standins/platform.py
+++ b/packages/standins/src/crowrudder_standins/platform.py
@@ -1,13 +1,14 @@
 """Stand-in of the platform: published configuration and the member list.
 
 Usage:
-  platform --port=PORT [--address=IP] [--rate=N] [--member-lag=S]
+  platform --port=PORT [options]
 
 Options:
   --address=IP    IP number to listen on [default: 127.0.0.1].
   --port=PORT     Port to listen on.
   --rate=N        Calls a second before 429 [default: 2000].
   --member-lag=S  Seconds until a change of members shows [default: 0.5].
+  --state=FILE    Keep bundle and members there over a restart.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 import time
 from collections import Counter
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Any
 
 from attrs import define, field, frozen
@@ -99,6 +101,9 @@
         self.calls: Counter[int] = Counter()
         self.refused = 0
         self._started = time.monotonic()
+        path = options.get('--state')
+        self._state = Path(path) if path else None
+        self._read_state()
         self._publish_members(0)
 
     def books(self) -> dict[str, Any]:
@@ -121,16 +126,20 @@
 
     @route('PUT', '/control/bundle')
     async def put_bundle(self, call: Call) -> Answer:
-        return {'revision': self.bundle.put(call.request.body)}
+        revision = self.bundle.put(call.request.body)
+        self._keep_state()
+        return {'revision': revision}
 
     @route('PUT', '/control/members/([^/]+)')
     async def put_member(self, call: Call, host: str) -> Answer:
         self.hosts[host] = {**call.body_json(), 'host': host}
+        self._keep_state()
         return self._publish_members(float(self.options['--member-lag']))
 
     @route('DELETE', '/control/members/([^/]+)')
     async def delete_member(self, call: Call, host: str) -> Answer:
         self.hosts.pop(host, None)
+        self._keep_state()
         return self._publish_members(float(self.options['--member-lag']))
 
     async def _read(self, call: Call, shelf: Shelf) -> Answer:
@@ -181,6 +190,20 @@
         half = self.faults.take('half')
         return content[: len(content) // 2] if half else content
 
+    def _read_state(self) -> None:
+        """Begin with what was published before; revisions count anew."""
+        if self._state is not None and self._state.exists():
+            kept = json.loads(self._state.read_text())
+            self.hosts = kept['hosts']
+            for bundle in kept['bundle']:
+                self.bundle.put(bundle.encode())
+
+    def _keep_state(self) -> None:
+        if self._state is not None:
+            last = [each.content.decode() for each in self.bundle.editions[-1:]]
+            kept = {'hosts': self.hosts, 'bundle': last}
+            self._state.write_text(json.dumps(kept))
+
     def _publish_members(self, lag_s: float) -> Answer:
         revision = self.members.next_revision()
         listed = {'revision': revision, 'members': list(self.hosts.values())}
--- a/scripts/_declare.py
+++ b/scripts/_declare.py
@@ -13,6 +13,8 @@
 from attrs import define, frozen
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from _fleet import Fleet
 
 EXAMPLE = Path(__file__).parent.parent / 'examples' / 'fleet'
@@ -67,6 +69,7 @@
     model: str = 'listing'
     generation: int = 0
     digest: str = ''
+    version: str = ''
 
     @classmethod
     def from_example(cls, directory: Path) -> Declared:
@@ -79,6 +82,36 @@
 
         The version before stays declared, as hosts still serve with it.
         """
+        await self.publish_rivals(fleet, [weights])
+        return self.digest
+
+    async def publish_rivals(
+        self, fleet: Fleet, rivals: Sequence[Weights]
+    ) -> list[str]:
+        """Publish a bundle for each version, all of one generation.
+
+        They have one parent, as those of operators who don't know of each
+        other; the higher digest wins. The digests are returned.
+        """
+        for weights in rivals:
+            await self._make(fleet, weights)
+        self._succeed()
+        bundles: dict[str, tuple[bytes, str]] = {}
+        for weights in rivals:
+            bundle = await self._bundle(weights.version)
+            digest = str(json.loads(bundle)['digest'])
+            bundles[digest] = (bundle, weights.version)
+        self.digest = max(bundles)
+        self.version = bundles[self.digest][1]
+        for bundle, _ in bundles.values():
+            await fleet.publish(bundle)
+        return list(bundles)
+
+    def set_replicas(self, replicas: int) -> None:
+        """Declare on how many hosts the model runs."""
+        self._set('services.ini', 'service:listing', replicas=replicas)
+
+    async def _make(self, fleet: Fleet, weights: Weights) -> None:
         manifest = await fleet.make_weights(
             weights.version,
             size=weights.size,
@@ -87,19 +120,14 @@
             stored=weights.stored,
         )
         self._declare(weights, manifest)
-        self._succeed(weights.version)
+
+    async def _bundle(self, version: str) -> bytes:
+        self._set('services.ini', f'service:{self.model}', version=version)
         directory = str(self.directory)
         bundle_path = self.directory.parent / 'bundle'
         await client('check', directory)
         await client('bundle', directory, '-o', str(bundle_path))
-        bundle = bundle_path.read_bytes()
-        self.digest = str(json.loads(bundle)['digest'])
-        await fleet.publish(bundle)
-        return self.digest
-
-    def set_replicas(self, replicas: int) -> None:
-        """Declare on how many hosts the model runs."""
-        self._set('services.ini', 'service:listing', replicas=replicas)
+        return bundle_path.read_bytes()
 
     def _declare(self, weights: Weights, manifest: str) -> None:
         self._set(
@@ -111,9 +139,8 @@
             chunks=weights.chunks,
         )
 
-    def _succeed(self, version: str) -> None:
+    def _succeed(self) -> None:
         self.generation += 1
-        self._set('services.ini', f'service:{self.model}', version=version)
         self._set(
             'fleet.ini',
             'fleet',
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -19,7 +19,8 @@
 from pathlib import Path
 from typing import IO, TYPE_CHECKING, Any
 
-from attrs import define, frozen
+from _relay import Relay
+from attrs import define, field, frozen
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
 
 if TYPE_CHECKING:
@@ -43,7 +44,9 @@
 class FleetPlan:
     """How large a fleet is and how its stand-ins behave.
 
-    Rates are in bytes a second, 0 for no limit.
+    Rates are in bytes a second, 0 for no limit. The processes of a `relayed`
+    fleet meet each other, the platform and the weight sources through
+    `Fleet.relay`, which can cut, freeze and slow their links.
     """
 
     entries: int = 2
@@ -60,6 +63,7 @@
     drain_s: float = 20
     poll_s: float = 1
     log_level: str = 'info'
+    relayed: bool = False
 
 
 @define(eq=False)
@@ -138,11 +142,15 @@
 
 @frozen(eq=False)
 class Outside:
-    """A stand-in: its process, address and journal of runs."""
+    """A stand-in: its process, address and journal of runs.
+
+    The daemons are told the `listed_address`.
+    """
 
     process: Process
     address: str
     journal_path: Path
+    listed_address: str
 
     @property
     def url(self) -> str:
@@ -265,6 +273,27 @@
     return str(Path(sys.executable).parent / name)
 
 
+@define
+class Ports:
+    """Ports for listeners, each given out once."""
+
+    _given: set[int] = field(factory=set)
+    _rng: random.Random = field(factory=lambda: random.Random(os.getpid()))
+
+    def free(self) -> int:
+        """Return a port that nobody listens on."""
+        while True:
+            port = self._rng.randrange(*_PORTS)
+            with socket.socket() as probe:
+                if (
+                    port in self._given
+                    or probe.connect_ex((LOOPBACK, port)) == 0
+                ):
+                    continue
+            self._given.add(port)
+            return port
+
+
 class Fleet:
     """The processes of one run and the directory of their files."""
 
@@ -275,15 +304,25 @@
         self.entries: list[Host] = []
         self.agents: list[Host] = []
         self.outsides: list[Outside] = []
-        self._ports: set[int] = set()
-        self._rng = random.Random(os.getpid())
-        lag = f'--member-lag={plan.member_lag_s}'
-        self.platform = self._outside('platform', 'platform', lag)
+        self.relay = Relay(self.pids)
+        self.ports = Ports()
+        self._made: list[tuple[Outside, str]] = []
+        self.platform = self._outside(
+            'platform',
+            'platform',
+            f'--member-lag={plan.member_lag_s}',
+            f'--state={directory / "platform.state"}',
+            shared=True,
+        )
         self.origin = self._outside(
-            'origin', 'origin', f'--rate={plan.origin_rate}'
+            'origin', 'origin', f'--rate={plan.origin_rate}', shared=True
         )
         self.store = self._outside(
-            'store', 'origin', f'--rate={plan.store_rate}', '--name=store'
+            'store',
+            'origin',
+            f'--rate={plan.store_rate}',
+            '--name=store',
+            shared=True,
         )
 
     @property
@@ -291,6 +330,16 @@
         """Return all entries and agents."""
         return [*self.entries, *self.agents]
 
+    @property
+    def processes(self) -> list[Process]:
+        """Return the processes of daemons and stand-ins."""
+        daemons = [host.process for host in self.hosts]
+        return [*daemons, *(each.process for each in self.outsides)]
+
+    def pids(self) -> dict[str, int]:
+        """Return the ids of what runs, by name."""
+        return {each.name: each.pid for each in self.processes if each.running}
+
     @property
     def engine_agents(self) -> list[Host]:
         """Return the agents that stand beside an engine."""
@@ -311,17 +360,32 @@
         for number in range(1, plan.plains + 1):
             self.agents.append(self._plain_agent(number))
         for outside in self.outsides:
-            outside.process.start()
+            await self.start_process(outside.process)
         for outside in self.outsides:
             await self._await_answer(
                 outside.process, f'{outside.url}/control/books'
             )
         for host in self.hosts:
-            host.process.start()
+            await self.start_process(host.process)
         for host in self.hosts:
             await self.await_alive(host)
             await self.list_member(host)
 
+    async def start_process(self, process: Process) -> None:
+        """Start a process, and the relay before it if there is one."""
+        process.start()
+        await self.relay.listen(process.name)
+
+    async def restart_source(self, outside: Outside) -> None:
+        """Start a killed origin or store with the versions that it had."""
+        await self.start_process(outside.process)
+        await self._await_answer(
+            outside.process, f'{outside.url}/control/books'
+        )
+        for source, path in self._made:
+            if source is outside:
+                await self.web.json('PUT', f'{outside.url}{path}')
+
     async def await_alive(self, host: Host) -> None:
         """Wait until the daemon of a host answers."""
         await self._await_answer(host.process, f'{host.admin_url}/healthz')
@@ -363,6 +427,7 @@
         path = f'/control/weights/{version}?{query}'
         sources = [self.store, self.origin] if stored else [self.origin]
         for source in sources:
+            self._made.append((source, path))
             made = await self.web.json('PUT', f'{source.url}{path}')
         return str(made['manifest_digest'])
 
@@ -407,30 +472,19 @@
         for host in hosts:
             host.process.terminate()
         wait_s = self.plan.drain_s + 5
-        return {each.name: await each.process.ended(wait_s) for each in hosts}
+        codes = {each.name: await each.process.ended(wait_s) for each in hosts}
+        for host in hosts:
+            self.relay.close(host.name)
+        return codes
 
     def close(self) -> None:
         """End what still runs, the daemons first."""
-        processes = [host.process for host in self.hosts]
-        processes.extend(each.process for each in self.outsides)
-        for process in processes:
+        for process in self.processes:
             process.thaw()
             process.kill()
+        self.relay.close_all()
         self.web.close()
 
-    def free_port(self) -> int:
-        """Return a port that nobody listens on."""
-        while True:
-            port = self._rng.randrange(*_PORTS)
-            with socket.socket() as probe:
-                if (
-                    port in self._ports
-                    or probe.connect_ex((LOOPBACK, port)) == 0
-                ):
-                    continue
-            self._ports.add(port)
-            return port
-
     async def _await_answer(self, process: Process, url: str) -> None:
         async def answers() -> bool:
             if not process.running:
@@ -439,12 +493,30 @@
 
         await until(answers, step=f'start {process.name}', timeout_s=20)
 
+    def _listed_port(self, name: str, own_port: int) -> int:
+        """Return the port that others are told."""
+        if not self.plan.relayed:
+            return own_port
+        listed_port = self.ports.free()
+        self.relay.add(
+            name, LOOPBACK, listed_port=listed_port, own_port=own_port
+        )
+        return listed_port
+
     def _process(self, name: str, *arguments: str) -> Process:
         log_path = self.directory / f'{name}.log'
         return Process(name, list(arguments), log_path)
 
-    def _outside(self, name: str, module: str, *options: str) -> Outside:
-        port = self.free_port()
+    def _outside(
+        self,
+        name: str,
+        module: str,
+        *options: str,
+        shared: bool = False,
+    ) -> Outside:
+        """Make a stand-in; a `shared` one is called by many hosts."""
+        port = self.ports.free()
+        listed_port = self._listed_port(name, port) if shared else port
         journal_path = self.directory / f'{name}.journal'
         process = self._process(
             name,
@@ -454,7 +526,12 @@
             f'--port={port}',
             *options,
         )
-        outside = Outside(process, f'{LOOPBACK}:{port}', journal_path)
+        outside = Outside(
+            process,
+            f'{LOOPBACK}:{port}',
+            journal_path,
+            f'{LOOPBACK}:{listed_port}',
+        )
         self.outsides.append(outside)
         return outside
 
@@ -469,9 +546,9 @@
             'host': host,
             'role': role,
             'address': LOOPBACK,
-            'rpc_port': self.free_port(),
-            'http_port': self.free_port() if role == 'entry' else 0,
-            'admin_port': self.free_port(),
+            'rpc_port': self.ports.free(),
+            'http_port': self.ports.free() if role == 'entry' else 0,
+            'admin_port': self.ports.free(),
             'region': region,
             'failure_domain': f'{region}-{len(self.hosts) // len(regions) % 2}',
             'upstream': upstream,
@@ -495,8 +572,8 @@
                 'fencing': plan.fencing,
             },
             'weights': {
-                'origin': self.origin.address,
-                'store': self.store.address,
+                'origin': self.origin.listed_address,
+                'store': self.store.listed_address,
                 'memory_bytes': 1 << 28,
                 'link_bytes_per_s': plan.link_bytes_per_s,
             },
@@ -522,18 +599,22 @@
         sections: dict[str, dict[str, Any]],
         upstream: Outside | None = None,
     ) -> Host:
-        role = member['role']
+        role, rpc_port = member['role'], member['rpc_port']
+        listed_port = self._listed_port(member['host'], rpc_port)
+        member = {**member, 'rpc_port': listed_port}
         keys = ('host', 'address', 'rpc_port', 'admin_port')
         places = ('region', 'failure_domain')
         own = {key: member[key] for key in (*keys, *places)}
         if role == 'entry':
             own['http_port'] = member['http_port']
+        if listed_port != rpc_port:
+            own['rpc_listen_port'] = rpc_port
         cfg = configparser.ConfigParser()
         cfg.read_dict(
             {
                 'process': {'role': role, **own},
                 'platform': {
-                    'address': self.platform.address,
+                    'address': self.platform.listed_address,
                     'poll_s': self.plan.poll_s,
                 },
                 **sections,
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -23,6 +23,7 @@
 from _caller import Answer, Caller, Request
 from _chaos import Chaos
 from _declare import Declared, Weights
+from _end_state import differing, end_state_faults
 from _fleet import Fleet, FleetError, FleetPlan, end_on_signal, until
 from attrs import define, field
 from docopt import docopt
@@ -39,6 +40,10 @@
 SHARE_IDEMPOTENT = 0.3
 SHARE_LEAVES = 0.06
 SHARE_REPEATS = 0.5
+SHARE_RELAYED = 0.75
+SHARE_RACES = 0.2
+# The longest that an answer may come after its request's deadline.
+MARGIN_S = 1.5
 # Malformed, not allowed, unknown, too large: none of it is ever sent.
 BLAMES = frozenset((400, 403, 404, 413))
 
@@ -52,6 +57,7 @@
         origin_rate=4_000_000,
         fencing=rng.choice(('checked', 'ignored')),
         engine_options=('--token-interval=0.004', '--load-s=0.2'),
+        relayed=rng.random() < SHARE_RELAYED,
     )
 
 
@@ -65,6 +71,9 @@
     duration_s: float
     callers: list[Caller] = field(factory=list)
     published: int = 0
+    _publishing: asyncio.Lock = field(factory=asyncio.Lock)
+    _orders: dict[str, int] = field(factory=dict)
+    _version: str = ''
     _started_at: float = field(factory=time.monotonic)
     _numbers: int = 0
 
@@ -74,7 +83,7 @@
         self.declared.set_replicas(len(self.fleet.engine_agents))
         await self._publish()
         await self._settled()
-        chaos = Chaos(self.fleet, self._child_rng(), self.say)
+        chaos = Chaos(self.fleet, self._child_rng(), self.say, self._publishing)
         self._start_callers()
         ends_at = time.monotonic() + self.duration_s
         await asyncio.gather(
@@ -85,7 +94,10 @@
                 for caller in self.callers
             ),
         )
-        problems = await self._recover()
+        problems = [*chaos.problems, *await self._recover()]
+        problems.extend(
+            await end_state_faults(self.fleet, self.declared, self._orders)
+        )
         problems.extend(await self._drain())
         return self._report(chaos, problems)
 
@@ -94,31 +106,40 @@
         print(f'{time.monotonic() - self._started_at:7.2f} {line}', flush=True)
 
     async def _settled(self) -> None:
-        version = self._version()
-
-        async def loaded() -> bool:
-            return await self.fleet.loaded(version)
+        async def agreed() -> bool:
+            return not await differing(self.fleet, self.declared)
 
-        step = f'load {version}'
-        await until(loaded, step=step, timeout_s=SETTLE_S)
+        step = f'load {self._version} everywhere'
+        try:
+            await until(agreed, step=step, timeout_s=SETTLE_S)
+        except FleetError as exc:
+            found = await differing(self.fleet, self.declared)
+            raise FleetError('settle', step, f'{exc}; {found}') from exc
 
     def _child_rng(self) -> random.Random:
         return random.Random(self.rng.getrandbits(32))
 
-    def _version(self) -> str:
-        return f'listing-v{self.published}'
-
-    async def _publish(self) -> None:
+    def _weights(self) -> Weights:
         self.published += 1
-        weights = Weights(
-            self._version(),
+        return Weights(
+            f'listing-v{self.published}',
             seed=self.published,
             stored=self.rng.random() < 0.5,
             size=CHUNK_BYTES * CHUNKS,
             chunk_bytes=CHUNK_BYTES,
         )
-        await self.declared.publish(self.fleet, weights)
-        self.say(f'published {weights.version}')
+
+    async def _publish(self) -> None:
+        """Publish a version, or two at once with one generation."""
+        races = self.published and self.rng.random() < SHARE_RACES
+        async with self._publishing:
+            rivals = [self._weights() for _ in range(2 if races else 1)]
+            published = await self.declared.publish_rivals(self.fleet, rivals)
+        self._version = self.declared.version
+        generation = self.declared.generation
+        self._orders.update(dict.fromkeys(published, generation))
+        for weights in rivals:
+            self.say(f'published {weights.version}, generation {generation}')
 
     async def _publish_until(self, ends_at: float) -> None:
         rng = self._child_rng()
@@ -202,6 +223,7 @@
         verdict = compare(books, answers, excused=chaos.excused)
         problems.extend(verdict.misses)
         problems.extend(_wrong_refusals(answers))
+        problems.extend(_late(answers, chaos))
         for problem in problems:
             self.say(problem)
         outcomes = Counter(_told(each) for each in answers)
@@ -228,6 +250,18 @@
     ]
 
 
+def _late(answers: list[Answer], chaos: Chaos) -> list[str]:
+    """Name answers after the deadline whose entry ran all the time."""
+    return [
+        f'late: {each.request.request_id}: {took_s:.1f} s, {_told(each)} '
+        f'{each.detail}'
+        for each in answers
+        if (took_s := each.ended_at - each.began_at)
+        > each.request.deadline_ms / 1000 + MARGIN_S
+        and not chaos.delayed(each)
+    ]
+
+
 def _last_line(verdict: Verdict, *, ok: bool) -> str:
     return (
         f'soak: {"ok" if ok else "failed"} requests={verdict.requests} '
