--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 from tornado.httpserver import HTTPServer
@@ -19,6 +20,9 @@
     from crowrudder_model import Member
 
 LEAVE_GRACE_S = 1.0
+LATE_REQUESTS_S = 0.5
+"""How long an entry that stopped listening still answers what comes."""
+
 IDLE_CONNECTION_S = 60
 HEADERS_TIMEOUT_S = 10
 
@@ -71,6 +75,10 @@
         await self.requests.idle()
         await self._answers.none_left()
         self._http.stop()
+        # A request may be on its way in a connection that was accepted. Closed
+        # now, its caller couldn't tell whether it ran; so it is refused.
+        await asyncio.sleep(LATE_REQUESTS_S)
+        await self.requests.idle()
         await self._http.close_all_connections()
 
     async def stop(self) -> None:
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -60,6 +60,8 @@
     member_lag_s: float = 0.5
     engine_options: tuple[str, ...] = ()
     fencing: str = 'checked'
+    slots: int = 8
+    retry_share: float = 0.1
     drain_s: float = 20
     poll_s: float = 1
     log_level: str = 'info'
@@ -609,6 +611,11 @@
             own['http_port'] = member['http_port']
         if listed_port != rpc_port:
             own['rpc_listen_port'] = rpc_port
+        limits: dict[str, Any] = {'drain_s': self.plan.drain_s}
+        if role == 'agent':
+            limits['slots'] = self.plan.slots
+        else:
+            limits['retry_share'] = self.plan.retry_share
         cfg = configparser.ConfigParser()
         cfg.read_dict(
             {
@@ -618,7 +625,7 @@
                     'poll_s': self.plan.poll_s,
                 },
                 **sections,
-                'limits': {'drain_s': self.plan.drain_s},
+                'limits': limits,
                 'logs': {'level': self.plan.log_level},
             }
         )
