Entry: connections that wait as the port closes are refused in words

Cause: the system completes connections before the process accepts them, and a closed listener resets those. The port now takes what waits before it closes; a drain answers it with 503 not_run. The test with a connection in the queue met the reset before and an answer after.

--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -7,6 +7,7 @@
 
 from tornado.httpserver import HTTPServer
 
+from crowrudder_daemon.entry._callers_port import CallersPort
 from crowrudder_daemon.entry._handlers import make_application
 from crowrudder_daemon.entry._links import LinksTask, links_of
 from crowrudder_daemon.entry._open_answers import OpenAnswers
@@ -57,6 +58,7 @@
             idle_connection_timeout=IDLE_CONNECTION_S,
             body_timeout=HEADERS_TIMEOUT_S,
         )
+        self._port = CallersPort(self._http)
 
     async def start(self) -> None:
         """Listen and begin to learn."""
@@ -66,7 +68,7 @@
         self.links.start()
         await self._server.start()
         self.knowledge.start()
-        self._http.listen(process.http_port, process.address)
+        self._port.listen(process.http_port, process.address)
 
     async def drain(self) -> None:
         """Take nothing new, tell the peers, finish what runs."""
@@ -74,11 +76,12 @@
         await self.knowledge.leave()
         await self.requests.idle()
         await self._answers.none_left()
-        self._http.stop()
+        self._port.close()
         # A request may be on its way in a connection that was accepted. Closed
         # now, its caller couldn't tell whether it ran; so it is refused.
         await asyncio.sleep(LATE_REQUESTS_S)
         await self.requests.idle()
+        await self._answers.none_left()
         await self._http.close_all_connections()
 
     async def stop(self) -> None:
