--- a/tests/processes/test_steps.py
+++ b/tests/processes/test_steps.py
@@ -288,7 +288,7 @@
 
 
 def check_refused(answers) -> None:
-    """What had begun is whole; the rest is whole, or refused in words."""
+    """Hold that what had begun is whole, and the rest whole or refused."""
     for number, one in not_whole(answers).items():
         assert number >= STREAMS, told(answers)
         assert one.outcome == 'not_run', told(answers)
