--- /dev/null
+++ b/measure/state.py
@@ -0,0 +1,123 @@
+"""Memory of what a process keeps for each request, and sizes of messages."""
+
+from __future__ import annotations
+
+import tracemalloc
+from typing import TYPE_CHECKING
+
+from crowrudder_core.requests import AgentLedger, ClaimBook, RequestOwner
+from crowrudder_model import encode_message
+from crowrudder_model.messages import (
+    Attempt,
+    AttemptKey,
+    ClaimAsk,
+    Piece,
+    Report,
+    RunDown,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FEW = 2_000
+MANY = 10_000
+
+
+def _key(number: int) -> AttemptKey:
+    return AttemptKey(request_id=f'{number:032x}', attempt=1, entry='f' * 16)
+
+
+def _attempt(number: int) -> Attempt:
+    return Attempt(
+        key=_key(number),
+        customer='breeder-portal',
+        service='listing',
+        priority=5,
+        budget_s=30.0,
+        idempotent=False,
+    )
+
+
+def _ask(number: int) -> ClaimAsk:
+    return ClaimAsk(
+        request_id=f'{number:032x}',
+        owner='f' * 16,
+        serial=number,
+        keep_s=630.0,
+    )
+
+
+def _claims(count: int) -> object:
+    book = ClaimBook()
+    for number in range(count):
+        book.claim(_ask(number), now=0.0)
+    return book
+
+
+def _records(count: int) -> object:
+    ledger = AgentLedger()
+    for number in range(count):
+        ledger.receive(_attempt(number), now=0.0)
+    return ledger
+
+
+def _owners(count: int) -> object:
+    owners = [
+        RequestOwner(f'{number:032x}', entry='e', idempotent=False, deadline=1)
+        for number in range(count)
+    ]
+    for owner in owners:
+        owner.open_attempt()
+    return owners
+
+
+def _pieces(count: int) -> object:
+    return [
+        RunDown(
+            piece=Piece(
+                request_id=f'{number:032x}',
+                version='listing-v1',
+                index=number,
+                text=f'listing-v1:{number}:abcdef01 ',
+            ),
+        )
+        for number in range(count)
+    ]
+
+
+def _bytes_each(make: Callable[[int], object]) -> float:
+    """Give the slope between two sizes, so that constant parts drop out."""
+    return (_bytes_of(make, MANY) - _bytes_of(make, FEW)) / (MANY - FEW)
+
+
+def _bytes_of(make: Callable[[int], object], count: int) -> int:
+    tracemalloc.start()
+    kept = make(count)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def run(show: Callable[[str, float | str], None]) -> None:
+    """Print bytes for each kept request and for each message."""
+    show('state.claim_bytes', _bytes_each(_claims))
+    show('state.ledger_record_bytes', _bytes_each(_records))
+    show('state.owner_bytes', _bytes_each(_owners))
+    show('state.piece_bytes', _bytes_each(_pieces))
+    report = Report(
+        host='engine-1234',
+        incarnation='f' * 16,
+        service='listing',
+        version='listing-v1',
+        adapters=('formal',),
+        running=5,
+        queued=3,
+        slots=8,
+        service_s=1.25,
+        leaving=False,
+        generation=1234,
+        digest='f' * 64,
+    )
+    show('state.report_message_bytes', len(encode_message(report)))
+    show('state.claim_message_bytes', len(encode_message(_ask(1))))
