Dead code: two members that nothing calls

MembershipView.word_of and Member.http_address were never used outside their own definitions (searched by name over all Python files and pages).

--- a/packages/core/src/crowrudder_core/membership/_view.py
+++ b/packages/core/src/crowrudder_core/membership/_view.py
@@ -122,11 +122,6 @@
         )
         return Heard(is_new=True)
 
-    def word_of(self, host: str) -> ProcessNews | None:
-        """Give the newest word about a host."""
-        told = self._told.get(host)
-        return told.news if told else None
-
     def to_tell(self, peer: str) -> tuple[ProcessNews, ...]:
         """Choose the news for a message to a peer, and count the telling.
 
--- a/packages/model/src/crowrudder_model/_member.py
+++ b/packages/model/src/crowrudder_model/_member.py
@@ -36,11 +36,6 @@
         """Where other crowrudder processes reach it."""
         return f'{self.address}:{self.rpc_port}'
 
-    @property
-    def http_address(self) -> str:
-        """Where callers reach an entry."""
-        return f'{self.address}:{self.http_port}'
-
     @property
     def admin_address(self) -> str:
         """Where health, metrics, status and audit are."""
