--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,10 @@
 BIN := .venv/bin
 STAMP := .venv/.installed
 REPORT_STAMP := .venv/.installed-report
-PACKAGES := $(foreach name,model core daemon client standins,packages/$(name))
+PACKAGES := $(foreach name,model core daemon client standins,packages/$(name)) \
+	platform
 PROGRAMS := $(patsubst %/,%,$(sort $(dir $(wildcard measure/*.py scripts/*.py))))
-SOURCES := packages tests $(PROGRAMS)
+SOURCES := packages platform tests $(PROGRAMS)
 TYPED := $(PACKAGES:%=%/src) tests $(PROGRAMS)
 
 KEEP ?=
--- /dev/null
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -0,0 +1,25 @@
+"""Published records: their order, and what a fleet looks like by them."""
+
+from crowrudder_core.catalog._catalog import Catalog
+from crowrudder_core.catalog._reading import (
+    WATCH_WAIT_S,
+    WATCHERS,
+    StoreReading,
+    StoreStep,
+)
+from crowrudder_core.catalog._releases import Release, Releases
+from crowrudder_core.catalog._routes import RouteTable
+from crowrudder_core.catalog._view import FleetView, ListedUpstream
+
+__all__ = (
+    'Catalog',
+    'FleetView',
+    'ListedUpstream',
+    'Release',
+    'Releases',
+    'RouteTable',
+    'StoreReading',
+    'StoreStep',
+    'WATCHERS',
+    'WATCH_WAIT_S',
+)
--- /dev/null
+++ b/packages/core/src/crowrudder_core/catalog/_releases.py
@@ -0,0 +1,68 @@
+"""Which versions of a model's weights a request may begin on."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+
+@frozen
+class Release:
+    """A named version and when it was published, on the own clock."""
+
+    version: int
+    published_at: float
+
+
+@define
+class Releases:
+    """The versions of each model that were named, newest last.
+
+    What goes wrong without the bound: a host that is late with its transfer
+    goes on answering with weights that were replaced, seen as requests on an
+    old version long after the new one is everywhere else. Such a host gets no
+    request rather than one on old weights.
+
+    Parameters
+    ----------
+    window_s
+        Time from the publication of a version until nothing may begin on an
+        older one.
+    """
+
+    window_s: float
+    _named: dict[str, list[Release]] = field(factory=dict)
+
+    def on_named(
+        self,
+        model: str,
+        version: int,
+        *,
+        age_s: float | None,
+        now: float,
+    ) -> None:
+        """Take a named version; an unknown age counts as a long one."""
+        known = self._named.setdefault(model, [])
+        if known and version <= known[-1].version:
+            return
+        age = self.window_s if age_s is None else age_s
+        known.append(Release(version, now - age))
+
+    def newest(self, model: str) -> Release | None:
+        """Give the version that a model is to have."""
+        known = self._named.get(model)
+        return known[-1] if known else None
+
+    def oldest_allowed(self, model: str, *, now: float) -> int:
+        """Give the oldest version on which a request may begin now."""
+        return max(
+            (
+                release.version
+                for release in self._named.get(model, ())
+                if now >= release.published_at + self.window_s
+            ),
+            default=0,
+        )
+
+    def models(self) -> list[str]:
+        """List the models of which a version was named."""
+        return list(self._named)
--- /dev/null
+++ b/packages/core/src/crowrudder_core/catalog/_view.py
@@ -0,0 +1,137 @@
+"""The fleet as the published records show it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from crowrudder_core.catalog._releases import Releases
+from crowrudder_core.catalog._routes import RouteTable
+from crowrudder_model.fleet import (
+    FleetConfig,
+    NamedVersion,
+    Upstream,
+    UpstreamState,
+)
+
+if TYPE_CHECKING:
+    from crowrudder_model.fleet import Published
+
+LAPSE_GRACE_S = 1.5
+"""How long an upstream may still be used whose record vanished.
+
+Records lapse while the platform is away, and those of upstreams that live
+are back within two seconds of its return. It is used in such a case alone,
+and below the two seconds within which nothing may reach one that has gone.
+"""
+
+
+@define
+class ListedUpstream:
+    """An upstream by its record; ``usable_until`` is set once it has gone."""
+
+    upstream: Upstream
+    usable_until: float | None = None
+
+    def takes_requests(self, now: float) -> bool:
+        """Whether requests may be sent there, by its record alone."""
+        if self.usable_until is not None and now >= self.usable_until:
+            return False
+        return self.upstream.state is UpstreamState.READY
+
+
+@define
+class FleetView:
+    """Configuration, upstreams and versions in force.
+
+    Parameters
+    ----------
+    version_window_s
+        See `Releases`.
+    """
+
+    version_window_s: float
+    config: FleetConfig | None = None
+    routes: RouteTable = field(factory=lambda: RouteTable(()))
+    releases: Releases = field(init=False)
+    _listed: dict[str, ListedUpstream] = field(factory=dict)
+    _ids: dict[str, str] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin without any version."""
+        self.releases = Releases(self.version_window_s)
+
+    def on_record(
+        self,
+        key: str,
+        record: Published,
+        *,
+        age_s: float | None,
+        now: float,
+    ) -> None:
+        """Take a record under its key."""
+        match record:
+            case FleetConfig():
+                self._on_config(record)
+            case Upstream():
+                self._ids[key] = record.id
+                self._listed[record.id] = ListedUpstream(record)
+            case NamedVersion(model=model, version=version):
+                self.releases.on_named(model, version, age_s=age_s, now=now)
+
+    def on_removed(self, key: str, *, now: float, may_return: bool) -> None:
+        """Take note that a record was taken away.
+
+        ``may_return`` is set when the platform was away shortly before.
+        """
+        listed = self._listed.get(self._ids.pop(key, ''))
+        if listed is None:
+            return
+        grace_s = LAPSE_GRACE_S if may_return else 0
+        listed.usable_until = now + grace_s
+
+    def forget_gone(self, *, now: float) -> list[Upstream]:
+        """Drop upstreams whose time has passed, and give them."""
+        gone = [
+            listed.upstream
+            for listed in self._listed.values()
+            if listed.usable_until is not None and now >= listed.usable_until
+        ]
+        for upstream in gone:
+            del self._listed[upstream.id]
+        return gone
+
+    def upstreams(self, service: str, *, now: float) -> list[Upstream]:
+        """List the upstreams of a service that take requests."""
+        return [
+            listed.upstream
+            for listed in self._listed.values()
+            if listed.upstream.service == service and listed.takes_requests(now)
+        ]
+
+    def upstream(self, upstream_id: str) -> Upstream | None:
+        """Find an upstream that was listed and isn't forgotten."""
+        listed = self._listed.get(upstream_id)
+        return listed.upstream if listed else None
+
+    def listed(self) -> list[Upstream]:
+        """List all upstreams that aren't forgotten, leaving ones as well."""
+        return [listed.upstream for listed in self._listed.values()]
+
+    def engine_hosts(self, model: str) -> dict[str, Upstream]:
+        """Give the upstreams that serve a model, by their hosts' IP numbers."""
+        service = self.config.engine_service(model) if self.config else None
+        if service is None:
+            return {}
+        return {
+            upstream.host_ip: upstream
+            for upstream in self.listed()
+            if upstream.service == service.name
+        }
+
+    def _on_config(self, config: FleetConfig) -> None:
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        self.routes = RouteTable(config.routes)
--- /dev/null
+++ b/packages/core/src/crowrudder_core/dispatch/_dispatch.py
@@ -0,0 +1,192 @@
+"""The aggregate of one request and its attempts at upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from crowrudder_model import InvariantError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LEAST_LEFT_S = 0.03
+"""A request with less time left than a round trip and a step isn't sent."""
+
+SERVER_ERROR = 500
+
+
+@frozen
+class NotSent:
+    """No byte of the request reached an upstream."""
+
+    reason: str
+
+
+@frozen
+class NotRun:
+    """The upstream says itself that it didn't run the request, and won't."""
+
+    reason: str
+    retry_after_s: float = 0
+
+
+@frozen
+class Broken:
+    """No whole answer came after the request was sent: it may have run."""
+
+    reason: str
+
+
+@frozen
+class Answered:
+    """A whole answer that the upstream vouches for."""
+
+    status: int
+
+
+Ending = NotSent | NotRun | Broken | Answered
+
+
+@frozen
+class SendAgain:
+    """Send the request to another upstream."""
+
+
+@frozen
+class Relay:
+    """Give the caller the upstream's own answer."""
+
+
+@frozen
+class Refuse:
+    """Tell the caller that the request hasn't run and when to come back."""
+
+    reason: str
+    retry_after_s: float = 0
+
+
+@frozen
+class Fail:
+    """Tell the caller that nobody knows whether the request ran."""
+
+    reason: str
+
+
+Next = SendAgain | Relay | Refuse | Fail
+
+
+@define(kw_only=True)
+class Dispatch:
+    """What was sent of one request, and what may be said and done next.
+
+    Invariants: a request that may not repeat isn't sent again once it may
+    have run; no more upstreams see it than its route allows; "not run" is
+    never said of one that may have run.
+
+    Parameters
+    ----------
+    repeatable
+        Whether it may run more than once.
+    most_sends
+        Most upstreams to which it may be sent.
+    limit_at
+        When its caller gets a final answer at the latest.
+    """
+
+    repeatable: bool
+    most_sends: int
+    limit_at: float
+    sends: int = field(default=0, init=False)
+    unsettled: int = field(default=0, init=False)
+    """Sends of which nobody has said that they didn't run."""
+
+    tried: set[str] = field(factory=set, init=False)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have run at an upstream."""
+        return self.unsettled > 0
+
+    def may_send(self, now: float) -> bool:
+        """Whether one more upstream may see the request."""
+        if self.sends >= self.most_sends:
+            return False
+        if self.may_have_run and not self.repeatable:
+            return False
+        return now + LEAST_LEFT_S < self.limit_at
+
+    def on_sent(self, upstream_id: str, *, now: float) -> None:
+        """Note that the request goes out now.
+
+        Raises
+        ------
+        InvariantError
+            When it may not: it could run twice, or too late.
+        """
+        if not self.may_send(now):
+            raise InvariantError('a send that is not allowed', step='send')
+        self.sends += 1
+        self.unsettled += 1
+        self.tried.add(upstream_id)
+
+    def after(
+        self,
+        ending: Ending,
+        *,
+        now: float,
+        take_retry: Callable[[], bool],
+    ) -> Next:
+        """Decide what follows from how an attempt ended.
+
+        ``take_retry`` spends one of the retries that all entries share.
+        """
+        match ending:
+            case NotSent(reason=reason):
+                return self._after_not_sent(reason, now)
+            case NotRun(reason=reason, retry_after_s=after_s):
+                return self._after_not_run(reason, after_s, now, take_retry)
+            case Broken(reason=reason):
+                if self.may_send(now) and take_retry():
+                    return SendAgain()
+                return Fail(reason)
+            case Answered(status=status):
+                return self._after_answer(status, now, take_retry)
+
+    def refuse(self, reason: str, retry_after_s: float = 0) -> Refuse | Fail:
+        """Give up; only what surely hasn't run is said to be so."""
+        if self.may_have_run:
+            return Fail(reason)
+        return Refuse(reason, retry_after_s)
+
+    def _after_not_sent(self, reason: str, now: float) -> Next:
+        """Try elsewhere: nobody has seen the request, so it costs nothing."""
+        if now + LEAST_LEFT_S < self.limit_at:
+            return SendAgain()
+        return self.refuse(reason)
+
+    def _after_not_run(
+        self,
+        reason: str,
+        retry_after_s: float,
+        now: float,
+        take_retry: Callable[[], bool],
+    ) -> Next:
+        self.unsettled -= 1
+        if self.may_send(now) and take_retry():
+            return SendAgain()
+        return self.refuse(reason, retry_after_s)
+
+    def _after_answer(
+        self,
+        status: int,
+        now: float,
+        take_retry: Callable[[], bool],
+    ) -> Next:
+        """Pass an answer on, unless another upstream may do better."""
+        if status < SERVER_ERROR or not self.repeatable:
+            return Relay()
+        if self.may_send(now) and take_retry():
+            return SendAgain()
+        return Relay()
--- /dev/null
+++ b/packages/core/src/crowrudder_core/forecast/__init__.py
@@ -0,0 +1,14 @@
+"""Forecasts of an upstream's answer by its own figures, and the choice."""
+
+from crowrudder_core.forecast._choice import Candidate, Choice, choose
+from crowrudder_core.forecast._engine import EngineModel
+from crowrudder_core.forecast._outlook import Outlook, Work
+
+__all__ = (
+    'Candidate',
+    'Choice',
+    'EngineModel',
+    'Outlook',
+    'Work',
+    'choose',
+)
--- /dev/null
+++ b/packages/core/src/crowrudder_core/forecast/_outlook.py
@@ -0,0 +1,201 @@
+"""What an entry knows of one upstream, and the forecast that follows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from crowrudder_core.forecast._engine import EngineModel
+
+if TYPE_CHECKING:
+    from crowrudder_model.fleet import EngineFigures, Upstream
+    from crowrudder_model.messages import EngineLoad
+
+WORD_LIVE_S = 1.0
+"""An agent's word on load counts for so long; it comes every 0.1 s."""
+
+ON_THE_WAY_S = 0.004
+"""A request sent so shortly before a word may not be counted in it."""
+
+FIRST_AVOID_S = 0.3
+"""How long an upstream is avoided after the first failure in a row."""
+
+LONGEST_AVOID_S = 4.0
+
+OUTCOME_WEIGHT = 0.15
+"""Weight of the newest outcome in the running means."""
+
+FAILURE_COST_S = 0.6
+"""What a sure failure costs in seconds: one more attempt elsewhere."""
+
+MOST_SLOWNESS = 8.0
+PLAIN_RUN_S = 0.05
+"""Assumed time of a plain service's answer before any was measured."""
+
+
+@define
+class Work:
+    """A request that is at an upstream."""
+
+    prompt: int
+    sent_at: float
+    has_begun: bool = False
+
+
+@define(eq=False)
+class Outlook:
+    """One upstream as an entry sees it.
+
+    Own requests are known as of now, those of other entries from the agent's
+    word, as old as that is.
+    """
+
+    upstream: Upstream
+    model: EngineModel | None = None
+    load: EngineLoad | None = None
+    avoid_until: float = 0
+    failures: int = 0
+    failure_share: float = 0
+    slowness: float = 1
+    run_s: float = PLAIN_RUN_S
+    _load_at: float = -1.0e9
+    _own_then: int = 0
+    _own_unread_then: int = 0
+    _works: dict[int, Work] = field(factory=dict)
+
+    def on_figures(self, figures: EngineFigures | None) -> None:
+        """Take the figures of the upstream's service."""
+        self.model = EngineModel(figures) if figures else None
+
+    def on_load(self, load: EngineLoad, *, now: float) -> None:
+        """Take the word of the agent beside the engine."""
+        self.load = load
+        self._load_at = now
+        counted = [
+            work
+            for work in self._works.values()
+            if work.sent_at <= now - ON_THE_WAY_S
+        ]
+        self._own_then = len(counted)
+        self._own_unread_then = sum(not work.has_begun for work in counted)
+
+    def fresh_load(self, now: float) -> EngineLoad | None:
+        """Give the agent's word unless it is too old to go by."""
+        if now - self._load_at > WORD_LIVE_S:
+            return None
+        return self.load
+
+    def on_sent(self, ticket: int, work: Work) -> None:
+        """Count a request that goes out."""
+        self._works[ticket] = work
+
+    def on_begun(self, ticket: int, *, forecast_s: float, now: float) -> None:
+        """Note the first event, and how it compares with the forecast."""
+        work = self._works.get(ticket)
+        if work is None or work.has_begun:
+            return
+        work.has_begun = True
+        took_s = now - work.sent_at
+        ratio = took_s / max(forecast_s / self.slowness, 0.001)
+        self.slowness = _mean(
+            self.slowness,
+            min(max(ratio, 1), MOST_SLOWNESS),
+        )
+
+    def on_ended(self, ticket: int) -> Work | None:
+        """Count a request that is no longer there."""
+        return self._works.pop(ticket, None)
+
+    def on_good(self, took_s: float) -> None:
+        """Note an answer that was whole."""
+        self.failures = 0
+        self.avoid_until = 0
+        self.failure_share = _mean(self.failure_share, 0)
+        self.run_s = _mean(self.run_s, took_s)
+
+    def on_bad(self, *, now: float, avoid: bool) -> None:
+        """Note a failure; ``avoid`` where the upstream may be gone."""
+        self.failure_share = _mean(self.failure_share, 1)
+        if not avoid:
+            return
+        self.failures += 1
+        pause_s = FIRST_AVOID_S * 2 ** min(self.failures - 1, 6)
+        self.avoid_until = now + min(pause_s, LONGEST_AVOID_S)
+
+    def is_avoided(self, now: float) -> bool:
+        """Whether it failed too lately."""
+        load = self.fresh_load(now)
+        if load is not None and not load.reachable:
+            return True
+        return now < self.avoid_until
+
+    def is_changing(self, now: float) -> bool:
+        """Whether its agent wants no requests because of a load."""
+        load = self.fresh_load(now)
+        return load is not None and load.is_changing
+
+    def weights(self, now: float) -> int:
+        """Give the loaded version, by the fresher of record and word."""
+        load = self.fresh_load(now)
+        return load.weights if load else self.upstream.weights
+
+    @property
+    def own(self) -> int:
+        """Own requests that are there."""
+        return len(self._works)
+
+    def others(self, now: float) -> int:
+        """Estimate the requests of other entries that are there."""
+        load = self.fresh_load(now)
+        if load is None:
+            return 0
+        return max(load.running + load.queued - self._own_then, 0)
+
+    def total(self, now: float) -> int:
+        """Estimate all requests that are there."""
+        return self.own + self.others(now)
+
+    def occupancy(self, now: float) -> float:
+        """Give the requests there over the slots."""
+        return self.total(now) / max(self.upstream.slots, 1)
+
+    def first_s(self, prompt: int, now: float) -> float:
+        """Forecast the time to the first event, or to a plain answer."""
+        if self.model is None:
+            return self._plain_s(now)
+        return self.slowness * self._engine_s(self.model, prompt, now)
+
+    def _plain_s(self, now: float) -> float:
+        slots = max(self.upstream.slots, 1)
+        ahead = max(self.total(now) + 1 - slots, 0)
+        return self.run_s * (1 + ahead / slots)
+
+    def _engine_s(self, model: EngineModel, prompt: int, now: float) -> float:
+        load = self.fresh_load(now)
+        pace = load.pace if load else 1.0
+        total = self.total(now)
+        slots = max(self.upstream.slots, 1)
+        writers = min(total, slots)
+        unread = self._unread(model, now)
+        waits = max(total + 1 - slots, 0) * model.turn_s(writers)
+        pass_s = model.pass_s(writers)
+        own_s = model.read_s(prompt) + 1.5 * pass_s
+        return pace * (waits + unread + own_s)
+
+    def _unread(self, model: EngineModel, now: float) -> float:
+        """Estimate the time for the prompts that are read before."""
+        own = sum(
+            model.read_s(work.prompt)
+            for work in self._works.values()
+            if not work.has_begun
+        )
+        load = self.fresh_load(now)
+        if load is None:
+            return own
+        others = max(load.queued - self._own_unread_then, 0)
+        return own + others * model.read_s(model.figures.usual_prompt)
+
+
+def _mean(before: float, measured: float) -> float:
+    return before + OUTCOME_WEIGHT * (measured - before)
--- a/packages/core/src/crowrudder_core/membership/__init__.py
+++ b/packages/core/src/crowrudder_core/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from crowrudder_core.membership._list import DeltaError, MemberList
 from crowrudder_core.membership._neighbours import NEIGHBOURS, neighbours_of
+from crowrudder_core.membership._roster import Roster
 from crowrudder_core.membership._view import Heard, MembershipView
 from crowrudder_core.membership._word import OwnWord
 
@@ -12,5 +13,6 @@
     'MemberList',
     'MembershipView',
     'OwnWord',
+    'Roster',
     'neighbours_of',
 )
--- a/packages/core/src/crowrudder_core/transfer/_manifest.py
+++ b/packages/core/src/crowrudder_core/transfer/_manifest.py
@@ -20,7 +20,11 @@
 
 @frozen(kw_only=True)
 class Manifest:
-    """Digests (SHA-256, hexadecimal) of a version; sizes in bytes."""
+    """Digests (SHA-256, hexadecimal) of a version; sizes in bytes.
+
+    ``digest`` is that of the whole, empty where its source states only those
+    of the chunks.
+    """
 
     version: str
     chunk_bytes: int
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -257,23 +257,26 @@
             version was dropped.
         """
         if not self._verified:
-            self._verified = self._digest() == self.manifest.digest
+            self._verified = self._is_verified()
         if not (self._verified and self.complete and self.is_sound):
             raise InvariantError(
                 f'{self.manifest.version} is not whole; it is not loaded',
                 step='verify',
             )
 
-    def _digest(self) -> str:
-        """Hash the whole; chunks never change, so that once is enough.
+    def _is_verified(self) -> bool:
+        """Hash all chunks; they never change, so that once is enough.
 
         It takes seconds, and the last look is while the replica is out of
         service.
         """
         whole = hashlib.sha256()
-        for index in range(self.count):
-            whole.update(self.chunk(index) or b'')
-        return whole.hexdigest()
+        for index, digest in enumerate(self.manifest.chunks):
+            chunk = self.chunk(index) or b''
+            whole.update(chunk)
+            if hashlib.sha256(chunk).hexdigest() != digest:
+                return False
+        return self.manifest.digest in {'', whole.hexdigest()}
 
     def waits_for(self) -> list[str]:
         """Say in a few words from whom chunks come or are waited for."""
--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -174,18 +174,31 @@
         self.runtime.fault('loop', context.get('exception'))
 
 
-def run_role(cfg: Settings, build: Callable[[Runtime], Role]) -> int:
+def run_role(
+    cfg: Settings,
+    build: Callable[[Runtime], Role],
+    *,
+    lines_per_s: float = 0,
+) -> int:
     """Run a role until SIGTERM or SIGINT; return the exit code.
 
-    0: drained; 1: not started; 3: running work was cut off.
+    0: drained; 1: not started; 3: running work was cut off. ``lines_per_s``
+    bounds the log, see `start_logs`.
     """
-    return asyncio.run(_serve(cfg, build))
+    return asyncio.run(_serve(cfg, build, lines_per_s))
 
 
-async def _serve(cfg: Settings, build: Callable[[Runtime], Role]) -> int:
-    runtime = Runtime(cfg=cfg, log=start_logs(cfg))
+async def _serve(
+    cfg: Settings,
+    build: Callable[[Runtime], Role],
+    lines_per_s: float,
+) -> int:
+    log = start_logs(cfg, lines_per_s=lines_per_s)
+    runtime = Runtime(cfg=cfg, log=log)
     stop = Stop()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.ask, number.name)
+    # Unhandled, it would end the process and cut off all that runs.
+    loop.add_signal_handler(signal.SIGHUP, log.info, 'SIGHUP: nothing to do')
     return await Lifecycle(runtime, build(runtime)).run(stop)
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
@@ -20,7 +20,7 @@
 
     from crowrudder_core.transfer import LinkShare, Read, Transfer
     from crowrudder_daemon.agent.weights._sources import (
-        OriginSource,
+        ChunkOrigin,
         PeerSource,
     )
     from crowrudder_daemon.agent.weights._watch import WeightsWatch
@@ -45,7 +45,7 @@
         transfer: Transfer,
         *,
         peers: PeerSource,
-        origin: OriginSource,
+        origin: ChunkOrigin,
         downlink: LinkShare,
         address_of: Callable[[str], str | None],
         watch: WeightsWatch,
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
@@ -29,11 +29,23 @@
 
     The version before stays for others while there is room: a host that
     joins late, or a fleet that goes back, then needs no origin.
+
+    Parameters
+    ----------
+    host
+        The name by which other agents know this host; by default that of the
+        settings.
     """
 
-    def __init__(self, runtime: Runtime, weights: WeightsSection) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        weights: WeightsSection,
+        *,
+        host: str = '',
+    ) -> None:
         process = runtime.cfg.process
-        self.host = process.host
+        self.host = host or process.host
         self.store = ChunkStore(weights.memory_bytes)
         self.transfers: dict[str, Transfer] = {}
         self._link_bytes_per_s = weights.link_bytes_per_s
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_sources.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_sources.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from attrs import frozen
 
@@ -105,6 +105,21 @@
         return PeerAnswer(b''.join(pieces), stock, refused)
 
 
+class ChunkOrigin(Protocol):
+    """Where chunks are read that no other agent has."""
+
+    async def chunk(
+        self,
+        version: str,
+        index: int,
+        on_piece: Callable[[int], None],
+    ) -> bytes:
+        """Read a chunk; ``on_piece`` gets the bytes of each piece."""
+
+    def distrust_store(self) -> None:
+        """Leave a copy of the origin alone that gave wrong bytes."""
+
+
 class OriginSource:
     """Weights from the store, or from the origin where it has nothing."""
 
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_uploads.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_uploads.py
@@ -25,6 +25,16 @@
     from crowrudder_daemon.rpc import PeerServer
 
 PIECE_BYTES = 256 * 1024
+"""Bytes of a chunk that go out at once, where the link is a fast one."""
+
+PIECE_S = 0.007
+"""Longest time for which one piece takes the link.
+
+An answer's event waits for the piece before it. On a slow link (5 Mbit/s) a
+whole chunk of 48 KB would hold it up by 80 ms; a piece is then some 4 KB.
+"""
+
+LEAST_PIECE_BYTES = 2048
 
 
 class ChunkService:
@@ -103,8 +113,9 @@
         rate = self._uplink.weights_rate
         wait_s = self._uplink.reserve(len(payload), now=loop.time())
         starts_at = loop.time() + wait_s - len(payload) / rate
-        for start in range(0, len(payload), PIECE_BYTES):
-            piece = payload[start : start + PIECE_BYTES]
+        size = _piece_bytes(self._uplink.rate)
+        for start in range(0, len(payload), size):
+            piece = payload[start : start + size]
             due_at = starts_at + (start + len(piece)) / rate
             await asyncio.sleep(max(due_at - loop.time(), 0))
             self._on_sent(len(piece))
@@ -119,3 +130,8 @@
             slots=self._slots,
             note=self._note,
         )
+
+
+def _piece_bytes(link_bytes_per_s: float) -> int:
+    fitting = int(PIECE_S * link_bytes_per_s)
+    return min(max(fitting, LEAST_PIECE_BYTES), PIECE_BYTES)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet/__init__.py
@@ -0,0 +1,19 @@
+"""What the processes of a fleet share: published records, peers, adapters.
+
+In a fleet, configuration, upstreams and versions are records of an outside
+store, and entries send requests straight to the upstreams. An adapter
+translates; everything it has to offer is in `ports`.
+"""
+
+from crowrudder_daemon.fleet._catalog_task import CatalogTask
+from crowrudder_daemon.fleet._peers_task import PeerListener, PeersTask
+from crowrudder_daemon.fleet._settings import settings_of
+from crowrudder_daemon.fleet._tuning import Tuning
+
+__all__ = (
+    'CatalogTask',
+    'PeerListener',
+    'PeersTask',
+    'Tuning',
+    'settings_of',
+)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -0,0 +1,341 @@
+"""The task that owns the published records and learns of changes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from attrs import frozen
+
+from crowrudder_core.catalog import (
+    WATCH_WAIT_S,
+    WATCHERS,
+    Catalog,
+    FleetView,
+    StoreReading,
+    StoreStep,
+)
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._task import Task
+from crowrudder_daemon.fleet.ports import (
+    BadRecordError,
+    HistoryGoneError,
+    PlatformError,
+)
+from crowrudder_model import PeerLostError
+from crowrudder_model.fleet import FleetConfig, NamedVersion, Upstream
+from crowrudder_model.messages import Changes, ChangesAsk
+from crowrudder_model.rpc import CHANGES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crowrudder_daemon.fleet._peers_task import PeersTask
+    from crowrudder_daemon.fleet.ports import PublishedSource
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_daemon.rpc import PeerClient, PeerServer
+    from crowrudder_model.fleet import Node, Published
+    from crowrudder_model.messages import PublishedItem
+
+GATHER_S = 0.08
+"""Pause between an answer with changes and the next watch.
+
+A call is paid for each time; changes come in bursts, and those within the
+pause come with one answer. It is a twentieth of the two seconds in which a
+change has to be in force.
+"""
+
+REST_S = 0.2
+"""How often a process that leaves the watch to others looks whether it must
+step in."""
+
+RETURN_S = 3.0
+"""For so long after the platform was away, a record that vanished may be one
+that lapsed meanwhile and comes back."""
+
+VERSION_MARGIN_S = 0.4
+"""Taken off the time in which a version may begin to be replaced: a request
+sent just before the bound begins later, and news of it came later."""
+
+PULL_TIMEOUT_S = 1.0
+SWEEP_S = 0.25
+
+
+@frozen
+class PeerAhead:
+    """A process has records that this one lacks."""
+
+    address: str
+    revision: int
+
+
+@frozen
+class RecordsCame:
+    """Changes, or a whole list, from the platform or a peer."""
+
+    items: tuple[PublishedItem, ...]
+    through: int
+    is_whole: bool
+    teller: str
+
+
+class CatalogTask(Task):
+    """Owns the catalog and the view of the fleet that follows from it.
+
+    Parameters
+    ----------
+    source
+        The platform.
+    on_change
+        Called after the view has changed.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        node: Node,
+        *,
+        source: PublishedSource,
+        peers: PeersTask,
+        client: PeerClient,
+        on_change: Callable[[], None],
+    ) -> None:
+        super().__init__(runtime.log)
+        self._runtime = runtime
+        self._node = node
+        self._source = source
+        self._peers = peers
+        self._client = client
+        self._on_change = on_change
+        self._random = random.Random(runtime.incarnation)
+        self._pulling = False
+        self._away_at = -1.0e9
+        self.catalog = Catalog()
+        self.view = FleetView(node.bounds.version_s - VERSION_MARGIN_S)
+        self.reading = StoreReading(own=node.ip)
+        if node.role != 'entry':
+            # Agents learn from entries; they read for themselves only where
+            # no entry has told them anything for a while.
+            self.reading.rank = WATCHERS
+            self.reading.confirmed_at = clock_s()
+        self._calls = runtime.metrics.counter(
+            'platform_calls',
+            'Calls to the platform by their outcome.',
+            labels=('call', 'outcome'),
+        )
+        self._lag = runtime.metrics.histogram(
+            'record_age_seconds',
+            'Age of a record from a peer when it was taken.',
+        )
+
+    def serve(self, server: PeerServer) -> None:
+        """Answer other processes that ask for changes."""
+        server.add(CHANGES, self._on_ask)
+
+    def start(self) -> None:
+        """Begin to read."""
+        super().start()
+        self.spawn(self._sweep_for_ever())
+        self.spawn(self._read_for_ever(self._source))
+
+    def is_current(self) -> bool:
+        """Whether no change can have been missed for longer than the bound."""
+        return self.reading.is_current(clock_s(), self._node.bounds.config_s)
+
+    def peer_heard(self, ip: str, revision: int, confirmed_s: float) -> None:
+        """Take a heartbeat's word on the published records."""
+        self.reading.on_peer(confirmed_s, clock_s())
+        if revision > self.catalog.revision:
+            self.post(PeerAhead(f'{ip}:{self._node.rpc_port}', revision))
+
+    def on_peer_ahead(self, message: PeerAhead) -> None:
+        """Ask for what is missing, one peer at a time."""
+        if self._pulling or message.revision <= self.catalog.revision:
+            return
+        self._pulling = True
+        self.spawn(self._pull(message.address))
+
+    def on_records_came(self, message: RecordsCame) -> None:
+        """Take records and renew the view."""
+        now = clock_s()
+        before = self.catalog.revision
+        take = self.catalog.replace if message.is_whole else self.catalog.apply
+        fresh = take(message.items, through=message.through, now=now)
+        for item in fresh:
+            self._renew(item, message.teller, now)
+        self._peers.set_knowledge(
+            self.catalog.revision,
+            self.reading.confirmed_at,
+        )
+        if fresh or before != self.catalog.revision:
+            self._on_change()
+
+    async def _on_ask(self, ask: ChangesAsk, _context: object) -> Changes:
+        now = clock_s()
+        return self.catalog.changes_after(
+            ask.after,
+            now=now,
+            confirmed_s=self.reading.confirmed_s(now),
+        )
+
+    async def _pull(self, address: str) -> None:
+        ask = ChangesAsk(self.catalog.revision)
+        try:
+            changes = await self._client.call(
+                address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
+            )
+        except PeerLostError as exc:
+            self._log.info('changes not read: %s', exc)
+            return
+        finally:
+            self._pulling = False
+        self.reading.on_peer(changes.confirmed_s, clock_s())
+        for item in changes.items:
+            if item.age_s >= 0:
+                self._lag.record(item.age_s)
+        self.post(
+            RecordsCame(
+                changes.items, changes.through, changes.is_whole, address
+            ),
+        )
+
+    async def _read_for_ever(self, source: PublishedSource) -> None:
+        """List once, then watch; list again where changes were missed."""
+        while True:
+            if self._node.role == 'entry':
+                names = [word.ip for word in self._peers.entries()]
+                self.reading.on_entries(names)
+            step = self.reading.step(clock_s())
+            try:
+                await self._step(source, step)
+            except HistoryGoneError as exc:
+                self.reading.on_forgotten()
+                self._note_call(step, 'history_gone', exc)
+            except PlatformError as exc:
+                self._on_failed(step, exc)
+                await asyncio.sleep(self.reading.pause_s(self._random))
+
+    async def _step(self, source: PublishedSource, step: StoreStep) -> None:
+        match step:
+            case StoreStep.REST:
+                await asyncio.sleep(REST_S)
+            case StoreStep.LIST:
+                listing = await source.list_all()
+                self._on_answer(step)
+                self.reading.on_listed()
+                self.post(
+                    RecordsCame(
+                        listing.items, listing.through, True, 'platform'
+                    ),
+                )
+                # The watch goes on from what this list brings in.
+                await asyncio.sleep(0)
+            case StoreStep.WATCH:
+                await self._watch(source)
+
+    async def _watch(self, source: PublishedSource) -> None:
+        after = self.catalog.revision
+        listing = await source.watch(after, wait_s=WATCH_WAIT_S)
+        self._on_answer(StoreStep.WATCH)
+        if not listing.items:
+            self._peers.set_knowledge(after, self.reading.confirmed_at)
+            return
+        self.post(
+            RecordsCame(listing.items, listing.through, False, 'platform'),
+        )
+        await asyncio.sleep(GATHER_S)
+
+    def _on_answer(self, step: StoreStep) -> None:
+        if self.reading.failures:
+            self._away_at = clock_s()
+            self._log.info(
+                'platform answers again',
+                extra={'step': step.value, 'failures': self.reading.failures},
+            )
+        self.reading.on_answer(clock_s())
+        self._calls.add(call=step.value, outcome='ok')
+
+    def _on_failed(self, step: StoreStep, exc: PlatformError) -> None:
+        self.reading.on_failed()
+        self._away_at = clock_s()
+        self._note_call(step, 'failed', exc)
+
+    def _note_call(
+        self,
+        step: StoreStep,
+        outcome: str,
+        exc: PlatformError,
+    ) -> None:
+        self._calls.add(call=step.value, outcome=outcome)
+        self._log.warning(
+            'platform call failed',
+            extra={
+                'step': step.value,
+                'reason': str(exc),
+                'failures': self.reading.failures,
+                'confirmed_s': round(self.reading.confirmed_s(clock_s()), 3),
+            },
+        )
+
+    def _renew(self, item: PublishedItem, teller: str, now: float) -> None:
+        if item.payload is None:
+            may_return = now - self._away_at < RETURN_S
+            self.view.on_removed(item.key, now=now, may_return=may_return)
+            self._note(item, 'removed', teller)
+            return
+        try:
+            record = self._source.decode(item.key, item.payload)
+        except BadRecordError as exc:
+            self._log.error(
+                'record refused',
+                extra={'step': 'decode', 'reason': str(exc)},
+            )
+            return
+        if record is None:
+            return
+        age_s = self.catalog.age_s(item.key, now=now)
+        self.view.on_record(item.key, record, age_s=age_s, now=now)
+        self._note(item, _shown(record), teller)
+
+    def _note(self, item: PublishedItem, what: str, teller: str) -> None:
+        self._log.info(
+            'record taken',
+            extra={
+                'step': 'record',
+                'record': what,
+                'key': item.key,
+                'revision': item.revision,
+                'teller': teller,
+                'age_s': round(item.age_s, 3),
+            },
+        )
+
+    async def _sweep_for_ever(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            if self.view.forget_gone(now=clock_s()):
+                self._on_change()
+
+    def status(self) -> dict[str, Any]:
+        """Tell what is in force."""
+        config = self.view.config
+        return {
+            'revision': self.catalog.revision,
+            'config_version': config.version if config else 0,
+            'platform_confirmed_s': round(
+                self.reading.confirmed_s(clock_s()), 3
+            ),
+            'watch_rank': self.reading.rank,
+            'upstreams': len(self.view.listed()),
+        }
+
+
+def _shown(record: Published) -> str:
+    match record:
+        case FleetConfig(version=version):
+            return f'configuration {version}'
+        case Upstream(id=name, state=state, weights=weights):
+            return f'upstream {name} {state.value} weights {weights}'
+        case NamedVersion(model=model, version=version):
+            return f'{model} version {version}'
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_tuning.py
@@ -0,0 +1,97 @@
+"""The product's own settings in a fleet: one INI file, all keys optional."""
+
+from __future__ import annotations
+
+import configparser
+from pathlib import Path
+
+from attrs import fields, frozen
+
+from crowrudder_daemon.settings import Fault, SettingsError
+from crowrudder_daemon.settings._kinds import decimal, whole, word
+from crowrudder_daemon.settings._schema import key, rows_of
+
+SECTION = 'fleet'
+
+
+@frozen(kw_only=True)
+class Tuning:
+    """What the fleet's operators may tune; each default has its reason.
+
+    Parameters
+    ----------
+    log_level
+        Lines below it aren't written.
+    log_lines_per_s
+        Most lines a second in the long run; the number left out is told.
+        Sixteen requests a second with three lines each fit five times over.
+    answer_ttl_s
+        How long callers are told to keep an answer on which entry to use,
+        seconds. Short, as a dead entry costs a caller a failed connection.
+    upload_share
+        Part of the host's link that chunks of weights may take while answers
+        run. The rest carries the answers: a stream's event waits for at most
+        one block of a chunk.
+    uploads_at_once
+        Chunks sent at the same time.
+    origin_copies
+        Copies of a version that a fleet reads from the origin.
+    """
+
+    log_level: str = key(
+        word('debug', 'info', 'warning', 'error'), default='info'
+    )
+    log_lines_per_s: float = key(decimal(1, 10_000), default=250.0)
+    answer_ttl_s: float = key(decimal(0.2, 60), default=2.0)
+    upload_share: float = key(decimal(0.05, 1), default=0.8)
+    uploads_at_once: int = key(whole(1, 16), default=3)
+    origin_copies: int = key(whole(1, 4), default=1)
+
+
+def read_tuning(path: str) -> Tuning:
+    """Read the file; an empty path gives the defaults.
+
+    Raises
+    ------
+    SettingsError
+        With every fault of the file.
+    """
+    if not path:
+        return Tuning()
+    parser = configparser.RawConfigParser(default_section='', strict=True)
+    try:
+        parser.read_string(Path(path).read_text(), path)
+    except (OSError, ValueError, configparser.Error) as exc:
+        fault = Fault(path, '', '', str(exc), 'a readable INI file, UTF-8')
+        raise SettingsError((fault,)) from exc
+    return _checked(path, parser)
+
+
+def _checked(path: str, parser: configparser.RawConfigParser) -> Tuning:
+    faults = [
+        Fault(path, name, '', f'[{name}]', f'only [{SECTION}]')
+        for name in parser.sections()
+        if name != SECTION
+    ]
+    texts = dict(parser.items(SECTION)) if SECTION in parser else {}
+    known = {row.key: row for row in rows_of(SECTION, Tuning)}
+    values: dict[str, object] = {}
+    for name, text in texts.items():
+        row = known.get(name)
+        allowed = row.kind.allowed if row else f'only {", ".join(known)}'
+        try:
+            values[name] = row.kind.parse(text) if row else _refuse(text)
+        except ValueError:
+            faults.append(Fault(path, SECTION, name, text, allowed))
+    if faults:
+        raise SettingsError(tuple(faults))
+    return Tuning(**values)  # type: ignore[arg-type]
+
+
+def _refuse(text: str) -> object:
+    raise ValueError(text)
+
+
+def tuning_keys() -> tuple[str, ...]:
+    """List the keys, for the reference page."""
+    return tuple(attribute.name for attribute in fields(Tuning))
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_digests.py
@@ -0,0 +1,148 @@
+"""Get the digests of a version, and make the product's manifest of them."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from typing import TYPE_CHECKING
+
+import msgspec
+from attrs import frozen
+
+from crowrudder_core.transfer import Manifest, ManifestError, decode_manifest
+from crowrudder_daemon.agent.weights import Artifact, Asked
+from crowrudder_model import CrowrudderError, UpstreamError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from crowrudder_daemon.agent.weights import PeerSource
+    from crowrudder_daemon.fleet.ports import (
+        ChunkDigests,
+        WeightsOriginPort,
+    )
+
+AGREEING = 2
+"""Reads that must give the same digests: the origin may hand out wrong bytes,
+and with one wrong digest a version would never be whole."""
+
+MOST_READS = 6
+PAUSE_S = 0.1
+_DIGEST_DIGITS = 64
+
+
+@frozen
+class Named:
+    """A manifest's bytes under the name that other agents know it by."""
+
+    artifact: Artifact
+    payload: bytes
+    version: int
+
+
+def version_name(model: str, version: int) -> str:
+    """Name a version of a model's weights among agents.
+
+    >>> version_name('m', 3)
+    'm@3'
+    """
+    return f'{model}@{version}'
+
+
+def named_manifest(digests: ChunkDigests) -> Named:
+    """Make the manifest; the same digests give the same bytes everywhere."""
+    payload = msgspec.json.encode(
+        Manifest(
+            version=version_name(digests.model, digests.version),
+            chunk_bytes=digests.chunk_bytes,
+            size=digests.chunk_bytes * len(digests.digests),
+            digest='',
+            chunks=digests.digests,
+        ),
+    )
+    declared = hashlib.sha256(payload).hexdigest()
+    name = version_name(digests.model, digests.version)
+    return Named(Artifact(name, declared), payload, digests.version)
+
+
+class DigestReader:
+    """Reads manifests from the origin, or from an agent that has one.
+
+    Parameters
+    ----------
+    origin_address
+        Gives the origin's address, empty while it isn't known.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        origin: WeightsOriginPort,
+        peers: PeerSource,
+        origin_address: Callable[[], str],
+    ) -> None:
+        self._host = host
+        self._origin = origin
+        self._peers = peers
+        self._origin_address = origin_address
+
+    async def from_origin(self, model: str, version: int) -> Named:
+        """Read from the origin until two reads agree.
+
+        ``version`` 0 stands for the newest.
+
+        Raises
+        ------
+        UpstreamError
+            When they don't within a few reads.
+        """
+        seen: dict[ChunkDigests, int] = {}
+        last: Exception | None = None
+        for _ in range(MOST_READS):
+            try:
+                digests = await self._read(model, version)
+            except UpstreamError as exc:
+                last = exc
+                await asyncio.sleep(PAUSE_S)
+                continue
+            seen[digests] = seen.get(digests, 0) + 1
+            if seen[digests] >= AGREEING:
+                return named_manifest(digests)
+        raise UpstreamError(
+            f'no two reads of the digests agree: {last}',
+            step='digests',
+            peer=self._origin_address(),
+        )
+
+    async def from_peer(self, address: str, artifact: Artifact) -> Named | None:
+        """Read from an agent; None where it has none of that digest."""
+        asked = Asked(self._host, artifact.name, artifact.manifest)
+        try:
+            payload = await self._peers.manifest(address, asked)
+            decode_manifest(payload, declared=artifact.manifest, peer=address)
+        except (CrowrudderError, ManifestError):
+            return None
+        version = int(artifact.name.rpartition('@')[2])
+        return Named(artifact, payload, version)
+
+    async def _read(self, model: str, version: int) -> ChunkDigests:
+        address = self._origin_address()
+        if version:
+            digests = await self._origin.digests_of(address, model, version)
+        else:
+            digests = await self._origin.digests(address, model)
+        wrong_version = version not in {0, digests.version}
+        if wrong_version or not _is_sound(digests, model):
+            raise UpstreamError(
+                'not the digests asked for', step='digests', peer=address
+            )
+        return digests
+
+
+def _is_sound(digests: ChunkDigests, model: str) -> bool:
+    lengths = {len(digest) for digest in digests.digests}
+    return (
+        digests.model == model
+        and digests.chunk_bytes > 0
+        and lengths == {_DIGEST_DIGITS}
+    )
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -0,0 +1,130 @@
+"""Read the engine beside the agent, and tell the entries what it does."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet.ports import EngineReading
+from crowrudder_model import UpstreamError
+from crowrudder_model.messages import EngineLoad
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.fleet import PeersTask
+    from crowrudder_daemon.fleet.ports import EnginePort
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_model.fleet import Node
+
+READ_EVERY_S = 0.1
+"""A read of the own engine is free; entries forecast by its age."""
+
+REPEAT_S = 0.4
+"""A word that stays the same is repeated, as datagrams get lost."""
+
+MOST_FAILURES = 2
+"""Reads in a row without an answer, after which it counts as unreachable."""
+
+
+class EngineWatch:
+    """Owns the reads of the engine; the last one is `reading`."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        node: Node,
+        engine: EnginePort,
+        peers: PeersTask,
+    ) -> None:
+        self._runtime = runtime
+        self._node = node
+        self._engine = engine
+        self._peers = peers
+        self._failures = 0
+        self._is_changing = False
+        self._told: EngineLoad | None = None
+        self._told_at = 0.0
+        self._changed = asyncio.Event()
+        self.reading: EngineReading | None = None
+        self._lost = runtime.metrics.counter(
+            'engine_reads_lost',
+            'Reads of the engine without a proper answer.',
+        )
+
+    async def watch(self) -> None:
+        """Read again and again."""
+        while True:
+            await self.read_now()
+            await asyncio.sleep(READ_EVERY_S)
+
+    async def read_now(self) -> EngineReading | None:
+        """Read once and tell the entries of what changed."""
+        try:
+            reading = await self._engine.read()
+        except UpstreamError as exc:
+            self._on_lost(exc)
+        else:
+            self._on_read(reading)
+        self._tell()
+        return self.reading
+
+    def set_changing(self, *, is_changing: bool) -> None:
+        """Say whether requests should stay away because of a load."""
+        self._is_changing = is_changing
+        self._tell()
+
+    async def until_changed(self) -> None:
+        """Wait until another version is loaded than before."""
+        self._changed.clear()
+        await self._changed.wait()
+
+    def _on_lost(self, exc: UpstreamError) -> None:
+        self._lost.add()
+        self._failures += 1
+        if self._failures != MOST_FAILURES:
+            return
+        self.reading = None
+        self._changed.set()
+        self._runtime.log.warning(
+            'engine unreachable',
+            extra={'step': 'engine', 'reason': str(exc)},
+        )
+
+    def _on_read(self, reading: EngineReading) -> None:
+        self._failures = 0
+        before, self.reading = self.reading, reading
+        if before is None or before.weights != reading.weights:
+            self._changed.set()
+            self._runtime.log.info(
+                'engine read',
+                extra={
+                    'step': 'engine',
+                    'weights': reading.weights,
+                    'before': before.weights if before else -1,
+                },
+            )
+
+    def _tell(self) -> None:
+        """Tell the entries what changed, and now and then what didn't."""
+        load = self._load()
+        now = clock_s()
+        if load == self._told and now - self._told_at < REPEAT_S:
+            return
+        self._told = load
+        self._told_at = now
+        self._peers.tell(load, self._peers.entry_ips())
+
+    def _load(self) -> EngineLoad:
+        reading = self.reading
+        if reading is None:
+            return EngineLoad(address=self._node.upstream, reachable=False)
+        return EngineLoad(
+            address=self._node.upstream,
+            reachable=True,
+            weights=reading.weights,
+            is_changing=self._is_changing or reading.is_busy,
+            running=reading.running,
+            queued=reading.queued,
+            memory_used=reading.memory_used,
+            pace=reading.pace,
+        )
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/__init__.py
@@ -0,0 +1,5 @@
+"""The entry of a fleet: callers' requests go straight to the upstreams."""
+
+from crowrudder_daemon.fleet_entry._role import FleetEntry, build_fleet_entry
+
+__all__ = ('FleetEntry', 'build_fleet_entry')
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -0,0 +1,257 @@
+"""One attempt of a request at one upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from crowrudder_core.dispatch import (
+    Answered,
+    Broken,
+    EventStream,
+    NotRun,
+    NotSent,
+)
+from crowrudder_core.forecast import Work
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet.ports import SendTerms
+from crowrudder_daemon.http import (
+    BrokenAnswerError,
+    NotConnectedError,
+    WireAnswer,
+)
+from crowrudder_daemon.http._pool import kept_s_of
+
+if TYPE_CHECKING:
+    from crowrudder_core.dispatch import Dispatch, Ending
+    from crowrudder_core.forecast import Choice
+    from crowrudder_daemon.fleet.ports import (
+        AnswerMark,
+        Call,
+        CallersDialect,
+    )
+    from crowrudder_daemon.fleet_entry._caller_side import CallerSide
+    from crowrudder_daemon.fleet_entry._upstreams import Upstreams
+    from crowrudder_daemon.http import HttpConnection, WireHead
+
+CONNECT_S = 0.3
+"""Longest wait for a connection; a host without power never answers, and
+between regions the way takes some milliseconds."""
+
+MOST_BODY_BYTES = 4 * 1024 * 1024
+"""Longest answer that is held whole before it is passed on."""
+
+MOST_STRAYS = 4
+"""Answers to other requests that are read over before one's own."""
+
+FIRST_ERROR = 300
+PROMISES = frozenset((408, 421, 429, 503))
+"""Statuses that say to a caller that its request hasn't run."""
+
+
+@frozen(kw_only=True)
+class Patience:
+    """How long an attempt may be silent before another is tried, seconds.
+
+    ``first_s`` is up to the answer's beginning, ``pause_s`` between its parts.
+    """
+
+    first_s: float
+    pause_s: float
+
+
+@define(kw_only=True, eq=False)
+class Attempt:
+    """One send, until the answer is whole or the attempt has failed.
+
+    Events of a stream go to the caller as they come; any other answer is held
+    until it is whole, so that a half one is never passed on.
+    """
+
+    call: Call
+    body: bytes
+    choice: Choice
+    customer: str
+    urgency: int | None
+    patience: Patience
+    dispatch: Dispatch
+    events: EventStream
+    is_stream: bool
+    _side: CallerSide
+    _dialect: CallersDialect
+    _upstreams: Upstreams
+    answer: WireAnswer | None = field(default=None, init=False)
+    is_whole: bool = field(default=False, init=False)
+    first_took_s: float = field(default=-1, init=False)
+    sent_at: float = field(default=0, init=False)
+    _ticket: int = field(default=0, init=False)
+
+    async def run(self) -> Ending:
+        """Make the attempt."""
+        upstream = self.choice.outlook.upstream
+        try:
+            conn = await self._upstreams.pool.take(
+                upstream.address, timeout_s=CONNECT_S
+            )
+        except NotConnectedError as exc:
+            self.choice.outlook.on_bad(now=clock_s(), avoid=True)
+            return NotSent(str(exc))
+        try:
+            return await self._run_on(conn)
+        except BaseException:
+            # The caller left or the time is over: the upstream has to notice.
+            conn.close()
+            raise
+
+    async def _run_on(self, conn: HttpConnection) -> Ending:
+        upstream = self.choice.outlook.upstream
+        now = clock_s()
+        if not self.dispatch.may_send(now):
+            conn.close()
+            return NotSent('no time left')
+        request = self._dialect.request_for(
+            self.call, self.body, self._terms(now)
+        )
+        try:
+            conn.send(request)
+        except NotConnectedError as exc:
+            return NotSent(str(exc))
+        self.dispatch.on_sent(upstream.id, now=now)
+        self.sent_at = now
+        self._ticket = self._upstreams.ticket()
+        outlook = self.choice.outlook
+        outlook.on_sent(self._ticket, Work(self.call.prompt_tokens, now))
+        try:
+            return await self._read(conn)
+        except (BrokenAnswerError, TimeoutError) as exc:
+            conn.close()
+            outlook.on_bad(now=clock_s(), avoid=True)
+            return Broken(str(exc) or 'silent for too long')
+        finally:
+            outlook.on_ended(self._ticket)
+
+    def _terms(self, now: float) -> SendTerms:
+        outlook = self.choice.outlook
+        return SendTerms(
+            upstream_id=outlook.upstream.id,
+            left_s=self.dispatch.limit_at - now,
+            customer=self.customer,
+            weights=outlook.weights(now) if outlook.model else 0,
+            urgency=self.urgency,
+            resume_after=self.events.last_id or self.call.resume_after,
+        )
+
+    async def _read(self, conn: HttpConnection) -> Ending:
+        head, mark = await self._own_head(conn)
+        if mark.not_run:
+            return await self._not_run(conn, head, mark)
+        if self.is_stream and head.status < FIRST_ERROR:
+            if not mark.is_vouched:
+                raise BrokenAnswerError(
+                    'nobody vouches for it', step='answer', peer=conn.peer
+                )
+            return await self._stream(conn, head)
+        return await self._whole(conn, head, mark)
+
+    async def _own_head(
+        self, conn: HttpConnection
+    ) -> tuple[WireHead, AnswerMark]:
+        """Wait for the answer to this request, past those to others.
+
+        An upstream may answer an earlier request of the connection twice; its
+        caller would get what belongs to someone else.
+        """
+        async with asyncio.timeout(self.patience.first_s):
+            for _ in range(MOST_STRAYS):
+                head = await conn.head()
+                mark = self._dialect.mark_of(head)
+                own = self.call.request_id
+                if not own or mark.request_id in {'', own}:
+                    return head, mark
+                await conn.drain()
+                conn.skip()
+        raise BrokenAnswerError(
+            'only answers to other requests', step='answer', peer=conn.peer
+        )
+
+    async def _not_run(
+        self,
+        conn: HttpConnection,
+        head: WireHead,
+        mark: AnswerMark,
+    ) -> NotRun:
+        async with asyncio.timeout(self.patience.pause_s):
+            await conn.drain()
+        self._upstreams.pool.give_back(conn, kept_s=kept_s_of(head.headers))
+        self.choice.outlook.on_bad(now=clock_s(), avoid=False)
+        return NotRun(f'answered {head.status}', mark.retry_after_s)
+
+    async def _whole(
+        self,
+        conn: HttpConnection,
+        head: WireHead,
+        mark: AnswerMark,
+    ) -> Ending:
+        """Hold an answer until it is whole."""
+        parts: list[bytes] = []
+        size = 0
+        while (part := await self._part(conn)) is not None:
+            parts.append(part)
+            size += len(part)
+            if size > MOST_BODY_BYTES:
+                raise BrokenAnswerError(
+                    'longer than allowed', step='answer', peer=conn.peer
+                )
+        if not mark.is_vouched or head.status in PROMISES:
+            raise BrokenAnswerError(
+                f'answered {head.status}, which is no answer to pass on',
+                step='answer',
+                peer=conn.peer,
+            )
+        self._upstreams.pool.give_back(conn, kept_s=kept_s_of(head.headers))
+        self.answer = WireAnswer(head=head, body=b''.join(parts))
+        self._note_whole(is_good=head.status < FIRST_ERROR + 200)
+        return Answered(head.status)
+
+    async def _stream(self, conn: HttpConnection, head: WireHead) -> Ending:
+        """Pass whole events on as they come."""
+        self.events.begin_attempt()
+        while (part := await self._part(conn)) is not None:
+            whole = self.events.take(part)
+            if whole:
+                self._note_first()
+                await self._pass_on(head, whole)
+        await self._pass_on(head, self.events.rest())
+        self._upstreams.pool.give_back(conn, kept_s=kept_s_of(head.headers))
+        self.is_whole = True
+        self._note_whole(is_good=True)
+        return Answered(head.status)
+
+    async def _part(self, conn: HttpConnection) -> bytes | None:
+        async with asyncio.timeout(self.patience.pause_s):
+            return await conn.part()
+
+    async def _pass_on(self, head: WireHead, whole: bytes) -> None:
+        if self._side.has_begun:
+            await self._side.write(whole)
+            return
+        headers = self._dialect.passed_back(head)
+        await self._side.begin(head.status, headers, whole)
+
+    def _note_first(self) -> None:
+        if self.first_took_s >= 0:
+            return
+        now = clock_s()
+        self.first_took_s = now - self.sent_at
+        self.choice.outlook.on_begun(
+            self._ticket, forecast_s=self.choice.first_s, now=now
+        )
+
+    def _note_whole(self, *, is_good: bool) -> None:
+        now = clock_s()
+        if is_good:
+            self.choice.outlook.on_good(now - self.sent_at)
+        else:
+            self.choice.outlook.on_bad(now=now, avoid=False)
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -0,0 +1,299 @@
+"""Carry one caller's request to its one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field, frozen
+
+from crowrudder_core.dispatch import (
+    Answered,
+    Dispatch,
+    EventStream,
+    Fail,
+    NotSent,
+    Refuse,
+    Relay,
+    SendAgain,
+)
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
+from crowrudder_daemon.fleet_entry._caller_side import (
+    CallerGoneError,
+    own_body,
+)
+from crowrudder_daemon.fleet_entry._upstreams import Wanted
+from crowrudder_model.fleet import RouteKind
+
+if TYPE_CHECKING:
+    from crowrudder_core.dispatch import Ending, Next
+    from crowrudder_core.forecast import Choice
+    from crowrudder_daemon.fleet.ports import Call
+    from crowrudder_daemon.fleet_entry._caller_side import CallerSide
+    from crowrudder_daemon.fleet_entry._parts import EntryParts
+    from crowrudder_model.fleet import Route
+
+ANSWER_MARGIN_S = 0.02
+"""An answer of one's own leaves so long before its caller gives up."""
+
+FIRST_SILENCE_S = 0.9
+"""Least silence before the first event after which another upstream is tried;
+ten times a usual first event, so that load alone doesn't cause it."""
+
+PAUSE_SILENCE_S = 0.9
+"""The same within a stream: over twice the pause of which callers complain,
+and under half of that after which they leave."""
+
+WHOLE_SILENCE_S = 0.45
+"""The same for a short answer that may be repeated."""
+
+FORECASTS = 4
+"""An attempt may take so many times its forecast before another is tried."""
+
+NEVER_S = 3600.0
+LATE_GOALS = 1.3
+"""A request is refused at once where its first event is forecast after so
+many times its goal: it would take the place of one that can be in time."""
+
+LEAST_RETRY_S = 0.1
+MOST_RETRY_S = 2.0
+
+
+@frozen
+class Admitted:
+    """A request that may be served: where, and for whom."""
+
+    route: Route
+    service: str
+    customer: str
+    urgency: int
+
+
+@define(kw_only=True, eq=False)
+class Drive:
+    """One request on its way; every path ends in one final answer."""
+
+    call: Call
+    body: bytes
+    admitted: Admitted
+    arrived_at: float
+    side: CallerSide
+    parts: EntryParts
+    dispatch: Dispatch = field(init=False)
+    events: EventStream = field(factory=EventStream, init=False)
+    _attempts: list[dict[str, Any]] = field(factory=list, init=False)
+    _first_s: float = field(default=-1, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Work out until when the caller gets its answer."""
+        route = self.admitted.route
+        wait_s = route.timeout_s
+        if self.call.wait_s is not None:
+            wait_s = min(wait_s, self.call.wait_s - ANSWER_MARGIN_S)
+        self.dispatch = Dispatch(
+            repeatable=route.repeatable,
+            most_sends=route.attempts,
+            limit_at=self.arrived_at + wait_s,
+        )
+
+    async def run(self) -> None:
+        """Go on until the caller has its final answer, or has left."""
+        try:
+            async with asyncio.timeout(self.dispatch.limit_at - clock_s()):
+                verdict = await self._attempt_all()
+        except TimeoutError:
+            verdict = self.dispatch.refuse('out of time', LEAST_RETRY_S)
+            await self._finish(verdict, HTTPStatus.GATEWAY_TIMEOUT)
+        except CallerGoneError:
+            self._note('caller_gone', 0)
+        except asyncio.CancelledError:
+            self._note('caller_gone', 0)
+            raise
+        else:
+            await self._finish(verdict, HTTPStatus.BAD_GATEWAY)
+
+    async def _attempt_all(self) -> Next:
+        while True:
+            choice = self._choose()
+            refusal = self._refusal(choice)
+            if choice is None or refusal is not None:
+                return refusal or self._nobody()
+            attempt = self._attempt(choice)
+            ending = await attempt.run()
+            self._note_attempt(attempt, ending)
+            verdict = self._after(attempt, ending)
+            if not isinstance(verdict, SendAgain):
+                if isinstance(verdict, Relay):
+                    await self._relay(attempt)
+                return verdict
+
+    def _after(self, attempt: Attempt, ending: Ending) -> Next:
+        if attempt.is_whole:
+            return Relay()
+        if self.side.has_begun and isinstance(ending, Answered):
+            # A stream that has begun can't go on with another answer.
+            return Fail(f'answered {ending.status} to go on')
+        return self.dispatch.after(
+            ending,
+            now=clock_s(),
+            take_retry=lambda: self.parts.upstreams.take_retry(
+                self.admitted.service
+            ),
+        )
+
+    def _choose(self) -> Choice | None:
+        return self.parts.upstreams.choose(
+            Wanted(
+                service=self.admitted.service,
+                model=self.call.model,
+                prompt=self.call.prompt_tokens,
+                avoid=frozenset(self.dispatch.tried | self._unreachable),
+            ),
+        )
+
+    @property
+    def _unreachable(self) -> set[str]:
+        return {
+            attempt['upstream']
+            for attempt in self._attempts
+            if attempt['ending'] == NotSent.__name__
+        }
+
+    def _refusal(self, choice: Choice | None) -> Next | None:
+        """Refuse a first attempt that is forecast to be of no use."""
+        if choice is None or self.dispatch.sends or self.side.has_begun:
+            return None
+        goal_s = self.admitted.route.goal_s
+        passed_s = clock_s() - self.arrived_at
+        if passed_s + choice.first_s <= LATE_GOALS * goal_s:
+            return None
+        wait_s = choice.first_s - goal_s / 2
+        return self.dispatch.refuse(
+            f'first event forecast in {choice.first_s:.2f} s',
+            min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S),
+        )
+
+    def _nobody(self) -> Next:
+        return self.dispatch.refuse(
+            f'no upstream of {self.admitted.service} can serve this now',
+            LEAST_RETRY_S,
+        )
+
+    def _attempt(self, choice: Choice) -> Attempt:
+        return Attempt(
+            call=self.call,
+            body=self.body,
+            choice=choice,
+            customer=self.admitted.customer,
+            urgency=self.admitted.urgency,
+            patience=self._patience(choice),
+            dispatch=self.dispatch,
+            events=self.events,
+            is_stream=self.admitted.route.kind is RouteKind.STREAM,
+            side=self.side,
+            dialect=self.parts.dialect,
+            upstreams=self.parts.upstreams,
+        )
+
+    def _patience(self, choice: Choice) -> Patience:
+        """Give how long the upstream may be silent.
+
+        Silence is a reason to end an attempt only where another one follows.
+        """
+        route = self.admitted.route
+        is_last = self.dispatch.sends + 1 >= self.dispatch.most_sends
+        if is_last or not self.dispatch.repeatable:
+            return Patience(first_s=NEVER_S, pause_s=NEVER_S)
+        forecast_s = FORECASTS * choice.first_s
+        if route.kind is RouteKind.STREAM:
+            return Patience(
+                first_s=max(FIRST_SILENCE_S, forecast_s),
+                pause_s=max(PAUSE_SILENCE_S, 2 * route.pause_goal_s),
+            )
+        patience_s = max(WHOLE_SILENCE_S, forecast_s)
+        return Patience(first_s=patience_s, pause_s=patience_s)
+
+    async def _relay(self, attempt: Attempt) -> None:
+        answer = attempt.answer
+        if answer is None:
+            self.side.finish()
+            return
+        await self.side.answer(
+            answer.head.status,
+            self.parts.dialect.passed_back(answer.head),
+            answer.body,
+        )
+
+    async def _finish(self, verdict: Next, failed: HTTPStatus) -> None:
+        match verdict:
+            case Refuse(reason=reason, retry_after_s=after_s):
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+                await self._answer_own(status, 'not_run', reason, after_s)
+                self._note('refused', status, reason=reason)
+            case Fail(reason=reason):
+                await self._fail(failed, reason)
+            case _:
+                self._note('answered', HTTPStatus.OK)
+
+    async def _fail(self, status: HTTPStatus, reason: str) -> None:
+        if self.side.has_begun:
+            self.side.cut()
+        else:
+            await self._answer_own(status, 'unknown', reason)
+        self._note('failed', status, reason=reason)
+
+    async def _answer_own(
+        self,
+        status: HTTPStatus,
+        code: str,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        headers = self.parts.dialect.own_headers(self.call)
+        headers.append(('Content-Type', 'application/json'))
+        if retry_after_s is not None:
+            headers.append(('Retry-After', f'{retry_after_s:.2f}'))
+        body = own_body(code, reason, self.call.request_id)
+        try:
+            await self.side.answer(status, headers, body)
+        except CallerGoneError:
+            self._note('caller_gone', status)
+
+    def _note_attempt(self, attempt: Attempt, ending: Ending) -> None:
+        first_s = attempt.first_took_s
+        if first_s >= 0 and self._first_s < 0:
+            self._first_s = attempt.sent_at + first_s - self.arrived_at
+        self._attempts.append(
+            {
+                'upstream': attempt.choice.outlook.upstream.id,
+                'forecast_s': round(attempt.choice.first_s, 3),
+                'first_s': round(first_s, 3),
+                'ending': type(ending).__name__,
+                'why': getattr(ending, 'reason', ''),
+            },
+        )
+
+    def _note(self, outcome: str, status: int, *, reason: str = '') -> None:
+        now = clock_s()
+        self.parts.note_end(
+            self,
+            outcome=outcome,
+            extra={
+                'step': 'request',
+                'request_id': self.call.request_id,
+                'outcome': outcome,
+                'status': int(status),
+                'reason': reason,
+                'route': self.admitted.route.name,
+                'service': self.admitted.service,
+                'customer': self.admitted.customer,
+                'took_s': round(now - self.arrived_at, 3),
+                'first_s': round(self._first_s, 3),
+                'goal_s': self.admitted.route.goal_s,
+                'sends': self.dispatch.sends,
+                'events': self.events.events,
+                'attempts': self._attempts,
+            },
+        )
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_parts.py
@@ -0,0 +1,62 @@
+"""What the requests of an entry share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from crowrudder_daemon.fleet.ports import CallersDialect
+    from crowrudder_daemon.fleet_entry._upstreams import Upstreams
+    from crowrudder_daemon.process import Runtime
+
+REQUEST_SECONDS = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8,
+)  # fmt: skip
+
+
+@define
+class EntryParts:
+    """The dialect, the upstreams and the books of an entry."""
+
+    dialect: CallersDialect
+    upstreams: Upstreams
+    _runtime: Runtime
+    _ends: Any = field(init=False)
+    _took: Any = field(init=False)
+    _first: Any = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Declare the metrics of requests."""
+        metrics = self._runtime.metrics
+        self._ends = metrics.counter(
+            'fleet_requests',
+            'Requests by how they ended.',
+            labels=('outcome', 'service'),
+        )
+        self._took = metrics.histogram(
+            'fleet_request_seconds',
+            'Time from a request to the end of its answer.',
+            labels=('outcome',),
+            bounds=REQUEST_SECONDS,
+        )
+        self._first = metrics.histogram(
+            'fleet_first_event_seconds',
+            'Time from a request to the first event of its stream.',
+            bounds=REQUEST_SECONDS,
+        )
+
+    def note_end(
+        self,
+        _drive: object,
+        *,
+        outcome: str,
+        extra: dict[str, Any],
+    ) -> None:
+        """Log and count how a request ended."""
+        self._runtime.log.info('request ended', extra=extra)
+        self._ends.add(outcome=outcome, service=extra['service'])
+        self._took.record(extra['took_s'], outcome=outcome)
+        if extra['first_s'] >= 0:
+            self._first.record(extra['first_s'])
--- a/packages/model/src/crowrudder_model/__init__.py
+++ b/packages/model/src/crowrudder_model/__init__.py
@@ -3,7 +3,11 @@
 Nothing here does input or output, reads a clock or draws a random number.
 """
 
-from crowrudder_model._codec import decode_message, encode_message
+from crowrudder_model._codec import (
+    decode_datagram,
+    decode_message,
+    encode_message,
+)
 from crowrudder_model._errors import (
     CrowrudderError,
     InvariantError,
@@ -24,6 +28,7 @@
     'Outcome',
     'PeerLostError',
     'UpstreamError',
+    'decode_datagram',
     'decode_members',
     'decode_message',
     'encode_message',
--- a/packages/model/src/crowrudder_model/_codec.py
+++ b/packages/model/src/crowrudder_model/_codec.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
 from crowrudder_model._errors import MalformedMessageError
+from crowrudder_model.messages._gossip import Datagram
 
 _Message = TypeVar('_Message')
 # Keys that this release doesn't know are skipped by recursion.
 _UNREADABLE = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 _encoder = msgspec.msgpack.Encoder()
+_datagrams: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Datagram)
 
 
 def encode_message(message: object) -> bytes:
@@ -40,3 +42,21 @@
             step='decode',
             peer=peer,
         ) from exc
+
+
+def decode_datagram(payload: bytes, *, peer: str = '') -> Datagram:
+    """Decode a datagram, which says itself which kind it is.
+
+    Raises
+    ------
+    MalformedMessageError
+        When the bytes are none of the kinds.
+    """
+    try:
+        return _datagrams.decode(payload)
+    except _UNREADABLE as exc:
+        raise MalformedMessageError(
+            f'not a datagram: {exc}; check that both run one release',
+            step='decode',
+            peer=peer,
+        ) from exc
--- /dev/null
+++ b/packages/model/src/crowrudder_model/fleet/__init__.py
@@ -0,0 +1,41 @@
+"""What a fleet publishes for its processes, as typed values.
+
+The values come from an adapter that decodes an outside system's records; no
+name of that system stands here.
+"""
+
+from crowrudder_model.fleet._config import (
+    CallerLimits,
+    CustomerKeys,
+    FleetConfig,
+    FleetService,
+    Route,
+    RouteKind,
+    RouteTarget,
+)
+from crowrudder_model.fleet._engine import EngineFigures
+from crowrudder_model.fleet._node import Bounds, Node, NodePlace
+from crowrudder_model.fleet._records import (
+    NamedVersion,
+    Published,
+    Upstream,
+    UpstreamState,
+)
+
+__all__ = (
+    'Bounds',
+    'CallerLimits',
+    'CustomerKeys',
+    'EngineFigures',
+    'FleetConfig',
+    'FleetService',
+    'NamedVersion',
+    'Node',
+    'NodePlace',
+    'Published',
+    'Route',
+    'RouteKind',
+    'RouteTarget',
+    'Upstream',
+    'UpstreamState',
+)
--- /dev/null
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -0,0 +1,149 @@
+"""Datagrams and calls by which processes of a fleet know each other.
+
+Datagrams go out many times a second, beside answers and weights on the same
+slow links. Written as arrays without the names of their fields they take a
+third of the bytes; therefore they are msgspec's classes, which can be, and not
+attrs'.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+from attrs import frozen
+
+MemberRole = Literal['entry', 'agent']
+
+
+class MemberWord(msgspec.Struct, frozen=True, array_like=True):
+    """What a process says of itself.
+
+    ``started_at`` is its start in seconds since 1970, by which the words of
+    two lives at one address are told apart. ``callers`` is where callers
+    reach an entry. ``ready`` is whether callers are to be sent there.
+    """
+
+    ip: str
+    role: MemberRole
+    incarnation: str
+    started_at: float
+    callers: str = ''
+    failure_domain: str = ''
+    region: str = ''
+    ready: bool = False
+    leaving: bool = False
+
+
+class HeardWord(msgspec.Struct, frozen=True, array_like=True):
+    """Another process's word, passed on, and how old it is in seconds."""
+
+    word: MemberWord
+    age_s: float
+
+
+class EngineLoad(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=2,
+    kw_only=True,
+):
+    """What an agent has just read from the engine beside it.
+
+    ``address`` is the engine's. ``weights`` is the loaded version, 0 for
+    none. ``is_changing`` is set from the moment at which the agent wants no
+    more requests for the sake of a load. ``pace`` over 1 means a slow engine.
+    """
+
+    address: str
+    reachable: bool
+    weights: int = 0
+    is_changing: bool = False
+    running: int = 0
+    queued: int = 0
+    memory_used: int = 0
+    pace: float = 1
+
+
+class ChunkNews(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=3,
+    kw_only=True,
+):
+    """The chunks of a version that an agent holds, as bits (little-endian).
+
+    ``wanted`` is false where it only gives them to others. ``passes`` are
+    those that it leaves to the next in order at the origin.
+    """
+
+    version: str
+    manifest: str
+    chunks: bytes
+    passes: bytes = b''
+    wanted: bool = True
+    busy: int = 0
+    slots: int = 1
+
+
+class Heartbeat(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=1,
+    kw_only=True,
+):
+    """The sender's word and what it knows.
+
+    ``revision`` counts the published records that the sender has.
+    ``confirmed_s`` is how long ago the platform was last heard by any process
+    that the sender knows of. ``asks_for_reply`` is set by one that knows
+    nobody. ``others`` are some of the entries that the sender has heard of.
+    """
+
+    word: MemberWord
+    revision: int = 0
+    confirmed_s: float = 1.0e9
+    asks_for_reply: bool = False
+    others: tuple[HeardWord, ...] = ()
+
+
+Datagram = Heartbeat | EngineLoad | ChunkNews
+
+
+@frozen(kw_only=True)
+class PublishedItem:
+    """A published record as it stands at the platform.
+
+    ``payload`` is None where the record was taken away at ``revision``.
+    ``age_s`` is how long ago the sender saw it published, negative where it
+    found it already there.
+    """
+
+    key: str
+    revision: int
+    payload: bytes | None
+    age_s: float = -1
+
+
+@frozen
+class ChangesAsk:
+    """Ask for what was published after a revision."""
+
+    after: int
+
+
+@frozen(kw_only=True)
+class Changes:
+    """All that was published after the revision asked for.
+
+    ``is_whole`` is set where the list is all there is, whatever was asked:
+    what isn't listed is gone.
+    """
+
+    through: int
+    items: tuple[PublishedItem, ...] = ()
+    is_whole: bool = False
+    confirmed_s: float = 1.0e9
--- a/packages/model/src/crowrudder_model/rpc/__init__.py
+++ b/packages/model/src/crowrudder_model/rpc/__init__.py
@@ -2,6 +2,7 @@
 
 from crowrudder_model.rpc._methods import (
     CANCEL,
+    CHANGES,
     CHUNK,
     CLAIM,
     EXCHANGE,
@@ -22,6 +23,7 @@
 
 __all__ = (
     'CANCEL',
+    'CHANGES',
     'CHUNK',
     'CLAIM',
     'EXCHANGE',
--- a/packages/model/src/crowrudder_model/rpc/_methods.py
+++ b/packages/model/src/crowrudder_model/rpc/_methods.py
@@ -73,3 +73,4 @@
 CLAIM = Method('Claim', messages.ClaimAsk, messages.ClaimReply)
 RELEASE = Method('Release', messages.ReleaseAsk, messages.Taken)
 HAND_OVER = Method('HandOver', messages.HandOver, messages.Taken)
+CHANGES = Method('Changes', messages.ChangesAsk, messages.Changes)
--- a/tests/workspace/test_layers.py
+++ b/tests/workspace/test_layers.py
@@ -1,17 +1,22 @@
 from __future__ import annotations
 
 import ast
+import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
-PACKAGES = Path(__file__).parents[2] / 'packages'
+ROOT = Path(__file__).parents[2]
+PACKAGES = ROOT / 'packages'
 MAY_IMPORT = {
     'model': set(),
     'core': {'model'},
     'daemon': {'model', 'core'},
     'client': {'model', 'core'},
     'standins': {'model'},
+    'platform': {'model', 'core', 'daemon'},
 }
 # Input, output, clocks and the global random source, by module. A source that
 # is handed in is `random.Random`, imported by that name.
@@ -29,8 +34,15 @@
 }
 
 
+def sources_of(package):
+    folder = ROOT / package if package == 'platform' else PACKAGES / package
+    found = sorted((folder / 'src').rglob('*.py'))
+    assert found
+    return found
+
+
 def modules_imported_by(package):
-    for path in sorted((PACKAGES / package / 'src').rglob('*.py')):
+    for path in sources_of(package):
         for node in ast.walk(ast.parse(path.read_text())):
             match node:
                 case ast.Import(names=names):
@@ -64,3 +76,58 @@
             if module.split('.')[0] in IMPURE and module != 'random.Random'
         ]
         assert not wrong
+
+
+class TestStandardLibrary:
+    def test_platform_is_still_pythons_own_module(self):
+        """A folder hid a module of the standard library.
+
+        Symptom: every library that asks for the operating system fails as it
+        is imported. Sequence: a process starts at the root of the repository,
+        which is first on Python's path. Cause: a package there is named
+        `platform`.
+        """
+        assert not (ROOT / 'platform' / '__init__.py').exists()
+        found = subprocess.run(
+            [
+                sys.executable,
+                '-c',
+                'import platform; print(platform.machine())',
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        assert found.stdout.strip()
+
+
+# Words of the outside system's pages that nothing but its adapter may know.
+# `Retry-After` and `Last-Event-Id` are HTTP's own, and `X-Deadline-Ms` is a word
+# of crowrudder's own callers' interface as well.
+FOREIGN = re.compile(
+    r"""X-Attempt-Id|X-Expect-|X-Tenant|X-Credential
+    |X-Replica-|X-Not-Executed|X-Token-Count|X-Prompt-Prefix|X-Request-Urgency
+    |X-Weight-Versions|X-Model|X-Length-Hint|/-/[a-z]|sample_count
+    |create_revision|more_pages|store_revision|cold_left_ms|goal_ms|gap_goal_ms
+    |per_seq_ms|\bread_per_s\b|pairs_per_m\b|kv_used|api_keys|inner_ports
+    |machine_class|op/config|op/version|servers/|CROWRUDDER_BOOT""",
+    re.VERBOSE | re.IGNORECASE,
+)
+
+
+class TestForeignNames:
+    @pytest.mark.parametrize(
+        'package', sorted(set(MAY_IMPORT) - {'platform', 'standins'})
+    )
+    def test_only_the_adapter_knows_the_platforms_names(self, package):
+        wrong = [
+            (path.name, found.group())
+            for path in sources_of(package)
+            for found in FOREIGN.finditer(path.read_text())
+        ]
+        assert not wrong
+
+    def test_the_pattern_finds_them_in_the_adapter(self):
+        texts = [path.read_text() for path in sources_of('platform')]
+        assert any(FOREIGN.search(text) for text in texts)
