--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -194,6 +194,11 @@
             case _:
                 raise self._broken('broke off within the body')
 
+    async def closed(self) -> None:
+        """Wait until the connection is gone."""
+        while not self._lost:
+            await self._more()
+
     async def drain(self) -> None:
         """Read over the rest of an answer that nobody needs."""
         while await self.part() is not None:
--- /dev/null
+++ b/tests/limits/test_shared_budget.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_core.limits import SharedRetryBudget
+
+SHARE = 0.2
+EXTRA = 10
+WINDOW_S = 10.0
+
+
+def budget():
+    return SharedRetryBudget(share=SHARE, extra=EXTRA, window_s=WINDOW_S)
+
+
+class TestSharedBudget:
+    @given(
+        events=st.lists(
+            st.tuples(st.integers(0, 2), st.booleans(), st.floats(0, 0.5)),
+            max_size=300,
+        ),
+    )
+    def test_three_entries_never_pass_the_bound_in_any_window(self, events):
+        entries = [budget() for _ in range(3)]
+        now = 0.0
+        firsts, repeats = [], []
+        for number, is_first, pause_s in events:
+            now += pause_s
+            if is_first:
+                entries[number].on_first('s', now=now)
+                firsts.append(now)
+            elif entries[number].take('s', part=1 / 3, now=now):
+                repeats.append(now)
+                since = now - WINDOW_S
+                asked = sum(at >= since for at in firsts)
+                sent = sum(at >= since for at in repeats)
+                assert sent <= SHARE * asked + EXTRA
+
+    def test_services_have_budgets_of_their_own(self):
+        one = SharedRetryBudget(share=0, extra=2, window_s=WINDOW_S)
+        assert one.take('a', part=1, now=0)
+        assert not one.take('a', part=1, now=0)
+        assert one.take('b', part=1, now=0)
+
+    def test_what_is_older_than_the_window_is_forgotten(self):
+        one = SharedRetryBudget(share=0, extra=2, window_s=WINDOW_S)
+        assert one.take('a', part=1, now=0)
+        assert not one.take('a', part=1, now=9)
+        assert one.take('a', part=1, now=11)
