--- /dev/null
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -0,0 +1,303 @@
+"""Stand-in of the users' replicas: plain answers, streams, staged pieces.
+
+Usage:
+  fleet_replica --port=PORT --id=ID [--address=IP] [--slots=N] [--model=NAME]
+                [--loaded=VERSION] [--journal=FILE]
+
+Options:
+  --address=IP      IP number to listen on [default: 127.0.0.1].
+  --port=PORT       Port to listen on.
+  --id=ID           Name of this life.
+  --slots=N         Requests at once [default: 8].
+  --model=NAME      The model that it serves; none for a plain service.
+  --loaded=VERSION  The version held at the start [default: 0].
+  --journal=FILE    Append each run to this file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define
+
+from crowrudder_standins._faults import DropError, RefusedError
+from crowrudder_standins._serving import Answer, Call, Standin, route, run
+
+EVENT_S = 0.01
+LOAD_S = 0.05
+EVENTS = 6
+SEAL = 'X-Replica-Seal'
+REQUEST_ID = 'X-Attempt-Id'
+
+
+@define
+class Run:
+    """A request that began here."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    customer: str
+    resumed_after: int
+    weights: int
+    ended: str = ''
+
+
+class FleetReplica(Standin):
+    """Runs requests and keeps books of each.
+
+    Faults, each on its next requests: ``full`` refuses, ``fail`` runs and
+    answers 500, ``cut`` breaks off midway, ``lost`` runs and closes without
+    an answer, ``hang`` runs and never answers, ``extra`` answers twice,
+    ``crossed`` answers first for another request, ``unvouched`` leaves the
+    seal out, ``half_event`` breaks off within an event, ``slow`` waits for
+    ``amount`` seconds before it answers. ``rot`` spoils a staged piece.
+    """
+
+    fault_names = (
+        'full',
+        'fail',
+        'cut',
+        'lost',
+        'hang',
+        'extra',
+        'crossed',
+        'unvouched',
+        'half_event',
+        'slow',
+        'rot',
+    )
+
+    def __init__(self, options: Mapping[str, Any]) -> None:
+        super().__init__(options)
+        self.id = str(options['--id'])
+        self.slots = int(options.get('--slots') or 8)
+        self.model = str(options.get('--model') or '')
+        self.weights = int(options.get('--loaded') or 0)
+        self.staged: dict[int, bytes] = {}
+        self.taken: list[dict[int, bytes]] = []
+        self.runs: list[Run] = []
+        self.refused: Counter[str] = Counter()
+        self.orders: list[dict[str, Any]] = []
+        self.running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.is_busy = False
+        self._jobs: set[asyncio.Task[None]] = set()
+
+    def runs_of(self, request_id: str) -> list[Run]:
+        """Give the runs of one request."""
+        return [each for each in self.runs if each.request_id == request_id]
+
+    def books(self) -> dict[str, Any]:
+        return {
+            'id': self.id,
+            'weights': self.weights,
+            'refused': self.refused,
+            'runs': [
+                {'request_id': each.request_id, 'ended': each.ended}
+                for each in self.runs
+            ],
+        }
+
+    @route('GET', '/-/report')
+    async def report(self, call: Call) -> Answer:
+        held = {'from': 0, 'target': 16, 'version': self.weights}
+        return {
+            'stage': 'both',
+            'models': [
+                {'name': self.model, 'version': self.weights, 'adapters': []},
+            ],
+            'layers': held if self.weights else None,
+            'busy': self.is_busy,
+            'seq': len(self.orders),
+            'queued': 0,
+            'running': self.running,
+            'kv_used': 0,
+            'kv_total': 1000,
+            'handles': 0,
+        }
+
+    @route('PUT', '/-/stage-put/([^/]+)')
+    async def stage_put(self, call: Call, _model: str) -> Answer:
+        index = int(call.number('sample_count'))
+        self.staged[index] = call.request.body
+        return {'held': len(self.staged)}
+
+    @route('GET', '/-/stage-get/([^/]+)')
+    async def stage_get(self, call: Call, _model: str) -> Answer:
+        index = int(call.number('sample_count', '-1'))
+        if index < 0:
+            return {'held': sorted(self.staged)}
+        if index not in self.staged:
+            raise RefusedError(404, 'no such piece')
+        payload = self.staged[index]
+        if self.faults.take('rot'):
+            payload = bytes((payload[0] ^ 1,)) + payload[1:]
+        await call.finish(payload)
+        return None
+
+    @route('POST', '/-/order')
+    async def order(self, call: Call) -> Answer:
+        order = call.body_json()
+        if order.get('op') != 'start':
+            raise RefusedError(400, 'no such order')
+        if self.is_busy:
+            raise RefusedError(409, 'busy')
+        self.orders.append(order)
+        self.taken.append(dict(self.staged))
+        self.is_busy = True
+        job = asyncio.ensure_future(self._load(int(order['version'])))
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+        call.set_status(202)
+        return {}
+
+    @route('GET', '/health')
+    async def health(self, call: Call) -> Answer:
+        call.set_header('X-Replica-Id', self.id)
+        return {}
+
+    @route('*', '/(?!-/|control/).*')
+    async def serve(self, call: Call) -> Answer:
+        self._refuse_foreign(call)
+        if self.is_busy or self.running >= self.slots:
+            raise self._refusal(call, 503, 'full')
+        if self.faults.take('full'):
+            raise self._refusal(call, 503, 'full')
+        began = self._begin(call)
+        self.running += 1
+        self._idle.clear()
+        try:
+            await self._answer(call, began)
+        finally:
+            self.running -= 1
+            if not self.running:
+                self._idle.set()
+        return None
+
+    async def _load(self, version: int) -> None:
+        await self._idle.wait()
+        await asyncio.sleep(LOAD_S)
+        self.weights = version
+        self.is_busy = False
+
+    def _refuse_foreign(self, call: Call) -> None:
+        headers = call.request.headers
+        if headers.get('X-Expect-Replica', self.id) != self.id:
+            raise self._refusal(call, 421, 'other replica')
+        wanted = headers.get('X-Expect-Version')
+        if wanted and int(wanted) != self.weights:
+            raise self._refusal(call, 421, 'other version')
+
+    def _refusal(self, call: Call, status: int, reason: str) -> RefusedError:
+        self.refused[reason] += 1
+        call.set_header('X-Not-Executed', '1')
+        call.set_header(REQUEST_ID, call.request.headers.get(REQUEST_ID, ''))
+        return RefusedError(status, reason)
+
+    def _begin(self, call: Call) -> Run:
+        request = call.request
+        began = Run(
+            request_id=request.headers.get(REQUEST_ID, ''),
+            method=request.method or '',
+            target=request.uri or '',
+            body=request.body,
+            customer=request.headers.get('X-Tenant', ''),
+            resumed_after=int(request.headers.get('Last-Event-Id') or 0),
+            weights=self.weights,
+        )
+        self.runs.append(began)
+        self.note({'replica': self.id, 'run': began.request_id})
+        return began
+
+    async def _answer(self, call: Call, began: Run) -> None:
+        if slow := self.faults.take('slow'):
+            await asyncio.sleep(slow.amount)
+        if self.faults.take('lost'):
+            raise DropError
+        if self.faults.take('hang'):
+            await self.faults.wait_off('hang')
+            raise DropError
+        if self.faults.take('crossed'):
+            await self._write_raw(call, _stray())
+        call.set_header(REQUEST_ID, began.request_id)
+        if not self.faults.take('unvouched'):
+            call.set_header(SEAL, seal_of(self.id, began.request_id))
+        if self.faults.take('fail'):
+            call.set_status(500)
+            await call.finish(b'failed')
+            return
+        if self.model:
+            await self._stream(call, began)
+        else:
+            await self._plain(call, began)
+        began.ended = 'whole'
+        if self.faults.take('extra'):
+            await self._write_raw(call, _stray())
+
+    async def _plain(self, call: Call, began: Run) -> None:
+        body = body_of(began.request_id)
+        if self.faults.take('cut'):
+            call.set_header('Content-Length', str(len(body) + 9))
+            await call.send(body)
+            raise DropError
+        await call.finish(body)
+
+    async def _stream(self, call: Call, began: Run) -> None:
+        call.set_header('Content-Type', 'text/event-stream')
+        for number in range(began.resumed_after + 1, EVENTS + 1):
+            if number > 2 and self.faults.take('cut'):
+                raise DropError
+            event = event_of(began.request_id, number)
+            if number > 2 and self.faults.take('half_event'):
+                await call.send(event[: len(event) // 2])
+                raise DropError
+            await call.send(event)
+            await asyncio.sleep(EVENT_S)
+        await call.finish()
+
+    async def _write_raw(self, call: Call, text: bytes) -> None:
+        """Write bytes beside the answer, as a faulty replica does."""
+        conn: Any = call.request.connection
+        await conn.stream.write(text)
+
+
+def body_of(request_id: str) -> bytes:
+    """Give the whole answer to a plain request."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """Give one event of a request's stream."""
+    text = hashlib.sha256(f'{request_id}/{number}'.encode()).hexdigest()
+    return f'id: {number}\ndata: {text}\n\n'.encode()
+
+
+def stream_of(request_id: str) -> bytes:
+    """Give the whole stream of a request."""
+    return b''.join(
+        event_of(request_id, number) for number in range(1, EVENTS + 1)
+    )
+
+
+def seal_of(replica_id: str, request_id: str) -> str:
+    """Give what a replica vouches with."""
+    text = f'{replica_id}/{request_id}'.encode()
+    return hashlib.sha256(text).hexdigest()[:16]
+
+
+def _stray() -> bytes:
+    return (
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: somebody-elses\r\n'
+        b'X-Replica-Seal: x\r\nContent-Length: 5\r\n\r\nother'
+    )
+
+
+if __name__ == '__main__':
+    run(FleetReplica, __doc__)
--- /dev/null
+++ b/tests/fleet/test_agent.py
@@ -0,0 +1,203 @@
+"""Agents that bring named versions to the engines beside them."""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from crowrudder_core.catalog import Releases
+from crowrudder_daemon.fleet_agent._turn import load_delay_s
+from crowrudder_standins._faults import Fault
+from support.aio import run
+from support.fleet import fleet
+
+
+def checked(check, **more):
+    async def within():
+        async with fleet(plain=0, engines=0, **more) as world:
+            await check(world)
+
+    run(within())
+
+
+def assert_whole(world, replica, version):
+    """Check every load that an engine made: of whole, sound, equal weights."""
+    for taken, order in zip(replica.taken, replica.orders, strict=True):
+        made = order['version']
+        expected = {
+            index: world.origin.piece(made, index)
+            for index in range(world.origin.count)
+        }
+        assert taken == expected
+    assert replica.weights == version
+
+
+class TestVersions:
+    def test_every_engine_gets_a_named_version_whole(self):
+        async def check(world):
+            replicas = [
+                await world.add_agent(number, loaded=1) for number in range(4)
+            ]
+            await world.ready()
+            world.name_version(2)
+            await world.until(
+                lambda: all(each.weights == 2 for each in replicas)
+            )
+            for replica in replicas:
+                assert_whole(world, replica, 2)
+            assert world.origin.reads[2] <= 1.5 * world.origin.count
+
+        checked(check)
+
+    def test_an_engine_that_comes_empty_is_served_by_others(self):
+        async def check(world):
+            for number in range(2):
+                await world.add_agent(number, loaded=1)
+            await world.until(
+                lambda: all(
+                    agent.keeper.status()['shares'].get('m@1') == 1
+                    for agent in world.agents
+                ),
+            )
+            before = world.origin.reads[1]
+            fresh = await world.add_agent(5)
+            await world.until(lambda: fresh.weights == 1)
+            assert_whole(world, fresh, 1)
+            assert world.origin.reads[1] == before
+
+        checked(check)
+
+    def test_the_newest_of_two_versions_wins(self):
+        async def check(world):
+            replicas = [
+                await world.add_agent(number, loaded=1) for number in range(3)
+            ]
+            await world.ready()
+            world.name_version(2)
+            world.name_version(3)
+            await world.until(
+                lambda: all(each.weights == 3 for each in replicas)
+            )
+            for replica in replicas:
+                assert_whole(world, replica, 3)
+
+        checked(check)
+
+    def test_an_engine_that_lost_its_weights_gets_them_again(self):
+        async def check(world):
+            replica = await world.add_agent(1, loaded=1)
+            agent = world.agents[0]
+            await world.until(
+                lambda: agent.keeper.status()['shares'].get('m@1') == 1
+            )
+            replica.weights = 0
+            replica.staged.clear()
+            await world.until(lambda: replica.weights == 1)
+            assert_whole(world, replica, 1)
+
+        checked(check)
+
+
+class TestBadSources:
+    def test_spoilt_pieces_of_the_origin_reach_no_engine(self):
+        async def check(world):
+            world.origin.faults.switch_on(Fault('corrupt', 5))
+            replica = await world.add_agent(1)
+            await world.until(lambda: replica.weights == 1)
+            assert_whole(world, replica, 1)
+
+        checked(check)
+
+    def test_a_wrong_digest_is_found_by_a_second_read(self):
+        """A version was never whole.
+
+        Symptom: a host reads one chunk again and again. Sequence: the origin
+        hands out a digest with a wrong byte, once. Cause: the digests were
+        believed after one read.
+        """
+
+        async def check(world):
+            world.origin.faults.switch_on(Fault('wrong_digest', 1))
+            replica = await world.add_agent(1)
+            await world.until(lambda: replica.weights == 1)
+            assert_whole(world, replica, 1)
+
+        checked(check)
+
+    def test_what_lies_spoilt_at_the_engine_is_replaced(self):
+        """A load took a chunk that had become corrupted.
+
+        Symptom: an engine answers with mixed weights. Sequence: chunks are
+        staged, one becomes corrupted where it lies, the order comes later.
+        Cause: what was staged earlier was taken to be sound.
+        """
+
+        async def check(world):
+            replica = await world.add_agent(1, loaded=1)
+            await world.ready()
+            replica.staged = {0: b'rotten', 3: b''}
+            world.name_version(2)
+            await world.until(lambda: replica.weights == 2)
+            assert_whole(world, replica, 2)
+
+        checked(check)
+
+
+class TestEntriesAreTold:
+    def test_no_request_meets_an_engine_that_loads(self):
+        async def check(world):
+            replica = await world.add_agent(1, loaded=1)
+            await world.ready()
+            upstreams = world.entries[0].upstreams
+            await world.until(lambda: upstreams.status()[0]['others'] == 0)
+            world.name_version(2)
+            await world.until(lambda: replica.weights == 2)
+            await world.until(lambda: upstreams.status()[0]['weights'] == 2)
+
+        checked(check)
+
+
+class TestTurns:
+    def test_hosts_load_one_after_the_other_within_the_window(self):
+        hosts = [f'10.0.0.{number}' for number in range(10)]
+        delays = sorted(
+            load_delay_s(version='m@2', host=host, hosts=hosts, window_s=8)
+            for host in hosts
+        )
+        assert delays[0] >= 3
+        assert delays[-1] <= 7
+        assert len(set(delays)) == len(hosts)
+
+    def test_each_version_has_another_order(self):
+        hosts = [f'10.0.0.{number}' for number in range(10)]
+        orders = {
+            min(
+                hosts,
+                key=lambda host, version=version: load_delay_s(
+                    version=version, host=host, hosts=hosts, window_s=8
+                ),
+            )
+            for version in ('m@1', 'm@2', 'm@3', 'm@4', 'm@5')
+        }
+        assert len(orders) > 1
+
+    @pytest.mark.parametrize('version', [2, 9])
+    def test_the_window_of_a_version_is_the_fleets(self, version):
+        releases = Releases(8)
+        releases.on_named('m', version, age_s=1, now=10)
+        assert releases.oldest_allowed('m', now=16.9) == 0
+        assert releases.oldest_allowed('m', now=17) == version
+
+
+def test_pieces_of_versions_differ():
+    """Guard the checks above: equal versions would pass them."""
+    from crowrudder_standins.fleet_origin import FleetOrigin
+
+    origin = FleetOrigin({'--model': 'm'})
+    digests = {
+        hashlib.sha256(origin.piece(version, index)).digest()
+        for version in (1, 2)
+        for index in range(origin.count)
+    }
+    assert len(digests) == 2 * origin.count
--- /dev/null
+++ b/tests/fleet/test_entry.py
@@ -0,0 +1,468 @@
+"""Requests through a real entry to replicas that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from crowrudder_standins._faults import Fault
+from crowrudder_standins.fleet_replica import body_of, seal_of, stream_of
+from support.aio import run
+from support.fleet import HOST, KEY, ROUTES, fleet, route
+
+
+def fault(name, count=1, amount=0.0):
+    return Fault(name, count, amount)
+
+
+def all_runs(world, request_id):
+    return [
+        began
+        for replica in world.replicas.values()
+        for began in replica.runs_of(request_id)
+    ]
+
+
+def spoil_all(world, service, name, count=1, amount=0.0):
+    for key, replica in world.replicas.items():
+        if key.startswith(service):
+            replica.faults.switch_on(fault(name, count, amount))
+
+
+def checked(check, **more):
+    """Run a check within a fleet."""
+
+    async def within():
+        async with fleet(**more) as world:
+            await check(world)
+
+    run(within())
+
+
+class TestWholeAnswers:
+    def test_a_plain_answer_is_passed_on_as_it_is(self):
+        async def check(world):
+            answer = await world.ask('/read/x?y=1', request_id='a')
+            (began,) = all_runs(world, 'a')
+            assert answer.status == 200
+            assert answer.body == body_of('a')
+            assert answer.header('x-attempt-id') == 'a'
+            assert began.target == '/read/x?y=1'
+            assert began.customer == 'shop'
+
+        checked(check)
+
+    def test_a_stream_is_passed_on_with_its_seal(self):
+        async def check(world):
+            answer = await world.ask('/draft/x', method='POST', request_id='a')
+            (began,) = all_runs(world, 'a')
+            assert (began.method, began.body) == ('POST', b'body')
+            seals = {seal_of(name, 'a') for name in world.replicas}
+            assert answer.header('x-replica-seal') in seals
+            assert answer.body == stream_of('a')
+
+        checked(check)
+
+    def test_the_key_stays_here_and_the_customer_is_told(self):
+        async def check(world):
+            await world.ask('/read/x', request_id='a', X_Tenant='somebody')
+            (began,) = all_runs(world, 'a')
+            assert began.customer == 'shop'
+
+        checked(check)
+
+
+class TestBrokenStreams:
+    @pytest.mark.parametrize('how', ['cut', 'half_event'])
+    def test_a_second_break_is_seen_as_one(self, how):
+        """A stream that ended early looked complete.
+
+        Symptom: a listing without its end. Sequence: both upstreams that the
+        route allows break off. Cause: the answer was ended in good order.
+        """
+
+        async def check(world):
+            spoil_all(world, 'e', how)
+            answer = await world.ask('/draft/x', method='POST', request_id='a')
+            assert answer.cut
+            assert stream_of('a').startswith(answer.body)
+            assert answer.body.endswith(b'\n\n')
+            runs = all_runs(world, 'a')
+            assert sorted(began.resumed_after for began in runs) == [0, 2]
+
+        checked(check)
+
+    @pytest.mark.parametrize('how', ['cut', 'half_event'])
+    def test_one_break_is_not_seen_by_the_caller(self, how):
+        async def check(world):
+            for number in range(6):
+                spoil_one = world.replicas[f'e{number % 2}']
+                spoil_one.faults.switch_on(fault(how))
+                request_id = f'a{number}'
+                answer = await world.ask(
+                    '/draft/x', method='POST', request_id=request_id
+                )
+                spoil_one.faults.switch_off('')
+                assert answer.body == stream_of(request_id)
+
+        checked(check)
+
+    def test_one_that_may_not_be_resumed_is_cut_and_runs_once(self):
+        async def check(world):
+            spoil_all(world, 'e', 'cut')
+            answer = await world.ask('/once/x', method='POST', request_id='a')
+            assert answer.cut
+            assert len(all_runs(world, 'a')) == 1
+
+        checked(check)
+
+    def test_a_silent_upstream_is_left_for_another(self):
+        async def check(world):
+            world.replicas['e0'].faults.switch_on(fault('hang', None))
+            answers = [
+                await world.ask('/draft/x', method='POST', request_id=f'a{n}')
+                for n in range(3)
+            ]
+            assert [answer.status for answer in answers] == [200] * 3
+
+        checked(check)
+
+
+class TestOnce:
+    @pytest.mark.parametrize('how', ['lost', 'cut', 'unvouched'])
+    def test_runs_once_though_its_answer_is_lost(self, how):
+        """A notice went out twice.
+
+        Symptom: a household gets two calls. Sequence: the upstream runs the
+        request and its answer is lost on the way. Cause: the entry tried it
+        at another upstream.
+        """
+
+        async def check(world):
+            spoil_all(world, 'p', how)
+            answer = await world.ask('/notice/x', method='POST', request_id='a')
+            assert answer.status == 502
+            assert len(all_runs(world, 'a')) == 1
+
+        checked(check)
+
+    def test_a_full_upstream_is_left_for_another(self):
+        async def check(world):
+            world.replicas['p0'].faults.switch_on(fault('full', None))
+            for number in range(4):
+                answer = await world.ask(
+                    '/notice/x', method='POST', request_id=f'a{number}'
+                )
+                assert answer.status == 200
+
+        checked(check)
+
+    def test_refused_everywhere_it_is_told_when_to_come_back(self):
+        async def check(world):
+            spoil_all(world, 'p', 'full', None)
+            answer = await world.ask('/notice/x', method='POST', request_id='a')
+            assert answer.status == 503
+            assert answer.retry_after_s >= 0
+            assert not all_runs(world, 'a')
+
+        checked(check)
+
+    def test_a_servers_own_error_is_passed_on(self):
+        async def check(world):
+            spoil_all(world, 'p', 'fail')
+            answer = await world.ask('/notice/x', method='POST', request_id='a')
+            assert (answer.status, answer.body) == (500, b'failed')
+            assert answer.header('x-replica-seal')
+
+        checked(check)
+
+
+class TestRepeatable:
+    @pytest.mark.parametrize(
+        'how', ['lost', 'cut', 'fail', 'hang', 'unvouched']
+    )
+    def test_is_tried_elsewhere(self, how):
+        async def check(world):
+            world.replicas['p0'].faults.switch_on(fault(how, None))
+            for number in range(4):
+                answer = await world.ask('/read/x', request_id=f'a{number}')
+                assert answer.body == body_of(f'a{number}')
+
+        checked(check)
+
+    def test_no_more_upstreams_see_it_than_its_route_allows(self):
+        async def check(world):
+            spoil_all(world, 'p', 'lost', None)
+            answer = await world.ask('/read/x', request_id='a')
+            assert answer.status == 502
+            assert len(all_runs(world, 'a')) == 2
+
+        checked(check, plain=4)
+
+
+class TestCrossedAnswers:
+    def test_an_answer_to_someone_else_is_read_over(self):
+        async def check(world):
+            spoil_all(world, 'p', 'crossed')
+            answer = await world.ask('/notice/x', method='POST', request_id='a')
+            assert answer.status == 200
+            assert answer.body == body_of('a')
+
+        checked(check)
+
+    def test_a_second_answer_reaches_nobody(self):
+        async def check(world):
+            spoil_all(world, 'p', 'extra', None)
+            for number in range(8):
+                answer = await world.ask(
+                    '/notice/x', method='POST', request_id=f'a{number}'
+                )
+                assert answer.body == body_of(f'a{number}')
+
+        checked(check)
+
+
+class TestTimes:
+    def test_a_silent_once_only_request_ends_at_its_routes_time(self):
+        async def check(world):
+            spoil_all(world, 'p', 'hang', None)
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            answer = await world.ask('/notice/x', method='POST', request_id='a')
+            assert answer.status == 504
+            assert 0.25 <= loop.time() - began_at <= 0.6
+
+        short = [
+            route('notice', '/notice/', 'unsafe', 'plain', timeout_ms=300),
+        ]
+        checked(check, routes=short)
+
+    def test_it_ends_before_its_caller_leaves(self):
+        async def check(world):
+            spoil_all(world, 'p', 'hang', None)
+            answer = await world.ask(
+                '/notice/x',
+                method='POST',
+                request_id='a',
+                X_Deadline_Ms='200',
+            )
+            assert answer.status == 504
+
+        checked(check)
+
+    def test_an_upstream_notices_that_the_caller_left(self):
+        async def check(world):
+            spoil_all(world, 'e', 'slow', None, amount=3.0)
+            asking = asyncio.ensure_future(
+                world.ask('/draft/x', method='POST', request_id='a')
+            )
+            await world.until(lambda: all_runs(world, 'a'))
+            entry = world.entries[0]
+            asking.cancel()
+            await world.until(lambda: not entry.requests.running)
+            assert len(all_runs(world, 'a')) == 1
+
+        checked(check)
+
+
+class TestDenials:
+    def test_an_unknown_route_is_not_found(self):
+        async def check(world):
+            assert (await world.ask('/nowhere/x')).status == 404
+
+        checked(check)
+
+    def test_an_unknown_key_is_refused_and_a_public_route_needs_none(self):
+        async def check(world):
+            answer = await world.ask('/read/x', X_Credential='wrong')
+            assert answer.status == 401
+            answer = await world.ask('/open/x', X_Credential='wrong')
+            assert answer.status == 200
+
+        checked(check)
+
+    def test_old_knowledge_turns_nobody_away_for_good(self):
+        """A new customer got 401 from an entry that was cut off.
+
+        Symptom: a proper request is refused for good. Sequence: an entry
+        loses the platform, a key is added, its holder asks that entry. Cause:
+        it judged by keys that it had known before.
+        """
+
+        async def check(world):
+            entry = world.entries[0]
+            entry.catalog.reading.confirmed_at -= 100
+            world.store.faults.switch_on(fault('busy', None))
+            for path, key in (('/read/x', 'new'), ('/nowhere/x', KEY)):
+                entry.catalog.reading.confirmed_at = -1000
+                answer = await world.ask(path, X_Credential=key)
+                assert answer.status == 503
+                assert answer.retry_after_s > 0
+
+        checked(check)
+
+    def test_a_malformed_deadline_is_a_bad_request(self):
+        async def check(world):
+            answer = await world.ask('/read/x', X_Deadline_Ms='soon')
+            assert answer.status == 400
+
+        checked(check)
+
+
+class TestReusedAddress:
+    def test_another_service_at_the_address_runs_nothing(self):
+        async def check(world):
+            replica = world.replicas['p0']
+            replica.id = 'somebody-else'
+            for number in range(6):
+                await world.ask(
+                    '/notice/x', method='POST', request_id=f'a{number}'
+                )
+            assert not replica.runs
+
+        checked(check)
+
+
+class TestConfigurationChanges:
+    def test_a_route_that_moves_is_in_force_at_once(self):
+        async def check(world):
+            moved = [route('new', '/new/', 'safe', 'plain')]
+            world.publish(version=5, routes=(*ROUTES, *moved))
+            await world.ready()
+            assert (await world.ask('/new/x')).status == 200
+            world.publish(version=9, routes=ROUTES)
+            await world.ready()
+            assert (await world.ask('/new/x')).status == 404
+
+        checked(check)
+
+    def test_a_key_that_is_taken_away_is_refused(self):
+        async def check(world):
+            world.publish(
+                version=5, tenants=[{'name': 'shop', 'api_keys': ['other']}]
+            )
+            await world.ready()
+            assert (await world.ask('/read/x')).status == 401
+
+        checked(check)
+
+    def test_a_record_that_cant_be_read_leaves_the_last_in_force(self):
+        async def check(world):
+            world.store.put('op/config', b'{"version": 7, "routes": 3}')
+            world.store.put('servers/bad', b'not json')
+            await world.ready()
+            assert (await world.ask('/read/x')).status == 200
+
+        checked(check)
+
+    def test_changes_come_though_the_history_was_forgotten(self):
+        async def check(world):
+            world.store.faults.switch_on(fault('busy', None))
+            world.publish(version=5, routes=[])
+            world.store.compact()
+            world.store.faults.switch_off('busy')
+            await world.ready()
+            assert (await world.ask('/read/x')).status == 404
+
+        checked(check)
+
+
+class TestLeavingUpstreams:
+    def test_one_that_leaves_gets_no_request(self):
+        async def check(world):
+            world.list_replica('p0', 'plain', state='draining')
+            await world.ready()
+            for number in range(6):
+                await world.ask('/read/x', request_id=f'a{number}')
+            assert not world.replicas['p0'].runs
+
+        checked(check)
+
+
+class TestVersions:
+    def test_an_engine_without_weights_gets_no_request(self):
+        async def check(world):
+            world.replicas['e0'].weights = 0
+            world.list_replica('e0', 'llm')
+            await world.ready()
+            for number in range(4):
+                answer = await world.ask(
+                    '/draft/x', method='POST', request_id=f'a{number}'
+                )
+                assert answer.status == 200
+            assert not world.replicas['e0'].runs
+
+        checked(check)
+
+    def test_an_old_version_gets_nothing_after_the_window(self):
+        async def check(world):
+            world.replicas['e1'].weights = 2
+            world.list_replica('e1', 'llm')
+            named = {'model': 'm', 'version': 2}
+            world.store.put('op/version/m', json.dumps(named).encode())
+            await world.ready()
+            view = world.entries[0].catalog.view
+            view.releases.window_s = 0
+            for number in range(4):
+                await world.ask(
+                    '/draft/x',
+                    method='POST',
+                    request_id=f'a{number}',
+                    X_Model='m',
+                )
+            assert not world.replicas['e0'].runs
+            assert len(world.replicas['e1'].runs) == 4
+
+        checked(check)
+
+
+class TestLeavingEntry:
+    def test_finishes_what_runs_and_sends_callers_elsewhere(self):
+        async def check(world):
+            first, second = world.entries
+            await world.until(lambda: len(second.peers.entries()) == 2)
+            spoil_all(world, 'e', 'slow', None, amount=0.5)
+            asking = asyncio.ensure_future(
+                world.ask('/draft/x', method='POST', request_id='a')
+            )
+            await world.until(lambda: all_runs(world, 'a'))
+            drain = asyncio.ensure_future(first.drain())
+            answer = await asking
+            assert answer.body == stream_of('a')
+            assert not first.requests.refuses or answer.status == 200
+            await drain
+            assert first.readiness()
+            await world.until(
+                lambda: (
+                    [
+                        word.leaving
+                        for word in second.peers.entries()
+                        if word.ip == world.nodes[0].ip
+                    ]
+                    in ([True], [])
+                ),
+            )
+
+        checked(check, entries=2)
+
+
+class TestPeers:
+    def test_an_entry_that_cant_read_the_platform_learns_from_another(self):
+        async def check(world):
+            first, second = world.entries
+            await world.until(lambda: len(first.peers.entries()) == 2)
+            second.catalog.reading.needs_list = True
+            second.catalog._source._address = '127.0.0.1:9'
+            world.publish(version=5, routes=[])
+            await world.until(lambda: second.catalog.view.config.version == 5)
+
+        checked(check, entries=2)
+
+    def test_host_names_are_those_of_the_configuration(self):
+        async def check(world):
+            answer = await world.ask('/read/x', Host=f'{HOST}:80')
+            assert answer.status == 200
+
+        checked(check)
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,427 @@
+"""The adapter: what the platform's pages say, in the product's values."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from crowrudder_platform import (
+    BootError,
+    PlatformCallers,
+    PlatformEngine,
+    PlatformOrigin,
+    PlatformStore,
+    decode_record,
+    read_node,
+)
+from crowrudder_platform._boot import decode_node
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_daemon.fleet.ports import (
+    BadCallError,
+    BadRecordError,
+    HistoryGoneError,
+    PlatformError,
+    SendTerms,
+)
+from crowrudder_daemon.http import ConnectionPool, WireHead
+from crowrudder_model import CrowrudderError, UpstreamError
+from crowrudder_model.fleet import (
+    FleetConfig,
+    NamedVersion,
+    RouteKind,
+    Upstream,
+    UpstreamState,
+)
+from crowrudder_standins._faults import Fault
+from crowrudder_standins._serving import application
+from crowrudder_standins.fleet_origin import FleetOrigin
+from crowrudder_standins.fleet_replica import FleetReplica
+from crowrudder_standins.fleet_store import PAGE_ITEMS, FleetStore
+from support.aio import run
+from support.fleet import config
+
+BOOT = """
+node_name: "front-1"
+role: "entry"
+machine_class: "front"
+serves: ["front", "control", "directory"]
+ip: "10.1.0.4"
+zone: "hall"
+region: "south"
+zones: {hall: "south", barn: "north"}
+listen:
+  front: "10.1.0.4:8005"
+  ready: "10.1.0.4:8002"
+  directory: "10.1.0.4:8009"
+inner_ports: [7700, 7715]
+seeds: ["10.1.0.4:8000", "10.2.0.7:8000"]
+limits: {memory_mb: 300, link_mbps: 8, novelty: 1}
+bounds: {config_ms: 1500, drain_ms: 2500, grace_s: 9, budget_ratio: 0.3}
+provider: {address: "10.9.1.7:8007", form: "read"}
+unheard_of: {deep: [1, 2]}
+"""
+SERVER = {
+    'service': 'llm',
+    'address': '10.1.0.9:8080',
+    'zone': 'hall',
+    'version': 'v1',
+    'slots': 16,
+    'state': 'ready',
+    'cold_left_ms': 500,
+    'models': [{'name': 'm', 'version': 3, 'adapters': []}],
+    'layers': {'from': 0, 'target': 16, 'version': 3},
+    'seq': 4,
+}
+
+
+def dumped(value):
+    return json.dumps(value).encode()
+
+
+class TestSettings:
+    def test_everything_has_its_place(self):
+        node = decode_node(BOOT.encode())
+        assert (node.host, node.role, node.ip) == (
+            'front-1',
+            'entry',
+            '10.1.0.4',
+        )
+        assert node.seeds == ('10.1.0.4', '10.2.0.7')
+        assert (node.gossip_port, node.rpc_port) == (7700, 7701)
+        assert node.metrics_port == 7715
+        assert node.place.region_of('barn') == 'north'
+        assert node.link_bytes_per_s == 1_000_000
+        assert node.bounds.config_s == 1.5
+        assert node.bounds.leaving_s == 2.5
+        assert node.bounds.retry_share == 0.3
+        assert node.platform == '10.9.1.7:8007'
+
+    def test_without_callers_it_is_an_agent(self):
+        text = BOOT.replace(
+            '["front", "control", "directory"]', '["side"]'
+        ).encode()
+        node = decode_node(text + b'app: "10.1.0.4:1"\nservice: "llm"\n')
+        assert node.role == 'agent'
+        assert (node.upstream, node.service) == ('10.1.0.4:1', 'llm')
+
+    def test_a_missing_file_says_which(self):
+        with pytest.raises(BootError, match=r'no/such.yaml'):
+            read_node('no/such.yaml')
+
+    def test_a_wrong_field_is_named(self):
+        with pytest.raises(BootError, match='memory_mb'):
+            decode_node(BOOT.replace('300', '"much"').encode())
+
+    @given(payload=st.binary(max_size=200))
+    def test_any_bytes_give_settings_or_an_error(self, payload):
+        with pytest.raises(CrowrudderError):
+            decode_node(payload)
+
+
+class TestRecords:
+    def test_configuration(self):
+        found = decode_record('op/config', dumped(config(version=7)))
+        assert isinstance(found, FleetConfig)
+        kinds = [route.kind for route in found.routes]
+        assert kinds[:3] == [
+            RouteKind.IDEMPOTENT,
+            RouteKind.ONCE,
+            RouteKind.STREAM,
+        ]
+        assert found.routes[0].timeout_s == 2
+        assert found.service('llm').engine.step_s == 0.002
+        assert found.customer_of('key-of-the-shop').name == 'shop'
+        assert found.asks_for_keys
+        assert found.limits.idle_timeout_s == 5
+
+    def test_a_route_may_be_split(self):
+        body = config()
+        body['routes'][0].pop('service')
+        body['routes'][0]['split'] = [
+            {'service': 'a', 'weight': 90},
+            {'service': 'b', 'weight': 10},
+        ]
+        targets = decode_record('op/config', dumped(body)).routes[0].targets
+        assert [(each.service, each.weight) for each in targets] == [
+            ('a', 90),
+            ('b', 10),
+        ]
+
+    def test_a_kind_that_isnt_known_is_never_repeated(self):
+        body = config()
+        body['routes'][0]['kind'] = 'novel'
+        found = decode_record('op/config', dumped(body))
+        assert not found.routes[0].repeatable
+
+    def test_upstream(self):
+        found = decode_record('servers/i-1', dumped(SERVER))
+        assert isinstance(found, Upstream)
+        assert (found.id, found.model, found.weights) == ('i-1', 'm', 3)
+        assert found.warm_up_s == 0.5
+        assert found.host_ip == '10.1.0.9'
+
+    def test_an_upstream_that_leaves(self):
+        found = decode_record(
+            'servers/i-1', dumped({**SERVER, 'state': 'draining'})
+        )
+        assert found.state is UpstreamState.LEAVING
+
+    @pytest.mark.parametrize(
+        'layers',
+        [None, {'from': 0, 'target': 0, 'version': 0}],
+    )
+    def test_named_without_layers_it_holds_nothing(self, layers):
+        models = [] if layers is None else SERVER['models']
+        entry = {**SERVER, 'layers': layers, 'models': models}
+        assert decode_record('servers/i-1', dumped(entry)).weights == 0
+
+    def test_named_version(self):
+        found = decode_record(
+            'op/version/m', dumped({'model': 'm', 'version': 2})
+        )
+        assert found == NamedVersion(model='m', version=2)
+
+    def test_other_keys_mean_nothing(self):
+        assert decode_record('elsewhere', b'x') is None
+
+    @given(
+        key=st.sampled_from(['op/config', 'op/version/m', 'servers/i']),
+        payload=st.one_of(
+            st.binary(max_size=80),
+            st.recursive(
+                st.none() | st.integers() | st.text(max_size=5),
+                lambda inner: st.dictionaries(
+                    st.sampled_from(
+                        ['version', 'routes', 'service', 'address', 'model']
+                    ),
+                    inner,
+                    max_size=4,
+                ),
+                max_leaves=6,
+            ).map(dumped),
+        ),
+    )
+    def test_any_value_gives_a_record_or_an_error(self, key, payload):
+        try:
+            found = decode_record(key, payload)
+        except BadRecordError as exc:
+            assert exc.step == 'decode'
+            assert exc.peer == key
+        else:
+            assert isinstance(found, FleetConfig | Upstream | NamedVersion)
+
+
+HEADERS = {
+    'Host': 'Shop.example:80',
+    'X-Attempt-Id': '9c41',
+    'X-Model': 'm',
+    'X-Token-Count': '1460,80',
+    'X-Prompt-Prefix': '5c:800',
+    'X-Deadline-Ms': '6060',
+    'X-Credential': 'secret',
+    'X-Tenant': 'forged',
+    'X-Expect-Replica': 'forged',
+    'Path': '1.1.1.1:1=0-16',
+    'Connection': 'keep-alive, X-Private',
+    'X-Private': 'one hop',
+    'X-Other': 'kept',
+    'Transfer-Encoding': 'chunked',
+}
+
+
+def call_of(**changes):
+    headers = {**HEADERS, **changes}
+    return PlatformCallers().read_call(
+        'POST', '/a/b?c=1', headers, tuple(headers.items())
+    )
+
+
+class TestCallers:
+    def test_what_the_entry_decides_by(self):
+        call = call_of()
+        assert call.request_id == '9c41'
+        assert call.host == 'Shop.example'
+        assert call.path == '/a/b'
+        assert (call.prompt_tokens, call.answer_tokens) == (1460, 80)
+        assert call.wait_s == 6.06
+
+    def test_what_the_replica_gets(self):
+        terms = SendTerms(
+            upstream_id='i-1',
+            left_s=1.5,
+            customer='shop',
+            weights=2,
+            urgency=1,
+            resume_after='12',
+        )
+        sent = PlatformCallers().request_for(call_of(), b'body', terms)
+        headers = dict(sent.headers)
+        assert headers['X-Deadline-Ms'] == '1500'
+        assert headers['X-Tenant'] == 'shop'
+        assert headers['X-Expect-Replica'] == 'i-1'
+        assert headers['X-Expect-Version'] == '2'
+        assert headers['X-Request-Urgency'] == '1'
+        assert headers['Last-Event-Id'] == '12'
+        assert headers['X-Other'] == 'kept'
+        assert headers['X-Prompt-Prefix'] == '5c:800'
+        names = [name for name, _ in sent.headers]
+        assert len(names) == len(set(names))
+        gone = {'X-Credential', 'Path', 'Connection', 'X-Private'}
+        assert not gone & set(names)
+        assert 'Transfer-Encoding' not in names
+
+    @pytest.mark.parametrize('text', ['', 'soon', '-5', '1e3', '9' * 20, '٣'])
+    def test_a_deadline_that_is_no_number_is_refused(self, text):
+        with pytest.raises(BadCallError):
+            call_of(**{'X-Deadline-Ms': text})
+
+    @given(text=st.text(max_size=20))
+    def test_any_token_counts_are_taken(self, text):
+        call = call_of(**{'X-Token-Count': text})
+        assert call.prompt_tokens >= 0
+
+    def test_marks_of_an_answer(self):
+        head = WireHead(
+            status=503,
+            headers=(
+                ('x-not-executed', '1'),
+                ('x-attempt-id', '9c41'),
+                ('retry-after', '0.5'),
+            ),
+        )
+        mark = PlatformCallers().mark_of(head)
+        assert mark.not_run
+        assert not mark.is_vouched
+        assert (mark.request_id, mark.retry_after_s) == ('9c41', 0.5)
+
+    def test_another_replica_didnt_run_it(self):
+        mark = PlatformCallers().mark_of(WireHead(status=421, headers=()))
+        assert mark.not_run
+
+    def test_headers_of_one_connection_arent_passed_back(self):
+        head = WireHead(
+            status=200,
+            headers=(
+                ('content-length', '5'),
+                ('keep-alive', 'timeout=5'),
+                ('connection', 'close'),
+                ('x-replica-seal', 's'),
+            ),
+        )
+        assert PlatformCallers().passed_back(head) == [('x-replica-seal', 's')]
+
+
+async def served(standin, check):
+    """Run a check with a stand-in's address."""
+    server = application(standin).listen(0, '127.0.0.1')
+    port = next(iter(server._sockets.values())).getsockname()[1]
+    pool = ConnectionPool()
+    try:
+        await check(f'127.0.0.1:{port}', pool)
+    finally:
+        pool.close()
+        server.stop()
+
+
+class TestStore:
+    def test_lists_every_page(self):
+        async def check(address, pool):
+            listing = await PlatformStore(address, pool).list_all()
+            assert len(listing.items) == 2 * PAGE_ITEMS + 3
+            assert listing.through == store.revision
+            assert listing.items[0].payload == b'\x00\xff'
+
+        store = FleetStore()
+        for number in range(2 * PAGE_ITEMS + 3):
+            store.put(f'servers/{number:04}', b'\x00\xff')
+        run(served(store, check))
+
+    def test_watches_changes_and_removals(self):
+        async def check(address, pool):
+            source = PlatformStore(address, pool)
+            begin = store.revision
+            store.put('a', b'1')
+            store.remove('a')
+            listing = await source.watch(begin, wait_s=1)
+            assert [item.payload for item in listing.items] == [b'1', None]
+            assert [item.revision for item in listing.items] == [2, 3]
+            nothing = await source.watch(listing.through, wait_s=0.01)
+            assert not nothing.items
+
+        store = FleetStore()
+        run(served(store, check))
+
+    def test_forgotten_history_is_told_apart(self):
+        async def check(address, pool):
+            store.put('a', b'1')
+            store.compact()
+            with pytest.raises(HistoryGoneError):
+                await PlatformStore(address, pool).watch(1, wait_s=0.01)
+
+        store = FleetStore()
+        run(served(store, check))
+
+    @pytest.mark.parametrize('name', ['down', 'busy', 'garbage'])
+    def test_every_other_trouble_is_one_error(self, name):
+        async def check(address, pool):
+            store.faults.switch_on(Fault(name))
+            with pytest.raises(PlatformError) as caught:
+                await PlatformStore(address, pool).watch(1, wait_s=0.01)
+            assert caught.value.peer == address
+            assert caught.value.step
+
+        store = FleetStore()
+        run(served(store, check))
+
+
+class TestEngine:
+    def options(self):
+        return {'--id': 'i', '--model': 'm', '--loaded': '1'}
+
+    def test_reads_stages_and_orders(self):
+        async def check(address, pool):
+            engine = PlatformEngine(address, pool)
+            assert (await engine.read()).weights == 1
+            await engine.put_chunk('m', 3, b'piece')
+            assert await engine.get_chunk('m', 3) == b'piece'
+            assert await engine.get_chunk('m', 4) is None
+            assert await engine.load('m', 2)
+            assert (await engine.read()).is_busy
+            assert not await engine.load('m', 2)
+
+        run(served(FleetReplica(self.options()), check))
+
+    def test_an_engine_that_is_gone_is_an_error_with_its_address(self):
+        async def check():
+            engine = PlatformEngine('127.0.0.1:9', ConnectionPool())
+            with pytest.raises(UpstreamError, match=r'127.0.0.1:9'):
+                await engine.read()
+
+        run(check())
+
+
+class TestOrigin:
+    def test_digests_and_pieces(self):
+        async def check(address, pool):
+            source = PlatformOrigin(pool)
+            newest = await source.digests(address, 'm')
+            first = await source.digests_of(address, 'm', 1)
+            assert (newest.version, first.version) == (2, 1)
+            assert len(first.digests) == 8
+            piece = await source.chunk(address, 'm', 1, 5)
+            assert piece == origin.piece(1, 5)
+
+        origin = FleetOrigin({'--model': 'm'})
+        origin.newest = 2
+        run(served(origin, check))
+
+    def test_a_version_that_is_too_old_is_an_error(self):
+        async def check(address, pool):
+            with pytest.raises(UpstreamError, match='410'):
+                await PlatformOrigin(pool).chunk(address, 'm', 1, 0)
+
+        origin = FleetOrigin({'--model': 'm'})
+        origin.newest = 3
+        run(served(origin, check))
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,351 @@
+"""A fleet in one loop: stand-ins of store and replicas, real entries."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+from copy import deepcopy
+from typing import Any
+
+from attrs import define, field
+from crowrudder_platform import (
+    PlatformCallers,
+    PlatformEngine,
+    PlatformOrigin,
+    PlatformStore,
+)
+
+from crowrudder_daemon.fleet import Tuning, settings_of
+from crowrudder_daemon.fleet_agent import build_fleet_agent
+from crowrudder_daemon.fleet_entry import build_fleet_entry
+from crowrudder_daemon.http import (
+    BrokenAnswerError,
+    ConnectionPool,
+    WireHead,
+    WireRequest,
+)
+from crowrudder_daemon.process import Runtime
+from crowrudder_model.fleet import Bounds, Node, NodePlace
+from crowrudder_standins._serving import application
+from crowrudder_standins.fleet_origin import FleetOrigin
+from crowrudder_standins.fleet_replica import FleetReplica
+from crowrudder_standins.fleet_store import FleetStore
+from support.ports import free_port
+
+HOST = 'shop.example'
+KEY = 'key-of-the-shop'
+ENGINE = {
+    'slots': 8,
+    'step_ms': 2,
+    'read_per_s': 100_000,
+    'stride': 1,
+    'usual': {'prompt': 100, 'answer': 6},
+    'models': [{'name': 'm', 'warm_s': 0.05}],
+    'layers': 16,
+    'chunks': 8,
+    'chunk_bytes': 4096,
+}
+
+
+def route(name, prefix, kind, service, **more):
+    """Give a route as it is published."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'service': service,
+        'timeout_ms': 2000,
+        'goal_ms': 900,
+        'priority': 1,
+        'attempts': 2,
+        'public': False,
+        **more,
+    }
+
+
+ROUTES = (
+    route('read', '/read/', 'safe', 'plain'),
+    route('notice', '/notice/', 'unsafe', 'plain'),
+    route(
+        'draft', '/draft/', 'streaming', 'llm', resumable=True, gap_goal_ms=400
+    ),
+    route('once', '/once/', 'streaming', 'llm'),
+    route('open', '/open/', 'safe', 'plain', public=True),
+)
+
+
+def config(version=1, routes=ROUTES, tenants=None, **more):
+    """Give a configuration as it is published."""
+    return {
+        'version': version,
+        'routes': deepcopy(list(routes)),
+        'services': [
+            {'name': 'plain', 'health_path': '/health', 'max_conns': 50},
+            {'name': 'llm', 'max_conns': 50, 'engine': ENGINE},
+            {'name': 'src', 'origin': more.pop('origin', ''), 'zone': 'z'},
+        ],
+        'limits': {
+            'header_bytes': 16384,
+            'max_body_bytes': 65536,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 5000,
+        },
+        'tenants': tenants or [{'name': 'shop', 'api_keys': [KEY]}],
+        **more,
+    }
+
+
+def runtime_of(node):
+    """Give the surroundings of a process in a test."""
+    log = logging.getLogger('crowrudder.test')
+    return Runtime(cfg=settings_of(node, Tuning()), log=log)
+
+
+@define
+class Answer:
+    """What a caller got; ``cut`` when the answer wasn't whole."""
+
+    head: WireHead | None
+    body: bytes
+    cut: bool = False
+
+    @property
+    def status(self):
+        return self.head.status
+
+    def header(self, name):
+        return self.head.header(name)
+
+    @property
+    def retry_after_s(self):
+        return float(self.header('retry-after'))
+
+
+@define(eq=False)
+class FleetWorld:
+    """The store, its replicas, and entries that callers can reach."""
+
+    store: FleetStore = field(factory=FleetStore)
+    replicas: dict[str, FleetReplica] = field(factory=dict)
+    addresses: dict[str, str] = field(factory=dict)
+    origin: FleetOrigin = field(factory=lambda: FleetOrigin({'--model': 'm'}))
+    entries: list[Any] = field(factory=list)
+    agents: list[Any] = field(factory=list)
+    nodes: list[Node] = field(factory=list)
+    store_address: str = ''
+    origin_address: str = ''
+    _servers: list[Any] = field(factory=list)
+    _asked: int = 0
+
+    def serve(self, standin, ip='127.0.0.1'):
+        """Run a stand-in on a free port."""
+        port = free_port(ip)
+        server = application(standin).listen(port, ip)
+        self._servers.append(server)
+        return f'{ip}:{port}'
+
+    def publish(self, **more):
+        more.setdefault('origin', self.origin_address)
+        self.store.put('op/config', json.dumps(config(**more)).encode())
+
+    def add_replica(
+        self,
+        name,
+        service,
+        *,
+        model='',
+        loaded=0,
+        slots=8,
+        ip='127.0.0.1',
+    ):
+        """Start a replica and list it."""
+        replica = FleetReplica(
+            {
+                '--id': name,
+                '--slots': slots,
+                '--model': model,
+                '--loaded': loaded,
+            },
+        )
+        self.replicas[name] = replica
+        self.addresses[name] = self.serve(replica, ip)
+        self.list_replica(name, service)
+        return replica
+
+    def list_replica(self, name, service, state='ready'):
+        replica = self.replicas[name]
+        layers = {'from': 0, 'target': 16, 'version': replica.weights}
+        models = [{'name': replica.model, 'version': replica.weights}]
+        entry = {
+            'service': service,
+            'address': self.addresses[name],
+            'zone': 'z',
+            'slots': replica.slots,
+            'state': state,
+            'models': models if replica.model else [],
+            'layers': layers if replica.weights else None,
+        }
+        self.store.put(f'servers/{name}', json.dumps(entry).encode())
+
+    async def add_entry(self, number=1, **bounds):
+        """Start an entry on a loopback address of its own."""
+        ip = f'127.0.0.{10 + number}'
+        node = Node(
+            host=f'entry-{number}',
+            role='entry',
+            ip=ip,
+            place=NodePlace(
+                failure_domain='z', region='r', regions=(('z', 'r'),)
+            ),
+            callers=f'{ip}:{free_port()}',
+            ready=f'{ip}:{free_port()}',
+            directory=f'{ip}:{free_port()}',
+            peer_ports=(GOSSIP_PORT, GOSSIP_PORT + 9),
+            seeds=('127.0.0.11',),
+            platform=self.store_address,
+            memory_bytes=10**8,
+            bounds=Bounds(**bounds),
+        )
+        entry = build_fleet_entry(
+            runtime_of(node),
+            node,
+            Tuning(),
+            PlatformStore(self.store_address, ConnectionPool()),
+            PlatformCallers(),
+        )
+        await entry.start()
+        self.entries.append(entry)
+        self.nodes.append(node)
+        return entry
+
+    async def add_agent(self, number, *, loaded=0, staged=True, zone='z'):
+        """Start an engine on a loopback address, and the agent beside it."""
+        ip = f'127.0.0.{100 + number}'
+        name = f'a{number}'
+        replica = self.add_replica(name, 'llm', model='m', loaded=loaded, ip=ip)
+        if loaded and staged:
+            pieces = range(self.origin.count)
+            replica.staged = {
+                index: self.origin.piece(loaded, index) for index in pieces
+            }
+        node = Node(
+            host=name,
+            role='agent',
+            ip=ip,
+            place=NodePlace(
+                failure_domain=zone, region='r', regions=(('z', 'r'),)
+            ),
+            peer_ports=(GOSSIP_PORT, GOSSIP_PORT + 9),
+            seeds=('127.0.0.11',),
+            platform=self.store_address,
+            upstream=self.addresses[name],
+            service='llm',
+            link_bytes_per_s=2e6,
+            memory_bytes=10**8,
+            bounds=Bounds(version_s=2),
+        )
+        agent = build_fleet_agent(
+            runtime_of(node),
+            node,
+            Tuning(),
+            source=PlatformStore(self.store_address, ConnectionPool()),
+            engine=PlatformEngine(node.upstream, ConnectionPool()),
+            origin=PlatformOrigin(ConnectionPool()),
+        )
+        await agent.start()
+        self.agents.append(agent)
+        return replica
+
+    def name_version(self, version):
+        """Publish a new version of the weights."""
+        self.origin.newest = version
+        named = {'model': 'm', 'version': version}
+        self.store.put('op/version/m', json.dumps(named).encode())
+
+    async def until(self, condition):
+        """Wait for something that has to come."""
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+    async def ready(self):
+        """Wait until every entry knows what is published."""
+        await self.until(
+            lambda: all(
+                entry.catalog.catalog.revision >= self.store.revision
+                for entry in self.entries
+            ),
+        )
+
+    async def ask(self, path, *, entry=0, method='GET', **headers):
+        """Send one request as a caller does."""
+        self._asked += 1
+        request_id = headers.pop('request_id', f'request-{self._asked}')
+        fields = {
+            'Host': HOST,
+            'X-Attempt-Id': request_id,
+            'X-Credential': KEY,
+            'X-Deadline-Ms': '3000',
+        }
+        fields.update(
+            {name.replace('_', '-'): text for name, text in headers.items()}
+        )
+        conn = await ConnectionPool().take(
+            self.nodes[entry].callers, timeout_s=2
+        )
+        conn.send(
+            WireRequest(
+                method=method,
+                target=path,
+                headers=tuple(fields.items()),
+                body=b'body' if method == 'POST' else b'',
+            ),
+        )
+        parts: list[bytes] = []
+        head = None
+        try:
+            head = await conn.head()
+            while (part := await conn.part()) is not None:
+                parts.append(part)
+        except BrokenAnswerError:
+            return Answer(head, b''.join(parts), cut=True)
+        finally:
+            conn.close()
+        return Answer(head, b''.join(parts))
+
+    async def close(self):
+        for agent in self.agents:
+            await agent.stop()
+            await agent._runtime.cancel_jobs()
+        for entry in self.entries:
+            await entry.stop()
+            await entry._runtime.cancel_jobs()
+            entry._http.stop()
+            entry._port.close()
+        for server in self._servers:
+            server.stop()
+
+
+GOSSIP_PORT = 17_700
+
+
+@contextlib.asynccontextmanager
+async def fleet(*, entries=1, plain=2, engines=2, **published):
+    """Run a fleet for the time of a test."""
+    world = FleetWorld()
+    world.store_address = world.serve(world.store)
+    world.origin_address = world.serve(world.origin)
+    world.publish(**published)
+    for number in range(plain):
+        world.add_replica(f'p{number}', 'plain')
+    for number in range(engines):
+        world.add_replica(f'e{number}', 'llm', model='m', loaded=1)
+    try:
+        for number in range(1, entries + 1):
+            await world.add_entry(number)
+        await world.ready()
+        yield world
+    finally:
+        await world.close()
