--- a/packages/core/src/crowrudder_core/forecast/_outlook.py
+++ b/packages/core/src/crowrudder_core/forecast/_outlook.py
@@ -59,6 +59,7 @@
     failure_share: float = 0
     slowness: float = 1
     run_s: float = PLAIN_RUN_S
+    other_entries: int = 0
     _load_at: float = -1.0e9
     _own_then: int = 0
     _own_unread_then: int = 0
@@ -146,10 +147,15 @@
         return len(self._works)
 
     def others(self, now: float) -> int:
-        """Estimate the requests of other entries that are there."""
+        """Estimate the requests of other entries that are there.
+
+        Without a word, the others are taken to send as much as this one. An
+        upstream whose agent is frozen would else look the emptiest of all, and
+        every entry would send everything there.
+        """
         load = self.fresh_load(now)
         if load is None:
-            return 0
+            return self.own * self.other_entries
         return max(load.running + load.queued - self._own_then, 0)
 
     def total(self, now: float) -> int:
@@ -192,7 +198,7 @@
         )
         load = self.fresh_load(now)
         if load is None:
-            return own
+            return own * (1 + self.other_entries)
         others = max(load.queued - self._own_unread_then, 0)
         return own + others * model.read_s(model.figures.usual_prompt)
 
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -232,6 +232,11 @@
         peer = self.peers.get(host)
         return peer is not None and bool(peer.passes >> index & 1)
 
+    def passes_all(self, host: str, count: int) -> bool:
+        """Whether a host leaves all chunks of the origin to the next ones."""
+        peer = self.peers.get(host)
+        return peer is not None and peer.passes.bit_count() >= count
+
     def sources(self, now: float) -> list[Source]:
         """List those that hold anything, as the planner wants them."""
         near = frozenset(self.neighbours())
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -325,11 +325,14 @@
     def _is_out(self, host: str, index: int) -> bool:
         """Whether to step in for a host.
 
-        That it passes says nothing while the origin fails here as well: when
-        it came back, two would read each chunk.
+        That it passes a chunk says nothing while the origin fails here as
+        well: when it came back, two would read each chunk. One that passes
+        all has spent its share, and reads nothing whatever the origin does.
         """
-        passed = self.peers.passed(host, index) and not self.origin.is_failing
-        return passed or self.peers.is_out(host)
+        if self.peers.is_out(host) or self.peers.passes_all(host, self.count):
+            return True
+        passed = self.peers.passed(host, index)
+        return passed and not self.origin.is_failing
 
     def _origin_room(self, now: float) -> int:
         if not self.origin.may_ask(now):
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -136,7 +136,7 @@
         try:
             return goal, await self._library.manifest(goal)
         except UpstreamError:
-            older = self._before(goal)
+            older = await self._before(goal)
             if older is None:
                 raise
             return older
@@ -166,7 +166,7 @@
         newest.look()
         older = next((each for each in jobs if each is not newest), None)
         if older is None and newest.is_starved:
-            older = self._older(newest)
+            older = await self._older(newest)
             if older is not None:
                 jobs[older] = self._begin(older)
         if older is not None and older.transfer.complete:
@@ -180,9 +180,9 @@
         )
         return asyncio.ensure_future(collector.run())
 
-    def _older(self, newest: _Collecting) -> _Collecting | None:
+    async def _older(self, newest: _Collecting) -> _Collecting | None:
         """Give the version before, where it is known and still of use."""
-        found = self._before(newest.goal)
+        found = await self._before(newest.goal)
         if found is None:
             return None
         goal, named = found
@@ -193,20 +193,23 @@
         )
         return _Collecting(goal, named, transfer)
 
-    def _before(self, goal: Goal) -> tuple[Goal, Named] | None:
+    async def _before(self, goal: Goal) -> tuple[Goal, Named] | None:
         release = self._view.releases.before(goal.model, goal.version)
         use_s = goal.published_at + self._node.bounds.version_s - clock_s()
         if release is None or use_s < LEAST_USE_S:
             return None
-        named = self._library.known(goal.model, release.version)
-        if named is None or self._loaded >= release.version:
+        if self._loaded >= release.version:
             return None
         older = evolve(
             goal,
             version=release.version,
             published_at=release.published_at,
         )
-        return older, named
+        try:
+            return older, await self._library.manifest(older)
+        except UpstreamError as exc:
+            self._on_hindrance(exc)
+            return None
 
     async def _load(
         self,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -53,10 +53,14 @@
 """An attempt may take so many times its forecast before another is tried."""
 
 NEVER_S = 3600.0
-LATE_GOALS = 1.3
+LATE_GOALS = 1.0
 """A request is refused at once where its first event is forecast after so
 many times its goal: it would take the place of one that can be in time."""
 
+SPARE_GOALS = 0.5
+"""The same for a request that comes back after its goal has passed: it is
+served where the upstreams have room to spare."""
+
 LEAST_RETRY_S = 0.1
 MOST_RETRY_S = 2.0
 
@@ -167,7 +171,8 @@
             return None
         goal_s = self.admitted.route.goal_s
         passed_s = clock_s() - self.arrived_at
-        if passed_s + choice.first_s <= LATE_GOALS * goal_s:
+        goals = SPARE_GOALS if self._comes_back else LATE_GOALS
+        if passed_s + choice.first_s <= goals * goal_s:
             return None
         wait_s = choice.first_s - goal_s / 2
         return self.dispatch.refuse(
@@ -175,6 +180,16 @@
             min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S),
         )
 
+    @property
+    def _comes_back(self) -> bool:
+        """Whether the caller has waited for longer than the goal already.
+
+        Callers begin with at least the route's time; less is left to those
+        who were refused before.
+        """
+        wait_s, route = self.call.wait_s, self.admitted.route
+        return wait_s is not None and wait_s < route.timeout_s - route.goal_s
+
     def _nobody(self) -> Next:
         return self.dispatch.refuse(
             f'no upstream of {self.admitted.service} can serve this now',
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -125,6 +125,7 @@
 
     def _candidates(self, wanted: Wanted, now: float) -> list[Candidate]:
         place = self._node.place
+        others = len(self._peers.entries()) - 1
         oldest = self._view.releases.oldest_allowed(wanted.model, now=now)
         found = []
         for upstream in self._view.upstreams(wanted.service, now=now):
@@ -135,6 +136,7 @@
                 outlook, oldest, now
             ):
                 continue
+            outlook.other_entries = others
             domain = upstream.failure_domain
             found.append(
                 Candidate(
--- a/tests/forecast/test_forecast.py
+++ b/tests/forecast/test_forecast.py
@@ -68,6 +68,23 @@
         assert one.total(0.5) == 4
         assert one.total(5) == 0
 
+    def test_without_a_word_the_others_send_as_much(self):
+        """A host whose agent stood still drew all requests.
+
+        Symptom: first events take three times their forecast at one host.
+        Sequence: its agent is frozen, its last word grows too old, each entry
+        takes it for empty but for its own few requests. Cause: no word on
+        others was read as no others.
+        """
+        silent, busy = outlook('a'), outlook('b', running=3)
+        silent.other_entries = 5
+        silent.on_sent(1, Work(1000, 4.9))
+        assert silent.total(5) == 6
+        busy.on_load(
+            EngineLoad(address='b:1', reachable=True, running=3), now=5
+        )
+        assert best(silent, busy, now=5).outlook is busy
+
     def test_late_first_events_raise_the_forecast(self):
         one = outlook(running=0)
         usual_s = one.first_s(100, 0)
--- a/tests/weights/test_failures.py
+++ b/tests/weights/test_failures.py
@@ -137,6 +137,25 @@
         assert not subject.waiting()
         assert subject.origin_copies <= 1.5
 
+    def test_a_spent_share_is_seen_also_by_one_that_failed(self):
+        """Every host lacked one chunk until the window ended.
+
+        Symptom: a version is whole nowhere for half a minute. Sequence: the
+        first in a chunk's order has spent its share and passes; the second
+        failed at the origin once. Cause: the second took the passing for the
+        origin's failure, left the chunk to the first, and as it read nothing
+        more from the origin, never learned that this one answers.
+        """
+        subject = Fleet(Scene(hosts=4, chunks=8))
+        some = subject.hosts['h0'].transfer.origin
+        first, second = (
+            subject.hosts[name].transfer.origin for name in some._orders[0][:2]
+        )
+        first.spent = first.share
+        second.on_failed(0, was_sent=False, now=0)
+        subject.run(until_us=5 * subject.scene.bound_us)
+        assert not subject.waiting()
+
     def test_origin_comes_back(self):
         """The store and the origin refuse connections for 20 s.
 
