--- a/packages/daemon/src/crowrudder_daemon/fleet/_settings.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_settings.py
@@ -16,7 +16,7 @@
     from crowrudder_daemon.fleet._tuning import Tuning
     from crowrudder_model.fleet import Node
 
-EXIT_MARGIN_S = 0.6
+EXIT_MARGIN_S = 1.0
 """Left between the end of a drain and the kill, for closing sockets."""
 
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -57,7 +57,7 @@
 """A request is refused at once where its first event is forecast after so
 many times its goal: it would take the place of one that can be in time."""
 
-SPARE_GOALS = 0.5
+SPARE_GOALS = 0.8
 """The same for a request that comes back after its goal has passed: it is
 served where the upstreams have room to spare."""
 
