Fleet: silence ends an attempt only where a retry is left; one frame for both roles

The budget is asked first; the test fails on the code before. The log tells the attempt that a request's end cut off.

--- a/packages/core/src/crowrudder_core/limits/_shared_budget.py
+++ b/packages/core/src/crowrudder_core/limits/_shared_budget.py
@@ -60,13 +60,17 @@
 
         ``part`` is this entry's part of what all entries may do, 0 to 1.
         """
-        window = self._window(service, now)
-        allowed = self.share * len(window.firsts) + self.extra * part
-        if len(window.repeats) + 1 > SAFETY * allowed:
+        if not self.has(service, part=part, now=now):
             return False
-        window.repeats.append(now)
+        self._window(service, now).repeats.append(now)
         return True
 
+    def has(self, service: str, *, part: float, now: float) -> bool:
+        """Whether one further arrival could be spent."""
+        window = self._window(service, now)
+        allowed = self.share * len(window.firsts) + self.extra * part
+        return len(window.repeats) + 1 <= SAFETY * allowed
+
     def _window(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
         window.forget(now - self.window_s)
--- a/packages/core/src/crowrudder_core/transfer/__init__.py
+++ b/packages/core/src/crowrudder_core/transfer/__init__.py
@@ -1,5 +1,6 @@
 """Transfer of weights: which chunk is read from whom, and what is whole."""
 
+from crowrudder_core.transfer._begin import transfer_of
 from crowrudder_core.transfer._bits import full, indices, pack, unpack
 from crowrudder_core.transfer._link_share import LinkShare
 from crowrudder_core.transfer._manifest import (
@@ -26,7 +27,7 @@
 from crowrudder_core.transfer._progress import Progress
 from crowrudder_core.transfer._rolling import may_change, predecessors
 from crowrudder_core.transfer._store import ChunkStore, NoRoomError
-from crowrudder_core.transfer._transfer import Transfer, transfer_of
+from crowrudder_core.transfer._transfer import Transfer
 
 __all__ = (
     'ChunkOrder',
--- a/packages/core/src/crowrudder_core/transfer/_manifest.py
+++ b/packages/core/src/crowrudder_core/transfer/_manifest.py
@@ -11,7 +11,7 @@
 from crowrudder_model import CrowrudderError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 
 class ManifestError(CrowrudderError):
@@ -40,6 +40,19 @@
         """Give the bytes of some chunks."""
         return sum(self.chunk_size(index) for index in chunks)
 
+    def is_verified(self, chunk: Callable[[int], bytes | None]) -> bool:
+        """Hash all chunks; ``chunk`` gives one by its index.
+
+        It takes seconds for a large version.
+        """
+        whole = hashlib.sha256()
+        for index, digest in enumerate(self.chunks):
+            payload = chunk(index) or b''
+            whole.update(payload)
+            if hashlib.sha256(payload).hexdigest() != digest:
+                return False
+        return self.digest in {'', whole.hexdigest()}
+
     def sizes(self) -> dict[str, int]:
         """Give the bytes of each distinct chunk by its digest."""
         return {
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import Counter
 from functools import reduce
 from operator import or_
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from crowrudder_core.transfer._bits import full, indices
 from crowrudder_core.transfer._origin import OriginDuty
-from crowrudder_core.transfer._pace import pace_for
 from crowrudder_core.transfer._peers import PeerBook, Place, Stock
 from crowrudder_core.transfer._planner import (
     FromOrigin,
@@ -288,7 +286,7 @@
             version was dropped.
         """
         if not self._verified:
-            self._verified = _is_verified(self)
+            self._verified = self.manifest.is_verified(self.chunk)
         if not (self._verified and self.complete and self.is_sound):
             raise InvariantError(
                 f'{self.manifest.version} is not whole; it is not loaded',
@@ -381,61 +379,9 @@
             self.origin.on_held(index)
 
 
-def transfer_of(
-    manifest: Manifest,
-    *,
-    host: str,
-    place: Place,
-    store: ChunkStore,
-    link_bytes_per_s: float,
-    random: Random,
-    copies: int = 1,
-    manifest_digest: str = '',
-    changes: Mapping[str, Any] | None = None,
-) -> Transfer:
-    """Begin a transfer with the times that follow from sizes and link.
-
-    ``changes`` are those of the pace that a deployment wants otherwise.
-    """
-    pace = evolve(
-        pace_for(
-            size=manifest.size,
-            chunk_bytes=manifest.chunk_bytes,
-            link_bytes_per_s=link_bytes_per_s,
-        ),
-        **(changes or {}),
-    )
-    return Transfer(
-        manifest=manifest,
-        host=host,
-        place=place,
-        store=store,
-        pace=pace,
-        random=random,
-        copies=copies,
-        manifest_digest=manifest_digest,
-    )
-
-
 def _source_of(read: Read) -> str:
     match read:
         case FromPeer(host=host):
             return host
         case FromOrigin():
             return 'the origin'
-
-
-def _is_verified(transfer: Transfer) -> bool:
-    """Hash all chunks; they never change, so that once is enough.
-
-    It takes seconds for a large version, and the last look is while the
-    replica is out of service.
-    """
-    manifest = transfer.manifest
-    whole = hashlib.sha256()
-    for index, digest in enumerate(manifest.chunks):
-        chunk = transfer.chunk(index) or b''
-        whole.update(chunk)
-        if hashlib.sha256(chunk).hexdigest() != digest:
-            return False
-    return manifest.digest in {'', whole.hexdigest()}
--- a/packages/daemon/src/crowrudder_daemon/fleet/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/__init__.py
@@ -7,11 +7,13 @@
 
 from crowrudder_daemon.fleet._catalog_task import CatalogTask
 from crowrudder_daemon.fleet._peers_task import PeerListener, PeersTask
+from crowrudder_daemon.fleet._role import FleetRole
 from crowrudder_daemon.fleet._settings import settings_of
 from crowrudder_daemon.fleet._tuning import Tuning
 
 __all__ = (
     'CatalogTask',
+    'FleetRole',
     'PeerListener',
     'PeersTask',
     'Tuning',
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING, Any
 
-from crowrudder_daemon.fleet import CatalogTask, PeersTask
+from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_agent._engine_watch import EngineWatch
 from crowrudder_daemon.fleet_agent._keeper import WeightsKeeper
 from crowrudder_daemon.fleet_agent._library import Library
 from crowrudder_daemon.fleet_agent._loader import Loader
-from crowrudder_daemon.rpc import PeerClient, PeerServer
 
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet import Tuning
@@ -19,11 +18,8 @@
         WeightsOriginPort,
     )
     from crowrudder_daemon.process import Runtime
-    from crowrudder_model import Member
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import ChunkNews, EngineLoad
-
-RPC_GRACE_S = 0.1
+    from crowrudder_model.messages import ChunkNews
 
 
 def build_fleet_agent(
@@ -41,7 +37,7 @@
     )
 
 
-class FleetAgent:
+class FleetAgent(FleetRole):
     """The agent's tasks and their order of start and stop."""
 
     def __init__(
@@ -54,18 +50,7 @@
         engine: EnginePort,
         origin: WeightsOriginPort,
     ) -> None:
-        self._runtime = runtime
-        self._client = PeerClient()
-        self._rpc = PeerServer(f'{node.ip}:{node.rpc_port}')
-        self.peers = PeersTask(runtime, node, self)
-        self.catalog = CatalogTask(
-            runtime,
-            node,
-            source=source,
-            peers=self.peers,
-            client=self._client,
-            on_change=self._on_change,
-        )
+        super().__init__(runtime, node, source)
         self.watch = EngineWatch(runtime, node, engine, self.peers)
         view = self.catalog.view
         self.library = Library(
@@ -75,7 +60,7 @@
             view=view,
             origin=origin,
             peers=self.peers,
-            client=self._client,
+            client=self.client,
         )
         self.keeper = WeightsKeeper(
             runtime,
@@ -91,27 +76,17 @@
 
     async def start(self) -> None:
         """Listen and begin to learn."""
-        self.catalog.serve(self._rpc)
-        self.library.serve(self._rpc)
-        await self._rpc.start()
-        await self.peers.open()
-        self.catalog.start()
-        self._runtime.spawn(self.watch.watch(), step='watch the engine')
-        self._runtime.spawn(self.keeper.keep(), step='keep the version')
-        self._runtime.spawn(self.library.tell_news(), step='tell news')
-        self._runtime.spawn(self.keeper.yield_to_live(), step='yield to live')
+        self.library.serve(self.rpc)
+        await self.begin()
+        self.runtime.spawn(self.watch.watch(), step='watch the engine')
+        self.runtime.spawn(self.keeper.keep(), step='keep the version')
+        self.runtime.spawn(self.library.tell_news(), step='tell news')
+        self.runtime.spawn(self.keeper.yield_to_live(), step='yield to live')
 
     async def drain(self) -> None:
         """Leave at once: no caller waits for an agent."""
         self.peers.set_state(ready=False, leaving=True)
 
-    async def stop(self) -> None:
-        """Close everything."""
-        await self._rpc.stop(RPC_GRACE_S)
-        await self.catalog.stop()
-        await self.peers.stop()
-        await self._client.close()
-
     def status(self) -> dict[str, Any]:
         """Tell how far this host is from the named version."""
         reading = self.watch.reading
@@ -129,28 +104,14 @@
             reasons.append('the engine does not answer')
         return reasons
 
-    def members(self) -> tuple[Member, ...]:
-        """List nothing: a fleet's processes have no published list."""
-        return ()
-
-    def bundle(self) -> bytes:
-        """Give nothing: a fleet's configuration isn't one bundle."""
-        return b''
-
     def explain(self, customer: str, model: str) -> dict[str, Any]:
         """Refuse: agents route nothing."""
         raise NotImplementedError
 
-    def peer_heard(self, ip: str, revision: int, confirmed_s: float) -> None:
-        """Pass a peer's word on the records on."""
-        self.catalog.peer_heard(ip, revision, confirmed_s)
-
-    def load_heard(self, load: EngineLoad) -> None:
-        """Take no interest in other engines."""
-
     def chunks_heard(self, ip: str, news: ChunkNews) -> None:
         """Pass another agent's word on its chunks on."""
         self.library.chunks_heard(ip, news)
 
-    def _on_change(self) -> None:
+    def on_change(self) -> None:
+        """Follow the published records."""
         self.library.on_change()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -53,6 +53,9 @@
 """An attempt may take so many times its forecast before another is tried."""
 
 NEVER_S = 3600.0
+UNDER_WAY = 'under way'
+"""How an attempt is told in the log that the request's end cut off."""
+
 LATE_GOALS = 1.0
 """A request is refused at once where its first event is forecast after so
 many times its goal: it would take the place of one that can be in time."""
@@ -88,6 +91,7 @@
     dispatch: Dispatch = field(init=False)
     events: EventStream = field(factory=EventStream, init=False)
     _attempts: list[dict[str, Any]] = field(factory=list, init=False)
+    _under_way: Attempt | None = field(default=None, init=False)
     _first_s: float = field(default=-1, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -125,7 +129,9 @@
             if choice is None or refusal is not None:
                 return refusal or self._nobody()
             attempt = self._attempt(choice)
+            self._under_way = attempt
             ending = await attempt.run()
+            self._under_way = None
             self._note_attempt(attempt, ending)
             verdict = self._after(attempt, ending)
             if not isinstance(verdict, SendAgain):
@@ -219,7 +225,8 @@
         """
         route = self.admitted.route
         is_last = self.dispatch.sends + 1 >= self.dispatch.most_sends
-        if is_last or not self.dispatch.repeatable:
+        has_retry = self.parts.upstreams.has_retry(self.admitted.service)
+        if is_last or not has_retry or not self.dispatch.repeatable:
             return Patience(first_s=NEVER_S, pause_s=NEVER_S)
         forecast_s = FORECASTS * choice.first_s
         if route.kind is RouteKind.STREAM:
@@ -276,7 +283,7 @@
         except CallerGoneError:
             self._note('caller_gone', status)
 
-    def _note_attempt(self, attempt: Attempt, ending: Ending) -> None:
+    def _note_attempt(self, attempt: Attempt, ending: Ending | None) -> None:
         first_s = attempt.first_took_s
         if first_s >= 0 and self._first_s < 0:
             self._first_s = attempt.sent_at + first_s - self.arrived_at
@@ -285,13 +292,16 @@
                 'upstream': attempt.choice.outlook.upstream.id,
                 'forecast_s': round(attempt.choice.first_s, 3),
                 'first_s': round(first_s, 3),
-                'ending': type(ending).__name__,
+                'ending': type(ending).__name__ if ending else UNDER_WAY,
                 'why': getattr(ending, 'reason', ''),
             },
         )
 
     def _note(self, outcome: str, status: int, *, reason: str = '') -> None:
         now = clock_s()
+        if self._under_way is not None:
+            self._note_attempt(self._under_way, None)
+            self._under_way = None
         self.parts.note_end(
             self,
             outcome=outcome,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -8,21 +8,19 @@
 from tornado.httpserver import HTTPServer
 
 from crowrudder_daemon.entry._callers_port import CallersPort
-from crowrudder_daemon.fleet import CatalogTask, PeersTask
+from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_entry._caller_side import CallersServer
 from crowrudder_daemon.fleet_entry._directory import Directory
 from crowrudder_daemon.fleet_entry._parts import EntryParts
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
-from crowrudder_daemon.rpc import PeerClient, PeerServer
 
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet import Tuning
     from crowrudder_daemon.fleet.ports import CallersDialect, PublishedSource
     from crowrudder_daemon.process import Runtime
-    from crowrudder_model import Member
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import ChunkNews, EngineLoad
+    from crowrudder_model.messages import EngineLoad
 
 MOST_HEADER_BYTES = 65_536
 MOST_BODY_BYTES = 16 * 1024 * 1024
@@ -37,7 +35,6 @@
 """How long a leaving entry still refuses, in words, what crosses its close."""
 
 CONTACT_EVERY_S = 1.0
-RPC_GRACE_S = 0.2
 
 
 def build_fleet_entry(
@@ -51,7 +48,7 @@
     return FleetEntry(runtime, node, tuning, source, dialect)
 
 
-class FleetEntry:
+class FleetEntry(FleetRole):
     """The entry's tasks and their order of start and stop."""
 
     def __init__(
@@ -62,20 +59,8 @@
         source: PublishedSource,
         dialect: CallersDialect,
     ) -> None:
-        self._runtime = runtime
-        self._node = node
+        super().__init__(runtime, node, source)
         self._leaving = False
-        self._client = PeerClient()
-        self._rpc = PeerServer(f'{node.ip}:{node.rpc_port}')
-        self.peers = PeersTask(runtime, node, self)
-        self.catalog = CatalogTask(
-            runtime,
-            node,
-            source=source,
-            peers=self.peers,
-            client=self._client,
-            on_change=self._on_change,
-        )
         self.upstreams = Upstreams(runtime, node, self.catalog.view, self.peers)
         parts = EntryParts(dialect, self.upstreams, runtime)
         self.requests = RequestsTask(runtime, self.catalog, parts)
@@ -102,15 +87,12 @@
 
     async def start(self) -> None:
         """Listen and begin to learn."""
-        self.catalog.serve(self._rpc)
-        await self._rpc.start()
-        await self.peers.open()
-        self.catalog.start()
-        self._runtime.spawn(self._look_for_peers(), step='look for peers')
+        await self.begin()
+        self.runtime.spawn(self._look_for_peers(), step='look for peers')
         for address, page in self._pages.items():
             ip, _, port = address.rpartition(':')
             page.listen(int(port), ip)
-        ip, _, port = self._node.callers.rpartition(':')
+        ip, _, port = self.node.callers.rpartition(':')
         self._port.listen(int(port), ip)
 
     async def drain(self) -> None:
@@ -130,10 +112,7 @@
         """Close everything."""
         for page in self._pages.values():
             page.stop()
-        await self._rpc.stop(RPC_GRACE_S)
-        await self.catalog.stop()
-        await self.peers.stop()
-        await self._client.close()
+        await super().stop()
         self.upstreams.pool.close()
 
     def status(self) -> dict[str, Any]:
@@ -156,14 +135,6 @@
             reasons.append('this process is leaving')
         return reasons
 
-    def members(self) -> tuple[Member, ...]:
-        """List nothing: a fleet's processes have no published list."""
-        return ()
-
-    def bundle(self) -> bytes:
-        """Give nothing: a fleet's configuration isn't one bundle."""
-        return b''
-
     def explain(self, customer: str, model: str) -> dict[str, Any]:
         """Tell what is known of the upstreams of a model."""
         return {
@@ -172,18 +143,12 @@
             'upstreams': self.upstreams.status(),
         }
 
-    def peer_heard(self, ip: str, revision: int, confirmed_s: float) -> None:
-        """Pass a peer's word on the records on."""
-        self.catalog.peer_heard(ip, revision, confirmed_s)
-
     def load_heard(self, load: EngineLoad) -> None:
         """Pass an agent's word on its engine on."""
         self.upstreams.on_load(load)
 
-    def chunks_heard(self, ip: str, news: ChunkNews) -> None:
-        """Take no interest in chunks."""
-
-    def _on_change(self) -> None:
+    def on_change(self) -> None:
+        """Follow the published records."""
         self.upstreams.renew()
         config = self.catalog.view.config
         if config is not None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -101,6 +101,12 @@
         part = self._peers.roster.budget_share(now=now)
         return self._budget.take(service, part=part, now=now)
 
+    def has_retry(self, service: str) -> bool:
+        """Whether one of the shared retries could be spent."""
+        now = clock_s()
+        part = self._peers.roster.budget_share(now=now)
+        return self._budget.has(service, part=part, now=now)
+
     def draw(self, weights: list[float]) -> int:
         """Draw an index by weights."""
         indices = range(len(weights))
--- a/packages/daemon/src/crowrudder_daemon/settings/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/__init__.py
@@ -4,7 +4,7 @@
 
 from crowrudder_daemon.settings._faults import Fault, SettingsError
 from crowrudder_daemon.settings._read import parse_settings, read_settings
-from crowrudder_daemon.settings._schema import Row, rows
+from crowrudder_daemon.settings._schema import Row
 from crowrudder_daemon.settings._sections import (
     LimitsSection,
     LogsSection,
@@ -13,6 +13,7 @@
     Settings,
     UpstreamSection,
     WeightsSection,
+    rows,
 )
 
 __all__ = (
--- a/packages/daemon/src/crowrudder_daemon/settings/_read.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/_read.py
@@ -9,8 +9,8 @@
 from attrs import define, field
 
 from crowrudder_daemon.settings._faults import Fault, SettingsError
-from crowrudder_daemon.settings._schema import Row, Scope, rows, rows_of
-from crowrudder_daemon.settings._sections import SECTIONS, Settings
+from crowrudder_daemon.settings._schema import Row, Scope, rows_of
+from crowrudder_daemon.settings._sections import SECTIONS, Settings, rows
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/packages/daemon/src/crowrudder_daemon/settings/_schema.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/_schema.py
@@ -106,14 +106,3 @@
     for attribute in fields(declared):
         kind, scope, default, absent = attribute.metadata[_META]
         yield Row(section, attribute.name, scope, kind, default, absent)
-
-
-def rows() -> tuple[Row, ...]:
-    """List every key of every section, in the order of the reference."""
-    from crowrudder_daemon.settings._sections import SECTIONS
-
-    return tuple(
-        row
-        for section, declared, _ in SECTIONS
-        for row in rows_of(section, declared)
-    )
--- a/packages/daemon/src/crowrudder_daemon/settings/_sections.py
+++ b/packages/daemon/src/crowrudder_daemon/settings/_sections.py
@@ -17,7 +17,7 @@
     whole,
     word,
 )
-from crowrudder_daemon.settings._schema import Scope, key
+from crowrudder_daemon.settings._schema import Row, Scope, key, rows_of
 
 MOST_BYTES = 2**50
 MOST_COUNT = 1_000_000
@@ -134,3 +134,12 @@
     ('limits', LimitsSection, Scope.BOTH),
     ('logs', LogsSection, Scope.BOTH),
 )
+
+
+def rows() -> tuple[Row, ...]:
+    """List every key of every section, in the order of the reference."""
+    return tuple(
+        row
+        for section, declared, _ in SECTIONS
+        for row in rows_of(section, declared)
+    )
--- a/tests/fleet/test_entry.py
+++ b/tests/fleet/test_entry.py
@@ -118,6 +118,23 @@
 
         checked(check)
 
+    def test_a_silent_upstream_is_waited_for_when_no_retry_is_left(self):
+        """Answers that were on their way were given up.
+
+        Symptom: 502 after 0.9 s though the upstream answers in 1.2 s.
+        Sequence: many attempts fail, the retry budget is spent, an upstream is
+        slow. Cause: silence ended the attempt before anyone looked whether
+        another one could follow.
+        """
+
+        async def check(world):
+            spoil_all(world, 'e', 'slow', None, amount=1.2)
+            answer = await world.ask('/draft/x', method='POST', request_id='a')
+            assert answer.body == stream_of('a')
+            assert len(all_runs(world, 'a')) == 1
+
+        checked(check, entries=1, bounds={'retry_share': 0, 'retry_extra': 0})
+
     def test_a_silent_upstream_is_left_for_another(self):
         async def check(world):
             world.replicas['e0'].faults.switch_on(fault('hang', None))
--- a/tests/limits/test_shared_budget.py
+++ b/tests/limits/test_shared_budget.py
@@ -37,6 +37,12 @@
                 sent = sum(at >= since for at in repeats)
                 assert sent <= SHARE * asked + EXTRA
 
+    def test_asking_spends_nothing(self):
+        one = SharedRetryBudget(share=0, extra=2, window_s=WINDOW_S)
+        assert one.has('a', part=1, now=0)
+        assert one.take('a', part=1, now=0)
+        assert not one.has('a', part=1, now=0)
+
     def test_services_have_budgets_of_their_own(self):
         one = SharedRetryBudget(share=0, extra=2, window_s=WINDOW_S)
         assert one.take('a', part=1, now=0)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -320,10 +320,10 @@
     async def close(self):
         for agent in self.agents:
             await agent.stop()
-            await agent._runtime.cancel_jobs()
+            await agent.runtime.cancel_jobs()
         for entry in self.entries:
             await entry.stop()
-            await entry._runtime.cancel_jobs()
+            await entry.runtime.cancel_jobs()
             entry._http.stop()
             entry._port.close()
         for server in self._servers:
@@ -334,7 +334,7 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(*, entries=1, plain=2, engines=2, **published):
+async def fleet(*, entries=1, plain=2, engines=2, bounds=None, **published):
     """Run a fleet for the time of a test."""
     world = FleetWorld()
     world.store_address = world.serve(world.store)
@@ -346,7 +346,7 @@
         world.add_replica(f'e{number}', 'llm', model='m', loaded=1)
     try:
         for number in range(1, entries + 1):
-            await world.add_entry(number)
+            await world.add_entry(number, **(bounds or {}))
         await world.ready()
         yield world
     finally:
