--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -61,15 +61,13 @@
 MOST_SPOILT = 3
 """Spoilt chunks at the engine after which the rest is read from elsewhere."""
 
-PACE = {
-    'starved_s': 0.3,
-    'origin_wait_s': 0.5,
-    'reads_at_once': 4,
-    'origin_reads': 2,
-}
+PACE = {'starved_s': 0.3, 'origin_wait_s': 0.5}
 """What a transfer has otherwise than by the sizes and the link: a window of
-some seconds leaves no time to wait for a host that doesn't bring its part, and
-four sources at once keep a link full though each is shared."""
+some seconds leaves no time to wait for a host that doesn't bring its part.
+
+More reads at once than the usual three, and two at the origin, made a sixth of
+the streams late that ran as a transfer began: the links between regions filled.
+"""
 
 BURST_S = 0.02
 
