--- /dev/null
+++ b/tests/fleet/test_own_settings.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_daemon.fleet import Tuning, settings_of
+from crowrudder_daemon.fleet._tuning import read_tuning, tuning_keys
+from crowrudder_daemon.settings import SettingsError
+from crowrudder_model.fleet import Bounds, Node
+
+ROOT = Path(__file__).parents[2]
+
+
+def written(folder, text):
+    path = folder / 'fleet.ini'
+    path.write_text(text)
+    return str(path)
+
+
+class TestTuning:
+    def test_every_key_may_be_left_out(self, tmp_path):
+        assert read_tuning('') == Tuning()
+        assert read_tuning(written(tmp_path, '[fleet]\n')) == Tuning()
+
+    def test_the_file_that_is_deployed_is_good(self):
+        assert read_tuning(str(ROOT / 'deploy' / 'fleet.ini')) == Tuning()
+
+    def test_keys_are_read(self, tmp_path):
+        text = '[fleet]\nupload_share = 0.5\norigin_copies = 2\n'
+        tuning = read_tuning(written(tmp_path, text))
+        assert (tuning.upload_share, tuning.origin_copies) == (0.5, 2)
+
+    def test_all_faults_are_told_at_once(self, tmp_path):
+        text = '[fleet]\nupload_share = 7\nnovel = 1\n[other]\na = 1\n'
+        with pytest.raises(SettingsError) as caught:
+            read_tuning(written(tmp_path, text))
+        told = str(caught.value)
+        assert 'upload_share' in told
+        assert 'novel' in told
+        assert '[other]' in told
+
+    def test_a_missing_file_is_a_fault(self):
+        with pytest.raises(SettingsError, match='no-such'):
+            read_tuning('no-such.ini')
+
+    @given(text=st.text(max_size=60))
+    def test_any_text_gives_settings_or_an_error(self, tmp_path_factory, text):
+        folder = tmp_path_factory.mktemp('any')
+        path = folder / 'fleet.ini'
+        path.write_bytes(text.encode(errors='surrogatepass'))
+        try:
+            assert isinstance(read_tuning(str(path)), Tuning)
+        except SettingsError as exc:
+            assert exc.args
+
+    def test_the_reference_page_has_every_key(self):
+        page = (ROOT / 'docs' / 'reference' / 'fleet-settings.md').read_text()
+        defaults = Tuning()
+        for key in tuning_keys():
+            default = getattr(defaults, key)
+            shown = f'{default:g}' if isinstance(default, float) else default
+            assert f'| fleet | {key} | {shown} |' in page
+
+
+class TestFrame:
+    def test_the_drain_ends_before_the_kill(self):
+        node = Node(
+            host='a',
+            role='entry',
+            ip='127.0.0.1',
+            peer_ports=(7700, 7715),
+            bounds=Bounds(stop_s=8),
+        )
+        cfg = settings_of(node, Tuning())
+        assert cfg.limits.drain_s <= 7
+        assert cfg.process.admin_port == 7715
--- /dev/null
+++ b/tests/model/test_gossip.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_model import (
+    MalformedMessageError,
+    decode_datagram,
+    encode_message,
+)
+from crowrudder_model.messages import (
+    ChunkNews,
+    EngineLoad,
+    HeardWord,
+    Heartbeat,
+    MemberWord,
+)
+
+WORD = MemberWord(
+    ip='10.1.0.40',
+    role='entry',
+    incarnation='0123456789abcdef',
+    started_at=1.7e9,
+    callers='10.1.0.40:8005',
+    failure_domain='a-failure-domain',
+    region='a-region',
+    ready=True,
+)
+BEAT = Heartbeat(
+    word=WORD,
+    revision=400,
+    confirmed_s=0.25,
+    others=tuple(HeardWord(WORD, 0.5) for _ in range(8)),
+)
+LOAD = EngineLoad(
+    address='10.1.0.43:8001', reachable=True, weights=3, running=16, queued=2
+)
+NEWS = ChunkNews(
+    version='model@3', manifest='f' * 64, chunks=b'\xff' * 6, passes=b''
+)
+ETHERNET_BYTES = 1472
+
+
+class TestDatagrams:
+    @pytest.mark.parametrize('datagram', [BEAT, LOAD, NEWS])
+    def test_each_kind_says_which_it_is(self, datagram):
+        assert decode_datagram(encode_message(datagram)) == datagram
+
+    @pytest.mark.parametrize('datagram', [BEAT, LOAD, NEWS])
+    def test_each_fits_into_one_packet(self, datagram):
+        assert len(encode_message(datagram)) <= ETHERNET_BYTES
+
+    def test_a_load_is_a_tenth_of_a_heartbeat(self):
+        """Words on load took a tenth of each slow link.
+
+        Symptom: streams pause though little weight moves. Sequence: each
+        change of load goes to every entry, with names of fields and the
+        sender's whole word. Cause: one kind of datagram for everything.
+        """
+        assert len(encode_message(LOAD)) <= 48
+        assert len(encode_message(NEWS)) <= 120
+
+    @given(payload=st.binary(max_size=120))
+    def test_any_bytes_are_a_datagram_or_an_error(self, payload):
+        try:
+            decode_datagram(payload, peer='10.0.0.1')
+        except MalformedMessageError as exc:
+            assert exc.peer == '10.0.0.1'
+
+    @given(cut=st.integers(0, 200), flip=st.integers(0, 200))
+    def test_a_spoilt_datagram_is_a_datagram_or_an_error(self, cut, flip):
+        payload = bytearray(encode_message(BEAT))
+        payload[flip % len(payload)] ^= 0x41
+        with pytest.raises(MalformedMessageError):
+            decode_datagram(bytes(payload[: cut % len(payload)]))
