Versions: entries stop sending to an old one 1.6 s before its bound

The margin was 0.4 s. Ruled out: late news of the version (taken at 18.1 s), agents' words (the record and the word both said version 1). Change: 1.6 s, and hosts load between 0.55 and 0.8 of the window.

--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -54,9 +54,13 @@
 """For so long after the platform was away, a record that vanished may be one
 that lapsed meanwhile and comes back."""
 
-VERSION_MARGIN_S = 0.4
-"""Taken off the time in which a version may begin to be replaced: a request
-sent just before the bound begins later, and news of it came later."""
+VERSION_MARGIN_S = 1.6
+"""Taken off the time in which a request may begin on an older version.
+
+A request begins with its first token, up to a slot's turn after it was sent: at
+a full engine 1.05 s were seen, and requests then began on an old version after
+the bound. It also covers the time that news of a version takes.
+"""
 
 PULL_TIMEOUT_S = 1.0
 SWEEP_S = 0.25
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_turn.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_turn.py
@@ -13,7 +13,7 @@
 """Part of the window after which the first host loads; it takes a host about
 that long to read a version over its link."""
 
-LAST_PART = 0.9
+LAST_PART = 0.8
 """Part of the window after which the last host loads, so that what still runs
 there can end."""
 
