HTTP: one way to keep a connection by its answer's head

Four callers read the same header and passed it back to the pool, one of them from a private module.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -22,7 +22,6 @@
     NotConnectedError,
     WireAnswer,
 )
-from crowrudder_daemon.http._pool import kept_s_of
 
 if TYPE_CHECKING:
     from crowrudder_core.dispatch import Dispatch, Ending
@@ -191,7 +190,7 @@
     ) -> NotRun:
         async with asyncio.timeout(self.patience.pause_s):
             await conn.drain()
-        self._upstreams.pool.give_back(conn, kept_s=kept_s_of(head.headers))
+        self._upstreams.pool.keep(conn, head)
         self.choice.outlook.on_bad(now=clock_s(), avoid=False)
         return NotRun(f'answered {head.status}', mark.retry_after_s)
 
@@ -217,7 +216,7 @@
                 step='answer',
                 peer=conn.peer,
             )
-        self._upstreams.pool.give_back(conn, kept_s=kept_s_of(head.headers))
+        self._upstreams.pool.keep(conn, head)
         self.answer = WireAnswer(head=head, body=b''.join(parts))
         self._note_whole(is_good=head.status < FIRST_ERROR + 200)
         return Answered(head.status)
@@ -231,7 +230,7 @@
                 self._note_first()
                 await self._pass_on(head, whole)
         await self._pass_on(head, self.events.rest())
-        self._upstreams.pool.give_back(conn, kept_s=kept_s_of(head.headers))
+        self._upstreams.pool.keep(conn, head)
         self.is_whole = True
         self._note_whole(is_good=True)
         return Answered(head.status)
--- a/packages/daemon/src/crowrudder_daemon/http/_pool.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_pool.py
@@ -10,6 +10,7 @@
     HttpConnection,
     NotConnectedError,
     WireAnswer,
+    WireHead,
     WireRequest,
 )
 from crowrudder_model import UpstreamError
@@ -75,6 +76,10 @@
         conn.usable_until = clock_s() + kept_s
         self._idle.setdefault(conn.peer, []).append(conn)
 
+    def keep(self, conn: HttpConnection, head: WireHead) -> None:
+        """Keep a connection for as long as the answer's head says."""
+        self.give_back(conn, kept_s=kept_s_of(head.headers))
+
     async def call(
         self,
         address: str,
@@ -106,7 +111,7 @@
         except BaseException:
             _drop(conn)
             raise
-        self.give_back(conn, kept_s=kept_s_of(answer.head.headers))
+        self.keep(conn, answer.head)
         return answer
 
     def drop(self, address: str) -> None:
