Process: closing is bounded, a transfer that is told to end ends

The drain's bound had passed; what followed, the wait for the end of cancelled tasks, had none. One task that forgets its cancellation is found: the transfer's wait used asyncio.wait_for, which drops a cancellation that comes in the turn of the loop in which a read has ended (test_end_at_any_step_is_an_end: fails at the third step before the change). Ruled out: the drain itself (cut off by drain_s; a test stood already), the metrics' end (the admin port still answered at 84 s). Change: the wait uses asyncio.timeout; each step of closing has five seconds, then the stacks of all tasks are logged and the process ends with 3 where the loop's own end would wait for ever.

--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import enum
+import io
+import os
 import signal
 import time
 from collections.abc import Callable
@@ -24,6 +26,13 @@
 EXIT_NOT_STARTED = 1
 EXIT_CUT_OFF = 3
 
+CLOSE_S = 5.0
+"""Longest time in seconds for one step of closing.
+
+The slowest step ends its remote calls after a grace of one second
+(`LEAVE_GRACE_S` of the roles); five leaves room for a busy machine.
+"""
+
 
 class Phase(enum.Enum):
     """Where a process is in its life."""
@@ -57,6 +66,9 @@
     role: Role
     phase: Phase = Phase.STARTING
     admin_port: int = 0
+    stuck: bool = False
+    """Whether some part of the process did not end when told to."""
+
     _started_s: float = field(factory=time.monotonic)
 
     async def run(self, stop: Stop) -> int:
@@ -68,7 +80,7 @@
             return await self._run(admin, stop)
         finally:
             await self._safely('stop', self.role.stop())
-            await self.runtime.cancel_jobs()
+            await self._safely('stop jobs', self.runtime.cancel_jobs())
             await self._safely('stop admin', admin.close())
             self.runtime.metrics.close()
 
@@ -123,15 +135,12 @@
         if not drain.done():
             drain.cancel()
             self.runtime.log.warning('drain cut off', extra={'step': 'drain'})
-        outcome = (await asyncio.gather(drain, return_exceptions=True))[0]
-        match outcome:
-            case None:
-                return EXIT_DRAINED
-            case asyncio.CancelledError():
-                return EXIT_CUT_OFF
-            case _:
-                self.runtime.fault('drain', outcome)
-                return EXIT_CUT_OFF
+            await self._safely('drain', drain)
+            return EXIT_CUT_OFF
+        if (exc := drain.exception()) is not None:
+            self.runtime.fault('drain', exc)
+            return EXIT_CUT_OFF
+        return EXIT_DRAINED
 
     def _enter(self, phase: Phase, teller: str) -> None:
         before, self.phase = self.phase, phase
@@ -158,12 +167,31 @@
         )
 
     async def _safely(self, step: str, closing: Awaitable[None]) -> None:
-        """Go on closing the rest when one part can't be closed."""
-        try:
-            await closing
-        except Exception as exc:
+        """Go on closing the rest when one part fails, or never ends.
+
+        A part that never ends would be seen as a process that outlives its
+        drain, keeps its ports and lets no successor start.
+        """
+        part = asyncio.ensure_future(closing)
+        await asyncio.wait((part,), timeout=CLOSE_S)
+        if not part.done():
+            self.stuck = True
+            self._tell_stuck(step)
+        elif not part.cancelled() and (exc := part.exception()) is not None:
             self.runtime.fault(step, exc)
 
+    def _tell_stuck(self, step: str) -> None:
+        """Log where each task that still runs stands."""
+        for task in asyncio.all_tasks():
+            where = io.StringIO()
+            task.print_stack(file=where)
+            self.runtime.log.error(
+                'not closed within %.0f s: %s',
+                CLOSE_S,
+                where.getvalue(),
+                extra={'step': step},
+            )
+
     def _on_loop_fault(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -201,4 +229,9 @@
         loop.add_signal_handler(number, stop.ask, number.name)
     # Unhandled, it would end the process and cut off all that runs.
     loop.add_signal_handler(signal.SIGHUP, log.info, 'SIGHUP: nothing to do')
-    return await Lifecycle(runtime, build(runtime)).run(stop)
+    life = Lifecycle(runtime, build(runtime))
+    code = await life.run(stop)
+    if life.stuck:
+        # The loop's own end waits for every task, so for this one for ever.
+        os._exit(code or EXIT_CUT_OFF)
+    return code
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
@@ -89,9 +89,16 @@
             self._reads[read] = self._spawn(self._read(read))
 
     async def _wait(self) -> None:
+        """Wait for the end of a call, or a tick.
+
+        Not by `asyncio.wait_for`: woken in the turn of the loop in which it is
+        cancelled, it forgets the cancellation, seen as a process that doesn't
+        end. `asyncio.timeout` waits in this task, which keeps it.
+        """
         self._woken.clear()
         try:
-            await asyncio.wait_for(self._woken.wait(), TICK_S)
+            async with asyncio.timeout(TICK_S):
+                await self._woken.wait()
         except TimeoutError:
             return
 
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -1,17 +1,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import io
 import json
 import logging
 import os
 import signal
+import subprocess
+import sys
+from pathlib import Path
 from urllib.parse import quote
 
 import pytest
 from attrs import define, evolve, field
 from tornado.httpclient import AsyncHTTPClient
 
+from crowrudder_daemon import _lifecycle
 from crowrudder_daemon.logs import start_logs
 from crowrudder_daemon.metrics import LabelError, Metrics
 from crowrudder_daemon.process import Lifecycle, Runtime, Stop, run_role
@@ -31,6 +36,8 @@
     draining: asyncio.Event = field(factory=asyncio.Event)
     reasons: list[str] = field(factory=list)
     broken: tuple[str, ...] = ()
+    endless: str = ''
+    let_go: asyncio.Event = field(factory=asyncio.Event)
 
     async def start(self):
         self._act('start')
@@ -39,11 +46,13 @@
     async def drain(self):
         self._act('drain')
         self.draining.set()
+        await self._hang('drain')
         await self.release.wait()
         self.calls.append('drained')
 
     async def stop(self):
         self._act('stop')
+        await self._hang('stop')
 
     def status(self):
         self._act('status')
@@ -63,6 +72,12 @@
             raise NotImplementedError
         return {'customer': customer, 'model': model}
 
+    async def _hang(self, step):
+        """Stay in a step whatever the cancellations."""
+        while step == self.endless and not self.let_go.is_set():
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.let_go.wait()
+
     def _act(self, step):
         self.calls.append(step)
         if step in self.broken:
@@ -292,6 +307,29 @@
 
         run(scenario())
 
+    @pytest.mark.parametrize(('step', 'code'), [('drain', 3), ('stop', 0)])
+    def test_part_that_never_ends_holds_nothing_up(
+        self, step, code, monkeypatch
+    ):
+        """A process that was told to leave stayed.
+
+        Symptom: an agent ran on after its drain was to be cut off; its
+        successor found the port taken. Sequence: the drain runs out of time,
+        and a task that is cancelled doesn't end. Cause: the wait for the end
+        of what was cancelled had no bound.
+        """
+        monkeypatch.setattr(_lifecycle, 'CLOSE_S', 0.05)
+
+        async def scenario():
+            made = await bench(FakeRole(endless=step), drain_s=0.05)
+            made.role.release.set()
+            made.stop.ask('SIGTERM')
+            assert await asyncio.wait_for(made.task, 2) == code
+            assert made.life.stuck
+            made.role.let_go.set()
+
+        run(scenario())
+
     def test_role_that_can_not_start_exits_with_1(self):
         async def scenario():
             role = FakeRole(broken=('start',))
@@ -329,6 +367,38 @@
             logging.getLogger().handlers[:] = handlers
         assert role.calls == ['start', 'drain', 'drained', 'stop']
 
+    def test_task_that_never_ends_does_not_keep_the_process(self):
+        """The loop's own end waits for every task.
+
+        Symptom, sequence and cause as for the part that never ends: here the
+        whole process is looked at, by its exit code.
+        """
+        path = Path(__file__).parent
+        done = subprocess.run(
+            [sys.executable, '-c', _ENDLESS],
+            cwd=path.parent,
+            env={**os.environ, 'PYTHONPATH': str(path.parent)},
+            capture_output=True,
+            timeout=30,
+            check=False,
+        )
+        assert done.returncode == 3
+        assert b'not closed within' in done.stderr
+
+
+_ENDLESS = """
+import os, signal
+from crowrudder_daemon import _lifecycle
+from daemon.test_process import FakeRole
+from support.settings import entry_settings
+
+_lifecycle.CLOSE_S = 0.1
+role = FakeRole(endless='stop')
+role.release.set()
+role.started.set = lambda: os.kill(os.getpid(), signal.SIGTERM)
+raise SystemExit(_lifecycle.run_role(entry_settings(), lambda _: role))
+"""
+
 
 class TestLogs:
     def test_line_is_json_with_host_role_and_fields(self):
--- a/tests/weights/test_service.py
+++ b/tests/weights/test_service.py
@@ -266,3 +266,32 @@
             assert transfer.held != full(transfer.count)
 
         run(check())
+
+    def test_end_at_any_step_is_an_end(self):
+        """A host that is told to stop goes on for ever.
+
+        Symptom: an agent was asked to leave and still ran after its drain and
+        five seconds more; its successor found the port taken. Sequence: a
+        read ends and wakes the transfer, and the task is cancelled in the
+        same turn of the loop. Cause: `asyncio.wait_for` gives the result of
+        what it waited for and forgets the cancellation.
+        """
+
+        async def ended_after(steps):
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, transfer = collector(Peers(losses=99), Origin(), downlink)
+            running = asyncio.ensure_future(made.run())
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            running.cancel()
+            await asyncio.wait((running,), timeout=0.2)
+            ended = running.done()
+            transfer.drop()
+            running.cancel()
+            await asyncio.wait((running,))
+            return ended
+
+        async def check():
+            return [await ended_after(steps) for steps in range(30)]
+
+        assert run(check()) == [True] * 30
