Tests of the fleet: each run has its own peer ports

Cause: all runs of the tests used the same UDP and TCP ports on the same loopback addresses, so two runs at once took each other for peers. Change: a run claims a range of ports with a bound socket.

--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -14,7 +14,7 @@
 from crowrudder_daemon.http import ConnectionPool, WireRequest
 from crowrudder_standins.fleet_replica import stream_of
 from support.aio import run
-from support.fleet import HOST, KEY, FleetWorld
+from support.fleet import HOST, KEY, PEER_PORTS, FleetWorld
 from support.ports import free_port
 
 ENTRY_IP = '127.0.0.51'
@@ -29,7 +29,7 @@
 region: "r"
 zones: {{z: "r"}}
 listen: {listen}
-inner_ports: [18700, 18715]
+inner_ports: [{ports[0]}, {ports[1]}]
 seeds: ["{seed}:1"]
 limits: {{memory_mb: 100, link_mbps: 100}}
 bounds: {{grace_s: 8, version_ms: 2000}}
@@ -98,6 +98,7 @@
             callers = f'{ENTRY_IP}:{free_port(ENTRY_IP)}'
             ready = f'{ENTRY_IP}:{free_port(ENTRY_IP)}'
             common = {
+                'ports': PEER_PORTS,
                 'store': world.store_address,
                 'seed': ENTRY_IP,
                 'app': world.addresses['e'],
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -32,7 +32,7 @@
 from crowrudder_standins.fleet_origin import FleetOrigin
 from crowrudder_standins.fleet_replica import FleetReplica
 from crowrudder_standins.fleet_store import FleetStore
-from support.ports import free_port
+from support.ports import claimed_range, free_port
 
 HOST = 'shop.example'
 KEY = 'key-of-the-shop'
@@ -203,7 +203,7 @@
             callers=f'{ip}:{free_port()}',
             ready=f'{ip}:{free_port()}',
             directory=f'{ip}:{free_port()}',
-            peer_ports=(GOSSIP_PORT, GOSSIP_PORT + 9),
+            peer_ports=PEER_PORTS,
             seeds=('127.0.0.11',),
             platform=self.store_address,
             memory_bytes=10**8,
@@ -240,7 +240,7 @@
             place=NodePlace(
                 failure_domain=zone, region='r', regions=(('z', 'r'),)
             ),
-            peer_ports=(GOSSIP_PORT, GOSSIP_PORT + 9),
+            peer_ports=PEER_PORTS,
             seeds=('127.0.0.11',),
             platform=self.store_address,
             upstream=self.addresses[name],
@@ -330,7 +330,7 @@
             server.stop()
 
 
-GOSSIP_PORT = 17_700
+PEER_PORTS = claimed_range(16)
 
 
 @contextlib.asynccontextmanager
