--- a/measure/_config_churn.py
+++ b/measure/_config_churn.py
@@ -11,7 +11,8 @@
 from _books import Books, Verdict, compare
 from _caller import Caller, Request
 from _config_fleet import value_of
-from _fleet import Fleet, FleetPlan, until
+from _fleet import Fleet, until
+from _fleet_plan import FleetPlan
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/measure/_config_fleet.py
+++ b/measure/_config_fleet.py
@@ -12,7 +12,9 @@
 from typing import TYPE_CHECKING, Any
 
 import psutil
-from _fleet import LOOPBACK, Fleet, FleetPlan
+from _fleet import Fleet
+from _fleet_plan import FleetPlan
+from _process import LOOPBACK
 from attrs import define, field
 
 from crowrudder_core.config import watchers_of
--- a/measure/_config_process.py
+++ b/measure/_config_process.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 from _config_fleet import costs_of, value_of
-from _fleet import Fleet, FleetPlan, until
+from _fleet import Fleet, until
+from _fleet_plan import FleetPlan
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/measure/_route_fleet.py
+++ b/measure/_route_fleet.py
@@ -14,8 +14,9 @@
 
 from crowrudder_core.limits import RetryBudget
 from crowrudder_core.routing import Router
+from crowrudder_daemon.agent._run_messages import ResumeRuns
 from crowrudder_daemon.agent._run_service import RunService
-from crowrudder_daemon.agent._runs import ResumeRuns, RunsTask
+from crowrudder_daemon.agent._runs import RunsTask
 from crowrudder_daemon.entry._links import AgentLost, ReportCame
 from crowrudder_daemon.entry._requests import RequestsTask, SnapshotCame
 from crowrudder_daemon.knowledge import Snapshot
--- a/measure/_route_real.py
+++ b/measure/_route_real.py
@@ -13,13 +13,14 @@
 from _books import Books, compare
 from _caller import Caller, Request
 from _declare import Declared, Weights
-from _fleet import Fleet, FleetPlan, until
+from _fleet import Fleet, until
+from _fleet_plan import FleetPlan
 from attrs import evolve
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from _fleet import Host, Outside
+    from _process import Host, Outside
 
     Show = Callable[[str, float], None]
 
--- a/measure/_weights_processes.py
+++ b/measure/_weights_processes.py
@@ -20,7 +20,8 @@
 
 from _caller import Caller, Request
 from _declare import Declared, Weights
-from _fleet import Fleet, FleetPlan, until
+from _fleet import Fleet, until
+from _fleet_plan import FleetPlan
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/daemon/src/crowrudder_daemon/agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_role.py
@@ -7,13 +7,13 @@
 
 from crowrudder_daemon.agent._claims import ClaimService
 from crowrudder_daemon.agent._required import required
-from crowrudder_daemon.agent._run_service import RunService
-from crowrudder_daemon.agent._runs import (
+from crowrudder_daemon.agent._run_messages import (
     DrainRuns,
     PauseRuns,
     ResumeRuns,
-    RunsTask,
 )
+from crowrudder_daemon.agent._run_service import RunService
+from crowrudder_daemon.agent._runs import RunsTask
 from crowrudder_daemon.agent._upstream import EngineClient, PlainClient
 from crowrudder_daemon.agent.weights import (
     SnapshotCame,
--- a/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_run_service.py
@@ -8,14 +8,14 @@
 from attrs import frozen
 
 from crowrudder_daemon.agent._answer_log import AnswerLog
-from crowrudder_daemon.agent._runs import (
+from crowrudder_daemon.agent._run_messages import (
     AttemptCame,
     CancelCame,
     OwnerLost,
     PermitCame,
     SettleCame,
-    settled_message,
 )
+from crowrudder_daemon.agent._run_parts import settled_message
 from crowrudder_model.messages import (
     Attempt,
     AttemptKey,
@@ -36,7 +36,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
 
-    from crowrudder_daemon.agent._runs import RunsState, RunsTask
+    from crowrudder_daemon.agent._run_parts import RunsState
+    from crowrudder_daemon.agent._runs import RunsTask
     from crowrudder_daemon.knowledge import KnowledgeTask
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerServer
--- a/packages/daemon/src/crowrudder_daemon/agent/_runs.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_runs.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from attrs import Factory, define, frozen
-
 from crowrudder_core.requests import (
     AdmissionQueue,
     AgentLedger,
@@ -17,7 +15,25 @@
     Waiting,
 )
 from crowrudder_daemon._task import Task
-from crowrudder_daemon.agent._answer_log import AnswerLog
+from crowrudder_daemon.agent._run_messages import (
+    AttemptCame,
+    CancelCame,
+    DrainRuns,
+    ForgetOld,
+    OwnerLost,
+    PauseRuns,
+    PermitCame,
+    PermitOverdue,
+    ResumeRuns,
+    RunEnded,
+    SettleCame,
+)
+from crowrudder_daemon.agent._run_parts import (
+    KeptAttempt,
+    RunsState,
+    final_of,
+    waiting_of,
+)
 from crowrudder_model import InvariantError, Outcome, UpstreamError
 from crowrudder_model.messages import (
     Attempt,
@@ -28,7 +44,6 @@
     Queued,
     Refusal,
     RunDown,
-    Settled,
     SettledState,
 )
 
@@ -48,121 +63,6 @@
 SHORTEST_RETRY_S = 0.1
 
 
-@frozen
-class AttemptCame:
-    """An entry sent an attempt; its answers go to the log."""
-
-    attempt: Attempt
-    answers: AnswerLog
-
-
-@frozen
-class PermitCame:
-    """The owner's word arrived."""
-
-    key: AttemptKey
-    granted: bool
-
-
-@frozen
-class CancelCame:
-    """The owner gave the attempt up."""
-
-    key: AttemptKey
-
-
-@frozen
-class OwnerLost:
-    """The stream to the owner broke."""
-
-    key: AttemptKey
-
-
-@frozen
-class SettleCame:
-    """An entry asks what became of an attempt."""
-
-    key: AttemptKey
-    reply: asyncio.Future[tuple[SettledState, AnswerLog | None]]
-
-
-@frozen
-class PermitOverdue:
-    """The owner said nothing in time."""
-
-    key: AttemptKey
-
-
-@frozen
-class RunEnded:
-    """The upstream is done with an attempt after so many seconds."""
-
-    key: AttemptKey
-    took_s: float
-    pieces: int
-    ran: bool = True
-
-
-@frozen
-class PauseRuns:
-    """Start nothing more; resolve when nothing runs."""
-
-    idle: asyncio.Future[None]
-
-
-@frozen
-class ResumeRuns:
-    """The upstream answers with this version from now on."""
-
-    service: str
-    version: str
-    adapters: tuple[str, ...]
-
-
-@frozen
-class DrainRuns:
-    """Refuse what waits and what comes; resolve when nothing runs."""
-
-    idle: asyncio.Future[None]
-
-
-@frozen
-class ForgetOld:
-    """Time to drop what ended long ago."""
-
-
-@define
-class _Kept:
-    """What the task holds of one attempt."""
-
-    attempt: Attempt
-    answers: AnswerLog
-    deadline: float
-    version: str = ''
-    """The version that the permit was asked for."""
-
-    cancelled: bool = False
-    pieces: int = 0
-    ended_at: float | None = None
-
-
-@define
-class RunsState:
-    """What others may read of the task, for reports and status."""
-
-    service: str = ''
-    version: str = ''
-    adapters: tuple[str, ...] = ()
-    running: int = 0
-    queued: int = 0
-    slots: int = 0
-    service_s: float = 0
-    pace_s: float = 0
-    leaving: bool = False
-    sent_bytes: int = 0
-    changed: asyncio.Event = Factory(asyncio.Event)
-
-
 class RunsTask(Task):
     """Owns the ledger and the admission queue of an agent."""
 
@@ -181,7 +81,7 @@
             limits.slots,
             AdmissionQueue(limits.queue_length),
         )
-        self._kept: dict[AttemptKey, _Kept] = {}
+        self._kept: dict[AttemptKey, KeptAttempt] = {}
         self._running: dict[AttemptKey, asyncio.Task[None]] = {}
         self._heard_at = 0.0
         self._paused = True
@@ -195,13 +95,13 @@
     def on_attempt_came(self, message: AttemptCame) -> None:
         """Queue an attempt or refuse it for good."""
         attempt = message.attempt
-        item = _waiting(attempt, self._now())
+        item = waiting_of(attempt, self._now())
         refusal = self._refusal(attempt, item)
         if refusal is not None:
             message.answers.add(RunDown(refusal=refusal))
             message.answers.close()
             return
-        self._kept[attempt.key] = _Kept(
+        self._kept[attempt.key] = KeptAttempt(
             attempt,
             message.answers,
             item.deadline,
@@ -403,20 +303,20 @@
         else:
             self._note_load()
 
-    async def _run(self, kept: _Kept) -> None:
+    async def _run(self, kept: KeptAttempt) -> None:
         began = self._now()
-        final = _final_of(kept, Outcome.UNKNOWN, 'the run was stopped')
+        final = final_of(kept, Outcome.UNKNOWN, 'the run was stopped')
         try:
             final = await self._relay(kept, kept.version)
         except asyncio.CancelledError:
             if kept.cancelled:
                 message = 'cancelled by its owner'
-                final = _final_of(kept, Outcome.FAILED, message)
+                final = final_of(kept, Outcome.FAILED, message)
         except (UpstreamError, InvariantError) as exc:
-            final = _final_of(kept, Outcome.FAILED, str(exc))
+            final = final_of(kept, Outcome.FAILED, str(exc))
         except Exception as exc:
             self._log.exception('run failed', extra={'step': 'run'})
-            final = _final_of(kept, Outcome.FAILED, str(exc))
+            final = final_of(kept, Outcome.FAILED, str(exc))
         finally:
             kept.answers.add(RunDown(final=final))
             kept.answers.close()
@@ -425,7 +325,7 @@
             key = kept.attempt.key
             self.post(RunEnded(key, took_s, kept.pieces, ran=ran))
 
-    async def _relay(self, kept: _Kept, version: str) -> Final:
+    async def _relay(self, kept: KeptAttempt, version: str) -> Final:
         """Pass pieces on until the final message.
 
         A process that is paused between the start and this call would hand
@@ -433,7 +333,7 @@
         """
         if self._now() >= kept.deadline:
             message = 'the deadline passed before the upstream was asked'
-            return _final_of(kept, Outcome.NOT_RUN, message)
+            return final_of(kept, Outcome.NOT_RUN, message)
         async for part in self._upstream.run(kept.attempt, version):
             if isinstance(part, Final):
                 return part
@@ -486,29 +386,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _waiting(attempt: Attempt, now: float) -> Waiting:
-    tokens = attempt.max_tokens - attempt.resume_from
-    return Waiting(
-        key=attempt.key,
-        customer=attempt.customer,
-        priority=attempt.priority,
-        share=attempt.share,
-        deadline=now + attempt.budget_s,
-        tokens=max(tokens, 0),
-    )
-
-
-def settled_message(state: SettledState) -> RunDown:
-    """Wrap the word on an attempt."""
-    return RunDown(settled=Settled(state=state))
-
-
-def _final_of(kept: _Kept, outcome: Outcome, message: str) -> Final:
-    return Final(
-        request_id=kept.attempt.key.request_id,
-        outcome=outcome,
-        version=kept.version,
-        message=message,
-    )
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_loading.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_loading.py
@@ -8,7 +8,7 @@
 
 from crowrudder_core.transfer import may_change, predecessors
 from crowrudder_daemon.agent._orders import StagedWeights
-from crowrudder_daemon.agent._runs import PauseRuns
+from crowrudder_daemon.agent._run_messages import PauseRuns
 from crowrudder_daemon.agent.weights._sources import Asked
 from crowrudder_model import CrowrudderError
 
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -12,7 +12,7 @@
 from crowrudder_daemon._task import Task
 from crowrudder_daemon.agent._orders import EngineOrderer
 from crowrudder_daemon.agent._required import required
-from crowrudder_daemon.agent._runs import PauseRuns, ResumeRuns
+from crowrudder_daemon.agent._run_messages import PauseRuns, ResumeRuns
 from crowrudder_daemon.agent.weights._collect import Collector
 from crowrudder_daemon.agent.weights._goal import (
     Artifact,
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from crowrudder_daemon.entry._attempt_call import AgentRef
     from crowrudder_daemon.entry._caller_request import CallerRequest
-    from crowrudder_daemon.entry._requests import RequestsTask
+    from crowrudder_daemon.entry._drive_owner import DriveOwner
     from crowrudder_daemon.rpc import PeerClient
 
 MOST_AT_ONCE = 2
@@ -42,7 +42,7 @@
     req: CallerRequest
     owner: RequestOwner
     parts: asyncio.Queue[Piece | Ended]
-    _task: RequestsTask
+    _owner_task: DriveOwner
     _peers: PeerClient
     next_index: int = 0
     version: str = ''
@@ -66,7 +66,7 @@
             ended = outcome_unknown('internal', str(exc))
         except Exception as exc:
             # Without a final word the caller would wait for ever.
-            self._task.on_fault(exc)
+            self._owner_task.on_fault(exc)
             ended = outcome_unknown('internal', 'an error inside the entry')
         finally:
             if ended is not None:
@@ -86,7 +86,7 @@
         attempt = Attempt(
             key=call.key,
             customer=head.customer,
-            share=self._task.share_of(head.customer),
+            share=self._owner_task.share_of(head.customer),
             service=self.req.service,
             priority=head.priority,
             budget_s=self.owner.deadline - _now(),
@@ -117,7 +117,7 @@
         if piece.index != self.next_index:
             return
         if not self.next_index:
-            self._task.agents.on_first_piece(call.agent, call.waited_s)
+            self._owner_task.agents.on_first_piece(call.agent, call.waited_s)
         self.next_index += 1
         self.parts.put_nowait(piece)
 
@@ -125,16 +125,16 @@
         """Keep the reason and the time after which to come back."""
         self._last_refusal = refusal
         self._free_retry = refusal.reason in NO_COST
-        self._task.agents.on_refused(call.agent, refusal)
+        self._owner_task.agents.on_refused(call.agent, refusal)
 
     def note_outcome(self, call: AttemptCall, *, failed: bool) -> None:
         """Tell the router what the run came to."""
-        self._task.agents.on_outcome(call.agent, failed=failed)
+        self._owner_task.agents.on_outcome(call.agent, failed=failed)
 
     def note_lost(self, call: AttemptCall, exc: PeerLostError) -> None:
         """Tell the router of a broken stream."""
         self._free_retry = False
-        self._task.agents.on_failed(call.agent, exc)
+        self._owner_task.agents.on_failed(call.agent, exc)
 
     async def _run_in_time(self) -> Ended:
         left_s = self.owner.deadline - _now()
@@ -156,8 +156,8 @@
             serial=self.owner.serial,
             addresses=homes_among(
                 head.request_id,
-                self._task.snapshot.members,
-                self._task.snapshot.suspects,
+                self._owner_task.snapshot.members,
+                self._owner_task.snapshot.suspects,
             ),
         )
         vote = await take_claim(self._peers, self.claim, budget_s=left_s)
@@ -200,18 +200,18 @@
 
     async def _start_next(self) -> Ended | None:
         """Start the first attempt, or one more after all others ended."""
-        agent = await self._task.agents.choose_freshly(
+        agent = await self._owner_task.agents.choose_freshly(
             self._need(),
-            self._task.room_ask(self.req),
+            self._owner_task.room_ask(self.req),
         )
         if agent is None:
             return self._no_agent()
-        share = self._task.share_of(self.req.head.customer)
+        share = self._owner_task.share_of(self.req.head.customer)
         late = agent.wait_s >= self.owner.deadline - _now()
         if late and not share:
             # Who has a share doesn't wait behind everybody; the agent knows.
             return refused('overloaded', 503, agent.wait_s)
-        if not self._free_retry and not self._task.may_retry():
+        if not self._free_retry and not self._owner_task.may_retry():
             return self._not_run('overloaded', 'the retry budget is spent')
         self._start(agent)
         return None
@@ -227,9 +227,9 @@
             request=self,
             peers=self._peers,
         )
-        self._task.agents.on_sent(agent)
-        job = self._task.spawn(call.run())
-        job.add_done_callback(lambda _: self._task.agents.on_ended(agent))
+        self._owner_task.agents.on_sent(agent)
+        job = self._owner_task.spawn(call.run())
+        job.add_done_callback(lambda _: self._owner_task.agents.on_ended(agent))
         job.add_done_callback(self._ended.put_nowait)
         self._calls[job] = call
 
@@ -242,15 +242,17 @@
         alone = len(self._calls) < MOST_AT_ONCE and self._search is None
         if queued.wait_s <= 0 or not alone or not self.owner.may_hedge:
             return
-        if self._task.may_queue_twice():
-            self._search = self._task.spawn(self._find_room(queued.wait_s))
+        if self._owner_task.may_queue_twice():
+            self._search = self._owner_task.spawn(
+                self._find_room(queued.wait_s)
+            )
 
     async def _find_room(self, wait_s: float) -> None:
         """Queue at a second agent too; who has a slot first gets the permit."""
         busy = {call.agent.host for call in self._calls.values()}
-        agent = await self._task.agents.ask_for_room(
+        agent = await self._owner_task.agents.ask_for_room(
             self._need(also_avoid=busy),
-            self._task.room_ask(self.req),
+            self._owner_task.room_ask(self.req),
         )
         sooner = agent is not None and agent.wait_s < wait_s
         if agent is not None and sooner and self.owner.may_hedge:
@@ -261,7 +263,7 @@
         if not self.owner.may_hedge or len(self._calls) >= MOST_AT_ONCE:
             return None
         latest = max(call.progress_at for call in self._calls.values())
-        patience_s = self._task.agents.router.patience_s(self.req.service)
+        patience_s = self._owner_task.agents.router.patience_s(self.req.service)
         return max(latest + patience_s - _now(), 0)
 
     def _hedge(self) -> None:
@@ -273,12 +275,12 @@
             return
         for call in self._calls.values():
             call.progress_at = _now()
-        if self._task.may_retry():
+        if self._owner_task.may_retry():
             self._start_beside(hedge=self.owner.permit_out)
 
     def _start_beside(self, *, hedge: bool = False) -> None:
         busy = {call.agent.host for call in self._calls.values()}
-        agent = self._task.agents.choose(self._need(also_avoid=busy))
+        agent = self._owner_task.agents.choose(self._need(also_avoid=busy))
         if agent is not None:
             self._start(agent, hedge=hedge)
 
@@ -298,7 +300,9 @@
         for job, call in self._calls.items():
             if call is not kept and not job.done():
                 job.cancel()
-                self._task.spawn(self._task.agents.cancel(call.agent, call.key))
+                self._owner_task.spawn(
+                    self._owner_task.agents.cancel(call.agent, call.key)
+                )
 
     def _finish(self, ended: Ended) -> None:
         outcome = self._close(ended.outcome)
@@ -313,13 +317,13 @@
                 )
             case _:
                 ended = outcome_unknown('outcome_unknown', ended.message)
-        self._task.note_end(ended)
+        self._owner_task.note_end(ended)
         self.parts.put_nowait(ended)
 
     def _close(self, outcome: Outcome) -> Outcome:
         closed = self.owner.close(outcome)
         if closed is Outcome.NOT_RUN:
-            self._task.forget(self.owner.request_id, self.claim)
+            self._owner_task.forget(self.owner.request_id, self.claim)
         return closed
 
     def _need(self, *, also_avoid: set[str] | None = None) -> Need:
--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -7,11 +7,15 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
+from crowrudder_daemon.entry._answer_bodies import (
+    error_body,
+    last_event,
+    token_event,
+)
 from crowrudder_daemon.entry._caller_request import (
     BadRequestError,
     CallerRequest,
@@ -73,7 +77,7 @@
         self.set_header('X-Outcome', Outcome.NOT_RUN.value)
         self.set_header('X-Request-Id', request_id)
         self.finish(
-            _error_body('not_found', 'no such path', 'not_run', request_id),
+            error_body('not_found', 'no such path', 'not_run', request_id),
         )
 
 
@@ -204,7 +208,7 @@
     def _finish_ended(self, ended: Ended) -> None:
         self._set_outcome(ended)
         self.finish(
-            _error_body(
+            error_body(
                 ended.code,
                 ended.message,
                 ended.outcome.value,
@@ -280,10 +284,10 @@
         part: Piece | Ended = first
         try:
             while isinstance(part, Piece):
-                self.write(_token_event(part))
+                self.write(token_event(part))
                 await self.flush()
                 part = await self._parts.get()
-            self.write(_last_event(part, self._request_id))
+            self.write(last_event(part, self._request_id))
             await self.finish()
         except StreamClosedError:
             return
@@ -363,43 +367,3 @@
         status=METHOD_NOT_ALLOWED,
         code='wrong_method',
     )
-
-
-def _token_event(piece: Piece) -> bytes:
-    payload = msgspec.json.encode({'index': piece.index, 'text': piece.text})
-    return b'event: token\ndata: ' + payload + b'\n\n'
-
-
-def _last_event(ended: Ended, request_id: str) -> bytes:
-    if ended.outcome is Outcome.ANSWERED:
-        payload = msgspec.json.encode(
-            {
-                'outcome': ended.outcome.value,
-                'tokens': ended.pieces,
-                'version': ended.version,
-            }
-        )
-        return b'event: done\ndata: ' + payload + b'\n\n'
-    body = _error_body(
-        ended.code,
-        ended.message,
-        ended.outcome.value,
-        request_id,
-    )
-    return b'event: error\ndata: ' + msgspec.json.encode(body) + b'\n\n'
-
-
-def _error_body(
-    code: str,
-    message: str,
-    outcome: str,
-    request_id: str,
-) -> dict[str, dict[str, str]]:
-    return {
-        'error': {
-            'code': code,
-            'message': message,
-            'outcome': outcome,
-            'request_id': request_id,
-        },
-    }
--- a/scripts/_chaos.py
+++ b/scripts/_chaos.py
@@ -8,7 +8,21 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from _fleet import Host, Outside, Process
+from _faults import (
+    Cut,
+    Fault,
+    Freeze,
+    Kill,
+    OneWay,
+    Restart,
+    SharedKill,
+    Slow,
+    StandinFault,
+    mark_of,
+    processes_of,
+    told,
+)
+from _process import Host, Outside, Process
 from attrs import define, field, frozen
 from tornado.httpclient import HTTPError
 
@@ -42,123 +56,6 @@
 _LINK_KINDS = {'cut': 4, 'one_way': 4, 'slow': 2, 'domain': 3, 'dark': 2}
 
 
-@frozen
-class Kill:
-    """SIGKILL of a process, started again when the fault ends."""
-
-    process: Process
-
-
-@frozen
-class Freeze:
-    """SIGSTOP of a process, let go when the fault ends."""
-
-    process: Process
-
-
-@frozen
-class StandinFault:
-    """A fault that a stand-in plays."""
-
-    outside: Outside
-    name: str
-    count: int
-
-
-@frozen
-class SharedKill:
-    """SIGKILL of the platform, the origin or the store.
-
-    Started again they have what they had; the platform counts its revisions
-    anew.
-    """
-
-    outside: Outside
-
-
-@frozen
-class Restart:
-    """SIGTERM of hosts one after the other, each started again."""
-
-    hosts: tuple[Host, ...]
-
-
-@frozen
-class Cut:
-    """No connection between two sides."""
-
-    one: frozenset[str]
-    other: frozenset[str]
-
-    @property
-    def pairs(self) -> list[frozenset[str]]:
-        """Return the pairs of processes that are cut."""
-        return [
-            frozenset((one, other)) for one in self.one for other in self.other
-        ]
-
-
-@frozen
-class OneWay:
-    """Bytes from one process to another stand still, without a reset."""
-
-    source: str
-    target: str
-
-
-@frozen
-class Slow:
-    """Each piece between two processes comes late."""
-
-    one: str
-    other: str
-    delay_s: float
-
-
-Fault = (
-    Kill | Freeze | StandinFault | SharedKill | Restart | Cut | OneWay | Slow
-)
-
-
-def told(fault: Fault) -> str:
-    """Describe a fault for the log."""
-    match fault:
-        case Kill(process=process):
-            return f'kill {process.name}'
-        case Freeze(process=process):
-            return f'freeze {process.name}'
-        case StandinFault(outside=outside, name=name, count=count):
-            return f'{outside.process.name} {name} x{count}'
-        case SharedKill(outside=outside):
-            return f'kill {outside.process.name}'
-        case Restart(hosts=hosts):
-            return f'restart {" ".join(host.name for host in hosts)}'
-        case Cut(one=one, other=other):
-            return f'cut {" ".join(sorted(one))} from {" ".join(sorted(other))}'
-        case OneWay(source=source, target=target):
-            return f'one way {source} to {target}'
-        case Slow(one=one, other=other, delay_s=delay_s):
-            return f'slow {one} and {other} by {delay_s:.2f}'
-
-
-def _mark(fault: Fault) -> str:
-    """Name what a fault hits, so that the next one hits something else.
-
-    A link may be at fault beside its ends.
-    """
-    match fault:
-        case Kill(process=process) | Freeze(process=process):
-            return process.name
-        case StandinFault(outside=outside) | SharedKill(outside=outside):
-            return outside.process.name
-        case Restart(hosts=(host,)):
-            return host.name
-        case Restart():
-            return 'all'
-        case Cut() | OneWay() | Slow():
-            return told(fault)
-
-
 @frozen
 class Ending:
     """The time in which a process was gone, by the monotonic clock."""
@@ -227,7 +124,7 @@
     def _draw(self) -> Fault:
         while True:
             fault = self._draw_any()
-            if _mark(fault) not in self._hit:
+            if mark_of(fault) not in self._hit:
                 return fault
 
     def _draw_any(self) -> Fault:
@@ -300,7 +197,7 @@
     def _any_process(self) -> Process:
         host = self.rng.choice(self.fleet.hosts)
         upstream = self.rng.choice(self.fleet.agents).upstream
-        return self.rng.choice((host.process, *_process_of(upstream)))
+        return self.rng.choice((host.process, *processes_of(upstream)))
 
     def _upstream_fault(self, agent: Host) -> Fault:
         if agent.upstream is None:
@@ -313,7 +210,7 @@
         return StandinFault(outside, self.rng.choice(names), count)
 
     async def _play(self, fault: Fault, lasts_s: float) -> None:
-        mark = _mark(fault)
+        mark = mark_of(fault)
         self._hit.add(mark)
         self.played[type(fault).__name__] += 1
         self.say(f'{told(fault)} for {lasts_s:.1f} s')
@@ -415,7 +312,3 @@
             await self.fleet.fault(outside, fault.name, on=False)
         else:
             await self.fleet.start_process(outside.process)
-
-
-def _process_of(outside: Outside | None) -> tuple[Process, ...]:
-    return () if outside is None else (outside.process,)
--- a/scripts/_declare.py
+++ b/scripts/_declare.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from _fleet import FleetError, program
+from _process import FleetError, program
 from attrs import define, frozen
 
 if TYPE_CHECKING:
--- a/scripts/_end_state.py
+++ b/scripts/_end_state.py
@@ -9,7 +9,8 @@
     from collections.abc import Iterable, Mapping
 
     from _declare import Declared
-    from _fleet import Fleet, Host
+    from _fleet import Fleet
+    from _process import Host
 
 _VIOLATIONS = re.compile(
     r'crowrudder_invariant_violations_total\{[^}]*\} ([0-9.]+)'
--- a/scripts/_experiment_faults.py
+++ b/scripts/_experiment_faults.py
@@ -21,8 +21,9 @@
     Roll,
     Step,
 )
-from _fleet import LOOPBACK, FleetError, until
+from _fleet import until
 from _hostile import misses_of
+from _process import LOOPBACK, FleetError
 from attrs import define, evolve, field
 
 if TYPE_CHECKING:
@@ -30,7 +31,8 @@
 
     from _caller import Answer
     from _declare import Declared
-    from _fleet import Fleet, Host, Outside
+    from _fleet import Fleet
+    from _process import Host, Outside
 
 FIRST = Weights('listing-v1', seed=1)
 
--- a/scripts/_experiment_plan.py
+++ b/scripts/_experiment_plan.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from _fleet import FleetPlan
+from _fleet_plan import FleetPlan
 from _load_ini import SectionCheck, ini, read_sections
 from _load_plan import LONGEST_S, LoadPlan, check_load, optional
 from attrs import frozen
--- a/scripts/_experiment_run.py
+++ b/scripts/_experiment_run.py
@@ -10,10 +10,11 @@
 from _declare import Declared
 from _experiment_faults import FIRST, Injector
 from _experiment_verdict import Report, StepReport, judge
-from _fleet import Fleet, FleetError, Host, until
+from _fleet import Fleet, until
 from _load_arrivals import arrivals
 from _load_run import LoadRun, LoopbackCaller
 from _load_summary import summarize
+from _process import FleetError, Host
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/scripts/_fleet.py
+++ b/scripts/_fleet.py
@@ -7,237 +7,28 @@
 
 import asyncio
 import configparser
-import contextlib
-import json
-import os
-import random
-import signal
-import socket
-import subprocess
 import sys
 import time
 from pathlib import Path
-from typing import IO, TYPE_CHECKING, Any
-
+from typing import TYPE_CHECKING, Any
+
+from _fleet_plan import FleetPlan
+from _process import (
+    LOOPBACK,
+    FleetError,
+    Host,
+    Outside,
+    Ports,
+    Process,
+    program,
+)
 from _relay import Relay
-from attrs import define, field, frozen
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
+from _web import Web
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Mapping
+    from collections.abc import Awaitable, Callable
 
-LOOPBACK = '127.0.0.1'
-# Below the ports that the system gives to outgoing connections.
-_PORTS = (12000, 32000)
 _POLL_S = 0.05
-_TAIL_LINES = 30
-
-
-class FleetError(Exception):
-    """A step of the fleet that failed, with the process at which it did."""
-
-    def __init__(self, step: str, peer: str, reason: str) -> None:
-        super().__init__(f'{step}: {peer}: {reason}')
-
-
-@frozen
-class FleetPlan:
-    """How large a fleet is and how its stand-ins behave.
-
-    Rates are in bytes a second, 0 for no limit. The processes of a `relayed`
-    fleet meet each other, the platform and the weight sources through
-    `Fleet.relay`, which can cut, freeze and slow their links.
-    """
-
-    entries: int = 2
-    engines: int = 4
-    plains: int = 1
-    plain_service: str = 'portal'
-    regions: tuple[str, ...] = ('rennes', 'caen')
-    origin_rate: int = 8_000_000
-    store_rate: int = 8_000_000
-    link_bytes_per_s: int = 50_000_000
-    member_lag_s: float = 0.5
-    engine_options: tuple[str, ...] = ()
-    fencing: str = 'checked'
-    slots: int = 8
-    retry_share: float = 0.1
-    drain_s: float = 20
-    poll_s: float = 1
-    log_level: str = 'info'
-    relayed: bool = False
-
-
-@define(eq=False)
-class Process:
-    """A child process with its log file."""
-
-    name: str
-    arguments: list[str]
-    log_path: Path
-    _child: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Start it; the log of an earlier life is kept."""
-        log: IO[bytes]
-        with self.log_path.open('ab') as log:
-            self._child = subprocess.Popen(
-                self.arguments,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    @property
-    def running(self) -> bool:
-        """Whether it has been started and hasn't ended."""
-        return self._child is not None and self._child.poll() is None
-
-    @property
-    def pid(self) -> int:
-        """The id of the child process; 0 where it wasn't started."""
-        return 0 if self._child is None else self._child.pid
-
-    @property
-    def exit_code(self) -> int | None:
-        """The code with which it ended; negative for a signal."""
-        return None if self._child is None else self._child.poll()
-
-    def kill(self) -> None:
-        """End it at once."""
-        self._signal(signal.SIGKILL)
-        if self._child is not None:
-            self._child.wait()
-
-    def freeze(self) -> None:
-        """Pause it as a whole, until `thaw`."""
-        self._signal(signal.SIGSTOP)
-
-    def thaw(self) -> None:
-        """Let it go on."""
-        self._signal(signal.SIGCONT)
-
-    def terminate(self) -> None:
-        """Ask it to drain and end."""
-        self._signal(signal.SIGTERM)
-
-    async def ended(self, timeout_s: float) -> int | None:
-        """Wait for the end; None if it didn't come in time."""
-        if self._child is None:
-            return None
-        try:
-            return await asyncio.to_thread(self._child.wait, timeout_s)
-        except subprocess.TimeoutExpired:
-            return None
-
-    def tail(self) -> str:
-        """Return the last lines of its log."""
-        if not self.log_path.exists():
-            return 'not started'
-        lines = self.log_path.read_text(errors='replace').splitlines()
-        return '\n'.join(lines[-_TAIL_LINES:])
-
-    def _signal(self, number: signal.Signals) -> None:
-        if self._child is not None and self.running:
-            self._child.send_signal(number)
-
-
-@frozen(eq=False)
-class Outside:
-    """A stand-in: its process, address and journal of runs.
-
-    The daemons are told the `listed_address`.
-    """
-
-    process: Process
-    address: str
-    journal_path: Path
-    listed_address: str
-
-    @property
-    def url(self) -> str:
-        """Where it answers."""
-        return f'http://{self.address}'
-
-
-@frozen(eq=False)
-class Host:
-    """A host of the fleet: one daemon and, for an agent, its upstream."""
-
-    member: dict[str, Any]
-    process: Process
-    upstream: Outside | None = None
-
-    @property
-    def name(self) -> str:
-        """The name in the member list."""
-        return str(self.member['host'])
-
-    @property
-    def admin_url(self) -> str:
-        """Where its status and health are read."""
-        return f'http://{LOOPBACK}:{self.member["admin_port"]}'
-
-    @property
-    def is_engine(self) -> bool:
-        """Whether it is the agent of an engine."""
-        return bool(self.member['upstream'] == 'engine')
-
-
-class Web:
-    """Calls to control and admin addresses."""
-
-    def __init__(self) -> None:
-        self._client = AsyncHTTPClient(force_instance=True, max_clients=100)
-
-    async def fetch(
-        self,
-        method: str,
-        url: str,
-        body: bytes | None = None,
-        timeout_s: float = 5,
-    ) -> HTTPResponse:
-        """Call and return any answer; OSError or HTTPError if none came."""
-        return await self._client.fetch(
-            url,
-            method=method,
-            body=body,
-            allow_nonstandard_methods=True,
-            raise_error=False,
-            request_timeout=timeout_s,
-            connect_timeout=timeout_s,
-        )
-
-    async def json(
-        self,
-        method: str,
-        url: str,
-        sent: Mapping[str, Any] | None = None,
-    ) -> Any:
-        """Call and decode a JSON answer with status 200."""
-        body = None if sent is None else json.dumps(sent).encode()
-        answer = await self.fetch(method, url, body)
-        if answer.code != 200:
-            raise FleetError(method, url, f'{answer.code} {answer.body!r}')
-        return json.loads(answer.body)
-
-    async def tried_json(self, url: str) -> Any:
-        """Read JSON, or None from a peer that doesn't answer well."""
-        with contextlib.suppress(Exception):
-            return await self.json('GET', url)
-        return None
-
-    async def tried_answer(self, url: str) -> bool:
-        """Tell whether a peer answers with 200."""
-        try:
-            answer = await self.fetch('GET', url)
-        except (OSError, HTTPError):
-            return False
-        return answer.code == 200
-
-    def close(self) -> None:
-        """Close the client."""
-        self._client.close()
 
 
 async def until(
@@ -260,42 +51,6 @@
         await asyncio.sleep(_POLL_S)
 
 
-def end_on_signal(number: signal.Signals) -> None:
-    """Let a signal cancel the running task, so that it ends its processes.
-
-    The default action would leave the child processes behind for good.
-    """
-    task = asyncio.current_task()
-    if task is not None:
-        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-
-
-def program(name: str) -> str:
-    """Return the path of an installed program beside this interpreter."""
-    return str(Path(sys.executable).parent / name)
-
-
-@define
-class Ports:
-    """Ports for listeners, each given out once."""
-
-    _given: set[int] = field(factory=set)
-    _rng: random.Random = field(factory=lambda: random.Random(os.getpid()))
-
-    def free(self) -> int:
-        """Return a port that nobody listens on."""
-        while True:
-            port = self._rng.randrange(*_PORTS)
-            with socket.socket() as probe:
-                if (
-                    port in self._given
-                    or probe.connect_ex((LOOPBACK, port)) == 0
-                ):
-                    continue
-            self._given.add(port)
-            return port
-
-
 class Fleet:
     """The processes of one run and the directory of their files."""
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,7 +16,9 @@
 from _books import Books, Verdict, compare
 from _caller import Answer, Caller, Request
 from _declare import Declared, Weights, client
-from _fleet import Fleet, FleetError, FleetPlan, end_on_signal, until
+from _fleet import Fleet, until
+from _fleet_plan import FleetPlan
+from _process import FleetError, end_on_signal
 from attrs import evolve, frozen
 
 PLAN = FleetPlan(
--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -23,7 +23,7 @@
 from _experiment_plan import Experiment, read_experiment
 from _experiment_run import ExperimentRun, log_tails
 from _experiment_verdict import Report
-from _fleet import FleetError, end_on_signal
+from _process import FleetError, end_on_signal
 from attrs import evolve
 from docopt import docopt
 
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -26,7 +26,6 @@
 import msgspec
 from _experiment_plan import Experiment, read_experiment
 from _experiment_run import ExperimentRun
-from _fleet import FleetError, end_on_signal
 from _load_arrivals import arrivals
 from _load_run import (
     LoadRun,
@@ -36,6 +35,7 @@
 )
 from _load_summary import Summary, summarize
 from _load_text import summary_lines
+from _process import FleetError, end_on_signal
 from docopt import docopt
 from experiment import seeded
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -24,7 +24,9 @@
 from _chaos import Chaos
 from _declare import Declared, Weights
 from _end_state import differing, end_state_faults
-from _fleet import Fleet, FleetError, FleetPlan, end_on_signal, until
+from _fleet import Fleet, until
+from _fleet_plan import FleetPlan
+from _process import FleetError, end_on_signal
 from attrs import define, field
 from docopt import docopt
 
--- a/tests/client/test_cli.py
+++ b/tests/client/test_cli.py
@@ -30,6 +30,7 @@
     read_files,
 )
 from support.aio import run
+from support.ports import closed_port
 
 EXAMPLE = Path(__file__).parent.parent.parent / 'examples/fleet'
 IN_FORCE = read_files(
@@ -396,8 +397,3 @@
     conn, _ = server.accept()
     with conn:
         conn.sendall(b'220 mail ready\r\n')
-
-
-def closed_port() -> str:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return f'127.0.0.1:{server.getsockname()[1]}'
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -1,9 +1,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import io
-import json
 import logging
 import os
 import signal
@@ -13,119 +10,14 @@
 from urllib.parse import quote
 
 import pytest
-from attrs import define, evolve, field
-from tornado.httpclient import AsyncHTTPClient
 
 from crowrudder_daemon import _lifecycle
-from crowrudder_daemon.logs import start_logs
-from crowrudder_daemon.metrics import LabelError, Metrics
 from crowrudder_daemon.process import Lifecycle, Runtime, Stop, run_role
-from crowrudder_daemon.settings import LimitsSection
-from crowrudder_model import Member
 from support.aio import run
+from support.process import FakeRole, bench, with_bench
 from support.settings import entry_settings
 
 
-@define
-class FakeRole:
-    """A role that notes what is done to it and can be told to misbehave."""
-
-    calls: list[str] = field(factory=list)
-    started: asyncio.Event = field(factory=asyncio.Event)
-    release: asyncio.Event = field(factory=asyncio.Event)
-    draining: asyncio.Event = field(factory=asyncio.Event)
-    reasons: list[str] = field(factory=list)
-    broken: tuple[str, ...] = ()
-    endless: str = ''
-    let_go: asyncio.Event = field(factory=asyncio.Event)
-
-    async def start(self):
-        self._act('start')
-        self.started.set()
-
-    async def drain(self):
-        self._act('drain')
-        self.draining.set()
-        await self._hang('drain')
-        await self.release.wait()
-        self.calls.append('drained')
-
-    async def stop(self):
-        self._act('stop')
-        await self._hang('stop')
-
-    def status(self):
-        self._act('status')
-        return {'queue': 3}
-
-    def readiness(self):
-        return self.reasons
-
-    def members(self):
-        return (Member('e1', 'entry', '127.0.0.1'),)
-
-    def bundle(self):
-        return b''
-
-    def explain(self, customer, model):
-        if 'explain' in self.broken:
-            raise NotImplementedError
-        return {'customer': customer, 'model': model}
-
-    async def _hang(self, step):
-        """Stay in a step whatever the cancellations."""
-        while step == self.endless and not self.let_go.is_set():
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.let_go.wait()
-
-    def _act(self, step):
-        self.calls.append(step)
-        if step in self.broken:
-            raise OSError(f'{step} is broken')
-
-
-@define
-class Bench:
-    """One running process with a fake role."""
-
-    role: FakeRole
-    life: Lifecycle
-    stop: Stop
-    task: asyncio.Task
-
-    async def get(self, path):
-        res = await AsyncHTTPClient(force_instance=True).fetch(
-            f'http://127.0.0.1:{self.life.admin_port}{path}',
-            raise_error=False,
-        )
-        is_json = res.headers['Content-Type'].startswith('application/json')
-        return res.code, json.loads(res.body) if is_json else res.body
-
-    async def finish(self):
-        self.role.release.set()
-        self.stop.ask('SIGTERM')
-        return await self.task
-
-
-async def bench(role=None, drain_s=10.0):
-    role = role or FakeRole()
-    cfg = evolve(entry_settings(), limits=LimitsSection(drain_s=drain_s))
-    runtime = Runtime(cfg=cfg, log=logging.getLogger('test'))
-    life, stop = Lifecycle(runtime, role), Stop()
-    made = Bench(role, life, stop, asyncio.ensure_future(life.run(stop)))
-    await role.started.wait()
-    return made
-
-
-def with_bench(check, role=None):
-    async def scenario():
-        made = await bench(role)
-        await check(made)
-        assert await made.finish() == 0
-
-    run(scenario())
-
-
 class TestAdmin:
     def test_health_and_readiness(self):
         async def check(made):
@@ -389,7 +281,7 @@
 _ENDLESS = """
 import os, signal
 from crowrudder_daemon import _lifecycle
-from daemon.test_process import FakeRole
+from support.process import FakeRole
 from support.settings import entry_settings
 
 _lifecycle.CLOSE_S = 0.1
@@ -398,62 +290,3 @@
 role.started.set = lambda: os.kill(os.getpid(), signal.SIGTERM)
 raise SystemExit(_lifecycle.run_role(entry_settings(), lambda _: role))
 """
-
-
-class TestLogs:
-    def test_line_is_json_with_host_role_and_fields(self):
-        stream = io.StringIO()
-        handlers = logging.getLogger().handlers[:]
-        try:
-            log = start_logs(entry_settings(), stream)
-            log.info('sent', extra={'request_id': 'r1', 'step': 'send'})
-            log.debug('too small')
-        finally:
-            logging.getLogger().handlers[:] = handlers
-        line = json.loads(stream.getvalue())
-        assert (line['host'], line['role']) == ('entry-1', 'entry')
-        assert (line['request_id'], line['step']) == ('r1', 'send')
-        assert (line['message'], line['level']) == ('sent', 'INFO')
-
-
-class TestRefusalsUnderOverload:
-    """Symptom: the log fills when the process has least time to write.
-
-    Sequence: the process is not ready or overloaded and answers 503 again and
-    again. Cause: the HTTP library logs an error for each answer of 5xx.
-    """
-
-    def test_refusal_writes_no_line(self, caplog):
-        async def check(made):
-            made.role.reasons.append('overloaded')
-            assert (await made.get('/readyz'))[0] == 503
-
-        handlers = logging.getLogger().handlers[:]
-        start_logs(entry_settings(), io.StringIO())
-        logging.getLogger().handlers[:] = handlers
-        with_bench(check)
-        assert 'tornado.access' not in {
-            name for name, *_ in caplog.record_tuples
-        }
-
-
-class TestMetrics:
-    def test_label_that_was_not_declared_is_refused(self):
-        requests = Metrics().counter('requests', 'R.', labels=('outcome',))
-        with pytest.raises(LabelError, match='outcome'):
-            requests.add(request_id='r1')
-
-    def test_gauges_and_histograms_are_shown(self):
-        metrics = Metrics()
-        metrics.gauge('queue_length', 'Q.', lambda: 3)
-        metrics.gauges('load', 'L.', lambda: [({'host': 'a'}, 0.5)])
-        metrics.histogram('wait_seconds', 'W.').record(0.3)
-        text = metrics.render().decode()
-        assert 'crowrudder_queue_length 3.0' in text
-        assert 'crowrudder_load{host="a"} 0.5' in text
-        assert 'crowrudder_wait_seconds_bucket{le="0.25"} 0.0' in text
-
-    def test_two_processes_of_one_test_keep_apart(self):
-        one, other = Metrics(), Metrics()
-        one.invariant_violated('x')
-        assert b'invariant="x"' not in other.render()
--- /dev/null
+++ b/tests/platform/test_adapter_calls.py
@@ -0,0 +1,125 @@
+"""What the adapter calls: the store, the engine and the origin."""
+
+from __future__ import annotations
+
+import pytest
+from crowrudder_platform import (
+    PlatformEngine,
+    PlatformOrigin,
+    PlatformStore,
+)
+
+from crowrudder_daemon.fleet.ports import (
+    HistoryGoneError,
+    PlatformError,
+)
+from crowrudder_daemon.http import ConnectionPool
+from crowrudder_model import UpstreamError
+from crowrudder_standins._faults import Fault
+from crowrudder_standins.fleet_origin import FleetOrigin
+from crowrudder_standins.fleet_replica import FleetReplica
+from crowrudder_standins.fleet_store import PAGE_ITEMS, FleetStore
+from support.aio import run
+from support.served import served
+
+
+class TestStore:
+    def test_lists_every_page(self):
+        async def check(address, pool):
+            listing = await PlatformStore(address, pool).list_all()
+            assert len(listing.items) == 2 * PAGE_ITEMS + 3
+            assert listing.through == store.revision
+            assert listing.items[0].payload == b'\x00\xff'
+
+        store = FleetStore()
+        for number in range(2 * PAGE_ITEMS + 3):
+            store.put(f'servers/{number:04}', b'\x00\xff')
+        run(served(store, check))
+
+    def test_watches_changes_and_removals(self):
+        async def check(address, pool):
+            source = PlatformStore(address, pool)
+            begin = store.revision
+            store.put('a', b'1')
+            store.remove('a')
+            listing = await source.watch(begin, wait_s=1)
+            assert [item.payload for item in listing.items] == [b'1', None]
+            assert [item.revision for item in listing.items] == [2, 3]
+            nothing = await source.watch(listing.through, wait_s=0.01)
+            assert not nothing.items
+
+        store = FleetStore()
+        run(served(store, check))
+
+    def test_forgotten_history_is_told_apart(self):
+        async def check(address, pool):
+            store.put('a', b'1')
+            store.compact()
+            with pytest.raises(HistoryGoneError):
+                await PlatformStore(address, pool).watch(1, wait_s=0.01)
+
+        store = FleetStore()
+        run(served(store, check))
+
+    @pytest.mark.parametrize('name', ['down', 'busy', 'garbage'])
+    def test_every_other_trouble_is_one_error(self, name):
+        async def check(address, pool):
+            store.faults.switch_on(Fault(name))
+            with pytest.raises(PlatformError) as caught:
+                await PlatformStore(address, pool).watch(1, wait_s=0.01)
+            assert caught.value.peer == address
+            assert caught.value.step
+
+        store = FleetStore()
+        run(served(store, check))
+
+
+class TestEngine:
+    def options(self):
+        return {'--id': 'i', '--model': 'm', '--loaded': '1'}
+
+    def test_reads_stages_and_orders(self):
+        async def check(address, pool):
+            engine = PlatformEngine(address, pool)
+            assert (await engine.read()).weights == 1
+            await engine.put_chunk('m', 3, b'piece')
+            assert await engine.get_chunk('m', 3) == b'piece'
+            assert await engine.get_chunk('m', 4) is None
+            assert await engine.load('m', 2, may_cut_off=False)
+            assert (await engine.read()).is_busy
+            assert not await engine.load('m', 2, may_cut_off=False)
+
+        run(served(FleetReplica(self.options()), check))
+
+    def test_an_engine_that_is_gone_is_an_error_with_its_address(self):
+        async def check():
+            engine = PlatformEngine('127.0.0.1:9', ConnectionPool())
+            with pytest.raises(UpstreamError, match=r'127.0.0.1:9'):
+                await engine.read()
+
+        run(check())
+
+
+class TestOrigin:
+    def test_digests_and_pieces(self):
+        async def check(address, pool):
+            source = PlatformOrigin(pool)
+            newest = await source.digests(address, 'm')
+            first = await source.digests_of(address, 'm', 1)
+            assert (newest.version, first.version) == (2, 1)
+            assert len(first.digests) == 8
+            piece = await source.chunk(address, 'm', 1, 5)
+            assert piece == origin.piece(1, 5)
+
+        origin = FleetOrigin({'--model': 'm'})
+        origin.newest = 2
+        run(served(origin, check))
+
+    def test_a_version_that_is_too_old_is_an_error(self):
+        async def check(address, pool):
+            with pytest.raises(UpstreamError, match='410'):
+                await PlatformOrigin(pool).chunk(address, 'm', 1, 0)
+
+        origin = FleetOrigin({'--model': 'm'})
+        origin.newest = 3
+        run(served(origin, check))
--- a/tests/requests/test_path.py
+++ b/tests/requests/test_path.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from crowrudder_daemon.agent._runs import DrainRuns
+from crowrudder_daemon.agent._run_messages import DrainRuns
 from crowrudder_daemon.entry._claims import homes_among
 from crowrudder_daemon.entry._requests import CallerLost
 from crowrudder_model import Member, Outcome
--- a/tests/requests/test_reports.py
+++ b/tests/requests/test_reports.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from crowrudder_daemon.agent._runs import ResumeRuns
+from crowrudder_daemon.agent._run_messages import ResumeRuns
 from crowrudder_model.messages import ReportAsk
 from support.aio import run
 from support.path import SERVICE, Path
--- a/tests/requests/test_runs_task.py
+++ b/tests/requests/test_runs_task.py
@@ -10,7 +10,7 @@
 from attrs import define, evolve, field
 
 from crowrudder_daemon.agent._answer_log import AnswerLog
-from crowrudder_daemon.agent._runs import (
+from crowrudder_daemon.agent._run_messages import (
     AttemptCame,
     CancelCame,
     DrainRuns,
@@ -18,9 +18,9 @@
     PauseRuns,
     PermitCame,
     ResumeRuns,
-    RunsTask,
     SettleCame,
 )
+from crowrudder_daemon.agent._runs import RunsTask
 from crowrudder_daemon.process import Runtime
 from crowrudder_model import Outcome
 from crowrudder_model.messages import (
--- a/tests/scripts/test_experiment.py
+++ b/tests/scripts/test_experiment.py
@@ -9,10 +9,10 @@
 from _experiment_faults import Absences, hosts_of
 from _experiment_plan import Promise, read_experiment
 from _experiment_verdict import StepReport, judge
-from _fleet import FleetError, Host, Process
 from _load_arrivals import Arrival
 from _load_run import CallResult
 from _load_summary import summarize
+from _process import FleetError, Host, Process
 from attrs import evolve
 
 EXPERIMENTS = Path(__file__).parents[2] / 'examples' / 'experiments'
--- a/tests/scripts/test_relay.py
+++ b/tests/scripts/test_relay.py
@@ -5,7 +5,7 @@
 
 import pytest
 from _end_state import went_back
-from _fleet import Ports
+from _process import Ports
 from _relay import Relay
 
 from support.aio import run
--- /dev/null
+++ b/tests/support/claims_world.py
@@ -0,0 +1,297 @@
+"""Entries, homes and claims in any order of events."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import define, evolve, field
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from crowrudder_core.requests import (
+    AgentLedger,
+    ClaimBook,
+    ClaimCount,
+    Place,
+    RequestOwner,
+    Vote,
+    _claims,
+    homes_of,
+)
+from crowrudder_core.requests._homes import MOST_HOMES
+from crowrudder_model import Outcome
+from crowrudder_model.messages import (
+    Attempt,
+    AttemptKey,
+    ClaimAsk,
+    ReleaseAsk,
+)
+
+REQUEST_ID = 'notice-1'
+
+
+HOSTS = tuple(f'agent-{number}' for number in range(8))
+
+
+ENTRIES = ('entry-1', 'entry-2', 'entry-3')
+
+
+BUDGET_S = 10.0
+
+
+SAFE_FAULTS = 2
+
+
+@define
+class Home:
+    """An agent: its memory of claims and of attempts, for one life."""
+
+    book: ClaimBook = field(factory=ClaimBook)
+    ledger: AgentLedger = field(factory=AgentLedger)
+    life: int = 0
+
+
+@define(eq=False)
+class Sending:
+    """One try of a caller, carried by one entry."""
+
+    entry: str
+    serial: int
+    homes: tuple[str, ...]
+    owner: RequestOwner
+    count: ClaimCount
+    alive: bool = True
+    told: Outcome | None = None
+
+    def claim(self) -> ClaimAsk:
+        return ClaimAsk(
+            request_id=REQUEST_ID,
+            owner=self.entry,
+            serial=self.serial,
+            keep_s=BUDGET_S + _claims.REMEMBER_S,
+        )
+
+
+@define(frozen=True)
+class Letter:
+    """A message under way to a step of the world."""
+
+    step: str
+    sending: Sending
+    host: str = ''
+    key: AttemptKey | None = None
+    life: int = 0
+    word: Any = None
+
+
+class World(RuleBasedStateMachine):
+    """Entries, homes and a network that loses, doubles and delays."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.faults_left = SAFE_FAULTS
+        self.now = 0.0
+        self.homes = {host: Home() for host in HOSTS}
+        self.views = {entry: set(HOSTS) for entry in ENTRIES}
+        self.lives = dict.fromkeys(ENTRIES, 0)
+        self.letters: list[Letter] = []
+        self.sendings: list[Sending] = []
+        self.started: list[AttemptKey] = []
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def send(self, entry):
+        serial = len(self.sendings) + 1
+        incarnation = f'{entry}/{self.lives[entry]}'
+        homes = homes_of(REQUEST_ID, places(self.views[entry]))
+        sending = Sending(
+            entry=incarnation,
+            serial=serial,
+            homes=homes,
+            owner=RequestOwner(
+                REQUEST_ID,
+                entry=incarnation,
+                idempotent=False,
+                deadline=self.now + BUDGET_S,
+                serial=serial,
+            ),
+            count=ClaimCount(homes),
+        )
+        self.sendings.append(sending)
+        for host in homes:
+            self.letters.append(Letter('claim', sending, host))
+
+    @precondition(lambda world: world.letters)
+    @rule(pick=st.integers(0, 1000), doubled=st.booleans())
+    def deliver(self, pick, doubled):
+        index = pick % len(self.letters)
+        letter = self.letters[index]
+        if not doubled:
+            self.letters.pop(index)
+        getattr(self, f'_on_{letter.step}')(letter)
+
+    @precondition(lambda world: world.letters)
+    @rule()
+    def deliver_all(self):
+        """Let the network be good for once."""
+        for letter in list(self.letters):
+            if letter in self.letters:
+                self.letters.remove(letter)
+                getattr(self, f'_on_{letter.step}')(letter)
+
+    @precondition(lambda world: world.letters)
+    @rule(pick=st.integers(0, 1000))
+    def lose(self, pick):
+        self.letters.pop(pick % len(self.letters))
+
+    @rule(passed=st.sampled_from((0.1, 3.0, 11.0, 300.0)))
+    def wait(self, passed):
+        """Let time pass, at most as long as an id is remembered."""
+        longest = _claims.REMEMBER_S
+        if self.now + passed < longest:
+            self.now += passed
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def restart_entry(self, entry):
+        for sending in self.sendings:
+            if sending.entry == f'{entry}/{self.lives[entry]}':
+                sending.alive = False
+        self.lives[entry] += 1
+
+    @precondition(lambda world: world.faults_left > 0)
+    @rule(host=st.sampled_from(HOSTS))
+    def kill_agent(self, host):
+        """Lose a home's memory at once."""
+        self.faults_left -= 1
+        self._renew(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart_agent(self, host):
+        """Restart a home in good order: it hands its claims over."""
+        held = self.homes[host].book.held(now=self.now)
+        others = [other for other in HOSTS if other != host]
+        for other in homes_of(REQUEST_ID, places(others)):
+            self.homes[other].book.take_over(held, now=self.now)
+        self._renew(host)
+
+    @precondition(lambda world: world.faults_left > 0)
+    @rule(
+        entry=st.sampled_from(ENTRIES),
+        pick=st.integers(0, MOST_HOMES - 1),
+    )
+    def lag(self, entry, pick):
+        """Let one entry's list lack one of the id's homes."""
+        homes = homes_of(REQUEST_ID, places(self.views[entry]))
+        self.views[entry].discard(homes[pick])
+        self.faults_left -= 1
+
+    @precondition(lambda world: world.sendings)
+    @rule(pick=st.integers(0, 1000))
+    def give_up(self, pick):
+        sending = self.sendings[pick % len(self.sendings)]
+        if sending.alive and sending.told is None:
+            self._tell_not_run(sending)
+
+    @precondition(lambda world: world._held())
+    @rule(host=st.sampled_from(HOSTS))
+    def attempt(self, host):
+        """Queue a claimed request at an agent; at two, if drawn twice."""
+        sending = self._held()[-1]
+        key = sending.owner.open_attempt()
+        life = self.homes[host].life
+        self.letters.append(Letter('attempt', sending, host, key, life))
+
+    def _held(self) -> list[Sending]:
+        return [
+            sending
+            for sending in self.sendings
+            if sending.alive
+            and sending.told is None
+            and sending.count.vote is Vote.HELD
+        ]
+
+    def _on_claim(self, letter: Letter) -> None:
+        book = self.homes[letter.host].book
+        state = book.claim(letter.sending.claim(), now=self.now)
+        reply = evolve(letter, step='claim_reply', word=state)
+        self.letters.append(reply)
+
+    def _on_claim_reply(self, letter: Letter) -> None:
+        sending = letter.sending
+        vote = sending.count.take(letter.host, letter.word)
+        refused = vote not in {Vote.HELD, Vote.OPEN}
+        if refused and sending.alive and sending.told is None:
+            self._tell_not_run(sending)
+
+    def _on_release(self, letter: Letter) -> None:
+        sending = letter.sending
+        ask = ReleaseAsk(
+            request_id=REQUEST_ID, owner=sending.entry, serial=sending.serial
+        )
+        self.homes[letter.host].book.release(ask, now=self.now)
+
+    def _on_attempt(self, letter: Letter) -> None:
+        home = self.homes[letter.host]
+        if home.life != letter.life or letter.key is None:
+            return
+        attempt = Attempt(
+            key=letter.key,
+            customer='c',
+            service='s',
+            priority=5,
+            budget_s=BUDGET_S,
+            idempotent=False,
+        )
+        taken = home.ledger.receive(attempt, now=self.now) is None
+        if taken and home.ledger.ask(letter.key, now=self.now):
+            self.letters.append(evolve(letter, step='permit_ask'))
+
+    def _on_permit_ask(self, letter: Letter) -> None:
+        owner = letter.sending.owner
+        if not letter.sending.alive or letter.key is None:
+            return
+        granted = owner.grant(letter.key, now=self.now)
+        self.letters.append(evolve(letter, step='permit', word=granted))
+
+    def _on_permit(self, letter: Letter) -> None:
+        home = self.homes[letter.host]
+        if home.life != letter.life or letter.key is None:
+            return
+        permitted = home.ledger.permit(
+            letter.key, granted=letter.word, now=self.now
+        )
+        if permitted and home.ledger.start(letter.key, now=self.now):
+            self.started.append(letter.key)
+
+    def _tell_not_run(self, sending: Sending) -> None:
+        sending.told = sending.owner.close(Outcome.NOT_RUN)
+        if sending.told is Outcome.NOT_RUN:
+            for host in sending.homes:
+                self.letters.append(Letter('release', sending, host))
+
+    def _renew(self, host: str) -> None:
+        life = self.homes[host].life + 1
+        self.homes[host] = Home(life=life)
+
+    @invariant()
+    def holds(self):
+        """Nothing runs twice, and what was told not to run never runs."""
+        assert len(self.started) <= 1, self.started
+        ran = {key.entry for key in self.started}
+        serials = {
+            sending.serial
+            for sending in self.sendings
+            if sending.told is Outcome.NOT_RUN
+            for key in self.started
+            if key in sending.owner.holds and key.entry in ran
+        }
+        assert not serials, self.started
+
+
+def places(hosts: Any) -> list[Place]:
+    """Put hosts into three failure domains."""
+    return [Place(host, f'domain-{int(host[-1]) % 3}') for host in hosts]
--- a/tests/support/path.py
+++ b/tests/support/path.py
@@ -15,8 +15,9 @@
 from attrs import define, evolve, field
 
 from crowrudder_daemon.agent._claims import ClaimService
+from crowrudder_daemon.agent._run_messages import ResumeRuns
 from crowrudder_daemon.agent._run_service import RunService
-from crowrudder_daemon.agent._runs import ResumeRuns, RunsTask
+from crowrudder_daemon.agent._runs import RunsTask
 from crowrudder_daemon.entry._caller_request import (
     CallerRequest,
     CallHead,
--- a/tests/support/ports.py
+++ b/tests/support/ports.py
@@ -40,3 +40,8 @@
         _claims.append(sock)
         return first, first + count - 1
     raise AssertionError('the steps have no end')
+
+
+def closed_port() -> str:
+    """Give an address that refuses connections."""
+    return f'127.0.0.1:{free_port()}'
--- a/tests/weights/test_withdrawn.py
+++ b/tests/weights/test_withdrawn.py
@@ -4,7 +4,7 @@
 import logging
 
 from crowrudder_daemon.agent import build_agent
-from crowrudder_daemon.agent._runs import PauseRuns
+from crowrudder_daemon.agent._run_messages import PauseRuns
 from crowrudder_daemon.agent.weights import SnapshotCame, _task
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_daemon.process import Runtime
--- a/tests/workspace/test_layers.py
+++ b/tests/workspace/test_layers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import ast
+import graphlib
 import re
 import subprocess
 import sys
@@ -78,6 +79,47 @@
         assert not wrong
 
 
+def module_graph():
+    """Give the modules of the workspace and what each imports of them.
+
+    Imports that only the type checker reads count as well.
+    """
+    modules = {}
+    for package in MAY_IMPORT:
+        for path in sources_of(package):
+            parts = path.relative_to(
+                path.parents[path.parts[::-1].index('src')]
+            )
+            name = '.'.join(parts.with_suffix('').parts[1:])
+            modules[name.removesuffix('.__init__')] = path
+    return {
+        name: imports_of(path, modules) - {name}
+        for name, path in modules.items()
+    }
+
+
+def imports_of(path, modules):
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Import(names=names):
+                found.update(name.name for name in names)
+            case ast.ImportFrom(module=str(module), names=names):
+                for name in names:
+                    inner = f'{module}.{name.name}'
+                    found.add(inner if inner in modules else module)
+    return found & modules.keys()
+
+
+class TestCircles:
+    def test_no_modules_import_each_other(self):
+        """Two modules that know each other can only be read together."""
+        graph = module_graph()
+        assert any(graph.values())
+        sorted_ones = tuple(graphlib.TopologicalSorter(graph).static_order())
+        assert len(sorted_ones) == len(graph)
+
+
 class TestStandardLibrary:
     def test_platform_is_still_pythons_own_module(self):
         """A folder hid a module of the standard library.
