Refusals tell when the service is back; an entry loads only its own modules

Change: 1.1 s while engines load, 2 s where none is there. Own answers are now written in one place (two ways stood).

--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -7,7 +7,7 @@
 
 from tornado.httpserver import HTTPServer
 
-from crowrudder_daemon.entry._callers_port import CallersPort
+from crowrudder_daemon._callers_port import CallersPort
 from crowrudder_daemon.entry._handlers import make_application
 from crowrudder_daemon.entry._links import LinksTask, links_of
 from crowrudder_daemon.entry._open_answers import OpenAnswers
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from attrs import frozen
 from tornado.httputil import (
     HTTPHeaders,
@@ -178,19 +177,6 @@
         self._side.note_gone()
 
 
-def own_body(code: str, message: str, request_id: str) -> bytes:
-    """Write the body of an answer of the entry's own."""
-    return msgspec.json.encode(
-        {
-            'error': {
-                'code': code,
-                'message': message,
-                'request_id': request_id,
-            },
-        },
-    )
-
-
 def _phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -20,10 +20,8 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
-from crowrudder_daemon.fleet_entry._caller_side import (
-    CallerGoneError,
-    own_body,
-)
+from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
+from crowrudder_daemon.fleet_entry._own_answer import OwnAnswer, send_own
 from crowrudder_daemon.fleet_entry._upstreams import Wanted
 from crowrudder_model.fleet import RouteKind
 
@@ -201,7 +199,7 @@
     def _nobody(self) -> Next:
         return self.dispatch.refuse(
             f'no upstream of {self.admitted.service} can serve this now',
-            LEAST_RETRY_S,
+            self._back_in_s,
         )
 
     def _attempt(self, choice: Choice) -> Attempt:
@@ -266,9 +264,14 @@
     async def _finish(self, verdict: Next, failed: HTTPStatus) -> None:
         match verdict:
             case Refuse(reason=reason, retry_after_s=after_s):
-                status = HTTPStatus.SERVICE_UNAVAILABLE
-                await self._answer_own(status, 'not_run', reason, after_s)
-                self._note('refused', status, reason=reason)
+                answer = OwnAnswer(
+                    status=HTTPStatus.SERVICE_UNAVAILABLE,
+                    code='not_run',
+                    reason=reason,
+                    retry_after_s=after_s or self._back_in_s,
+                )
+                await self._send_own(answer)
+                self._note('refused', answer.status, reason=reason)
             case Fail(reason=reason):
                 await self._fail(failed, reason)
             case _:
@@ -278,25 +281,20 @@
         if self.side.has_begun:
             self.side.cut()
         else:
-            await self._answer_own(status, 'unknown', reason)
+            await self._send_own(
+                OwnAnswer(status=status, code='unknown', reason=reason)
+            )
         self._note('failed', status, reason=reason)
 
-    async def _answer_own(
-        self,
-        status: HTTPStatus,
-        code: str,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        headers = self.parts.dialect.own_headers(self.call)
-        headers.append(('Content-Type', 'application/json'))
-        if retry_after_s is not None:
-            headers.append(('Retry-After', f'{retry_after_s:.2f}'))
-        body = own_body(code, reason, self.call.request_id)
+    async def _send_own(self, answer: OwnAnswer) -> None:
         try:
-            await self.side.answer(status, headers, body)
+            await send_own(self.side, self.parts.dialect, self.call, answer)
         except CallerGoneError:
-            self._note('caller_gone', status)
+            self._note('caller_gone', answer.status)
+
+    @property
+    def _back_in_s(self) -> float:
+        return self.parts.upstreams.back_in_s(self.admitted.service)
 
     def _note_attempt(self, attempt: Attempt, ending: Ending | None) -> None:
         if attempt.sent_at and self._sent_s < 0:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -6,15 +6,11 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from attrs import frozen
-
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet.ports import BadCallError
-from crowrudder_daemon.fleet_entry._caller_side import (
-    CallerGoneError,
-    own_body,
-)
+from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
 from crowrudder_daemon.fleet_entry._drive import Admitted, Drive
+from crowrudder_daemon.fleet_entry._own_answer import OwnAnswer, send_own
 
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet import CatalogTask
@@ -33,15 +29,6 @@
 MOST_URGENCY = 9
 
 
-@frozen(kw_only=True)
-class Denial:
-    """An answer of the entry's own to a request that isn't served."""
-
-    status: HTTPStatus
-    reason: str
-    retry_after_s: float | None = None
-
-
 class RequestsTask:
     """Owns the requests under way; each is a job of its own."""
 
@@ -98,11 +85,11 @@
                 tuple(request.headers.get_all()),
             )
         except BadCallError as exc:
-            denial = Denial(status=HTTPStatus(exc.status), reason=str(exc))
+            denial = _denial(HTTPStatus(exc.status), str(exc))
             await self._deny(side, None, denial)
             return
         admitted = self._admit(call, request)
-        if isinstance(admitted, Denial):
+        if isinstance(admitted, OwnAnswer):
             await self._deny(side, call, admitted)
             return
         self._parts.upstreams.on_request(admitted.service)
@@ -120,16 +107,16 @@
         self,
         call: Call,
         request: CallerRequest,
-    ) -> Admitted | Denial:
+    ) -> Admitted | OwnAnswer:
         """Decide by configuration whether a request is served at all."""
         config = self._catalog.view.config
         if config is None or self.refuses:
             reason = 'leaving' if self.refuses else 'no configuration yet'
             return _come_back(reason)
         if len(request.body) > config.limits.body_bytes:
-            return Denial(
-                status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                reason=f'a body may have {config.limits.body_bytes} bytes',
+            return _denial(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                f'a body may have {config.limits.body_bytes} bytes',
             )
         route = self._catalog.view.routes.find(call.host, call.path)
         if route is None:
@@ -141,7 +128,7 @@
         route: Route,
         config: FleetConfig,
         call: Call,
-    ) -> Admitted | Denial:
+    ) -> Admitted | OwnAnswer:
         customer = None
         if config.asks_for_keys and not route.public:
             customer = config.customer_of(call.key)
@@ -159,33 +146,28 @@
             urgency=min(max(urgency, 0), MOST_URGENCY),
         )
 
-    def _unknown(self, status: HTTPStatus, reason: str) -> Denial:
+    def _unknown(self, status: HTTPStatus, reason: str) -> OwnAnswer:
         """Turn a caller away for good only on knowledge that isn't old.
 
         A process that was cut off doesn't know of keys and routes that were
         added meanwhile; a proper request would be lost by its refusal.
         """
         if self._catalog.is_current():
-            return Denial(status=status, reason=reason)
+            return _denial(status, reason)
         return _come_back(f'{reason}, by knowledge that may be old')
 
     async def _deny(
         self,
         side: CallerSide,
         call: Call | None,
-        denial: Denial,
+        denial: OwnAnswer,
     ) -> None:
-        request_id = call.request_id if call else ''
-        headers = self._parts.dialect.own_headers(call)
-        headers.append(('Content-Type', 'application/json'))
-        if denial.retry_after_s is not None:
-            headers.append(('Retry-After', f'{denial.retry_after_s:.2f}'))
         self._denials.add(status=str(denial.status.value))
         self._runtime.log.info(
             'request denied',
             extra={
                 'step': 'admit',
-                'request_id': request_id,
+                'request_id': call.request_id if call else '',
                 'status': denial.status.value,
                 'reason': denial.reason,
                 'host_name': call.host if call else '',
@@ -193,9 +175,8 @@
                 **self._catalog.status(),
             },
         )
-        body = own_body('denied', denial.reason, request_id)
         try:
-            await side.answer(denial.status, headers, body)
+            await send_own(side, self._parts.dialect, call, denial)
         except CallerGoneError:
             self._runtime.log.debug('caller gone', extra={'step': 'admit'})
 
@@ -209,9 +190,14 @@
         return {'running': self.running, 'refuses': self.refuses}
 
 
-def _come_back(reason: str) -> Denial:
-    return Denial(
+def _denial(status: HTTPStatus, reason: str) -> OwnAnswer:
+    return OwnAnswer(status=status, code='denied', reason=reason)
+
+
+def _come_back(reason: str) -> OwnAnswer:
+    return OwnAnswer(
         status=HTTPStatus.SERVICE_UNAVAILABLE,
+        code='denied',
         reason=reason,
         retry_after_s=RETRY_S,
     )
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -7,7 +7,7 @@
 
 from tornado.httpserver import HTTPServer
 
-from crowrudder_daemon.entry._callers_port import CallersPort
+from crowrudder_daemon._callers_port import CallersPort
 from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_entry._caller_side import CallersServer
 from crowrudder_daemon.fleet_entry._directory import Directory
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -40,6 +40,14 @@
 on an old version after its end.
 """
 
+LOADING_BACK_S = 1.1
+"""An engine that loads is back after so long: 0.7 s in which what runs there
+may end, and 0.3 s for the load."""
+
+ABSENT_BACK_S = 2.0
+"""A host that starts again answers after two to three seconds, a version whose
+source was away takes longer. Callers wait for at most a third of their time."""
+
 
 @frozen(kw_only=True)
 class Wanted:
@@ -131,6 +139,21 @@
         part = self._peers.roster.budget_share(now=now)
         return self._budget.has(service, part=part, now=now)
 
+    def back_in_s(self, service: str) -> float:
+        """Estimate when a service that nobody can serve now is served again.
+
+        What goes wrong with a short guess: callers come back into the same
+        outage and use up their tries, seen as requests that are refused twice
+        and lost, though the service is back before their time is over.
+        """
+        now = clock_s()
+        is_loading = any(
+            outlook.is_changing(now)
+            for outlook in self._outlooks.values()
+            if outlook.upstream.service == service
+        )
+        return LOADING_BACK_S if is_loading else ABSENT_BACK_S
+
     def begin_by(self, outlook: Outlook, model: str) -> float:
         """Give until when a request has to begin at an upstream, or move on.
 
--- a/tests/daemon/test_callers_port.py
+++ b/tests/daemon/test_callers_port.py
@@ -9,7 +9,7 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application
 
-from crowrudder_daemon.entry._callers_port import CallersPort
+from crowrudder_daemon._callers_port import CallersPort
 from support.aio import run
 
 LATE = b'GET / HTTP/1.0\r\n\r\n'
--- a/tests/fleet/test_entry.py
+++ b/tests/fleet/test_entry.py
@@ -314,3 +314,37 @@
             if record.message == 'request ended'
         ]
         assert 0 <= line.sent_s <= line.took_s - 0.29
+
+
+class TestComingBack:
+    """When a refused caller is told to come back."""
+
+    def test_after_an_outage_not_into_it(self):
+        """Requests were refused twice and lost.
+
+        Symptom: most requests of an outage of two seconds are lost, though
+        their callers wait for six. Sequence: no engine has weights, a caller
+        is told to come back after 0.1 s, is refused again, and has used up
+        its tries. Cause: the time to come back was a constant for an overload.
+        """
+
+        async def check(world):
+            for name in ('e0', 'e1'):
+                world.replicas[name].weights = 0
+                world.list_replica(name, 'llm')
+            await world.ready()
+            answer = await world.ask('/draft/x', method='POST', request_id='a')
+            assert answer.status == 503
+            assert float(answer.head.header('retry-after')) >= 1
+
+        checked(check)
+
+    def test_after_an_engine_without_weights_refused(self):
+        async def check(world):
+            for name in ('e0', 'e1'):
+                world.replicas[name].weights = 9
+            answer = await world.ask('/draft/x', method='POST', request_id='a')
+            assert answer.status == 503
+            assert float(answer.head.header('retry-after')) >= 1
+
+        checked(check)
--- a/tests/fleet/test_own_settings.py
+++ b/tests/fleet/test_own_settings.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -77,3 +79,31 @@
         cfg = settings_of(node, Tuning())
         assert cfg.limits.drain_s <= 7
         assert cfg.process.admin_port == 7715
+
+
+class TestStart:
+    @pytest.mark.parametrize('role', ['entry', 'agent'])
+    def test_a_process_loads_nothing_of_the_other_roles(self, role):
+        """An entry was ready half a second later than an agent.
+
+        Symptom: after all hosts lose power nobody can be served for the time
+        that an entry takes to start. Sequence: the entry of a fleet loads one
+        small module of another entry's package. Cause: with it came that
+        whole package, a quarter of all that it loads.
+        """
+        program = f"""
+import sys
+import crowrudder_platform.__main__, crowrudder_daemon.fleet_{role}
+print(*(name for name in sys.modules if name.count('.') == 1))
+"""
+        done = subprocess.run(
+            [sys.executable, '-c', program],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        loaded = set(done.stdout.split())
+        assert f'crowrudder_daemon.fleet_{role}' in loaded
+        assert 'crowrudder_daemon.entry' not in loaded
+        other = 'agent' if role == 'entry' else 'entry'
+        assert f'crowrudder_daemon.fleet_{other}' not in loaded
