--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -193,6 +193,11 @@
         known = [word.ip for word in self.entries()]
         return known or list(self._seeds)
 
+    def far_entry_ips(self) -> list[str]:
+        """List the hosts of live entries of other regions."""
+        own = self._node.place.region
+        return [word.ip for word in self.entries() if word.region != own]
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take other hosts to ask first."""
         self._seeds = seeds
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from attrs import define
+
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet.ports import EngineReading
 from crowrudder_model import UpstreamError
@@ -22,10 +24,38 @@
 REPEAT_S = 0.4
 """A word that stays the same is repeated, as datagrams get lost."""
 
+FAR_EVERY_S = 0.3
+"""Least time between two words on load to entries of other regions.
+
+They send here where their own region is full, and the bytes between regions
+are few and paid for. What decides whether they may send at all goes at once.
+"""
+
 MOST_FAILURES = 2
 """Reads in a row without an answer, after which it counts as unreachable."""
 
 
+@define
+class _Audience:
+    """Entries that are told the load, and what they were told last."""
+
+    every_s: float
+    told: EngineLoad | None = None
+    told_at: float = 0.0
+
+    def is_due(self, load: EngineLoad, now: float) -> bool:
+        """Whether they are to be told now."""
+        if self.told is None or _urgent_part(load) != _urgent_part(self.told):
+            return True
+        age_s = now - self.told_at
+        is_news = load != self.told and age_s >= self.every_s
+        return is_news or age_s >= REPEAT_S
+
+
+def _urgent_part(load: EngineLoad) -> tuple[bool, int, bool]:
+    return load.reachable, load.weights, load.is_changing
+
+
 class EngineWatch:
     """Owns the reads of the engine; the last one is `reading`."""
 
@@ -42,8 +72,8 @@
         self._peers = peers
         self._failures = 0
         self._is_changing = False
-        self._told: EngineLoad | None = None
-        self._told_at = 0.0
+        self._near = _Audience(every_s=0)
+        self._far = _Audience(every_s=FAR_EVERY_S)
         self._changed = asyncio.Event()
         self.reading: EngineReading | None = None
         self._lost = runtime.metrics.counter(
@@ -108,11 +138,13 @@
         """Tell the entries what changed, and now and then what didn't."""
         load = self._load()
         now = clock_s()
-        if load == self._told and now - self._told_at < REPEAT_S:
-            return
-        self._told = load
-        self._told_at = now
-        self._peers.tell(load, self._peers.entry_ips())
+        far = set(self._peers.far_entry_ips())
+        near = set(self._peers.entry_ips()) - far
+        for audience, ips in ((self._near, near), (self._far, far)):
+            if ips and audience.is_due(load, now):
+                audience.told = load
+                audience.told_at = now
+                self._peers.tell(load, ips)
 
     def _load(self) -> EngineLoad:
         reading = self.reading
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -189,7 +189,12 @@
         _, transfer = self._library.open(newest.named, named)
         self._runtime.log.info(
             'collects the version before as well',
-            extra={'step': 'collect', 'version': named.artifact.name},
+            extra={
+                'step': 'collect',
+                'version': named.artifact.name,
+                'share': round(transfer.share, 3),
+                'newest_share': round(newest.transfer.share, 3),
+            },
         )
         return _Collecting(goal, named, transfer)
 
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -6,13 +6,16 @@
 import itertools
 from functools import reduce
 from operator import or_
+from typing import Any
 
 import pytest
 
 from crowrudder_core.catalog import Releases
 from crowrudder_core.transfer import MOST_COPIES, full
 from crowrudder_daemon.fleet_agent import _loader
+from crowrudder_daemon.fleet_agent._engine_watch import FAR_EVERY_S, _Audience
 from crowrudder_daemon.fleet_agent._turn import load_delay_s
+from crowrudder_model.messages import EngineLoad
 from crowrudder_standins._faults import Fault
 from support.aio import run
 from support.fleet import fleet
@@ -221,6 +224,46 @@
         checked(check)
 
 
+class TestWordsOnLoad:
+    """What an agent tells the entries of its own region and of others."""
+
+    def told(self, loads, *, every_s):
+        audience = _Audience(every_s=every_s)
+        found = []
+        for number, load in enumerate(loads):
+            now = number / 10
+            if audience.is_due(load, now):
+                audience.told, audience.told_at = load, now
+                found.append(number)
+        return found
+
+    def test_the_own_region_hears_every_change(self):
+        loads = [load_of(running=number) for number in range(10)]
+        assert self.told(loads, every_s=0) == list(range(10))
+
+    def test_others_hear_less(self):
+        loads = [load_of(running=number) for number in range(10)]
+        assert len(self.told(loads, every_s=FAR_EVERY_S)) <= 4
+
+    @pytest.mark.parametrize(
+        'change', [{'weights': 2}, {'is_changing': True}, {'reachable': False}]
+    )
+    def test_whether_they_may_send_is_told_at_once(self, change):
+        """A far entry would else send to an engine that is being loaded."""
+        loads = [load_of(), load_of(**change)]
+        assert self.told(loads, every_s=FAR_EVERY_S) == [0, 1]
+
+    def test_a_word_that_stays_is_repeated(self):
+        loads = [load_of()] * 10
+        assert self.told(loads, every_s=0) == [0, 4, 8]
+
+
+def load_of(**changes):
+    word = {'address': '127.0.0.1:1', 'reachable': True, 'weights': 1}
+    made: Any = word | changes
+    return EngineLoad(**made)
+
+
 class TestTurns:
     def test_hosts_load_one_after_the_other_within_the_window(self):
         hosts = [f'10.0.0.{number}' for number in range(10)]
