--- a/packages/daemon/src/crowrudder_daemon/fleet/_tuning.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_tuning.py
@@ -8,8 +8,7 @@
 from attrs import fields, frozen
 
 from crowrudder_daemon.settings import Fault, SettingsError
-from crowrudder_daemon.settings._kinds import decimal, whole, word
-from crowrudder_daemon.settings._schema import key, rows_of
+from crowrudder_daemon.settings.schema import decimal, key, rows_of, whole, word
 
 SECTION = 'fleet'
 
--- a/scripts/_experiment_plan.py
+++ b/scripts/_experiment_plan.py
@@ -9,8 +9,8 @@
 from _load_plan import LONGEST_S, LoadPlan, check_load, optional
 from attrs import frozen
 
-from crowrudder_daemon.settings._kinds import Kind, decimal, whole, word
-from crowrudder_daemon.settings._kinds import name as a_name
+from crowrudder_daemon.settings.schema import Kind, decimal, whole, word
+from crowrudder_daemon.settings.schema import name as a_name
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/scripts/_load_ini.py
+++ b/scripts/_load_ini.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from crowrudder_daemon.settings._kinds import Kind
+    from crowrudder_daemon.settings.schema import Kind
 
 _KIND = 'kind'
 _MOST_FILE_BYTES = 1 << 20
--- a/scripts/_load_plan.py
+++ b/scripts/_load_plan.py
@@ -7,8 +7,8 @@
 from _load_ini import ini
 from attrs import frozen
 
-from crowrudder_daemon.settings._kinds import Kind, decimal, whole, word
-from crowrudder_daemon.settings._kinds import name as a_name
+from crowrudder_daemon.settings.schema import Kind, decimal, whole, word
+from crowrudder_daemon.settings.schema import name as a_name
 
 if TYPE_CHECKING:
     from _load_ini import SectionCheck
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -15,7 +15,7 @@
     read_settings,
     rows,
 )
-from crowrudder_daemon.settings._schema import Scope
+from crowrudder_daemon.settings.schema import Scope
 from support.settings import ENGINE, ENTRY, changed, text_of
 
 ROOT = Path(__file__).parents[2]
