Measure: the choice of an engine beside its baselines, in virtual time

A model of an engine's passes by its stated figures; random, least own requests, fewest requests by the agents' words and the forecast meet the same arrivals.

--- /dev/null
+++ b/measure/_dispatch_engine.py
@@ -0,0 +1,99 @@
+"""An engine that reads and writes in passes, as a model for measurements."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from crowrudder_core.forecast import EngineModel
+
+if TYPE_CHECKING:
+    from crowrudder_model.fleet import EngineFigures
+
+
+@define
+class Clock:
+    """Virtual seconds, and what happens next."""
+
+    now: float = 0
+    _events: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _numbers: itertools.count[int] = field(factory=itertools.count)
+
+    def after(self, wait_s: float, action: Callable[[], None]) -> None:
+        """Do something in so many seconds."""
+        event = (self.now + wait_s, next(self._numbers), action)
+        heapq.heappush(self._events, event)
+
+    def run(self, until_s: float) -> None:
+        """Let everything happen up to a time."""
+        while self._events and self._events[0][0] <= until_s:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+
+@define(eq=False)
+class Job:
+    """A request at an engine; times are the clock's, tokens are left."""
+
+    prompt: int
+    answer: int
+    sent_at: float
+    on_first: Callable[[], None]
+    on_end: Callable[[], None]
+    has_begun: bool = False
+
+
+@define(eq=False)
+class Engine:
+    """Admits at the start of a pass, reads prompts, then writes tokens.
+
+    Parameters
+    ----------
+    pace
+        Times are so many times those of the figures.
+    """
+
+    clock: Clock
+    figures: EngineFigures
+    pace: float = 1
+    queue: deque[Job] = field(factory=deque)
+    running: list[Job] = field(factory=list)
+    _is_passing: bool = False
+
+    def send(self, job: Job) -> None:
+        """Take a request."""
+        self.queue.append(job)
+        if not self._is_passing:
+            self._begin_pass()
+
+    def _begin_pass(self) -> None:
+        while self.queue and len(self.running) < self.figures.slots:
+            self.running.append(self.queue.popleft())
+        self._is_passing = bool(self.running)
+        if not self._is_passing:
+            return
+        model = EngineModel(self.figures)
+        writers = sum(job.has_begun for job in self.running)
+        unread = [job for job in self.running if not job.has_begun]
+        took_s = model.pass_s(writers)
+        took_s += sum(model.read_s(job.prompt) for job in unread)
+        self.clock.after(self.pace * took_s, self._end_pass)
+
+    def _end_pass(self) -> None:
+        for job in self.running:
+            if job.has_begun:
+                job.answer -= self.figures.steps_per_pass
+            else:
+                job.has_begun = True
+                job.answer -= 1
+                job.on_first()
+        ended = [each for each in self.running if each.answer <= 0]
+        self.running = [each for each in self.running if each.answer > 0]
+        for whole in ended:
+            whole.on_end()
+        self._begin_pass()
--- /dev/null
+++ b/measure/_dispatch_policies.py
@@ -0,0 +1,87 @@
+"""Ways of choosing an upstream that the forecast is measured against."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Protocol
+
+from crowrudder_core.forecast import choose
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from crowrudder_core.forecast import Candidate, Outlook
+
+
+class Policy(Protocol):
+    """Chooses among candidates by what one entry knows of them."""
+
+    def __call__(
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        prompt: int,
+        now: float,
+        random: Random,
+    ) -> Outlook:
+        """Choose one."""
+
+
+def by_forecast(
+    candidates: Sequence[Candidate],
+    *,
+    prompt: int,
+    now: float,
+    random: Random,
+) -> Outlook:
+    """Choose as an entry does."""
+    choice = choose(candidates, prompt=prompt, now=now, random=random)
+    assert choice is not None
+    return choice.outlook
+
+
+def at_random(
+    candidates: Sequence[Candidate],
+    *,
+    prompt: int,
+    now: float,
+    random: Random,
+) -> Outlook:
+    """Draw any."""
+    return random.choice(candidates).outlook
+
+
+def by_own_requests(
+    candidates: Sequence[Candidate],
+    *,
+    prompt: int,
+    now: float,
+    random: Random,
+) -> Outlook:
+    """Take the one to which this entry has sent least that hasn't ended."""
+    return min(
+        candidates,
+        key=lambda each: (each.outlook.own, random.random()),
+    ).outlook
+
+
+def by_requests(
+    candidates: Sequence[Candidate],
+    *,
+    prompt: int,
+    now: float,
+    random: Random,
+) -> Outlook:
+    """Take the one with the fewest requests, by the agents' words."""
+    return min(
+        candidates,
+        key=lambda each: (each.outlook.total(now), random.random()),
+    ).outlook
+
+
+POLICIES: dict[str, Policy] = {
+    'forecast': by_forecast,
+    'random': at_random,
+    'own_requests': by_own_requests,
+    'requests': by_requests,
+}
--- a/measure/run.py
+++ b/measure/run.py
@@ -3,7 +3,8 @@
 Usage:
   run.py [--out=FILE] [AREA ...]
 
-AREA is the name of a module beside this one (weights, route, config, codec, state);
+AREA is the name of a module beside this one (weights, route, dispatch,
+config, codec, state);
 without one, all run. ``--out`` appends the lines to a file as well.
 
 Each area is a module with ``run(show)``, where ``show(name, value)`` prints.
@@ -21,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-AREAS = ('weights', 'route', 'config', 'codec', 'state')
+AREAS = ('weights', 'route', 'dispatch', 'config', 'codec', 'state')
 BY_NAME = ('weights_choices',)
 
 
