--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -126,7 +126,7 @@
             RouteKind.ONCE,
             RouteKind.STREAM,
         ]
-        assert found.routes[0].timeout_s == 2
+        assert found.routes[0].timeout_s == 8
         assert service.engine.step_s == 0.002
         assert customer.name == 'shop'
         assert found.asks_for_keys
