Read once more: no work twice for each request, no dead parts

Behaviour stays. Whether a request may move is worked out once an attempt. An agent went through the list of entries twice at each read of its engine; one look parts them into near and far, and the audience notes itself what it was told. The time to come back is filled in where refusals are written. Dead: EventStream.has_half_event, Releases.models, PeersTask.set_seeds, Job.sent_at. The twin of the wait that forgets its cancellation, in the platform's stand-in, waits the same way as the transfer.

--- a/measure/_dispatch_engine.py
+++ b/measure/_dispatch_engine.py
@@ -42,7 +42,6 @@
 
     prompt: int
     answer: int
-    sent_at: float
     on_first: Callable[[], None]
     on_end: Callable[[], None]
     has_begun: bool = False
--- a/measure/dispatch.py
+++ b/measure/dispatch.py
@@ -160,7 +160,7 @@
             outlook.on_ended(ticket)
             outlook.on_good(self.clock.now - now)
 
-        job = Job(prompt, answer, now, on_first, on_end)
+        job = Job(prompt, answer, on_first, on_end)
         self.clock.after(ON_THE_WAY_S, partial(self.engines[number].send, job))
 
     def _tell_near(self, number: int) -> None:
--- a/packages/core/src/crowrudder_core/catalog/_releases.py
+++ b/packages/core/src/crowrudder_core/catalog/_releases.py
@@ -77,7 +77,3 @@
             ),
             default=math.inf,
         )
-
-    def models(self) -> list[str]:
-        """List the models of which a version was named."""
-        return list(self._named)
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -53,11 +53,6 @@
     events: int = 0
     _cutter: EventCutter = field(factory=EventCutter)
 
-    @property
-    def has_half_event(self) -> bool:
-        """Whether the bytes so far end within an event."""
-        return bool(self._cutter.rest)
-
     def begin_attempt(self) -> None:
         """Drop the half event of the attempt before."""
         self._cutter = EventCutter()
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -188,19 +188,17 @@
         """Send something else to some hosts, now."""
         self._send_bytes(encode_message(datagram), ips)
 
-    def entry_ips(self) -> list[str]:
-        """List the hosts of live entries; the seeds while none is known."""
-        known = [word.ip for word in self.entries()]
-        return known or list(self._seeds)
-
-    def far_entry_ips(self) -> list[str]:
-        """List the hosts of live entries of other regions."""
-        own = self._node.place.region
-        return [word.ip for word in self.entries() if word.region != own]
-
-    def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Take other hosts to ask first."""
-        self._seeds = seeds
+    def entry_ips(self) -> tuple[list[str], list[str]]:
+        """List the hosts of live entries: of the own region, and of others.
+
+        While none is known the seeds stand for those of the own region.
+        """
+        near: list[str] = []
+        far: list[str] = []
+        for word in self.entries():
+            is_near = word.region == self._node.place.region
+            (near if is_near else far).append(word.ip)
+        return (near, far) if near or far else (list(self._seeds), far)
 
     def add_contacts(self, ips: Iterable[str]) -> None:
         """Ask hosts that may know entries, where nobody else is known."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -43,8 +43,14 @@
     told: EngineLoad | None = None
     told_at: float = 0.0
 
-    def is_due(self, load: EngineLoad, now: float) -> bool:
-        """Whether they are to be told now."""
+    def take(self, load: EngineLoad, now: float) -> bool:
+        """Give whether they are to be told now, and note that they are."""
+        if not self._is_due(load, now):
+            return False
+        self.told, self.told_at = load, now
+        return True
+
+    def _is_due(self, load: EngineLoad, now: float) -> bool:
         if self.told is None or _urgent_part(load) != _urgent_part(self.told):
             return True
         age_s = now - self.told_at
@@ -138,12 +144,9 @@
         """Tell the entries what changed, and now and then what didn't."""
         load = self._load()
         now = clock_s()
-        far = set(self._peers.far_entry_ips())
-        near = set(self._peers.entry_ips()) - far
+        near, far = self._peers.entry_ips()
         for audience, ips in ((self._near, near), (self._far, far)):
-            if ips and audience.is_due(load, now):
-                audience.told = load
-                audience.told_at = now
+            if ips and audience.take(load, now):
                 self._peers.tell(load, ips)
 
     def _load(self) -> EngineLoad:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -123,11 +123,12 @@
 
     async def _attempt_all(self) -> Next:
         while True:
-            choice = self._choose()
+            is_movable = self._is_movable
+            choice = self._choose(is_movable=is_movable)
             refusal = self._refusal(choice)
             if choice is None or refusal is not None:
                 return refusal or self._nobody()
-            attempt = self._attempt(choice)
+            attempt = self._attempt(choice, is_movable=is_movable)
             self._under_way = attempt
             ending = await attempt.run()
             self._under_way = None
@@ -152,14 +153,14 @@
             ),
         )
 
-    def _choose(self) -> Choice | None:
+    def _choose(self, *, is_movable: bool) -> Choice | None:
         return self.parts.upstreams.choose(
             Wanted(
                 service=self.admitted.service,
                 model=self.call.model,
                 prompt=self.call.prompt_tokens,
                 avoid=frozenset(self.dispatch.tried | self._unreachable),
-                is_movable=self._is_movable,
+                is_movable=is_movable,
             ),
         )
 
@@ -199,17 +200,16 @@
     def _nobody(self) -> Next:
         return self.dispatch.refuse(
             f'no upstream of {self.admitted.service} can serve this now',
-            self._back_in_s,
         )
 
-    def _attempt(self, choice: Choice) -> Attempt:
+    def _attempt(self, choice: Choice, *, is_movable: bool) -> Attempt:
         return Attempt(
             call=self.call,
             body=self.body,
             choice=choice,
             customer=self.admitted.customer,
             urgency=self.admitted.urgency,
-            patience=self._patience(choice),
+            patience=self._patience(choice, is_movable=is_movable),
             dispatch=self.dispatch,
             events=self.events,
             is_stream=self.admitted.route.kind is RouteKind.STREAM,
@@ -218,12 +218,12 @@
             upstreams=self.parts.upstreams,
         )
 
-    def _patience(self, choice: Choice) -> Patience:
+    def _patience(self, choice: Choice, *, is_movable: bool) -> Patience:
         """Give how long the upstream may be silent.
 
         Silence is a reason to end an attempt only where another one follows.
         """
-        if not self._is_movable:
+        if not is_movable:
             return Patience(first_s=NEVER_S, pause_s=NEVER_S)
         route = self.admitted.route
         forecast_s = FORECASTS * choice.first_s
@@ -268,7 +268,8 @@
                     status=HTTPStatus.SERVICE_UNAVAILABLE,
                     code='not_run',
                     reason=reason,
-                    retry_after_s=after_s or self._back_in_s,
+                    retry_after_s=after_s
+                    or self.parts.upstreams.back_in_s(self.admitted.service),
                 )
                 await self._send_own(answer)
                 self._note('refused', answer.status, reason=reason)
@@ -292,10 +293,6 @@
         except CallerGoneError:
             self._note('caller_gone', answer.status)
 
-    @property
-    def _back_in_s(self) -> float:
-        return self.parts.upstreams.back_in_s(self.admitted.service)
-
     def _note_attempt(self, attempt: Attempt, ending: Ending | None) -> None:
         if attempt.sent_at and self._sent_s < 0:
             self._sent_s = attempt.sent_at - self.arrived_at
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -217,11 +217,12 @@
             return True
         if not outlook.weights(now) or outlook.is_changing(now):
             return False
-        lead_s = FIRM_MARGIN_S - BEGIN_MARGIN_S
-        if wanted.is_movable:
-            first_s = outlook.first_s(wanted.prompt, now)
-            lead_s = min(BEGIN_FORECASTS * first_s, lead_s)
-        return now + lead_s < self.begin_by(outlook, wanted.model)
+        left_s = self.begin_by(outlook, wanted.model) - now
+        if left_s > FIRM_MARGIN_S - BEGIN_MARGIN_S:
+            return True
+        if not wanted.is_movable:
+            return False
+        return left_s > BEGIN_FORECASTS * outlook.first_s(wanted.prompt, now)
 
     def _renew_one(self, upstream: Upstream) -> None:
         outlook = self._outlooks.get(upstream.id)
--- a/packages/standins/src/crowrudder_standins/platform.py
+++ b/packages/standins/src/crowrudder_standins/platform.py
@@ -77,8 +77,9 @@
         ]
 
     async def wait_changed(self, timeout_s: float) -> None:
-        with contextlib.suppress(asyncio.TimeoutError):
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
 
     def notify(self) -> None:
         self._changed.set()
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -237,8 +237,7 @@
         found = []
         for number, load in enumerate(loads):
             now = number / 10
-            if audience.is_due(load, now):
-                audience.told, audience.told_at = load, now
+            if audience.take(load, now):
                 found.append(number)
         return found
 
--- a/tests/forecast/test_measure.py
+++ b/tests/forecast/test_measure.py
@@ -17,7 +17,7 @@
     def note():
         times.append(engine.clock.now)
 
-    engine.send(Job(prompt, answer, engine.clock.now, note, note))
+    engine.send(Job(prompt, answer, note, note))
     return times
 
 
