Fleet: a bounded number of partners; loads cross regions in batches

Heartbeats, words on load and news of records went from everyone to everyone: 11,500 heartbeats a second by the code, two thirds of them over links of 14 Mbit/s between regions. Ruled out: the chunks alone (they cross each region link about once).

--- a/packages/core/src/crowrudder_core/forecast/_outlook.py
+++ b/packages/core/src/crowrudder_core/forecast/_outlook.py
@@ -70,7 +70,14 @@
         self.model = EngineModel(figures) if figures else None
 
     def on_load(self, load: EngineLoad, *, now: float) -> None:
-        """Take the word of the agent beside the engine."""
+        """Take the word of the agent beside the engine, as of ``now``.
+
+        Words that came over other entries are older than the agent's own:
+        what goes wrong when such a one counts as the newest is that an engine
+        which is being loaded gets requests.
+        """
+        if now < self._load_at:
+            return
         self.load = load
         self._load_at = now
         counted = [
--- a/packages/core/src/crowrudder_core/membership/_roster.py
+++ b/packages/core/src/crowrudder_core/membership/_roster.py
@@ -7,7 +7,13 @@
 from attrs import define, field
 from msgspec.structs import replace
 
-from crowrudder_model.messages import HeardWord, MemberWord
+from crowrudder_core.membership._partners import hops
+from crowrudder_model.messages import (
+    HeardWord,
+    MemberWord,
+    Sighting,
+    life_of,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -19,6 +25,10 @@
 are.
 """
 
+HOP_S = 0.8
+"""Added for each hop by which words reach everyone in a fleet too large to
+tell everyone: two heartbeats, as the next partner is drawn by chance."""
+
 REMEMBERED_S = 12.0
 """Without a word for so long, a process is forgotten.
 
@@ -29,6 +39,11 @@
 MOST_PASSED_ON = 8
 """Words of others in one heartbeat; it must fit into one datagram."""
 
+MOST_SIGHTINGS = 48
+"""The same for sightings, of some 24 bytes each."""
+
+_MS = 1000
+
 
 @define
 class _Heard:
@@ -61,6 +76,37 @@
         self._others[word.ip] = _Heard(word, heard_at)
         return known is None
 
+    def on_sighting(self, sighting: Sighting, *, now: float) -> bool:
+        """Take how lately an entry was heard of; true for one to be asked.
+
+        Its whole word isn't known here: it is new, or lives anew.
+        """
+        if sighting.ip == self.own.ip and self.own.role == 'entry':
+            return False
+        heard_at = now - max(sighting.age_ms, 0) / _MS
+        known = self._others.get(sighting.ip)
+        if known is None or life_of(known.word) != sighting.life:
+            is_later = known is None or heard_at > known.heard_at
+            return is_later and now - heard_at <= self._live_s
+        if heard_at > known.heard_at:
+            word = replace(
+                known.word, ready=sighting.ready, leaving=sighting.leaving
+            )
+            self._others[sighting.ip] = _Heard(word, heard_at)
+        return False
+
+    def sightings(
+        self, random: Random, *, now: float, region: str | None = None
+    ) -> tuple[Sighting, ...]:
+        """Say how lately live entries were heard of, or those of a region."""
+        live = [
+            heard
+            for heard in self._live(now)
+            if region is None or heard.word.region == region
+        ]
+        drawn = random.sample(live, min(len(live), MOST_SIGHTINGS))
+        return tuple(_sighting(heard, now) for heard in drawn)
+
     def entries(self, *, now: float) -> list[MemberWord]:
         """List the live entries, the own process included."""
         live = [heard.word for heard in self._live(now)]
@@ -93,11 +139,16 @@
             HeardWord(heard.word, now - heard.heard_at) for heard in drawn
         )
 
+    @property
+    def _live_s(self) -> float:
+        return LIVE_S + HOP_S * hops(len(self._others))
+
     def _live(self, now: float) -> list[_Heard]:
+        live_s = self._live_s
         return [
             heard
             for heard in self._others.values()
-            if now - heard.heard_at <= LIVE_S
+            if now - heard.heard_at <= live_s
         ]
 
     def set_own(self, *, ready: bool, leaving: bool) -> bool:
@@ -107,6 +158,17 @@
         return self.own != before
 
 
+def _sighting(heard: _Heard, now: float) -> Sighting:
+    word = heard.word
+    return Sighting(
+        ip=word.ip,
+        life=life_of(word),
+        age_ms=int(max(now - heard.heard_at, 0) * _MS),
+        ready=word.ready,
+        leaving=word.leaving,
+    )
+
+
 def _replaces(word: MemberWord, heard_at: float, known: _Heard) -> bool:
     if word.incarnation != known.word.incarnation:
         return word.started_at > known.word.started_at
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -8,8 +8,16 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from attrs import frozen
-
-from crowrudder_core.membership import Roster
+from msgspec.structs import replace
+
+from crowrudder_core.membership import (
+    NEWS_PARTNERS,
+    Roster,
+    contacts,
+    drawn,
+    partners,
+    split_by_region,
+)
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
 from crowrudder_model import (
@@ -21,6 +29,7 @@
     ChunkNews,
     EngineLoad,
     Heartbeat,
+    LoadBatch,
     MemberWord,
 )
 
@@ -35,9 +44,12 @@
 """Between two heartbeats; a word counts for four of them."""
 
 LONG_BEATS = 5
-"""Every so many beats the words of others are passed on, and the seeds are
-asked as well: two halves of a fleet that a cut parted would else never meet
-again."""
+"""Every so many beats the seeds are asked as well: two halves of a fleet that
+a cut parted would else never meet again."""
+
+MOST_INTRODUCTIONS = 16
+"""Entries heard of through others that are asked for their word between two
+beats: a whole fleet that starts at once must not fill its links with it."""
 
 AGENT_LIVE_S = 3.0
 """How long an agent counts as there without a word."""
@@ -52,6 +64,9 @@
     def load_heard(self, load: EngineLoad) -> None:
         """Take an agent's word on the engine beside it."""
 
+    def loads_heard(self, batch: LoadBatch) -> None:
+        """Take what an entry passes on of agents' words."""
+
     def chunks_heard(self, ip: str, news: ChunkNews) -> None:
         """Take an agent's word on the chunks that it holds."""
 
@@ -98,6 +113,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._agents: dict[str, float] = {}
         self._beats = 0
+        self._introductions = MOST_INTRODUCTIONS
         self._revision = 0
         self._confirmed_at = -1.0e9
         self._seeds = node.seeds
@@ -143,11 +159,11 @@
             self.tell_all()
 
     def set_knowledge(self, revision: int, confirmed_at: float) -> None:
-        """Take how far this process is; a higher revision is told at once."""
+        """Take how far this process is; a higher revision is passed on."""
         self._confirmed_at = confirmed_at
         if revision > self._revision:
             self._revision = revision
-            self.tell_all()
+            self.tell_some()
 
     def on_datagram_came(self, message: DatagramCame) -> None:
         """Take a heartbeat."""
@@ -162,18 +178,25 @@
                 self._take(datagram, message.ip)
             case EngineLoad():
                 self._listener.load_heard(datagram)
+            case LoadBatch():
+                self._listener.loads_heard(datagram)
             case ChunkNews():
                 self._listener.chunks_heard(message.ip, datagram)
 
     def on_beat_due(self, _message: BeatDue) -> None:
         """Send a heartbeat to those who are to have one."""
         self._beats += 1
-        targets = set(self._usual_targets())
+        self._introductions = MOST_INTRODUCTIONS
         alone = not self.roster.known(now=clock_s())
-        is_long = self._beats % LONG_BEATS == 0
-        if alone or is_long:
-            targets.update(self._seeds)
-        self._send(targets, asks=alone, with_others=is_long)
+        seeds = self._seeds if alone or self._beats % LONG_BEATS == 0 else ()
+        beat = self._heartbeat(alone=alone)
+        if self._node.role != 'entry':
+            self._send({*self._contacts(), *seeds}, beat)
+            return
+        near, far = partners(*self._others(), self._random)
+        region = self._node.place.region
+        self._send({*near, *self._heard_agents()}, self._with_sightings(beat))
+        self._send({*far, *seeds}, self._with_sightings(beat, region))
 
     def on_send_failed(self, exc: Exception) -> None:
         """Count what the system refused; heartbeats come again anyway."""
@@ -182,7 +205,18 @@
 
     def tell_all(self) -> None:
         """Send a heartbeat to everyone known, now."""
-        self._send(set(self._usual_targets()))
+        near, far = self._others()
+        self._send({*near, *far, *self._heard_agents()}, self._heartbeat())
+
+    def tell_some(self) -> None:
+        """Send a heartbeat to some, who pass on what is new to them."""
+        near, far = self._others()
+        targets = {
+            *drawn(near, NEWS_PARTNERS, self._random),
+            *drawn(far, 1, self._random),
+            *self._heard_agents(),
+        }
+        self._send(targets, self._heartbeat())
 
     def tell(self, datagram: Datagram, ips: Iterable[str]) -> None:
         """Send something else to some hosts, now."""
@@ -193,17 +227,13 @@
 
         While none is known the seeds stand for those of the own region.
         """
-        near: list[str] = []
-        far: list[str] = []
-        for word in self.entries():
-            is_near = word.region == self._node.place.region
-            (near if is_near else far).append(word.ip)
+        near, far = split_by_region(self.entries(), self._node.place.region)
         return (near, far) if near or far else (list(self._seeds), far)
 
     def add_contacts(self, ips: Iterable[str]) -> None:
         """Ask hosts that may know entries, where nobody else is known."""
         if not self.roster.known(now=clock_s()):
-            self._send(set(ips), asks=True)
+            self._send(set(ips), self._heartbeat(alone=True))
 
     def _take(self, beat: Heartbeat, ip: str) -> None:
         now = clock_s()
@@ -211,13 +241,19 @@
         if beat.word.role == 'agent':
             self._agents[ip] = now
         if beat.asks_for_reply or is_new:
-            self._send({ip}, with_others=True)
+            self._send({ip}, self._reply(to_one_alone=beat.is_alone))
         self._listener.peer_heard(ip, beat.revision, beat.confirmed_s)
 
     def _learn(self, beat: Heartbeat, now: float) -> bool:
         is_new = self.roster.on_word(beat.word, 0, now=now)
         for heard in beat.others:
             self.roster.on_word(heard.word, heard.age_s, now=now)
+        unmet = [
+            sighting.ip
+            for sighting in beat.sightings
+            if self.roster.on_sighting(sighting, now=now)
+        ]
+        self._introduce(unmet)
         if is_new:
             self._log.info(
                 'entry met',
@@ -225,28 +261,33 @@
             )
         return is_new
 
-    def _usual_targets(self) -> list[str]:
+    def _introduce(self, unmet: list[str]) -> None:
+        """Ask entries for their words that others have heard of."""
+        asked = unmet[: self._introductions]
+        self._introductions -= len(asked)
+        self._send(set(asked), self._heartbeat(asks=True))
+
+    def _others(self) -> tuple[list[str], list[str]]:
+        """List the other entries: of the own region, and of others."""
+        known = self.roster.known(now=clock_s())
+        return split_by_region(known, self._node.place.region)
+
+    def _contacts(self) -> list[str]:
+        """List the entries that hear this agent."""
+        return contacts(self._node.ip, self.entries(), self._node.place.region)
+
+    def _heard_agents(self) -> list[str]:
         now = clock_s()
-        targets = [word.ip for word in self.roster.known(now=now)]
-        if self._node.role != 'entry':
-            return targets
         self._agents = {
             ip: at
             for ip, at in self._agents.items()
             if now - at <= AGENT_LIVE_S
         }
-        return [*targets, *self._agents]
-
-    def _send(
-        self,
-        targets: set[str],
-        *,
-        asks: bool = False,
-        with_others: bool = False,
-    ) -> None:
+        return list(self._agents)
+
+    def _send(self, targets: set[str], beat: Heartbeat) -> None:
         targets.discard(self._node.ip if self._node.role == 'entry' else '')
         if targets:
-            beat = self._heartbeat(asks=asks, with_others=with_others)
             self._send_bytes(encode_message(beat), targets)
 
     def _send_bytes(self, payload: bytes, targets: Iterable[str]) -> None:
@@ -256,18 +297,32 @@
         for ip in targets:
             transport.sendto(payload, (ip, self._node.gossip_port))
 
-    def _heartbeat(self, *, asks: bool, with_others: bool) -> Heartbeat:
-        now = clock_s()
-        others = (
-            self.roster.to_pass_on(self._random, now=now) if with_others else ()
-        )
+    def _heartbeat(
+        self, *, alone: bool = False, asks: bool = False
+    ) -> Heartbeat:
         return Heartbeat(
             word=self.roster.own,
             revision=self._revision,
-            confirmed_s=min(now - self._confirmed_at, 1.0e9),
-            asks_for_reply=asks,
-            others=others,
+            confirmed_s=min(clock_s() - self._confirmed_at, 1.0e9),
+            asks_for_reply=asks or alone,
+            is_alone=alone,
+        )
+
+    def _reply(self, *, to_one_alone: bool) -> Heartbeat:
+        beat = self._heartbeat()
+        if not to_one_alone:
+            return beat
+        others = self.roster.to_pass_on(self._random, now=clock_s())
+        return replace(beat, others=others)
+
+    def _with_sightings(
+        self, beat: Heartbeat, region: str | None = None
+    ) -> Heartbeat:
+        """Add how lately others were heard of, all or those of a region."""
+        sightings = self.roster.sightings(
+            self._random, now=clock_s(), region=region
         )
+        return replace(beat, sightings=sightings)
 
     async def _beat_for_ever(self) -> None:
         while True:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -13,7 +13,7 @@
     from crowrudder_daemon.process import Runtime
     from crowrudder_model import Member
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import ChunkNews, EngineLoad
+    from crowrudder_model.messages import ChunkNews, EngineLoad, LoadBatch
 
 RPC_GRACE_S = 0.2
 
@@ -80,5 +80,8 @@
     def load_heard(self, load: EngineLoad) -> None:
         """Take no interest in engines."""
 
+    def loads_heard(self, batch: LoadBatch) -> None:
+        """Take no interest in engines."""
+
     def chunks_heard(self, ip: str, news: ChunkNews) -> None:
         """Take no interest in chunks."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -24,22 +24,19 @@
 REPEAT_S = 0.4
 """A word that stays the same is repeated, as datagrams get lost."""
 
-FAR_EVERY_S = 0.3
-"""Least time between two words on load to entries of other regions.
-
-They send here where their own region is full, and the bytes between regions
-are few and paid for. What decides whether they may send at all goes at once.
-"""
-
 MOST_FAILURES = 2
 """Reads in a row without an answer, after which it counts as unreachable."""
 
 
 @define
 class _Audience:
-    """Entries that are told the load, and what they were told last."""
+    """Entries that are told the load, and what they were told last.
 
-    every_s: float
+    Those of other regions hear at once only what decides whether they may
+    send here at all; the rest reaches them through entries of this region.
+    """
+
+    only_urgent: bool = False
     told: EngineLoad | None = None
     told_at: float = 0.0
 
@@ -53,9 +50,9 @@
     def _is_due(self, load: EngineLoad, now: float) -> bool:
         if self.told is None or _urgent_part(load) != _urgent_part(self.told):
             return True
-        age_s = now - self.told_at
-        is_news = load != self.told and age_s >= self.every_s
-        return is_news or age_s >= REPEAT_S
+        if self.only_urgent:
+            return False
+        return load != self.told or now - self.told_at >= REPEAT_S
 
 
 def _urgent_part(load: EngineLoad) -> tuple[bool, int, bool]:
@@ -78,8 +75,8 @@
         self._peers = peers
         self._failures = 0
         self._is_changing = False
-        self._near = _Audience(every_s=0)
-        self._far = _Audience(every_s=FAR_EVERY_S)
+        self._near = _Audience()
+        self._far = _Audience(only_urgent=True)
         self._changed = asyncio.Event()
         self.reading: EngineReading | None = None
         self._lost = runtime.metrics.counter(
@@ -145,6 +142,9 @@
         load = self._load()
         now = clock_s()
         near, far = self._peers.entry_ips()
+        if not near:
+            # Nobody would pass its words on.
+            near, far = far, []
         for audience, ips in ((self._near, near), (self._far, far)):
             if ips and audience.take(load, now):
                 self._peers.tell(load, ips)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -11,6 +11,7 @@
 from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_entry._caller_side import CallersServer
 from crowrudder_daemon.fleet_entry._directory import Directory
+from crowrudder_daemon.fleet_entry._load_relay import LoadRelay
 from crowrudder_daemon.fleet_entry._parts import EntryParts
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
@@ -20,7 +21,7 @@
     from crowrudder_daemon.fleet.ports import CallersDialect, PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import EngineLoad
+    from crowrudder_model.messages import EngineLoad, LoadBatch
 
 MOST_HEADER_BYTES = 65_536
 MOST_BODY_BYTES = 16 * 1024 * 1024
@@ -62,6 +63,7 @@
         super().__init__(runtime, node, source)
         self._leaving = False
         self.upstreams = Upstreams(runtime, node, self.catalog.view, self.peers)
+        self._relay = LoadRelay(node, self.peers)
         parts = EntryParts(dialect, self.upstreams, runtime)
         self.requests = RequestsTask(runtime, self.catalog, parts)
         self._http = HTTPServer(
@@ -89,6 +91,7 @@
         """Listen and begin to learn."""
         await self.begin()
         self.runtime.spawn(self._look_for_peers(), step='look for peers')
+        self.runtime.spawn(self._relay.tell_for_ever(), step='relay loads')
         for address, page in self._pages.items():
             ip, _, port = address.rpartition(':')
             page.listen(int(port), ip)
@@ -146,6 +149,13 @@
     def load_heard(self, load: EngineLoad) -> None:
         """Pass an agent's word on its engine on."""
         self.upstreams.on_load(load)
+        self._relay.on_load(load)
+
+    def loads_heard(self, batch: LoadBatch) -> None:
+        """Take what agents of another region say, and pass it on."""
+        self.upstreams.on_loads(batch)
+        if batch.pass_on:
+            self._relay.pass_on(batch)
 
     def on_change(self) -> None:
         """Follow the published records."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -19,7 +19,7 @@
     from crowrudder_daemon.fleet import PeersTask
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import Node, Upstream
-    from crowrudder_model.messages import EngineLoad
+    from crowrudder_model.messages import EngineLoad, LoadBatch
 
 
 BEGIN_MARGIN_S = 0.3
@@ -48,6 +48,8 @@
 """A host that starts again answers after two to three seconds, a version whose
 source was away takes longer. Callers wait for at most a third of their time."""
 
+_MS = 1000
+
 
 @frozen(kw_only=True)
 class Wanted:
@@ -106,12 +108,17 @@
             self._renew_one(upstream)
         self.pool.sweep()
 
-    def on_load(self, load: EngineLoad) -> None:
+    def on_load(self, load: EngineLoad, *, age_s: float = 0) -> None:
         """Take an agent's word on the engine at an address."""
         now = clock_s()
         for outlook in self._outlooks.values():
             if outlook.upstream.address == load.address:
-                outlook.on_load(load, now=now)
+                outlook.on_load(load, now=now - age_s)
+
+    def on_loads(self, batch: LoadBatch) -> None:
+        """Take words that another entry has heard."""
+        for load, age_ms in zip(batch.loads, batch.ages_ms, strict=False):
+            self.on_load(load, age_s=max(age_ms, 0) / _MS)
 
     def choose(self, wanted: Wanted) -> Choice | None:
         """Choose an upstream for a request; None where none can serve."""
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -17,8 +17,11 @@
     EngineLoad,
     HeardWord,
     Heartbeat,
+    LoadBatch,
     MemberWord,
     PublishedItem,
+    Sighting,
+    life_of,
 )
 from crowrudder_model.messages._knowledge import (
     BundlePart,
@@ -85,6 +88,7 @@
     'Hello',
     'Knowledge',
     'ListEdition',
+    'LoadBatch',
     'ManifestAsk',
     'ManifestReply',
     'MemberWord',
@@ -108,8 +112,10 @@
     'SettleAsk',
     'Settled',
     'SettledState',
+    'Sighting',
     'StockAsk',
     'StockReply',
     'TakeAsk',
     'Taken',
+    'life_of',
 )
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Literal
 
 import msgspec
@@ -42,6 +43,26 @@
     age_s: float
 
 
+class Sighting(msgspec.Struct, frozen=True, array_like=True):
+    """How lately an entry was heard of, without its whole word.
+
+    A fifth of the bytes of a word. ``life`` tells the lives of a process
+    apart, see `life_of`; ``age_ms`` is the age of its last word in
+    milliseconds.
+    """
+
+    ip: str
+    life: int
+    age_ms: int
+    ready: bool = False
+    leaving: bool = False
+
+
+def life_of(word: MemberWord) -> int:
+    """Give a short name of a process's life: 32 bits of its incarnation."""
+    return zlib.crc32(word.incarnation.encode())
+
+
 class EngineLoad(
     msgspec.Struct,
     frozen=True,
@@ -66,6 +87,24 @@
     pace: float = 1
 
 
+class LoadBatch(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=4,
+    kw_only=True,
+):
+    """Words on the load of one region's engines, as an entry has heard them.
+
+    ``ages_ms`` are the ages of the words, in milliseconds. ``pass_on`` asks
+    the receiver to tell the entries of its own region.
+    """
+
+    loads: tuple[EngineLoad, ...]
+    ages_ms: tuple[int, ...]
+    pass_on: bool = False
+
+
 class ChunkNews(
     msgspec.Struct,
     frozen=True,
@@ -99,18 +138,22 @@
 
     ``revision`` counts the published records that the sender has.
     ``confirmed_s`` is how long ago the platform was last heard by any process
-    that the sender knows of. ``asks_for_reply`` is set by one that knows
-    nobody. ``others`` are some of the entries that the sender has heard of.
+    that the sender knows of. ``asks_for_reply`` wants the receiver's word.
+    ``is_alone`` is set by one that knows nobody: the reply to it has
+    ``others``, words of some entries that the sender has heard of.
+    ``sightings`` say how lately entries were heard of.
     """
 
     word: MemberWord
     revision: int = 0
     confirmed_s: float = 1.0e9
     asks_for_reply: bool = False
+    is_alone: bool = False
     others: tuple[HeardWord, ...] = ()
+    sightings: tuple[Sighting, ...] = ()
 
 
-Datagram = Heartbeat | EngineLoad | ChunkNews
+Datagram = Heartbeat | EngineLoad | ChunkNews | LoadBatch
 
 
 @frozen(kw_only=True)
