Weights: the origin is read at its link's rate; nobody is blamed for what lay at hand

Each host also found the version before at its engine, counted it as wrong bytes of the origin, and left the origin alone for half a second.

--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -41,8 +41,19 @@
 
 MOST_SEEDS = 32
 
+READS_AHEAD = 4
+"""Chunks that are read at the origin at the same time.
+
+They keep its link full though the hosts hear of a version some hundredth
+seconds apart, and each comes in a few times what it takes alone.
+"""
+
 FIRST_WAIT_S = 0.25
 
+MOST_CORRUPTED = 4
+"""Reads of one chunk that weren't the manifest's, after which the manifest is
+doubted: with one read in ten spoilt, one chunk in ten thousand gets there."""
+
 
 @frozen
 class Turns:
@@ -71,6 +82,7 @@
     reading: int = 0
     _regions: dict[str, str] = field(factory=dict)
     _orders: list[list[str]] = field(factory=list)
+    _corrupted: dict[int, int] = field(factory=dict)
     _began: float | None = None
     _window_at: float = 0
     _wait_s: float = 0
@@ -135,6 +147,7 @@
     def on_held(self, index: int) -> None:
         """Note that a chunk came, from wherever."""
         self.failed &= ~(1 << index)
+        self._corrupted.pop(index, None)
 
     @property
     def is_failing(self) -> bool:
@@ -161,6 +174,24 @@
         )
         self._closed_until = now + self._wait_s
 
+    def on_corrupted(self, index: int, *, now: float) -> None:
+        """Note that the origin's bytes weren't those of the manifest."""
+        self._corrupted[index] = self._corrupted.get(index, 0) + 1
+        self.on_failed(index, was_sent=True, now=now)
+
+    @property
+    def is_at_odds(self) -> bool:
+        """Whether it gives a chunk that the manifest never takes.
+
+        One of them is wrong, and it may be the manifest: it came from the
+        same origin.
+        """
+        return max(self._corrupted.values(), default=0) >= MOST_CORRUPTED
+
+    def on_doubted(self) -> None:
+        """Count anew, as the manifest is read once more."""
+        self._corrupted.clear()
+
     def may_ask(self, now: float) -> bool:
         """Whether the origin may be asked for anything now.
 
@@ -174,10 +205,39 @@
         if now - self._window_at >= self.pace.window_s:
             self._window_at = now
             self.spent = 0
-        turn_s = self.pace.chunk_s / ORIGIN_LINKS
-        opens = self._began + self.seeds.index(self.host) * turn_s
+        opens = self._began
+        if not self.pace.origin_chunk_s:
+            turn_s = self.pace.chunk_s / ORIGIN_LINKS
+            opens += self.seeds.index(self.host) * turn_s
         return now >= max(opens, self._closed_until) and self.spent < self.share
 
+    def room(self, now: float) -> int:
+        """Give how many more reads may begin at the origin now."""
+        if not self.may_ask(now):
+            return 0
+        return min(
+            self.pace.origin_reads - self.reading.bit_count(),
+            self.share - self.spent,
+        )
+
+    def due(self, now: float) -> int:
+        """Give the chunks (bits) whose time has come at the origin.
+
+        What goes wrong when all hosts read at once: thirty reads share the
+        origin's link, each takes over a second, seen as reads that count as
+        stalled, are made again elsewhere, and send two copies; the swarm has
+        nothing to spread meanwhile, and an origin that fails early has given
+        no chunk as a whole to anyone.
+        """
+        if not self.pace.origin_chunk_s or self._began is None:
+            return full(self.count)
+        passed = int((now - self._began) / self.pace.origin_chunk_s)
+        return full(min(passed + READS_AHEAD, self.count))
+
+    def is_all_due(self, now: float) -> bool:
+        """Whether every chunk's time at the origin has come."""
+        return self.due(now) == full(self.count)
+
     def turns(
         self,
         out: Callable[[str, int], bool],
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -167,10 +167,10 @@
         if self.dropped or self.complete or room <= 0:
             return []
         reads = plan_reads(
-            self._wants(),
+            self._wants(now),
             self.peers.sources(now),
             room=room,
-            origin_room=self._origin_room(now),
+            origin_room=self.origin.room(now),
             random=self.random,
             order=self.pace.order,
         )
@@ -189,7 +189,7 @@
         after the origin was away. Each waits for another time, so that the
         first to get the chunk feeds the others.
         """
-        if not self.pace.starved_s:
+        if not self.pace.starved_s or not self.origin.is_all_due(now):
             return []
         if self._fed_at is None:
             self._fed_at = now
@@ -231,11 +231,25 @@
         self._end(read)
         if self.dropped:
             return False
-        digest = self.manifest.chunks[read.index]
+        is_good = self._keep(read.index, payload, now)
+        self._judge(read, is_good=is_good, now=now)
+        return is_good
+
+    def on_found(self, index: int, payload: bytes, *, now: float) -> bool:
+        """Take bytes that lay at hand; false when they aren't the chunk's.
+
+        Wrong ones blame nobody. What goes wrong when they count as read from
+        the origin: at each new version every host finds the one before at its
+        engine, and leaves the origin alone for half a second, while nobody
+        has a chunk of the new one.
+        """
+        return not self.dropped and self._keep(index, payload, now)
+
+    def _keep(self, index: int, payload: bytes, now: float) -> bool:
+        """Hold a chunk's bytes, if they are exactly these."""
+        digest = self.manifest.chunks[index]
         if not self.store.put(digest, payload):
-            self._on_corrupted(read, now)
             return False
-        self._on_good(read)
         fresh = self._same[digest] & ~self.held
         if fresh:
             self._note_held(fresh)
@@ -309,7 +323,7 @@
         reader = self.origin.reader(index, self._is_out)
         return [f'chunk {index}, which {reader or "nobody"} reads first']
 
-    def _wants(self) -> Wants:
+    def _wants(self, now: float) -> Wants:
         stamp = (self.peers.stamp, self.origin.is_failing)
         turns = self.origin.turns(self._is_out, stamp)
         under_way = reduce(or_, (1 << read.index for read in self.flights), 0)
@@ -317,7 +331,7 @@
         return Wants(
             missing=missing,
             importable=turns.importable,
-            from_origin=turns.from_origin,
+            from_origin=turns.from_origin & self.origin.due(now),
         )
 
     def _is_out(self, host: str, index: int) -> bool:
@@ -332,15 +346,6 @@
         passed = self.peers.passed(host, index)
         return passed and not self.origin.is_failing
 
-    def _origin_room(self, now: float) -> int:
-        if not self.origin.may_ask(now):
-            return 0
-        reading = sum(isinstance(read, FromOrigin) for read in self.flights)
-        return min(
-            self.pace.origin_reads - reading,
-            self.origin.share - self.origin.spent,
-        )
-
     def _start(self, read: Read, now: float) -> None:
         match read:
             case FromPeer(host=host):
@@ -359,19 +364,17 @@
                 self.origin.on_ended(index)
         return True
 
-    def _on_good(self, read: Read) -> None:
+    def _judge(self, read: Read, *, is_good: bool, now: float) -> None:
+        """Credit or blame the source of a chunk."""
         match read:
-            case FromPeer(host=host):
+            case FromPeer(host=host) if is_good:
                 self.peers.on_good(host)
-            case FromOrigin():
-                self.origin.on_good()
-
-    def _on_corrupted(self, read: Read, now: float) -> None:
-        match read:
             case FromPeer(host=host):
                 self.peers.on_corrupted(host, now)
+            case FromOrigin() if is_good:
+                self.origin.on_good()
             case FromOrigin(index=index):
-                self.origin.on_failed(index, was_sent=True, now=now)
+                self.origin.on_corrupted(index, now=now)
 
     def _note_held(self, bits: int) -> None:
         self.held |= bits
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
@@ -51,7 +51,7 @@
     ) -> None:
         process = runtime.cfg.process
         self.host = host or process.host
-        self._pace = pace
+        self._pace = pace or {}
         self.store = ChunkStore(weights.memory_bytes)
         self.transfers: dict[str, Transfer] = {}
         self._link_bytes_per_s = weights.link_bytes_per_s
@@ -80,9 +80,12 @@
         artifact: Artifact,
         *,
         copies: int,
+        origin_bytes_per_s: float = 0,
     ) -> Transfer:
         """Begin or go on with the weights of a manifest.
 
+        ``origin_bytes_per_s`` is the origin's link, 0 where it isn't known.
+
         Raises
         ------
         NoRoomError
@@ -100,7 +103,7 @@
         self.store.want([*self._wanted(artifact.name), manifest])
         if known is not None and known.is_sound:
             return known
-        transfer = self._begin(manifest, declared, copies)
+        transfer = self._begin(manifest, declared, copies, origin_bytes_per_s)
         self._manifests[manifest.version] = payload
         self.transfers.pop(manifest.version, None)
         self.transfers[manifest.version] = transfer
@@ -129,7 +132,12 @@
         manifest: Manifest,
         declared: str,
         copies: int,
+        origin_bytes_per_s: float,
     ) -> Transfer:
+        changes = dict(self._pace)
+        if origin_bytes_per_s > 0:
+            chunk_s = manifest.chunk_bytes / origin_bytes_per_s
+            changes['origin_chunk_s'] = chunk_s
         return transfer_of(
             manifest,
             manifest_digest=declared,
@@ -139,7 +147,7 @@
             link_bytes_per_s=self._link_bytes_per_s,
             random=self._random,
             copies=copies,
-            changes=self._pace,
+            changes=changes,
         )
 
     def _forget_oldest(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import field, frozen
@@ -211,6 +211,15 @@
     async def put_chunk(self, model: str, index: int, payload: bytes) -> None:
         """Stage a chunk."""
 
+    async def staged(self, model: str) -> frozenset[int]:
+        """List the chunks that are staged, of whatever version.
+
+        Raises
+        ------
+        UpstreamError
+            When it gave no proper answer.
+        """
+
     async def get_chunk(self, model: str, index: int) -> bytes | None:
         """Read a staged chunk; None where there is none."""
 
@@ -245,6 +254,12 @@
         """Read the digests of a version."""
 
     async def chunk(
-        self, address: str, model: str, version: int, index: int
+        self,
+        address: str,
+        model: str,
+        version: int,
+        index: int,
+        *,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> bytes:
-        """Read a chunk of a version."""
+        """Read a chunk of a version; told of bytes as they come."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -78,6 +78,7 @@
         self._library = library
         self._loader = loader
         self._hinders = ''
+        self._has_looked = False
 
     @property
     def hinders(self) -> str:
@@ -120,8 +121,10 @@
         """Go one round: collect what the goal needs, then load it."""
         goal, named = await self._reachable(goal)
         (transfer,) = self._library.open(named)
-        if not transfer.complete:
+        if not (transfer.complete or self._has_looked):
+            # Once in a life: what is staged later is held here as well.
             await self._library.take_staged(self._engine, goal.model, transfer)
+            self._has_looked = True
         if not transfer.complete:
             await self._collect(_Collecting(goal, named, transfer))
             return
@@ -146,13 +149,21 @@
         self._hinders = f'collects {newest.named.artifact.name}'
         began_at = clock_s()
         jobs = {newest: self._begin(newest)}
+        staging = asyncio.ensure_future(
+            self._loader.stage_early(newest.goal, newest.transfer)
+        )
         try:
             while not newest.transfer.complete:
                 await asyncio.wait(jobs.values(), timeout=LOOK_S)
                 if self._is_outdated(newest.goal):
                     return
+                if newest.transfer.origin.is_at_odds:
+                    newest.transfer.origin.on_doubted()
+                    self._library.doubt(newest.named)
+                    return
                 await self._look_at(newest, jobs)
         finally:
+            staging.cancel()
             for job in jobs.values():
                 job.cancel()
         self._note_held(newest, clock_s() - began_at)
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -7,7 +7,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from crowrudder_core.transfer import FromOrigin, LinkShare, Place
+from crowrudder_core.transfer import LinkShare, Place
 from crowrudder_daemon.agent.weights import (
     Artifact,
     ChunkService,
@@ -58,9 +58,6 @@
 
 MOST_RANKS = 10
 NEIGHBOURS = 12
-MOST_SPOILT = 3
-"""Spoilt chunks at the engine after which the rest is read from elsewhere."""
-
 PACE = {'starved_s': 0.3, 'origin_wait_s': 0.5}
 """What a transfer has otherwise than by the sizes and the link: a window of
 some seconds leaves no time to wait for a host that doesn't bring its part.
@@ -70,6 +67,7 @@
 """
 
 BURST_S = 0.02
+BYTES_PER_MEGABIT = 125_000
 
 
 class Library:
@@ -94,6 +92,7 @@
         self._peers = peers
         self._random = random.Random(runtime.incarnation)
         self._named: dict[str, Named] = {}
+        self._doubted: set[str] = set()
         self._changed = asyncio.Event()
         self._heard: dict[str, dict[str, ChunkNews]] = {}
         section = WeightsSection(
@@ -156,6 +155,8 @@
         named = await self._from_peers(goal)
         if named is None:
             named = await self._digests.from_origin(goal.model, goal.version)
+            # Read anew and the same: then its chunks come spoilt.
+            self._doubted.discard(named.artifact.manifest)
         self._named[named.artifact.name] = named
         self._runtime.log.info(
             'manifest taken',
@@ -163,6 +164,21 @@
         )
         return named
 
+    def doubt(self, named: Named) -> None:
+        """Give a manifest up that the origin's chunks contradict.
+
+        What goes wrong without it: the origin hands out a wrong digest to all
+        who ask for a while; the version is whole nowhere, long after the
+        origin is sound again. The next manifest comes from the origin, not
+        from those who were given the same.
+        """
+        self._doubted.add(named.artifact.manifest)
+        self._named.pop(named.artifact.name, None)
+        self._runtime.log.warning(
+            'manifest doubted',
+            extra={'step': 'digests', 'version': named.artifact.name},
+        )
+
     def known(self, model: str, version: int) -> Named | None:
         """Give a manifest that was read before; 0 for the newest."""
         if version:
@@ -188,20 +204,16 @@
         model: str,
         transfer: Transfer,
     ) -> None:
-        """Take what lies at the engine already, after verifying it."""
+        """Take what lies at the engine already, after verifying it.
+
+        Each chunk by itself: an agent that was killed in the middle of a
+        version has left some of it there, between those of the one before.
+        """
         now = asyncio.get_running_loop().time
-        spoilt = 0
-        for index in range(transfer.count):
-            if transfer.held >> index & 1:
-                continue
-            payload = await engine.get_chunk(model, index)
-            if payload is None:
-                return
-            if not transfer.on_chunk(FromOrigin(index), payload, now=now()):
-                spoilt += 1
-            if spoilt > MOST_SPOILT:
-                # Another version lies there.
-                return
+        for index in sorted(await engine.staged(model)):
+            if index < transfer.count and not transfer.held >> index & 1:
+                payload = await engine.get_chunk(model, index) or b''
+                transfer.on_found(index, payload, now=now())
 
     def collector(self, named: Named, transfer: Transfer) -> Collector:
         """Give what reads the chunks that a version lacks."""
@@ -250,6 +262,11 @@
         origin = config.origin if config else None
         return origin.origin if origin else ''
 
+    def _origin_bytes_per_s(self) -> float:
+        config = self._view.config
+        origin = config.origin if config else None
+        return origin.link_mbps * BYTES_PER_MEGABIT if origin else 0
+
     async def _from_peers(self, goal: Goal) -> Named | None:
         """Ask an agent that was heard to have it, if it comes soon."""
         if not goal.version:
@@ -258,6 +275,8 @@
         order = ranked(name, self.places())
         for _ in range(min(order.index(self._node.ip), MOST_RANKS)):
             for ip, news in list(self._heard.get(name, {}).items()):
+                if news.manifest in self._doubted:
+                    continue
                 named = await self._digests.from_peer(
                     self._address_of(ip),
                     Artifact(news.version, news.manifest),
@@ -272,6 +291,7 @@
             named.payload,
             named.artifact,
             copies=self._tuning.origin_copies,
+            origin_bytes_per_s=self._origin_bytes_per_s(),
         )
         transfer.on_hosts(self.places())
         for ip, news in self._heard.get(named.artifact.name, {}).items():
@@ -332,15 +352,17 @@
         on_piece: Callable[[int], None],
     ) -> bytes:
         try:
-            payload = await self._origin.chunk(
-                self._address(), self._model, self._version, index
+            return await self._origin.chunk(
+                self._address(),
+                self._model,
+                self._version,
+                index,
+                on_bytes=on_piece,
             )
         except NotConnectedError as exc:
             raise NoSourceError(
                 exc.message, step=exc.step, peer=exc.peer
             ) from exc
-        on_piece(len(payload))
-        return payload
 
     def distrust_store(self) -> None:
         """There is no store beside the origin."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -32,6 +32,8 @@
 """Longest wait for a load: what runs may take the callers' longest time."""
 
 LOOK_S = 0.05
+EARLY_S = 0.25
+"""Between two looks for chunks to hand over early."""
 
 
 class Loader:
@@ -51,6 +53,7 @@
         self._view = view
         self._engine = engine
         self._watch = watch
+        self._staging = asyncio.Lock()
         self._orders = runtime.metrics.counter(
             'engine_orders',
             'Orders to load weights, by outcome.',
@@ -94,11 +97,47 @@
         self._watch.set_changing(is_changing=True)
         try:
             await self._drain()
-            await self._stage(goal.model, transfer)
-            await self._order(goal.model, named.version)
+            async with self._staging:
+                await self._stage(goal.model, transfer)
+                began_at = clock_s()
+                await self._order(goal.model, named.version)
+            await self._until_loaded(named.version, began_at)
         finally:
             self._watch.set_changing(is_changing=False)
 
+    async def stage_early(self, goal: Goal, transfer: Transfer) -> None:
+        """Hand chunks over as they come; for ever, to be cancelled.
+
+        Chunks that an agent holds are lost with it; at the engine its next
+        life finds them. Nothing is loaded by that: a load stages all anew,
+        and what comes here meanwhile waits for its order to be accepted, or
+        the engine would take chunks of two versions.
+        """
+        done: set[int] = set()
+        while True:
+            held = {
+                index
+                for index in range(transfer.count)
+                if transfer.held >> index & 1
+            }
+            for index in sorted(held - done):
+                await self._stage_one(goal.model, index, transfer)
+                done.add(index)
+            await asyncio.sleep(EARLY_S)
+
+    async def _stage_one(
+        self, model: str, index: int, transfer: Transfer
+    ) -> None:
+        payload = transfer.chunk(index)
+        if payload is None:
+            return
+        try:
+            async with self._staging:
+                await self._engine.put_chunk(model, index, payload)
+        except UpstreamError as exc:
+            # The load stages it again; only a kill before then loses it.
+            self._runtime.log.info('chunk not staged early: %s', exc)
+
     async def _drain(self) -> None:
         """Let what runs end, now that entries send nothing more.
 
@@ -132,7 +171,6 @@
         )
 
     async def _order(self, model: str, version: int) -> None:
-        began_at = clock_s()
         taken = await self._engine.load(
             model,
             version,
@@ -141,6 +179,8 @@
         self._orders.add(outcome='taken' if taken else 'refused')
         if not taken:
             raise UpstreamError('the engine refused the order', step='order')
+
+    async def _until_loaded(self, version: int, began_at: float) -> None:
         while clock_s() - began_at < LOADED_WITHIN_S:
             reading = await self._watch.read_now()
             if reading is not None and reading.weights >= version:
--- a/packages/daemon/src/crowrudder_daemon/http/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/http/__init__.py
@@ -14,7 +14,7 @@
     ServerEvent,
     stream_events,
 )
-from crowrudder_daemon.http._pool import ConnectionPool
+from crowrudder_daemon.http._pool import ConnectionPool, kept_s_of
 
 __all__ = (
     'Answer',
@@ -27,5 +27,6 @@
     'WireAnswer',
     'WireHead',
     'WireRequest',
+    'kept_s_of',
     'stream_events',
 )
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -16,7 +16,7 @@
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 READ_AHEAD_BYTES = 65_536
 """Bytes of an answer held unread; a slow caller then slows its upstream."""
@@ -204,7 +204,12 @@
         while await self.part() is not None:
             self._ahead = 0
 
-    async def answer(self, *, most_bytes: int) -> WireAnswer:
+    async def answer(
+        self,
+        *,
+        most_bytes: int,
+        on_bytes: Callable[[int], None] | None = None,
+    ) -> WireAnswer:
         """Wait for a whole answer.
 
         Raises
@@ -218,6 +223,8 @@
         while (part := await self.part()) is not None:
             parts.append(part)
             size += len(part)
+            if on_bytes is not None:
+                on_bytes(len(part))
             if size > most_bytes:
                 raise self._broken(f'longer than {most_bytes} bytes')
         return WireAnswer(head=head, body=b''.join(parts))
--- a/packages/daemon/src/crowrudder_daemon/http/_pool.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_pool.py
@@ -87,9 +87,12 @@
         *,
         timeout_s: float,
         most_bytes: int = MOST_ANSWER_BYTES,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> WireAnswer:
         """Make one call and wait for its whole answer; never repeated.
 
+        ``on_bytes`` is told the size of each part of the body as it comes.
+
         Raises
         ------
         UpstreamError
@@ -100,7 +103,9 @@
             async with asyncio.timeout(timeout_s):
                 conn = await self.take(address, timeout_s=timeout_s)
                 conn.send(request)
-                answer = await conn.answer(most_bytes=most_bytes)
+                answer = await conn.answer(
+                    most_bytes=most_bytes, on_bytes=on_bytes
+                )
         except TimeoutError as exc:
             _drop(conn)
             raise UpstreamError(
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -196,6 +196,35 @@
 
         checked(check)
 
+    def test_a_wrong_manifest_is_given_up(self):
+        """A version was whole nowhere, long after the origin was sound.
+
+        Symptom: all hosts read one chunk again and again, for ever. Sequence:
+        the origin gives the same wrong digest to everyone for a second. Cause:
+        a manifest on which two reads agreed was believed for good.
+        """
+
+        async def check(world):
+            world.origin.faults.switch_on(Fault('wrong_digest'))
+            replicas = [await world.add_agent(number) for number in range(2)]
+            agent = world.agents[0]
+            await world.until(lambda: agent.keeper.status()['shares'])
+            world.origin.faults.switch_off('wrong_digest')
+            for replica in replicas:
+                await world.until(lambda each=replica: each.weights == 1)
+                assert_whole(world, replica, 1)
+
+        checked(check)
+
+    def test_a_sound_manifest_outlives_doubts(self):
+        async def check(world):
+            world.origin.faults.switch_on(Fault('corrupt', 9))
+            replica = await world.add_agent(1)
+            await world.until(lambda: replica.weights == 1)
+            assert_whole(world, replica, 1)
+
+        checked(check)
+
     def test_what_lies_spoilt_at_the_engine_is_replaced(self):
         """A load took a chunk that had become corrupted.
 
@@ -334,3 +363,46 @@
         for index in range(origin.count)
     }
     assert len(digests) == 2 * origin.count
+
+
+class TestStagedEarly:
+    """An agent that was killed goes on with what it had.
+
+    Symptom: after all processes were killed the engines stand still for eight
+    seconds. Sequence: a version is named, hosts hold most of it, the kill
+    comes before a load; the next lives begin with nothing. Cause: chunks that
+    only the agents' memory held.
+    """
+
+    def test_chunks_go_to_the_engine_before_the_load(self, monkeypatch):
+        monkeypatch.setattr(_loader, 'EARLY_S', 0.001)
+
+        async def check(world):
+            replica = await world.add_agent(1, loaded=1, version_s=60)
+            await world.ready()
+            world.name_version(2)
+            await world.until(lambda: self.staged(world, replica, 2))
+            assert not replica.orders
+            assert replica.weights == 1
+
+        checked(check)
+
+    def test_a_new_life_finds_them_between_those_of_another_version(self):
+        async def check(world):
+            replica = await world.add_agent(1, staged=False)
+            replica.staged = {
+                index: world.origin.piece(1 + index % 2, index)
+                for index in range(world.origin.count)
+            }
+            await world.until(lambda: replica.weights == 1)
+            assert_whole(world, replica, 1)
+            assert world.origin.reads[1] == world.origin.count // 2
+
+        checked(check)
+
+    def staged(self, world, replica, version):
+        return {
+            index
+            for index, payload in replica.staged.items()
+            if payload == world.origin.piece(version, index)
+        }
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -49,6 +49,33 @@
         run(check())
 
 
+class TestProgress:
+    def test_bytes_are_told_as_they_come(self):
+        """A read that moved counted as stalled.
+
+        Symptom: chunks are read from the origin twice. Sequence: many hosts
+        read at once, each chunk takes longer than a silent source may; it is
+        given up though bytes come all the time. Cause: progress was told
+        once, at the end.
+        """
+
+        async def check():
+            body = b'x' * 200_000
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            async with serving([head.encode() + body]) as server:
+                told: list[int] = []
+                await ConnectionPool().call(
+                    server.address,
+                    GET,
+                    timeout_s=5,
+                    on_bytes=told.append,
+                )
+            assert sum(told) == len(body)
+            assert len(told) > 1
+
+        run(check())
+
+
 class TestCutAnswers:
     @pytest.mark.parametrize('size', [5, 20, 39, len(ANSWER) - 1])
     def test_a_cut_one_is_never_whole(self, size):
