--- a/packages/standins/src/crowrudder_standins/_serving.py
+++ b/packages/standins/src/crowrudder_standins/_serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -116,7 +117,8 @@
             self.detach().close()
             return
         if not self._finished:
-            await self.finish(answer)
+            with contextlib.suppress(StreamClosedError):
+                await self.finish(answer)
 
     async def _answer(self, args: tuple[str, ...]) -> Answer:
         endpoint = self._routes.get(str(self.request.method))
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -18,11 +18,12 @@
 
 import asyncio
 import hashlib
+import time
 from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
-from attrs import define
+from attrs import define, field
 
 from crowrudder_standins._faults import DropError, RefusedError
 from crowrudder_standins._serving import Answer, Call, Standin, route, run
@@ -46,6 +47,7 @@
     resumed_after: int
     weights: int
     ended: str = ''
+    began_at: float = field(factory=time.monotonic)
 
 
 class FleetReplica(Standin):
--- /dev/null
+++ b/scripts/_platform_checks.py
@@ -0,0 +1,186 @@
+"""What a soak of the fleet on its users' platform holds its programs to."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+from _platform_fleet import CONFIG_S, DRAIN_S, VERSION_S
+from _platform_load import BLAMES, DEADLINE_S, NOT_RUN, Asked
+from attrs import define, field
+
+from crowrudder_standins.fleet_replica import FleetReplica, body_of, stream_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from _platform_chaos import PlatformChaos
+    from _platform_fleet import Life, PlatformFleet
+
+IN_TOUCH_S = 3.0
+"""A process counts as undisturbed so long after a fault at it ended."""
+
+MARGIN_S = 0.7
+"""The least by which an answer must be late to be called so: what a busy
+machine may need to wake this process."""
+
+BEGIN_MARGIN_S = 0.5
+
+
+@define
+class Verdict:
+    """Counts of what came, and a line on each broken promise."""
+
+    outcomes: Counter[str] = field(factory=Counter)
+    broken: dict[str, list[str]] = field(factory=lambda: defaultdict(list))
+
+    def note(self, promise: str, text: str) -> None:
+        """Note a broken promise."""
+        self.broken[promise].append(text)
+
+
+def judge(
+    asked: Iterable[Asked], fleet: PlatformFleet, chaos: PlatformChaos
+) -> Verdict:
+    """Hold what callers got against the replicas' books."""
+    verdict = Verdict()
+    runs = _runs(fleet)
+    for each in asked:
+        verdict.outcomes[_outcome(each)] += 1
+        _judge_answer(each, verdict, chaos)
+        _judge_runs(each, len(runs[each.request_id]), verdict)
+    for life in fleet.all_lives():
+        _judge_life(life, fleet, chaos, verdict)
+    return verdict
+
+
+def _runs(fleet: PlatformFleet) -> dict[str, list[FleetReplica]]:
+    found: dict[str, list[FleetReplica]] = defaultdict(list)
+    for life in fleet.all_lives():
+        for run in life.replica.runs:
+            found[run.request_id].append(life.replica)
+    return found
+
+
+def _outcome(each: Asked) -> str:
+    if each.left:
+        return 'left'
+    if each.refused:
+        return 'no connection'
+    if not each.is_whole:
+        return 'cut' if each.status else 'no answer'
+    return str(each.status)
+
+
+def _judge_answer(each: Asked, verdict: Verdict, chaos: PlatformChaos) -> None:
+    text = f'{each.request_id} {each.kind.path} at {each.entry}: '
+    if each.left or each.refused:
+        return
+    is_disturbed = chaos.met(
+        each.entry, each.began_at - IN_TOUCH_S, each.ended_at
+    )
+    if not each.is_whole:
+        if not each.kind.is_stream and not chaos.died(
+            each.entry, each.began_at - 1, each.ended_at
+        ):
+            verdict.note('unanswered', f'{text}{each.status} {each.reason}')
+        return
+    if each.status == 200:
+        _judge_body(each, text, verdict)
+    if each.status in BLAMES:
+        verdict.note('blamed', f'{text}{each.status} {each.body!r}')
+    if each.status in NOT_RUN and not each.retry_after:
+        verdict.note('no time to come back', f'{text}{each.status}')
+    took_s = each.ended_at - each.began_at
+    if took_s > DEADLINE_S + MARGIN_S and not is_disturbed:
+        verdict.note('late', f'{text}{took_s:.2f} s')
+
+
+def _judge_body(each: Asked, text: str, verdict: Verdict) -> None:
+    make = stream_of if each.kind.is_stream else body_of
+    if each.body != make(each.request_id):
+        verdict.note('not whole', f'{text}{each.body[:60]!r}')
+    if not each.has_seal:
+        verdict.note('nobody vouches', text)
+    if each.echoed != each.request_id:
+        verdict.note('crossed', f'{text}{each.echoed}')
+
+
+def _judge_runs(each: Asked, runs: int, verdict: Verdict) -> None:
+    text = f'{each.request_id} {each.kind.path} at {each.entry}: {runs} runs'
+    if each.kind.is_once and runs > 1:
+        verdict.note('doubled', text)
+    is_refused = each.is_whole and each.status in NOT_RUN
+    if each.kind.is_once and is_refused and runs:
+        verdict.note('not run but ran', f'{text}, {each.status}')
+    if each.is_whole and each.status == 200 and not runs:
+        verdict.note('made up', text)
+
+
+def _judge_life(
+    life: Life, fleet: PlatformFleet, chaos: PlatformChaos, verdict: Verdict
+) -> None:
+    for pieces, order in zip(
+        life.replica.taken, life.replica.orders, strict=False
+    ):
+        version = int(order['version'])
+        for index in range(fleet.origin.count):
+            if pieces.get(index) != fleet.origin.piece(version, index):
+                verdict.note(
+                    'partial weights',
+                    f'{life.replica.id} version {version} piece {index}',
+                )
+    for run in life.replica.runs:
+        _judge_times(life, run.weights, run.began_at, fleet, chaos, verdict)
+
+
+def _judge_times(
+    life: Life,
+    weights: int,
+    began_at: float,
+    fleet: PlatformFleet,
+    chaos: PlatformChaos,
+    verdict: Verdict,
+) -> None:
+    """Check a run's beginning against leaving and against newer versions.
+
+    Only where nothing at all was disturbed shortly before: who sent the
+    request isn't in a replica's books.
+    """
+    if life.left_at is not None:
+        due_at = life.left_at + DRAIN_S + BEGIN_MARGIN_S
+        if began_at > due_at and not _any_trouble(chaos, due_at - DRAIN_S):
+            verdict.note(
+                'sent to one that left',
+                f'{life.replica.id} {began_at - life.left_at:.2f} s after',
+            )
+    for version, named_at in fleet.named_at.items():
+        due_at = named_at + VERSION_S + BEGIN_MARGIN_S
+        is_old = 0 < weights < version and began_at > due_at
+        if is_old and not _any_trouble(chaos, named_at, began_at):
+            verdict.note(
+                'old weights',
+                f'{life.replica.id} on {weights} {began_at - named_at:.2f} s '
+                f'after {version} was named',
+            )
+
+
+def _any_trouble(
+    chaos: PlatformChaos, since: float, until: float | None = None
+) -> bool:
+    until = time.monotonic() if until is None else until
+    return any(
+        trouble.began_at <= until and trouble.ended_at >= since - IN_TOUCH_S
+        for trouble in chaos.troubles
+    )
+
+
+def key_for(fleet: PlatformFleet, published_at: list[float]) -> str:
+    """Give the newest key that every process has to know by now."""
+    due = [
+        number
+        for number, at in enumerate(published_at)
+        if time.monotonic() - at > CONFIG_S + IN_TOUCH_S
+    ]
+    return fleet.keys[due[-1]] if due else fleet.keys[0]
--- /dev/null
+++ b/scripts/_platform_fleet.py
@@ -0,0 +1,385 @@
+"""A fleet on its users' platform: stand-ins here, programs as processes.
+
+Store, origin and replicas run in this process, so that their books are at
+hand; entries and agents are the deployed programs. Connections to store and
+replicas go through relays that others of this folder use as well.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import sys
+import time
+from typing import TYPE_CHECKING, Any
+
+from _process import Process
+from _relay import Relay
+from attrs import define, field, frozen
+
+from crowrudder_standins._serving import application
+from crowrudder_standins.fleet_origin import FleetOrigin
+from crowrudder_standins.fleet_replica import FleetReplica
+from crowrudder_standins.fleet_store import FleetStore
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+HOST = 'shop.example'
+ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
+STORE_IP = '127.0.0.1'
+CHUNKS = 8
+VERSION_S = 4.0
+DRAIN_S = 2.0
+CONFIG_S = 2.0
+GRACE_S = 8.0
+WARM_S = 0.05
+ENGINE = {
+    'slots': 8,
+    'step_ms': 2,
+    'read_per_s': 100_000,
+    'stride': 1,
+    'usual': {'prompt': 100, 'answer': 6},
+    'models': [{'name': 'm', 'warm_s': WARM_S}],
+    'layers': 16,
+    'chunks': CHUNKS,
+    'chunk_bytes': 4096,
+}
+
+
+@frozen
+class Plan:
+    """The size of a fleet."""
+
+    entries: int
+    agents: int
+    plains: int
+
+
+@define(eq=False)
+class Host:
+    """A program's settings and process, and the replica beside an agent."""
+
+    name: str
+    role: str
+    ip: str
+    listen: dict[str, str]
+    process: Process
+    replica: str = ''
+
+    def ended_well(self, code: int | None) -> bool:
+        """Whether an end after SIGTERM was an orderly one.
+
+        A process that is told to end before it has begun to serve has nothing
+        to finish, and its interpreter may not have got to its handlers.
+        """
+        if code == -signal.SIGTERM:
+            return not self.process.has_logged('"serving"')
+        return code == 0
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether callers reach it."""
+        return self.role == 'entry'
+
+
+@define(eq=False)
+class Life:
+    """One life of a replica: its books, and when it was said to leave."""
+
+    replica: FleetReplica
+    service: str
+    address: str
+    zone: str
+    server: Any
+    left_at: float | None = None
+    is_listed: bool = True
+
+
+@define(eq=False)
+class PlatformFleet:
+    """Starts everything, publishes, and ends what it started."""
+
+    plan: Plan
+    folder: Path
+    rng: random.Random
+    store: FleetStore = field(factory=FleetStore)
+    origin: FleetOrigin = field(factory=lambda: FleetOrigin({'--model': 'm'}))
+    hosts: dict[str, Host] = field(factory=dict)
+    lives: list[Life] = field(factory=list)
+    replicas: dict[str, Life] = field(factory=dict)
+    keys: list[str] = field(factory=lambda: ['key-0'])
+    named_at: dict[int, float] = field(factory=dict)
+    version: int = 1
+    config_version: int = 0
+    relay: Relay = field(init=False)
+    _ports: dict[str, tuple[int, int]] = field(factory=dict)
+    _addresses: dict[str, str] = field(factory=dict)
+    _peer_port: int = 0
+    _life_number: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.relay = Relay(self.pids)
+
+    def pids(self) -> dict[str, int]:
+        """Give the running processes by name, and this one's."""
+        found = {
+            name: host.process.pid
+            for name, host in self.hosts.items()
+            if host.process.running
+        }
+        return {**found, 'stand-ins': os.getpid()}
+
+    async def start(self) -> None:
+        """Start stand-ins and programs."""
+        self._peer_port = free_range(16, self.rng)
+        self._addresses['store'] = await self._serve(
+            'store', self.store, STORE_IP
+        )
+        self._addresses['origin'] = await self._serve(
+            'origin', self.origin, STORE_IP
+        )
+        self.publish()
+        for number in range(self.plan.plains):
+            await self._add_replica(
+                f'plain-{number}', f'127.0.3.{number + 1}', 'plain', number
+            )
+        for number in range(self.plan.agents):
+            ip = f'127.0.2.{number + 1}'
+            name = f'engine-{number}'
+            await self._add_replica(name, ip, 'llm', number)
+            self._add_host(f'agent-{number}', 'agent', ip, number, name)
+        for number in range(self.plan.entries):
+            ip = f'127.0.1.{number + 1}'
+            self._add_host(f'entry-{number}', 'entry', ip, number)
+        for host in self.hosts.values():
+            host.process.start()
+
+    def publish(self) -> None:
+        """Publish the configuration, with the keys as they are."""
+        self.config_version += 1
+        body = {
+            'version': self.config_version,
+            'routes': _routes(),
+            'services': [
+                {'name': 'plain', 'max_conns': 500},
+                {'name': 'llm', 'max_conns': 500, 'engine': ENGINE},
+                {'name': 'src', 'origin': self._addresses['origin']},
+            ],
+            'limits': {'idle_timeout_ms': 5000, 'header_timeout_ms': 3000},
+            'tenants': [{'name': 'shop', 'api_keys': self.keys}],
+        }
+        self.store.put('op/config', json.dumps(body).encode())
+
+    def name_version(self) -> None:
+        """Name the next version of the weights."""
+        self.version += 1
+        self.origin.newest = self.version
+        self.named_at[self.version] = time.monotonic()
+        named = {'model': 'm', 'version': self.version}
+        self.store.put('op/version/m', json.dumps(named).encode())
+
+    def list_replica(self, name: str, state: str = 'ready') -> None:
+        """Write a replica's record."""
+        life = self.replicas[name]
+        replica = life.replica
+        held = {'from': 0, 'target': 16, 'version': replica.weights}
+        models = [{'name': 'm', 'version': replica.weights}]
+        entry = {
+            'service': life.service,
+            'address': life.address,
+            'zone': life.zone,
+            'slots': replica.slots,
+            'state': state,
+            'models': models if replica.model else [],
+            'layers': held if replica.weights else None,
+        }
+        self.store.put(f'servers/{replica.id}', json.dumps(entry).encode())
+        if state != 'ready':
+            life.left_at = time.monotonic()
+
+    def unlist(self, name: str) -> None:
+        """Take a replica's record away."""
+        life = self.replicas[name]
+        life.is_listed = False
+        life.left_at = life.left_at or time.monotonic()
+        self.store.remove(f'servers/{life.replica.id}')
+
+    async def replace(self, name: str) -> None:
+        """End a replica's life; another begins at its address, with nothing."""
+        before = self.replicas[name]
+        if before.is_listed:
+            self.unlist(name)
+        before.server.stop()
+        self.relay.reset(name)
+        self.lives.append(before)
+        ip = before.address.rpartition(':')[0]
+        replica = self._replica(name, before.service)
+        _, own = self._ports[name]
+        server = application(replica).listen(own, ip)
+        self.replicas[name] = Life(
+            replica, before.service, before.address, before.zone, server
+        )
+        self.list_replica(name)
+
+    def all_lives(self) -> list[Life]:
+        """List the replicas of now and those before."""
+        return [*self.lives, *self.replicas.values()]
+
+    def entries(self) -> dict[str, str]:
+        """Give the callers' addresses of entries by name."""
+        return {
+            host.name: host.listen['front']
+            for host in self.hosts.values()
+            if host.is_entry
+        }
+
+    def close(self) -> None:
+        """End what was started."""
+        for host in self.hosts.values():
+            host.process.thaw()
+            if host.process.running:
+                host.process.kill()
+        self.relay.close_all()
+        for life in self.replicas.values():
+            life.server.stop()
+
+    def _replica(self, name: str, service: str) -> FleetReplica:
+        self._life_number += 1
+        is_engine = service == 'llm'
+        return FleetReplica(
+            {
+                '--id': f'{name}.{self._life_number}',
+                '--slots': 8,
+                '--model': 'm' if is_engine else '',
+            },
+        )
+
+    async def _serve(self, name: str, standin: Any, ip: str) -> str:
+        listed, own = free_port(ip, self.rng), free_port(ip, self.rng)
+        self._ports[name] = (listed, own)
+        application(standin).listen(own, ip)
+        self.relay.add(name, ip, listed_port=listed, own_port=own)
+        await self.relay.listen(name)
+        return f'{ip}:{listed}'
+
+    async def _add_replica(
+        self, name: str, ip: str, service: str, number: int
+    ) -> None:
+        replica = self._replica(name, service)
+        listed, own = free_port(ip, self.rng), free_port(ip, self.rng)
+        self._ports[name] = (listed, own)
+        server = application(replica).listen(own, ip)
+        self.relay.add(name, ip, listed_port=listed, own_port=own)
+        await self.relay.listen(name)
+        zone = zone_of(number)
+        self.replicas[name] = Life(
+            replica, service, f'{ip}:{listed}', zone, server
+        )
+        self.list_replica(name)
+
+    def _add_host(
+        self, name: str, role: str, ip: str, number: int, replica: str = ''
+    ) -> None:
+        is_entry = role == 'entry'
+        names = ('front', 'ready', 'directory') if is_entry else ()
+        listen = {each: f'{ip}:{free_port(ip, self.rng)}' for each in names}
+        zone = zone_of(number)
+        settings = {
+            'node_name': name,
+            'machine_class': role,
+            'role': role,
+            'serves': ['front', 'control', 'directory'] if is_entry else [],
+            'ip': ip,
+            'zone': zone,
+            'region': ZONES[zone],
+            'zones': ZONES,
+            'listen': listen,
+            'inner_ports': [self._peer_port, self._peer_port + 15],
+            'seeds': ['127.0.1.1:1', '127.0.1.2:1'],
+            'limits': {'memory_mb': 100, 'link_mbps': 100},
+            'bounds': {
+                'grace_s': GRACE_S,
+                'version_ms': VERSION_S * 1000,
+                'drain_ms': DRAIN_S * 1000,
+                'config_ms': CONFIG_S * 1000,
+                'budget_extra': 100,
+                'budget_ratio': 0.2,
+            },
+            'provider': {'address': self._addresses['store']},
+        }
+        if replica:
+            settings['app'] = self.replicas[replica].address
+            settings['service'] = 'llm'
+        path = self.folder / f'{name}.yaml'
+        path.write_text(json.dumps(settings))
+        process = Process(
+            name,
+            [sys.executable, '-m', 'crowrudder_platform', role],
+            self.folder / f'{name}.log',
+            environment={'CROWRUDDER_BOOT': str(path)},
+        )
+        self.hosts[name] = Host(name, role, ip, listen, process, replica)
+
+
+def zone_of(number: int) -> str:
+    """Spread hosts over the zones."""
+    return list(ZONES)[number % len(ZONES)]
+
+
+def free_port(ip: str, rng: random.Random) -> int:
+    """Give a port that nobody listens on."""
+    while True:
+        port = rng.randrange(20_000, 32_000)
+        with socket.socket() as probe:
+            if probe.connect_ex((ip, port)):
+                return port
+
+
+def free_range(count: int, rng: random.Random) -> int:
+    """Give the first of some ports in a row that nobody listens on."""
+    while True:
+        first = rng.randrange(12_000, 19_000)
+        if all(_is_free(first + number) for number in range(count)):
+            return first
+
+
+def _is_free(port: int) -> bool:
+    try:
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            stream.bind(('127.0.0.1', port))
+            datagrams.bind(('127.0.0.1', port))
+    except OSError:
+        return False
+    return True
+
+
+def _routes() -> list[dict[str, Any]]:
+    llm = {'service': 'llm', 'gap_goal_ms': 400}
+    return [
+        _route('read', 'safe', service='plain'),
+        _route('notice', 'unsafe', service='plain'),
+        _route('draft', 'streaming', resumable=True, **llm),
+        _route('once', 'streaming', **llm),
+    ]
+
+
+def _route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': 4000,
+        'goal_ms': 3000,
+        'priority': 1,
+        'attempts': 2,
+        'public': False,
+        **more,
+    }
--- a/scripts/_platform_load.py
+++ b/scripts/_platform_load.py
@@ -147,9 +147,9 @@
 
     async def _connection(self) -> HttpConnection:
         conn = self._conn
-        if conn is not None and conn.is_open:
-            if time.monotonic() < self._kept_until:
-                return conn
+        is_kept = time.monotonic() < self._kept_until
+        if conn is not None and conn.is_open and is_kept:
+            return conn
         self.close()
         entries = self.entries()
         self._entry = self.rng.choice(sorted(entries))
--- a/scripts/_process.py
+++ b/scripts/_process.py
@@ -42,17 +42,22 @@
     name: str
     arguments: list[str]
     log_path: Path
+    environment: dict[str, str] = field(factory=dict)
     _child: subprocess.Popen[bytes] | None = None
+    _life_from: int = 0
 
     def start(self) -> None:
         """Start it; the log of an earlier life is kept."""
         log: IO[bytes]
+        if self.log_path.exists():
+            self._life_from = self.log_path.stat().st_size
         with self.log_path.open('ab') as log:
             self._child = subprocess.Popen(
                 self.arguments,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                env={**os.environ, **self.environment},
             )
 
     @property
@@ -84,6 +89,10 @@
         """Let it go on."""
         self._signal(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Tell it that its settings may have changed."""
+        self._signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         """Ask it to drain and end."""
         self._signal(signal.SIGTERM)
@@ -97,6 +106,12 @@
         except subprocess.TimeoutExpired:
             return None
 
+    def has_logged(self, text: str) -> bool:
+        """Whether its present or last life has logged something."""
+        with self.log_path.open('rb') as log:
+            log.seek(self._life_from)
+            return text.encode() in log.read()
+
     def tail(self) -> str:
         """Return the last lines of its log."""
         if not self.log_path.exists():
--- a/scripts/_relay.py
+++ b/scripts/_relay.py
@@ -174,6 +174,12 @@
             target.server.close()
             target.server = None
 
+    def reset(self, name: str) -> None:
+        """Break all connections to a process, as its end does."""
+        for joined in list(self._joined):
+            if name in joined.pair:
+                joined.abort()
+
     def close_all(self) -> None:
         """End all links."""
         for name in self._targets:
