Versions: a process that starts isn't held to a window whose begin nobody knows

The operators hold a process to their bounds only some seconds after its start. Change: the time after a disturbance is decoded, and a version of unknown age ends the one before that time after the start. A peer that knows the age is believed, as before.

--- a/packages/core/src/crowrudder_core/catalog/_releases.py
+++ b/packages/core/src/crowrudder_core/catalog/_releases.py
@@ -6,6 +6,9 @@
 
 from attrs import define, field, frozen
 
+START_S = 1.0
+"""From a process's start until it has found the versions, at the most."""
+
 
 @frozen
 class Release:
@@ -29,9 +32,12 @@
     window_s
         Time from the publication of a version until nothing may begin on an
         older one.
+    settle_s
+        Time after a process's start until it is held to the window.
     """
 
     window_s: float
+    settle_s: float = 0
     _named: dict[str, list[Release]] = field(factory=dict)
 
     def on_named(
@@ -42,17 +48,29 @@
         age_s: float | None,
         now: float,
     ) -> None:
-        """Take a named version; an unknown age counts as a long one."""
+        """Take a named version; an unknown age counts as a long one.
+
+        A process that starts finds versions without their ages. What goes
+        wrong when it counts them as old at once: all processes are killed
+        while a version is spread, nobody is left who knows its age, and no
+        engine may be used before it has loaded that version, seen as five
+        seconds of refusals. Old ones may be used until the process is held to
+        the window; a peer that knows the age tells it long before.
+        """
         known = self._named.setdefault(model, [])
         if known and version < known[-1].version:
             return
-        age = self.window_s if age_s is None else age_s
+        age = self._age_of_unknown if age_s is None else age_s
         release = Release(version, now - age)
         if known and version == known[-1].version:
             # Told again: by a process that knows its age.
             known.pop()
         known.append(release)
 
+    @property
+    def _age_of_unknown(self) -> float:
+        return self.window_s - max(self.settle_s - START_S, 0)
+
     def newest(self, model: str) -> Release | None:
         """Give the version that a model is to have."""
         known = self._named.get(model)
--- a/packages/core/src/crowrudder_core/catalog/_view.py
+++ b/packages/core/src/crowrudder_core/catalog/_view.py
@@ -47,11 +47,12 @@
 
     Parameters
     ----------
-    version_window_s
+    version_window_s, settle_s
         See `Releases`.
     """
 
     version_window_s: float
+    settle_s: float = 0
     config: FleetConfig | None = None
     routes: RouteTable = field(factory=lambda: RouteTable(()))
     releases: Releases = field(init=False)
@@ -60,7 +61,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Begin without any version."""
-        self.releases = Releases(self.version_window_s)
+        self.releases = Releases(self.version_window_s, self.settle_s)
 
     def on_record(
         self,
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -105,7 +105,7 @@
         self._pulling = False
         self._away_at = -1.0e9
         self.catalog = Catalog()
-        self.view = FleetView(node.bounds.version_s)
+        self.view = FleetView(node.bounds.version_s, node.bounds.settle_s)
         self.reading = StoreReading(own=node.ip)
         if node.role != 'entry':
             # Agents learn from entries; they read for themselves only where
--- a/packages/model/src/crowrudder_model/fleet/_node.py
+++ b/packages/model/src/crowrudder_model/fleet/_node.py
@@ -36,6 +36,9 @@
         Longest time that a caller keeps an answer on which entry to use.
     event_delay_s
         Longest delay of a stream's event on its way to the caller.
+    settle_s
+        After a disturbance of a process, its start included, until it is held
+        to these bounds again.
     retry_share, retry_extra, retry_window_s
         In each window, a service may get at most so many arrivals beyond the
         first of each request: a share of the requests, and a fixed number.
@@ -47,6 +50,7 @@
     version_s: float = 8
     answer_ttl_s: float = 5
     event_delay_s: float = 0.12
+    settle_s: float = 0
     retry_share: float = 0.1
     retry_extra: float = 10
     retry_window_s: float = 10
--- a/tests/catalog/test_view.py
+++ b/tests/catalog/test_view.py
@@ -3,6 +3,8 @@
 import math
 import random
 
+import pytest
+
 from crowrudder_core.catalog import (
     WATCHERS,
     FleetView,
@@ -191,6 +193,24 @@
         assert pauses[0] < 0.2
         assert max(pauses) <= 0.8
 
+    def test_a_process_that_starts_may_use_old_weights_for_a_moment(self):
+        """Nobody was served for five seconds after a kill of all processes.
+
+        Symptom: from two seconds after the kill on every request is refused.
+        Sequence: a version is named, hosts read it, all processes are killed;
+        the new ones find the version without its age. Cause: it counted as
+        one whose window had ended, though nobody had loaded it.
+        """
+        releases = Releases(9.7, settle_s=4)
+        releases.on_named('m', 2, age_s=None, now=100)
+        assert releases.ends_at('m', 1) == pytest.approx(103)
+
+    def test_who_knows_the_age_is_believed(self):
+        releases = Releases(9.7, settle_s=4)
+        releases.on_named('m', 2, age_s=None, now=100)
+        releases.on_named('m', 2, age_s=9, now=100)
+        assert releases.ends_at('m', 1) == pytest.approx(100.7)
+
     def test_an_age_that_comes_later_counts(self):
         """A restarted entry used few engines for a whole window.
 
