Weights: hosts that load first read more at once; the origin's pacing is taken back

Cause: hosts hold a version all at the same time, late in its window, so that half of the engines load within the last two seconds of it. Change: 4/3/3, by the order of the loads.

--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -41,13 +41,6 @@
 
 MOST_SEEDS = 32
 
-READS_AHEAD = 4
-"""Chunks that are read at the origin at the same time.
-
-They keep its link full though the hosts hear of a version some hundredth
-seconds apart, and each comes in a few times what it takes alone.
-"""
-
 FIRST_WAIT_S = 0.25
 
 MOST_CORRUPTED = 4
@@ -205,10 +198,8 @@
         if now - self._window_at >= self.pace.window_s:
             self._window_at = now
             self.spent = 0
-        opens = self._began
-        if not self.pace.origin_chunk_s:
-            turn_s = self.pace.chunk_s / ORIGIN_LINKS
-            opens += self.seeds.index(self.host) * turn_s
+        turn_s = self.pace.chunk_s / ORIGIN_LINKS
+        opens = self._began + self.seeds.index(self.host) * turn_s
         return now >= max(opens, self._closed_until) and self.spent < self.share
 
     def room(self, now: float) -> int:
@@ -220,24 +211,6 @@
             self.share - self.spent,
         )
 
-    def due(self, now: float) -> int:
-        """Give the chunks (bits) whose time has come at the origin.
-
-        What goes wrong when all hosts read at once: thirty reads share the
-        origin's link, each takes over a second, seen as reads that count as
-        stalled, are made again elsewhere, and send two copies; the swarm has
-        nothing to spread meanwhile, and an origin that fails early has given
-        no chunk as a whole to anyone.
-        """
-        if not self.pace.origin_chunk_s or self._began is None:
-            return full(self.count)
-        passed = int((now - self._began) / self.pace.origin_chunk_s)
-        return full(min(passed + READS_AHEAD, self.count))
-
-    def is_all_due(self, now: float) -> bool:
-        """Whether every chunk's time at the origin has come."""
-        return self.due(now) == full(self.count)
-
     def turns(
         self,
         out: Callable[[str, int], bool],
--- a/packages/core/src/crowrudder_core/transfer/_pace.py
+++ b/packages/core/src/crowrudder_core/transfer/_pace.py
@@ -47,10 +47,6 @@
         for never.
     origin_wait_s
         Longest time for which an origin that failed is left alone.
-    origin_chunk_s
-        Time that a chunk takes on the origin's link, where that is known: the
-        chunks are then read at that rate, one after the other; 0 where it
-        isn't.
     """
 
     chunk_s: float
@@ -63,7 +59,6 @@
     neighbours: int = 12
     starved_s: float = 0
     origin_wait_s: float = LONGEST_ORIGIN_WAIT_S
-    origin_chunk_s: float = 0
     order: ChunkOrder = ChunkOrder.RAREST
 
 
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -167,7 +167,7 @@
         if self.dropped or self.complete or room <= 0:
             return []
         reads = plan_reads(
-            self._wants(now),
+            self._wants(),
             self.peers.sources(now),
             room=room,
             origin_room=self.origin.room(now),
@@ -189,7 +189,7 @@
         after the origin was away. Each waits for another time, so that the
         first to get the chunk feeds the others.
         """
-        if not self.pace.starved_s or not self.origin.is_all_due(now):
+        if not self.pace.starved_s:
             return []
         if self._fed_at is None:
             self._fed_at = now
@@ -323,7 +323,7 @@
         reader = self.origin.reader(index, self._is_out)
         return [f'chunk {index}, which {reader or "nobody"} reads first']
 
-    def _wants(self, now: float) -> Wants:
+    def _wants(self) -> Wants:
         stamp = (self.peers.stamp, self.origin.is_failing)
         turns = self.origin.turns(self._is_out, stamp)
         under_way = reduce(or_, (1 << read.index for read in self.flights), 0)
@@ -331,7 +331,7 @@
         return Wants(
             missing=missing,
             importable=turns.importable,
-            from_origin=turns.from_origin & self.origin.due(now),
+            from_origin=turns.from_origin,
         )
 
     def _is_out(self, host: str, index: int) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_shelf.py
@@ -80,11 +80,11 @@
         artifact: Artifact,
         *,
         copies: int,
-        origin_bytes_per_s: float = 0,
+        changes: Mapping[str, Any] | None = None,
     ) -> Transfer:
         """Begin or go on with the weights of a manifest.
 
-        ``origin_bytes_per_s`` is the origin's link, 0 where it isn't known.
+        ``changes`` are those of the pace for this version alone.
 
         Raises
         ------
@@ -103,7 +103,7 @@
         self.store.want([*self._wanted(artifact.name), manifest])
         if known is not None and known.is_sound:
             return known
-        transfer = self._begin(manifest, declared, copies, origin_bytes_per_s)
+        transfer = self._begin(manifest, declared, copies, changes or {})
         self._manifests[manifest.version] = payload
         self.transfers.pop(manifest.version, None)
         self.transfers[manifest.version] = transfer
@@ -132,12 +132,8 @@
         manifest: Manifest,
         declared: str,
         copies: int,
-        origin_bytes_per_s: float,
+        changes: Mapping[str, Any],
     ) -> Transfer:
-        changes = dict(self._pace)
-        if origin_bytes_per_s > 0:
-            chunk_s = manifest.chunk_bytes / origin_bytes_per_s
-            changes['origin_chunk_s'] = chunk_s
         return transfer_of(
             manifest,
             manifest_digest=declared,
@@ -147,7 +143,7 @@
             link_bytes_per_s=self._link_bytes_per_s,
             random=self._random,
             copies=copies,
-            changes=changes,
+            changes={**self._pace, **changes},
         )
 
     def _forget_oldest(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -26,6 +26,7 @@
     version_name,
 )
 from crowrudder_daemon.fleet_agent._goals import model_of
+from crowrudder_daemon.fleet_agent._turn import reads_at_once
 from crowrudder_daemon.http import NotConnectedError
 from crowrudder_daemon.settings import WeightsSection
 from crowrudder_model import ranked
@@ -67,7 +68,6 @@
 """
 
 BURST_S = 0.02
-BYTES_PER_MEGABIT = 125_000
 
 
 class Library:
@@ -262,11 +262,6 @@
         origin = config.origin if config else None
         return origin.origin if origin else ''
 
-    def _origin_bytes_per_s(self) -> float:
-        config = self._view.config
-        origin = config.origin if config else None
-        return origin.link_mbps * BYTES_PER_MEGABIT if origin else 0
-
     async def _from_peers(self, goal: Goal) -> Named | None:
         """Ask an agent that was heard to have it, if it comes soon."""
         if not goal.version:
@@ -287,13 +282,17 @@
         return None
 
     def _open(self, named: Named) -> Transfer:
+        places = self.places()
+        version = named.artifact.name
         transfer = self.shelf.open(
             named.payload,
             named.artifact,
             copies=self._tuning.origin_copies,
-            origin_bytes_per_s=self._origin_bytes_per_s(),
+            changes={
+                'reads_at_once': reads_at_once(version, self._node.ip, places)
+            },
         )
-        transfer.on_hosts(self.places())
+        transfer.on_hosts(places)
         for ip, news in self._heard.get(named.artifact.name, {}).items():
             if news.manifest == named.artifact.manifest:
                 _take_news(transfer, ip, news)
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -14,7 +14,7 @@
 from crowrudder_core.transfer import MOST_COPIES, full
 from crowrudder_daemon.fleet_agent import _library, _loader
 from crowrudder_daemon.fleet_agent._engine_watch import _Audience
-from crowrudder_daemon.fleet_agent._turn import load_delay_s
+from crowrudder_daemon.fleet_agent._turn import load_delay_s, reads_at_once
 from crowrudder_model.messages import EngineLoad
 from crowrudder_standins._faults import Fault
 from support.aio import run
@@ -329,6 +329,24 @@
         gaps = [b - a for a, b in itertools.pairwise(delays)]
         assert min(gaps) > 0.08
 
+    def test_those_who_load_first_read_more_at_once(self):
+        """Half of a fleet's engines loaded within the last two seconds.
+
+        Symptom: half of the streams are late as a version ends. Sequence: all
+        hosts hold the new one at the same time, late in its window. Cause:
+        links that were shared out evenly.
+        """
+        hosts = [f'10.0.0.{number}' for number in range(30)]
+        reads = {host: reads_at_once('m@2', host, hosts) for host in hosts}
+        delays = {
+            host: load_delay_s(
+                version='m@2', host=host, hosts=hosts, window_s=8
+            )
+            for host in hosts
+        }
+        first = sorted(hosts, key=lambda host: delays[host])[:10]
+        assert {host for host in hosts if reads[host] > 3} == set(first)
+
     def test_each_version_has_another_order(self):
         hosts = [f'10.0.0.{number}' for number in range(10)]
 
