--- a/tests/platform/test_adapter_calls.py
+++ b/tests/platform/test_adapter_calls.py
@@ -115,6 +115,30 @@
         origin.newest = 2
         run(served(origin, check))
 
+    def test_who_reads_digests_keeps_no_connection(self):
+        """Half of the hosts could read no piece of a version.
+
+        Symptom: reads of the origin are reset as soon as a version is named.
+        Sequence: fifty hosts read its digests and keep their connections; the
+        origin takes forty-eight in all. Cause: connections kept by hosts that
+        read nothing more.
+        """
+
+        async def check(address, pool):
+            source = PlatformOrigin(pool)
+            await source.digests(address, 'm')
+            await source.digests_of(address, 'm', 1)
+            assert opened == [1, 1]
+            await source.chunk(address, 'm', 1, 5)
+            await source.chunk(address, 'm', 1, 6)
+            assert opened == [1, 1, 1]
+
+        opened: list[int] = []
+        pool = ConnectionPool(on_open=lambda: opened.append(1))
+        run(
+            served(FleetOrigin({'--model': 'm'}), lambda at, _: check(at, pool))
+        )
+
     def test_a_version_that_is_too_old_is_an_error(self):
         async def check(address, pool):
             with pytest.raises(UpstreamError, match='410'):
