--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 #   make measure                          the measurements of measure/
 #   make explore [STATES=200000]         every order of events of a request
 #   make soak [DURATION=60] [SEED=1]      random load and faults
+#   make soak ON=platform                 the same on the users' platform
 #   make load FILE=F [ENTRY=IP:PORT]      a file's load
 #   make report [FIGURES=F] [RESULTS=F]   tables and plots of what was measured
 #   make experiment FILE=F [OUT=DIR]      a file's load, faults and promises
@@ -22,6 +23,8 @@
 KEEP ?=
 DURATION ?= 60
 SEED ?= 1
+ON ?=
+SOAK_ARGS ?=
 STATES ?= 200000
 FILE ?= examples/experiments/steady.ini
 ENTRY ?=
@@ -61,7 +64,8 @@
 	$(BIN)/python measure/run.py $(ARGS)
 
 soak: $(STAMP)
-	$(BIN)/python scripts/soak.py --duration '$(DURATION)' --seed '$(SEED)'
+	$(BIN)/python scripts/$(if $(filter platform,$(ON)),platform_)soak.py \
+		--duration '$(DURATION)' --seed '$(SEED)' $(SOAK_ARGS)
 
 load: $(STAMP)
 	$(BIN)/python scripts/load.py $(if $(ENTRY),'--entry=$(ENTRY)') '$(FILE)'
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -2,12 +2,14 @@
 
 Usage:
   platform_soak.py [--duration=S] [--seed=N] [--seeds=N] [--large] [--logs=DIR]
+  platform_soak.py --known [--duration=S] [--logs=DIR]
 
 Options:
   --duration=S  Seconds of load and faults [default: 15].
   --seed=N      Seed of all that is drawn; the first where there are more
                 [default: 1].
   --seeds=N     Runs one after the other, each with the next seed [default: 1].
+  --known       The seeds that failed once.
   --large       Dozens of processes.
   --logs=DIR    Keep the programs' logs of runs that break a promise here.
 """
@@ -28,6 +30,7 @@
 from _platform_checks import Verdict, judge, key_for
 from _platform_fleet import VERSION_S, Plan, PlatformFleet
 from _platform_load import Caller
+from _platform_seeds import FAILED_ONCE
 from _process import end_on_signal
 from attrs import define, field
 from docopt import docopt
@@ -194,9 +197,10 @@
     options = docopt(__doc__ or '')
     end_on_signal(signal.SIGTERM)
     first = int(options['--seed'])
+    seeds = range(first, first + int(options['--seeds']))
     failed = []
     with contextlib.suppress(KeyboardInterrupt):
-        for seed in range(first, first + int(options['--seeds'])):
+        for seed in FAILED_ONCE if options['--known'] else seeds:
             if not await run_seed(seed, options):
                 failed.append(seed)
     if failed:
