--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -230,7 +230,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.ask, number.name)
     # Unhandled, it would end the process and cut off all that runs.
-    loop.add_signal_handler(signal.SIGHUP, log.info, 'SIGHUP: nothing to do')
+    loop.add_signal_handler(signal.SIGHUP, runtime.ask_reload)
     life = Lifecycle(runtime, build(runtime))
     code = await life.run(stop)
     if life.stuck:
--- a/packages/daemon/src/crowrudder_daemon/_runtime.py
+++ b/packages/daemon/src/crowrudder_daemon/_runtime.py
@@ -56,7 +56,8 @@
     """The surroundings of a role.
 
     `incarnation` tells this life of the process from earlier ones under the
-    same host name; nothing of it is kept.
+    same host name; nothing of it is kept. `reload_asked` is set when the
+    settings may have changed.
     """
 
     cfg: Settings
@@ -64,6 +65,7 @@
     metrics: Metrics = field(factory=Metrics)
     audit: Audit = field(factory=Audit)
     incarnation: str = field(factory=new_incarnation)
+    reload_asked: asyncio.Event = field(factory=asyncio.Event)
     _jobs: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
     def spawn(
@@ -82,6 +84,11 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def ask_reload(self) -> None:
+        """Note that the settings may have changed."""
+        self.log.info('told to read the settings', extra={'step': 'reload'})
+        self.reload_asked.set()
+
     def fault(self, step: str, exc: BaseException | None) -> None:
         """Log and count a fault that no handler expected."""
         self.metrics.unhandled_faults.add(step=step)
--- a/packages/daemon/src/crowrudder_daemon/fleet/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/__init__.py
@@ -9,6 +9,10 @@
 from crowrudder_daemon.fleet._peers_task import PeerListener, PeersTask
 from crowrudder_daemon.fleet._role import FleetRole
 from crowrudder_daemon.fleet._settings import settings_of
+from crowrudder_daemon.fleet._settings_watch import (
+    SettingsSource,
+    SettingsWatch,
+)
 from crowrudder_daemon.fleet._tuning import Tuning
 
 __all__ = (
@@ -16,6 +20,8 @@
     'FleetRole',
     'PeerListener',
     'PeersTask',
+    'SettingsSource',
+    'SettingsWatch',
     'Tuning',
     'settings_of',
 )
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -158,6 +158,10 @@
         if self.roster.set_own(ready=ready, leaving=leaving):
             self.tell_all()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replace the hosts to ask where nobody else is known."""
+        self._seeds = seeds
+
     def set_knowledge(self, revision: int, confirmed_at: float) -> None:
         """Take how far this process is; a higher revision is passed on."""
         self._confirmed_at = confirmed_at
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -6,9 +6,11 @@
 
 from crowrudder_daemon.fleet._catalog_task import CatalogTask
 from crowrudder_daemon.fleet._peers_task import PeersTask
+from crowrudder_daemon.fleet._settings_watch import SettingsWatch
 from crowrudder_daemon.rpc import PeerClient, PeerServer
 
 if TYPE_CHECKING:
+    from crowrudder_daemon.fleet._settings_watch import SettingsSource
     from crowrudder_daemon.fleet.ports import PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_model import Member
@@ -27,6 +29,9 @@
         The store of published records.
     """
 
+    settings: SettingsSource | None = None
+    """Where the process's settings stand; None where they never change."""
+
     def __init__(
         self,
         runtime: Runtime,
@@ -53,6 +58,15 @@
         await self.rpc.start()
         await self.peers.open()
         self.catalog.start()
+        if self.settings is not None:
+            watch = SettingsWatch(
+                self.runtime, self.node, self.settings, self.on_settings
+            )
+            self.runtime.spawn(watch.watch(), step='watch settings')
+
+    def on_settings(self, node: Node) -> None:
+        """Follow settings that changed."""
+        self.peers.set_seeds(node.seeds)
 
     async def stop(self) -> None:
         """Close everything."""
