--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -159,7 +159,7 @@
                     return
                 if newest.transfer.origin.is_at_odds:
                     newest.transfer.origin.on_doubted()
-                    self._library.doubt(newest.named)
+                    self._library.manifests.doubt(newest.named)
                     return
                 await self._look_at(newest, jobs)
         finally:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -9,11 +9,9 @@
 
 from crowrudder_core.transfer import LinkShare, Place
 from crowrudder_daemon.agent.weights import (
-    Artifact,
     ChunkService,
     Collector,
     EngineNote,
-    NoSourceError,
     PeerSource,
     Shelf,
     UploadSlots,
@@ -22,23 +20,22 @@
 )
 from crowrudder_daemon.fleet_agent._digests import (
     DigestReader,
-    Named,
     version_name,
 )
 from crowrudder_daemon.fleet_agent._goals import model_of
+from crowrudder_daemon.fleet_agent._manifests import ManifestBook
+from crowrudder_daemon.fleet_agent._origin_chunks import OriginChunks
 from crowrudder_daemon.fleet_agent._turn import reads_at_once
-from crowrudder_daemon.http import NotConnectedError
 from crowrudder_daemon.settings import WeightsSection
 from crowrudder_model import ranked
 from crowrudder_model.messages import ChunkNews, StockReply
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from crowrudder_core.catalog import FleetView
     from crowrudder_core.transfer import Transfer
     from crowrudder_daemon.fleet import PeersTask, Tuning
     from crowrudder_daemon.fleet.ports import EnginePort, WeightsOriginPort
+    from crowrudder_daemon.fleet_agent._digests import Named
     from crowrudder_daemon.fleet_agent._goals import Goal
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
@@ -53,11 +50,6 @@
 
 A chunk takes about as long on a slow link (5 Mbit/s)."""
 
-RANK_WAIT_S = 0.03
-"""The agents ask the origin for a manifest one after the other, so far apart,
-as long as no other agent has told that it has it."""
-
-MOST_RANKS = 10
 NEIGHBOURS = 12
 PACE = {'starved_s': 0.6, 'origin_wait_s': 0.5}
 """What a transfer has otherwise than by the sizes and the link: a window of
@@ -94,8 +86,6 @@
         self._origin = origin
         self._peers = peers
         self._random = random.Random(runtime.incarnation)
-        self._named: dict[str, Named] = {}
-        self._doubted: set[str] = set()
         self._changed = asyncio.Event()
         self._heard: dict[str, dict[str, ChunkNews]] = {}
         section = WeightsSection(
@@ -111,8 +101,10 @@
         self._downlink = _link(section, live_share=1)
         self._watch = WeightsWatch(runtime, self.shelf)
         self._source = PeerSource(client)
-        self._digests = DigestReader(
-            node.ip, origin, self._source, self.origin_address
+        self.manifests = ManifestBook(
+            runtime,
+            DigestReader(node.ip, origin, self._source, self.origin_address),
+            self._address_of,
         )
         self._service = ChunkService(
             self.shelf,
@@ -145,54 +137,16 @@
         self._uplink.on_live(0, running, now=now)
 
     async def manifest(self, goal: Goal) -> Named:
-        """Give a version's manifest, the own one, a peer's or the origin's.
-
-        Raises
-        ------
-        UpstreamError
-            When nobody gave a sound one.
-        """
-        known = self.known(goal.model, goal.version)
-        if known is not None:
-            return known
-        named = await self._from_peers(goal)
-        if named is None:
-            named = await self._digests.from_origin(goal.model, goal.version)
-            # Read anew and the same: then its chunks come spoilt.
-            self._doubted.discard(named.artifact.manifest)
-        self._named[named.artifact.name] = named
-        self._runtime.log.info(
-            'manifest taken',
-            extra={'step': 'digests', 'version': named.artifact.name},
-        )
-        return named
-
-    def doubt(self, named: Named) -> None:
-        """Give a manifest up that the origin's chunks contradict.
-
-        What goes wrong without it: the origin hands out a wrong digest to all
-        who ask for a while; the version is whole nowhere, long after the
-        origin is sound again. The next manifest comes from the origin, not
-        from those who were given the same.
-        """
-        self._doubted.add(named.artifact.manifest)
-        self._named.pop(named.artifact.name, None)
-        self._runtime.log.warning(
-            'manifest doubted',
-            extra={'step': 'digests', 'version': named.artifact.name},
+        """Give a version's manifest, see `ManifestBook`."""
+        name = version_name(goal.model, goal.version)
+        rank = ranked(name, self.places()).index(self._node.ip)
+        return await self.manifests.read(
+            goal.model,
+            goal.version,
+            rank=rank,
+            heard=lambda: self._heard.get(name, {}),
         )
 
-    def known(self, model: str, version: int) -> Named | None:
-        """Give a manifest that was read before; 0 for the newest."""
-        if version:
-            return self._named.get(version_name(model, version))
-        of_model = [
-            named
-            for name, named in self._named.items()
-            if name.startswith(f'{model}@')
-        ]
-        return max(of_model, key=lambda named: named.version, default=None)
-
     def open(self, *wanted: Named) -> list[Transfer]:
         """Begin or go on with versions; all others are given up."""
         self._note.wanted = frozenset(named.artifact.name for named in wanted)
@@ -224,7 +178,7 @@
         return Collector(
             transfer,
             peers=self._source,
-            origin=_OriginChunks(
+            origin=OriginChunks(
                 self._origin, self.origin_address, model, named.version
             ),
             downlink=self._downlink,
@@ -265,25 +219,6 @@
         origin = config.origin if config else None
         return origin.origin if origin else ''
 
-    async def _from_peers(self, goal: Goal) -> Named | None:
-        """Ask an agent that was heard to have it, if it comes soon."""
-        if not goal.version:
-            return None
-        name = version_name(goal.model, goal.version)
-        order = ranked(name, self.places())
-        for _ in range(min(order.index(self._node.ip), MOST_RANKS)):
-            for ip, news in list(self._heard.get(name, {}).items()):
-                if news.manifest in self._doubted:
-                    continue
-                named = await self._digests.from_peer(
-                    self._address_of(ip),
-                    Artifact(news.version, news.manifest),
-                )
-                if named is not None:
-                    return named
-            await asyncio.sleep(RANK_WAIT_S)
-        return None
-
     def _open(self, named: Named) -> Transfer:
         places = self.places()
         version = named.artifact.name
@@ -332,44 +267,6 @@
         return f'{host}:{self._node.rpc_port}'
 
 
-class _OriginChunks:
-    """The origin as the collector wants it: one version's chunks."""
-
-    def __init__(
-        self,
-        origin: WeightsOriginPort,
-        address: Callable[[], str],
-        model: str,
-        version: int,
-    ) -> None:
-        self._origin = origin
-        self._address = address
-        self._model = model
-        self._version = version
-
-    async def chunk(
-        self,
-        version: str,
-        index: int,
-        on_piece: Callable[[int], None],
-    ) -> bytes:
-        try:
-            return await self._origin.chunk(
-                self._address(),
-                self._model,
-                self._version,
-                index,
-                on_bytes=on_piece,
-            )
-        except NotConnectedError as exc:
-            raise NoSourceError(
-                exc.message, step=exc.step, peer=exc.peer
-            ) from exc
-
-    def distrust_store(self) -> None:
-        """There is no store beside the origin."""
-
-
 def _take_news(transfer: Transfer, ip: str, news: ChunkNews) -> None:
     note_stock(
         transfer,
