Read once more: one host name of the soak, one way of drawing in the measurement

The soak's callers and its fleet each named the callers' host; the measured way 'best_of_all' was a copy of the forecast's with another number drawn. Behaviour as before: the same draws, lint of both folders, mypy and their tests pass.

--- a/measure/_dispatch_policies.py
+++ b/measure/_dispatch_policies.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
 from crowrudder_core.forecast import choose
+from crowrudder_core.forecast._choice import DRAWN
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,27 +35,11 @@
     prompt: int,
     now: float,
     random: Random,
+    drawn: int = DRAWN,
 ) -> Outlook:
-    """Choose as an entry does."""
-    choice = choose(candidates, prompt=prompt, now=now, random=random)
-    assert choice is not None
-    return choice.outlook
-
-
-def by_best_of_all(
-    candidates: Sequence[Candidate],
-    *,
-    prompt: int,
-    now: float,
-    random: Random,
-) -> Outlook:
-    """Take the best forecast of all, as every other entry does."""
+    """Choose as an entry does, or as one that draws another number."""
     choice = choose(
-        candidates,
-        prompt=prompt,
-        now=now,
-        random=random,
-        drawn=2 * len(candidates),
+        candidates, prompt=prompt, now=now, random=random, drawn=drawn
     )
     assert choice is not None
     return choice.outlook
@@ -105,5 +91,8 @@
     'requests': by_requests,
 }
 
-EARLIER: dict[str, Policy] = {'best_of_all': by_best_of_all}
+ALL = 10_000
+"""More than there are candidates in any case."""
+
+EARLIER: dict[str, Policy] = {'best_of_all': partial(by_forecast, drawn=ALL)}
 """Ways that the product went before."""
--- a/scripts/_platform_load.py
+++ b/scripts/_platform_load.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from _platform_fleet import HOST
 from attrs import define, field, frozen
 
 from crowrudder_daemon.http import (
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-HOST = 'shop.example'
 DEADLINE_S = 4.0
 PATIENCE_S = DEADLINE_S + 1.5
 """The longest that a caller waits; an answer is due at its deadline."""
