--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -1,14 +1,15 @@
 """Stand-in of the users' replicas: plain answers, streams, staged pieces.
 
 Usage:
-  fleet_replica --port=PORT --id=ID [--address=IP] [--slots=N] [--model=NAME]
-                [--loaded=VERSION] [--journal=FILE]
+  fleet_replica --port=PORT --id=ID [--address=IP] [--slots=N] [--queue=N]
+                [--model=NAME] [--loaded=VERSION] [--journal=FILE]
 
 Options:
   --address=IP      IP number to listen on [default: 127.0.0.1].
   --port=PORT       Port to listen on.
   --id=ID           Name of this life.
   --slots=N         Requests at once [default: 8].
+  --queue=N         Requests that wait for a slot [default: 0].
   --model=NAME      The model that it serves; none for a plain service.
   --loaded=VERSION  The version held at the start [default: 0].
   --journal=FILE    Append each run to this file.
@@ -27,6 +28,7 @@
 
 from crowrudder_standins._faults import DropError, RefusedError
 from crowrudder_standins._serving import Answer, Call, Standin, route, run
+from crowrudder_standins._slots import Slots
 
 EVENT_S = 0.01
 LOAD_S = 0.05
@@ -90,9 +92,7 @@
         self.runs: list[Run] = []
         self.refused: Counter[str] = Counter()
         self.orders: list[dict[str, Any]] = []
-        self.running = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self.places = Slots(self.slots, int(options.get('--queue') or 0))
         self.is_busy = False
         self._jobs: set[asyncio.Task[None]] = set()
 
@@ -151,8 +151,8 @@
             'layers': self._held(),
             'busy': self.is_busy,
             'seq': len(self.orders),
-            'queued': 0,
-            'running': self.running,
+            'queued': self.places.queued,
+            'running': self.places.running,
             'kv_used': 0,
             'kv_total': 1000,
             'handles': 0,
@@ -188,6 +188,7 @@
         self.orders.append(order)
         self.taken.append(dict(self.staged))
         self.is_busy = True
+        self.places.close()
         layers = (int(order.get('from', 0)), int(order.get('target', LAYERS)))
         job = asyncio.ensure_future(self._load(int(order['version']), layers))
         self._jobs.add(job)
@@ -203,27 +204,21 @@
     @route('*', '/(?!-/|control/).*')
     async def serve(self, call: Call) -> Answer:
         self._refuse_foreign(call)
-        if self.is_busy or self.running >= self.slots:
+        if self.faults.take('full') or not await self.places.take():
             raise self._refusal(call, 503, 'full')
-        if self.faults.take('full'):
-            raise self._refusal(call, 503, 'full')
-        began = self._begin(call)
-        self.running += 1
-        self._idle.clear()
         try:
-            await self._answer(call, began)
+            await self._answer(call, self._begin(call))
         finally:
-            self.running -= 1
-            if not self.running:
-                self._idle.set()
+            self.places.release()
         return None
 
     async def _load(self, version: int, layers: tuple[int, int]) -> None:
-        await self._idle.wait()
+        await self.places.until_idle()
         await asyncio.sleep(LOAD_S)
         self.weights = version
         self.layers = layers
         self.is_busy = False
+        self.places.open()
 
     def _refuse_foreign(self, call: Call) -> None:
         headers = call.request.headers
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -124,6 +124,23 @@
         return float(self.header('retry-after'))
 
 
+async def call(address, request):
+    """Send one request on a connection of its own."""
+    conn = await ConnectionPool().take(address, timeout_s=2)
+    conn.send(request)
+    parts: list[bytes] = []
+    head = None
+    try:
+        head = await conn.head()
+        while (part := await conn.part()) is not None:
+            parts.append(part)
+    except BrokenAnswerError:
+        return Answer(head, b''.join(parts), cut=True)
+    finally:
+        conn.close()
+    return Answer(head, b''.join(parts))
+
+
 @define(eq=False)
 class FleetWorld:
     """The store, its replicas, and entries that callers can reach."""
@@ -291,28 +308,28 @@
         fields.update(
             {name.replace('_', '-'): text for name, text in headers.items()}
         )
-        conn = await ConnectionPool().take(
-            self.nodes[entry].callers, timeout_s=2
+        request = WireRequest(
+            method=method,
+            target=path,
+            headers=tuple(fields.items()),
+            body=b'body' if method == 'POST' else b'',
         )
-        conn.send(
-            WireRequest(
-                method=method,
-                target=path,
-                headers=tuple(fields.items()),
-                body=b'body' if method == 'POST' else b'',
-            ),
+        return await call(self.nodes[entry].callers, request)
+
+    async def ask_engine(self, name, *, request_id, weights):
+        """Send one stream to a replica, as an entry does, and wait for it."""
+        fields = {
+            'Host': HOST,
+            'X-Attempt-Id': request_id,
+            'X-Expect-Version': str(weights),
+        }
+        request = WireRequest(
+            method='POST',
+            target='/draft/x',
+            headers=tuple(fields.items()),
+            body=b'body',
         )
-        parts: list[bytes] = []
-        head = None
-        try:
-            head = await conn.head()
-            while (part := await conn.part()) is not None:
-                parts.append(part)
-        except BrokenAnswerError:
-            return Answer(head, b''.join(parts), cut=True)
-        finally:
-            conn.close()
-        return Answer(head, b''.join(parts))
+        return await call(self.addresses[name], request)
 
     async def close(self):
         for agent in self.agents:
