Processes tell when their event loop wakes late

A request was taken away 0.7 s after it was due, and nothing could tell a process that stood still from one that erred: only the older mode noticed freezes, from 5 s on. Every process now measures how late its own sleep of 0.05 s ends (loop_late_seconds), and tells from 0.1 s on, at most one line a second with the worst of it. No decision changes.

--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -13,6 +13,7 @@
 
 from attrs import define, field
 
+from crowrudder_daemon._loop_watch import LoopWatch
 from crowrudder_daemon._runtime import Role, Runtime
 from crowrudder_daemon.admin import AdminServer, AdminView
 from crowrudder_daemon.logs import start_logs
@@ -113,6 +114,9 @@
             # A port in use, mostly: seen by the exit code and this line.
             self.runtime.log.exception('not started', extra={'step': 'start'})
             return EXIT_NOT_STARTED
+        self.runtime.spawn(
+            LoopWatch(self.runtime).watch(), step='watch the loop'
+        )
         self._enter(Phase.SERVING, 'process')
         await stop.asked.wait()
         self._enter(Phase.DRAINING, stop.teller)
