Processes tell which end of a version they conclude

The line of a record has its age as it came, or as it was guessed; what followed from it for the versions before, and whether somebody had told the age, could not be seen. There is a line now when the end that is believed changes. No decision changes.

--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -18,13 +19,15 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.fleet._shown import shown
+from crowrudder_daemon.fleet._version_ends import VersionEnds
 from crowrudder_daemon.fleet.ports import (
     BadRecordError,
     HistoryGoneError,
     PlatformError,
 )
 from crowrudder_model import PeerLostError
-from crowrudder_model.fleet import FleetConfig, NamedVersion, Upstream
+from crowrudder_model.fleet import NamedVersion
 from crowrudder_model.messages import Changes, ChangesAsk
 from crowrudder_model.rpc import CHANGES
 
@@ -35,7 +38,7 @@
     from crowrudder_daemon.fleet.ports import PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
-    from crowrudder_model.fleet import Node, Published
+    from crowrudder_model.fleet import Node
     from crowrudder_model.messages import PublishedItem
 
 GATHER_S = 0.08
@@ -78,6 +81,13 @@
     is_whole: bool
     teller: str
 
+    def age_by(self, key: str, age_s: float | None) -> str:
+        """Give where the age of a record comes from; see `VersionEnds`."""
+        if age_s is None:
+            return 'nobody'
+        told = any(item.key == key and item.age_s >= 0 for item in self.items)
+        return 'teller' if told else 'guess'
+
 
 class CatalogTask(Task):
     """Owns the catalog and the view of the fleet that follows from it.
@@ -113,6 +123,7 @@
         self.catalog = Catalog()
         free_s = node.bounds.settle_s - START_S
         self.view = FleetView(node.bounds.version_s, clock_s() + free_s)
+        self._ends = VersionEnds(runtime.log, self.view.releases)
         self.reading = StoreReading(own=node.ip)
         if node.role != 'entry':
             # Agents learn from entries; they read for themselves only where
@@ -164,7 +175,7 @@
         fresh = take(items, through=message.through, now=now)
         self.reading.on_informed()
         for item in fresh:
-            self._renew(item, message.teller, now)
+            self._renew(item, message, now)
         self._peers.set_knowledge(
             self.catalog.revision,
             self.reading.confirmed_at,
@@ -317,7 +328,10 @@
             },
         )
 
-    def _renew(self, item: PublishedItem, teller: str, now: float) -> None:
+    def _renew(
+        self, item: PublishedItem, message: RecordsCame, now: float
+    ) -> None:
+        teller = message.teller
         if item.payload is None:
             may_return = now - self._away_at < RETURN_S
             self.view.on_removed(item.key, now=now, may_return=may_return)
@@ -335,8 +349,18 @@
         if record is None:
             return
         age_s = self.catalog.age_s(item.key, now=now)
+        named = record if isinstance(record, NamedVersion) else None
+        ended_at = self._ends.before(named) if named else math.inf
         self.view.on_record(item.key, record, age_s=age_s, now=now)
-        self._note(item, _shown(record), teller)
+        self._note(item, shown(record), teller)
+        if named is not None:
+            self._ends.tell(
+                named,
+                ended_at=ended_at,
+                teller=teller,
+                age_by=message.age_by(item.key, age_s),
+                now=now,
+            )
 
     def _note(self, item: PublishedItem, what: str, teller: str) -> None:
         self._log.info(
@@ -369,13 +393,3 @@
             'watch_rank': self.reading.rank,
             'upstreams': len(self.view.listed()),
         }
-
-
-def _shown(record: Published) -> str:
-    match record:
-        case FleetConfig(version=version):
-            return f'configuration {version}'
-        case Upstream(id=name, state=state, weights=weights):
-            return f'upstream {name} {state.value} weights {weights}'
-        case NamedVersion(model=model, version=version):
-            return f'{model} version {version}'
