Lines of requests tell whether an attempt was taken away late

A request began 111 ms after its version's end. Its line had neither the version nor the time that it was sent with, nor when it was taken away, so that another end, a late entry and late bytes looked the same. Attempts now have weights and begin_left_s, and those that are taken away late_s, head_s (its answer's head had come: from there on only the pause bounds the wait) and unsent_bytes of the connection.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -66,12 +66,27 @@
     late_s: float = math.inf
 
 
+@frozen(kw_only=True)
+class TakenAway:
+    """How late an attempt was taken away, and what its connection still held.
+
+    ``late_s`` is counted from the moment by which it had to begin;
+    ``unsent_bytes`` is -1 where the connection was gone.
+    """
+
+    late_s: float
+    unsent_bytes: int
+
+
 @define(kw_only=True, eq=False)
 class Attempt:
     """One send, until the answer is whole or the attempt has failed.
 
     Events of a stream go to the caller as they come; any other answer is held
     until it is whole, so that a half one is never passed on.
+
+    ``begin_left_s`` is how long it had to begin in when it was sent, None if
+    nothing bounds that.
     """
 
     call: Call
@@ -91,6 +106,9 @@
     first_took_s: float = field(default=-1, init=False)
     sent_at: float = field(default=0, init=False)
     word_age_s: float = field(default=-1, init=False)
+    begin_left_s: float | None = field(default=None, init=False)
+    head_took_s: float = field(default=-1, init=False)
+    taken_away: TakenAway | None = field(default=None, init=False)
     _ticket: int = field(default=0, init=False)
     _event_at: float = field(default=math.inf, init=False)
 
@@ -126,6 +144,9 @@
             return NotSent(str(exc))
         self.dispatch.on_sent(upstream.id, now=now)
         self.sent_at = now
+        begin_left_s = self.patience.begin_by - now
+        if math.isfinite(begin_left_s):
+            self.begin_left_s = begin_left_s
         self._ticket = self._upstreams.ticket()
         outlook = self.choice.outlook
         self.word_age_s = outlook.word_age_s(now)
@@ -134,8 +155,10 @@
         try:
             return await self._read(conn)
         except (BrokenAnswerError, TimeoutError) as exc:
+            unsent_bytes = conn.unsent_bytes
             conn.close()
             if self._is_overtaken:
+                self._note_taken_away(unsent_bytes)
                 return Broken('not begun as its version ends')
             self._note_broken()
             return Broken(str(exc) or 'silent for too long')
@@ -149,6 +172,12 @@
         has_begun = self.first_took_s >= 0
         return not has_begun and clock_s() >= self.patience.begin_by
 
+    def _note_taken_away(self, unsent_bytes: int) -> None:
+        self.taken_away = TakenAway(
+            late_s=clock_s() - self.patience.begin_by,
+            unsent_bytes=unsent_bytes,
+        )
+
     def _note_broken(self) -> None:
         """Count a failure, unless the engine cut it off for a load."""
         now = clock_s()
@@ -170,6 +199,7 @@
 
     async def _read(self, conn: HttpConnection) -> Ending:
         head, mark = await self._own_head(conn)
+        self.head_took_s = clock_s() - self.sent_at
         if mark.not_run:
             return await self._not_run(conn, head, mark)
         if self.is_stream and head.status < FIRST_ERROR:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -21,6 +21,7 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
+from crowrudder_daemon.fleet_entry._attempt_line import line_of
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
 from crowrudder_daemon.fleet_entry._own_answer import OwnAnswer, send_own
 from crowrudder_daemon.fleet_entry._upstreams import Wanted
@@ -52,8 +53,6 @@
 """An attempt may take so many times its forecast before another is tried."""
 
 NEVER_S = 3600.0
-UNDER_WAY = 'under way'
-"""How an attempt is told in the log that the request's end cut off."""
 
 LATE_GOALS = 1.0
 """A request is refused at once where its first event is forecast after so
@@ -316,17 +315,7 @@
         first_s = attempt.first_took_s
         if first_s >= 0 and self._first_s < 0:
             self._first_s = attempt.sent_at + first_s - self.arrived_at
-        self._attempts.append(
-            {
-                'upstream': attempt.choice.outlook.upstream.id,
-                'forecast_s': round(attempt.choice.first_s, 3),
-                'first_s': round(first_s, 3),
-                'engines': len(attempt.choice.outlooks),
-                'word_age_s': round(attempt.word_age_s, 2),
-                'ending': type(ending).__name__ if ending else UNDER_WAY,
-                'why': getattr(ending, 'reason', ''),
-            },
-        )
+        self._attempts.append(line_of(attempt, ending))
 
     def _note(self, outcome: str, status: int, *, reason: str = '') -> None:
         now = clock_s()
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from typing import TYPE_CHECKING, cast
 
 import h11
@@ -26,6 +29,9 @@
 """After so long without an acknowledgement the system gives the connection
 up. Partitions send no reset; it is a second line behind the time-outs."""
 
+_INT_BYTES = 4
+"""Length of the number that the system gives as the length of a queue."""
+
 
 class NotConnectedError(UpstreamError):
     """No connection could be opened: nothing of the request was sent."""
@@ -144,6 +150,24 @@
         transport = self._transport
         return transport is not None and not transport.get_write_buffer_size()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the other side hasn't acknowledged; -1 if unknown.
+
+        They wait here, or are on their way; over a full link that takes long,
+        and the closing of a connection waits behind them.
+        """
+        if self._transport is None:
+            return -1
+        sock = self._transport.get_extra_info('socket')
+        try:
+            answer = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_INT_BYTES))
+        except (OSError, ValueError):
+            # Closed meanwhile.
+            return -1
+        queued = int.from_bytes(answer, sys.byteorder)
+        return queued + self._transport.get_write_buffer_size()
+
     def send(self, request: WireRequest) -> None:
         """Send a request as a whole."""
         if self._transport is None or not self.is_open:
--- /dev/null
+++ b/tests/fleet/test_attempt_line.py
@@ -0,0 +1,210 @@
+"""What the line of a request tells of an attempt that was taken away."""
+
+from __future__ import annotations
+
+import json
+import math
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from attrs import define
+
+from crowrudder_core.dispatch import Dispatch, EventStream
+from crowrudder_core.forecast import _outlook
+from crowrudder_daemon.fleet.ports import AnswerMark
+from crowrudder_daemon.fleet_entry import _attempt
+from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
+from crowrudder_daemon.fleet_entry._attempt_line import line_of
+from crowrudder_daemon.http import WireHead
+from support.aio import run
+from support.fleet_checks import (
+    ask_model,
+    checked,
+    fault,
+    hold_back,
+    name_second,
+)
+
+HEAD = WireHead(status=200, headers=())
+
+
+@define
+class Clock:
+    now: float = 1000
+
+    def __call__(self):
+        return self.now
+
+
+class Outlook:
+    """An outlook that takes every word on its upstream."""
+
+    upstream = SimpleNamespace(id='e0', address='a')
+
+    def word_age_s(self, now):
+        return 0.1
+
+    def is_changing(self, now):
+        return True
+
+    def __getattr__(self, name):
+        return lambda *_, **_more: None
+
+
+@define
+class Connection:
+    """A connection whose answers take as long as they are told to."""
+
+    clock: Clock
+    head_s: float = math.inf
+    silent_s: float = 0
+    unsent_bytes: int = 0
+    is_closed: bool = False
+
+    def send(self, request):
+        """Take a request."""
+
+    def close(self):
+        self.is_closed = True
+        # What waits can't be told any more.
+        self.unsent_bytes = -1
+
+    async def head(self):
+        if self.head_s < math.inf:
+            self.clock.now += self.head_s
+            return HEAD
+        return await self.part()
+
+    async def part(self):
+        self.clock.now += self.silent_s
+        raise TimeoutError
+
+
+@define
+class Pool:
+    conn: Connection
+
+    async def take(self, address, *, timeout_s):
+        return self.conn
+
+
+def attempt_on(conn, patience):
+    outlook = Outlook()
+    dialect = SimpleNamespace(
+        request_for=lambda *_: None,
+        mark_of=lambda _: AnswerMark(
+            is_vouched=True, not_run=False, request_id=''
+        ),
+    )
+    parts: dict[str, Any] = {
+        'call': SimpleNamespace(
+            request_id='a', prompt_tokens=1, resume_after='', model='m'
+        ),
+        'choice': SimpleNamespace(
+            outlook=outlook,
+            outlooks=(outlook,),
+            weights=2,
+            first_s=0.1,
+            path=None,
+        ),
+        'side': SimpleNamespace(has_begun=False),
+        'dialect': dialect,
+        'upstreams': SimpleNamespace(pool=Pool(conn), ticket=lambda: 1),
+    }
+    return Attempt(
+        body=b'',
+        customer='shop',
+        urgency=None,
+        patience=patience,
+        dispatch=Dispatch(
+            repeatable=True, most_sends=2, limit_at=conn.clock.now + 9
+        ),
+        events=EventStream(),
+        is_stream=True,
+        **parts,
+    )
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    made = Clock()
+    monkeypatch.setattr(_attempt, 'clock_s', made)
+    return made
+
+
+def line_after(conn, *, begin_by):
+    patience = Patience(first_s=9, pause_s=9, begin_by=begin_by)
+    attempt = attempt_on(conn, patience)
+    ending = run(attempt.run())
+    assert conn.is_closed
+    return line_of(attempt, ending)
+
+
+class TestTakenAway:
+    """Nothing told why a request began after the end of its version.
+
+    Symptom: a request begins on a version after its end, the caller's 502
+    comes 0.7 s after the entry should have closed the connection. Causes that
+    the log didn't tell apart: another end was believed, the entry was late,
+    its bytes were.
+    """
+
+    def test_one_that_is_taken_away_in_time(self, clock):
+        conn = Connection(clock, silent_s=0.65, unsent_bytes=70)
+        line = line_after(conn, begin_by=1000.65)
+        assert line['why'] == 'not begun as its version ends'
+        assert (line['weights'], line['begin_left_s']) == (2, 0.65)
+        assert (line['late_s'], line['unsent_bytes']) == (0, 70)
+        assert line['head_s'] == -1
+
+    def test_one_that_is_taken_away_late(self, clock):
+        conn = Connection(clock, silent_s=1.35)
+        line = line_after(conn, begin_by=1000.65)
+        assert (line['begin_left_s'], line['late_s']) == (0.65, 0.7)
+
+    def test_one_whose_answer_has_a_head_but_no_event(self, clock):
+        """From the head on only the pause bounds the wait for an event."""
+        conn = Connection(clock, head_s=0.5, silent_s=0.9)
+        line = line_after(conn, begin_by=1000.65)
+        assert line['why'] == 'not begun as its version ends'
+        assert (line['head_s'], line['late_s']) == (0.5, 0.75)
+
+
+class TestOthers:
+    def test_one_that_nothing_bounds(self, clock):
+        line = line_after(Connection(clock, silent_s=5), begin_by=math.inf)
+        assert line['begin_left_s'] is None
+        assert line['why'] == 'silent for too long'
+        assert not {'late_s', 'head_s', 'unsent_bytes'} & line.keys()
+
+    def test_one_that_fails_before_it_has_to_begin(self, clock):
+        line = line_after(Connection(clock, silent_s=0.1), begin_by=1000.65)
+        assert line['begin_left_s'] == 0.65
+        assert 'late_s' not in line
+
+
+class TestLine:
+    def test_of_a_fleet_it_can_be_written(self, caplog, monkeypatch):
+        # The agent's word is told once here.
+        monkeypatch.setattr(_outlook, 'WORD_LIVE_S', 30)
+
+        async def check(world):
+            name_second(world, 'e1', end_s=1.6)
+            await world.ready()
+            world.replicas['e0'].faults.switch_on(fault('hang', None))
+            hold_back(world, 'e1')
+            await ask_model(world)
+
+        with caplog.at_level('INFO'):
+            checked(check, entries=1)
+        (ended,) = [
+            record
+            for record in caplog.records
+            if record.message == 'request ended'
+        ]
+        (line,) = json.loads(json.dumps(ended.attempts, allow_nan=False))
+        assert line['weights'] == 1
+        assert 0.6 < line['begin_left_s'] <= 1.3
+        assert line['late_s'] >= 0
+        assert line['unsent_bytes'] == 0
--- a/tests/fleet/test_entry_changes.py
+++ b/tests/fleet/test_entry_changes.py
@@ -13,7 +13,15 @@
 from crowrudder_model.messages import EngineLoad, PublishedItem
 from crowrudder_standins.fleet_replica import stream_of
 from support.fleet import HOST, ROUTES, route
-from support.fleet_checks import all_runs, checked, fault, spoil_all
+from support.fleet_checks import (
+    all_runs,
+    ask_model,
+    checked,
+    fault,
+    hold_back,
+    name_second,
+    spoil_all,
+)
 
 
 class TestReusedAddress:
@@ -318,32 +326,6 @@
         checked(check, entries=1)
 
 
-def name_second(world, name, *, end_s):
-    """Name a second version that one replica has; the first ends soon."""
-    world.replicas[name].weights = 2
-    world.list_replica(name, 'llm')
-    world.name_version(2)
-    for entry in world.entries:
-        entry.catalog.view.releases.window_s = end_s
-
-
-def hold_back(world, name, *, is_changing=True):
-    """Have the agent beside a replica ask for no requests, or for some."""
-    replica = world.replicas[name]
-    load = EngineLoad(
-        address=world.addresses[name],
-        reachable=True,
-        weights=replica.weights,
-        is_changing=is_changing,
-    )
-    for entry in world.entries:
-        entry.upstreams.on_load(load)
-
-
-async def ask_model(world, path='/draft/x'):
-    return await world.ask(path, method='POST', request_id='a', X_Model='m')
-
-
 def outlooks(world):
     return world.entries[0].upstreams.status()
 
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
+from attrs import evolve
 
 from crowrudder_daemon.http import (
     BrokenAnswerError,
     ConnectionPool,
+    HttpConnection,
     NotConnectedError,
     WireRequest,
 )
@@ -232,3 +236,34 @@
                     )
 
         run(check())
+
+
+class TestUnsent:
+    def test_bytes_that_nobody_takes_are_told(self):
+        """Whether a close waits behind bytes on their way could not be seen."""
+
+        async def check():
+            async with serving([]) as server:
+                conn = await ConnectionPool().take(server.address, timeout_s=1)
+                assert conn.unsent_bytes == 0
+                # More than the systems of both sides hold.
+                size = 32 * 1024 * 1024
+                conn.send(evolve(GET, body=bytes(size)))
+                assert conn.unsent_bytes > size // 2
+                while conn.unsent_bytes:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+                conn.close()
+
+        run(check())
+
+    def test_of_a_connection_that_is_gone_it_is_unknown(self):
+        async def check():
+            async with serving([ANSWER], close=True) as server:
+                conn, _ = await answer_of(ConnectionPool(), server.address)
+                await conn.closed()
+                conn.close()
+                await asyncio.sleep(0)
+                assert conn.unsent_bytes == -1
+            assert HttpConnection('nobody').unsent_bytes == -1
+
+        run(check())
--- a/tests/support/fleet_checks.py
+++ b/tests/support/fleet_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from crowrudder_model.messages import EngineLoad
 from crowrudder_standins._faults import Fault
 from support.aio import run
 from support.fleet import fleet
@@ -33,3 +34,30 @@
             await check(world)
 
     run(within())
+
+
+def name_second(world, name, *, end_s):
+    """Name a second version that one replica has; the first ends soon."""
+    world.replicas[name].weights = 2
+    world.list_replica(name, 'llm')
+    world.name_version(2)
+    for entry in world.entries:
+        entry.catalog.view.releases.window_s = end_s
+
+
+def hold_back(world, name, *, is_changing=True):
+    """Have the agent beside a replica ask for no requests, or for some."""
+    replica = world.replicas[name]
+    load = EngineLoad(
+        address=world.addresses[name],
+        reachable=True,
+        weights=replica.weights,
+        is_changing=is_changing,
+    )
+    for entry in world.entries:
+        entry.upstreams.on_load(load)
+
+
+async def ask_model(world, path='/draft/x'):
+    """Send a request for the model of the fleet."""
+    return await world.ask(path, method='POST', request_id='a', X_Model='m')
