Agents: no older version is loaded over a part of a newer one, nor after its end

Cause: a host with nothing whole took any version for a gain. Ruled out: spoilt chunks (the part and the version were sound).

--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_goals.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_goals.py
@@ -10,6 +10,9 @@
     from crowrudder_core.catalog import FleetView
     from crowrudder_model.fleet import EngineFigures, Node
 
+LEAST_USE_S = 1.5
+"""A version is loaded only if requests may begin on it for so long."""
+
 
 @frozen
 class Goal:
@@ -42,6 +45,30 @@
     return Goal(model, release.version, release.published_at, release.version)
 
 
+def is_of_use(
+    version: int, *, whole: int, held: int, ends_at: float, now: float
+) -> bool:
+    """Whether an engine gains by a version that its host has collected.
+
+    What goes wrong when only the loaded version counts: the newest one is
+    collected, a part of it is loaded and serves on paths; the one before is
+    whole at last and is loaded over it, though nothing may begin on it any
+    more. It is seen as engines that load a version after its end, and as a
+    token made of two versions, on a path that went by the part.
+
+    Parameters
+    ----------
+    whole, held
+        The version that the engine holds whole, and that of any of its
+        layers; 0 for none.
+    ends_at
+        From when nothing may begin on the version, on the clock of ``now``.
+    """
+    if whole >= version or held > version:
+        return False
+    return ends_at - now >= LEAST_USE_S
+
+
 def figures_of(view: FleetView, node: Node) -> EngineFigures | None:
     """Give the figures of the node's engine; None while they aren't known."""
     service = view.config.service(node.service) if view.config else None
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -6,10 +6,16 @@
 import contextlib
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, evolve
+from attrs import evolve
 
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet_agent._goals import Goal, newest_goal
+from crowrudder_daemon.fleet_agent._collecting import Collecting
+from crowrudder_daemon.fleet_agent._goals import (
+    LEAST_USE_S,
+    Goal,
+    is_of_use,
+    newest_goal,
+)
 from crowrudder_daemon.fleet_agent._loader import Load
 from crowrudder_model import CrowrudderError, UpstreamError
 
@@ -27,40 +33,10 @@
 RETRY_S = 0.2
 IDLE_S = 0.25
 LOOK_S = 0.08
-STARVED_S = 0.8
-"""Without a chunk of the newest version for so long, the one before is read as
-well: its source may be away, and nothing may begin on the loaded one soon."""
-
 MOST_ABLE = 0.5
 """Engines load parts while requests may begin at less than this share of them:
 with more, those that serve are better off without hosts that lag behind."""
 
-LEAST_USE_S = 1.5
-"""A version is loaded only if requests may begin on it for so long."""
-
-
-@define(eq=False)
-class _Collecting:
-    """A version that is being read, and when its last chunk came."""
-
-    goal: Goal
-    named: Named
-    transfer: Transfer
-    held: int = -1
-    fed_at: float = 0
-
-    def look(self) -> None:
-        """Note whether chunks came."""
-        count = self.transfer.held.bit_count()
-        if count != self.held:
-            self.held = count
-            self.fed_at = clock_s()
-
-    @property
-    def is_starved(self) -> bool:
-        """Whether no chunk came for a while."""
-        return clock_s() - self.fed_at > STARVED_S
-
 
 class WeightsKeeper:
     """Pursues the newest named version, and the one before where that stalls."""
@@ -141,7 +117,7 @@
             await self._library.take_staged(self._engine, goal.model, transfer)
             self._has_looked = True
         if not transfer.complete:
-            await self._collect(_Collecting(goal, named, transfer))
+            await self._collect(Collecting(goal, named, transfer))
         if not transfer.complete or self._is_outdated(goal):
             return
         if self._loaded < named.version:
@@ -228,7 +204,7 @@
             collecting.cancel()
         return transfer.complete and not reading.done()
 
-    async def _collect(self, newest: _Collecting) -> None:
+    async def _collect(self, newest: Collecting) -> None:
         """Read the newest version, and an older one while that stalls."""
         self._hinders = f'collects {newest.named.artifact.name}'
         began_at = clock_s()
@@ -254,8 +230,8 @@
 
     async def _look_at(
         self,
-        newest: _Collecting,
-        jobs: dict[_Collecting, asyncio.Future[None]],
+        newest: Collecting,
+        jobs: dict[Collecting, asyncio.Future[None]],
     ) -> None:
         """Begin with the version before when that is due; load it when held."""
         newest.look()
@@ -270,7 +246,7 @@
             await self._load(older.goal, older.named, older.transfer)
             jobs.pop(older).cancel()
 
-    def _is_part_due(self, newest: _Collecting) -> bool:
+    def _is_part_due(self, newest: Collecting) -> bool:
         """Whether the engine shall serve some layers before it holds all.
 
         Only where that takes nothing away: nothing may begin on what it
@@ -305,7 +281,7 @@
         )
         return able < MOST_ABLE * len(hosts)
 
-    async def _load_part(self, newest: _Collecting) -> None:
+    async def _load_part(self, newest: Collecting) -> None:
         """Load the part that is held; the rest goes on being collected."""
         part = self._library.part(newest.named.artifact.name, newest.transfer)
         load = Load(newest.goal.model, newest.named.version, part.chunks)
@@ -314,14 +290,14 @@
         except UpstreamError as exc:
             self._on_hindrance(exc)
 
-    def _begin(self, collecting: _Collecting) -> asyncio.Future[None]:
+    def _begin(self, collecting: Collecting) -> asyncio.Future[None]:
         collecting.look()
         collector = self._library.collector(
             collecting.named, collecting.transfer
         )
         return asyncio.ensure_future(collector.run())
 
-    async def _older(self, newest: _Collecting) -> _Collecting | None:
+    async def _older(self, newest: Collecting) -> Collecting | None:
         """Give the version before, where it is known and still of use."""
         found = await self._before(newest.goal)
         if found is None:
@@ -337,14 +313,15 @@
                 'newest_share': round(newest.transfer.share, 3),
             },
         )
-        return _Collecting(goal, named, transfer)
+        return Collecting(goal, named, transfer)
 
     async def _before(self, goal: Goal) -> tuple[Goal, Named] | None:
         release = self._view.releases.before(goal.model, goal.version)
         use_s = goal.published_at + self._node.bounds.version_s - clock_s()
         if release is None or use_s < LEAST_USE_S:
             return None
-        if self._loaded >= release.version:
+        has = self._engine_has
+        if self._loaded >= release.version or has > release.version:
             return None
         older = evolve(
             goal,
@@ -366,18 +343,33 @@
         await self._loader.await_turn(
             goal, self._library.places(), self._is_outdated
         )
-        if not self._is_outdated(goal) and self._loaded < named.version:
+        if not self._is_outdated(goal) and self._is_of_use(goal, named):
             await self._loader.load(goal, named, transfer)
 
+    def _is_of_use(self, goal: Goal, named: Named) -> bool:
+        return is_of_use(
+            named.version,
+            whole=self._loaded,
+            held=self._engine_has,
+            ends_at=self._view.releases.ends_at(goal.model, named.version),
+            now=clock_s(),
+        )
+
     @property
     def _loaded(self) -> int:
         return self._watch.whole
 
+    @property
+    def _engine_has(self) -> int:
+        """The version that the engine holds, whole or in part; 0 for none."""
+        reading = self._watch.reading
+        return reading.weights if reading else 0
+
     def _is_outdated(self, goal: Goal) -> bool:
         newest = newest_goal(self._view, self._node, now=clock_s())
         return newest is not None and newest.version > goal.newest
 
-    def _note_held(self, collected: _Collecting, took_s: float) -> None:
+    def _note_held(self, collected: Collecting, took_s: float) -> None:
         self._runtime.log.info(
             'version held',
             extra={
