Published records go deflated from process to process

Cause: a changed configuration of 1,400 routes cost 268 KB in each answer (test before).

Change: the process that reads a record from the platform deflates it (zlib), from 1,024 bytes on and where it gets smaller; catalogs keep and answer with it as it came; it is inflated where it is decoded, never to more than 1 MiB, the platform's largest value. What can't be inflated is refused as a record that can't be read is, with the same line. Revisions, ages and order don't look at the form. A process of the release before doesn't say that it takes deflated records and gets them as published; without that one that started beside newer ones would have had no configuration. The adapter is as it was. Records on their way moved out of the task to `_records`.

Ran: tests/fleet, workspace, platform, model, catalog, fuzz, config: all pass; lint clean.

--- /dev/null
+++ b/measure/records.py
@@ -0,0 +1,166 @@
+"""Bytes and processor time of a large configuration between processes.
+
+`records.as_published`, `records.grpc` and `records.deflated_once` are three
+ways to answer a call for it: the record as it stands, the same compressed by
+gRPC for each answer, and deflated by whoever read it, as the fleet does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import grpc
+import msgspec
+from attrs import frozen
+from grpc import aio
+
+from crowrudder_core.catalog import deflated, inflated
+from crowrudder_daemon.rpc import PeerClient
+from crowrudder_model import decode_message, encode_message
+from crowrudder_model.messages import Changes, ChangesAsk, PublishedItem
+from crowrudder_model.rpc import CHANGES, SERVICE_NAME
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Show = Callable[[str, float | str], None]
+
+ROUTES = 1400
+ANSWERS = 10
+ROUNDS = 5
+MS = 1000
+PIECE_BYTES = 65_536
+
+
+@frozen
+class Way:
+    """How a record is sent."""
+
+    name: str
+    item: PublishedItem
+    compression: grpc.Compression = grpc.Compression.NoCompression
+
+
+class Counter:
+    """Stands before a server and counts what it answers."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.answered_bytes = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Carry one connection in both directions."""
+        onward, back = await asyncio.open_connection('127.0.0.1', self._port)
+        await asyncio.gather(
+            self._carry(reader, back, counts=False),
+            self._carry(onward, writer, counts=True),
+        )
+
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        counts: bool,
+    ) -> None:
+        while piece := await reader.read(PIECE_BYTES):
+            self.answered_bytes += counts * len(piece)
+            writer.write(piece)
+        writer.close()
+
+
+def run(show: Show) -> None:
+    """Measure the forms of a record, then the ways of sending it."""
+    item = _configuration()
+    sent = deflated(item)
+    show('records.published_bytes', len(item.payload or b''))
+    show('records.deflated_bytes', len(sent.payload or b''))
+    show('records.deflate_ms', _least_ms(lambda: deflated(item)))
+    show('records.inflate_ms', _least_ms(lambda: inflated(sent)))
+    ways = (
+        Way('as_published', item),
+        Way('grpc', item, grpc.Compression.Gzip),
+        Way('deflated_once', sent),
+    )
+    for way in ways:
+        asyncio.run(_measure(show, way))
+
+
+def _configuration() -> PublishedItem:
+    routes = [
+        {
+            'name': f'more-{number}',
+            'host': 'shop.example',
+            'prefix': f'/more/{number}/',
+            'kind': 'safe',
+            'service': 'plain',
+            'timeout_ms': 8000,
+            'goal_ms': 6000,
+            'priority': 1,
+            'attempts': 2,
+            'public': False,
+        }
+        for number in range(ROUTES)
+    ]
+    payload = msgspec.json.encode({'version': 1, 'routes': routes})
+    return PublishedItem(key='op/config', revision=1, payload=payload)
+
+
+async def _measure(show: Show, way: Way) -> None:
+    """Answer some calls over one connection, and some that are counted."""
+
+    async def answer(_ask: ChangesAsk, _context: object) -> Changes:
+        return Changes(through=1, items=(way.item,))
+
+    server = aio.server(compression=way.compression)
+    handler = grpc.unary_unary_rpc_method_handler(
+        answer,
+        request_deserializer=lambda ask: decode_message(ask, ChangesAsk),
+        response_serializer=encode_message,
+    )
+    server.add_generic_rpc_handlers(
+        (
+            grpc.method_handlers_generic_handler(
+                SERVICE_NAME, {CHANGES.name: handler}
+            ),
+        )
+    )
+    port = server.add_insecure_port('127.0.0.1:0')
+    await server.start()
+    client = PeerClient()
+    took_ms = [await _answers_ms(client, port) for _ in range(ROUNDS)]
+    show(f'records.{way.name}.ten_answers_cpu_ms', min(took_ms))
+    counter = Counter(port)
+    before = await asyncio.start_server(counter.serve, '127.0.0.1', 0)
+    counted_port = before.sockets[0].getsockname()[1]
+    await _answers_ms(client, counted_port)
+    answered_bytes = counter.answered_bytes
+    await _answers_ms(client, counted_port)
+    answered_bytes = counter.answered_bytes - answered_bytes
+    show(f'records.{way.name}.answer_bytes', answered_bytes / ANSWERS)
+    await client.close()
+    before.close()
+    await server.stop(0)
+
+
+async def _answers_ms(client: PeerClient, port: int) -> float:
+    """Give the processor time of some answers, both ends together."""
+    begun = time.process_time()
+    for _ in range(ANSWERS):
+        ask = ChangesAsk(0, takes_deflated=True)
+        reply = await client.call(f'127.0.0.1:{port}', CHANGES, ask)
+        inflated(reply.items[0])
+    return (time.process_time() - begun) * MS
+
+
+def _least_ms(work: Callable[[], object]) -> float:
+    took = []
+    for _ in range(ROUNDS):
+        begun = time.process_time()
+        work()
+        took.append(time.process_time() - begun)
+    return min(took) * MS
--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -1,6 +1,12 @@
 """Published records: their order, and what a fleet looks like by them."""
 
 from crowrudder_core.catalog._catalog import Catalog
+from crowrudder_core.catalog._packing import (
+    MOST_RECORD_BYTES,
+    SMALLEST_DEFLATED_BYTES,
+    deflated,
+    inflated,
+)
 from crowrudder_core.catalog._reading import (
     RETURN_S,
     WATCH_WAIT_S,
@@ -13,7 +19,9 @@
 from crowrudder_core.catalog._view import FleetView, ListedUpstream
 
 __all__ = (
+    'MOST_RECORD_BYTES',
     'RETURN_S',
+    'SMALLEST_DEFLATED_BYTES',
     'Catalog',
     'FleetView',
     'ListedUpstream',
@@ -24,4 +32,6 @@
     'StoreStep',
     'WATCHERS',
     'WATCH_WAIT_S',
+    'deflated',
+    'inflated',
 )
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from attrs import evolve, frozen
+from attrs import evolve
 
 from crowrudder_core.catalog import (
     RETURN_S,
@@ -18,14 +18,22 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.fleet._records import (
+    PeerAhead,
+    RecordsCame,
+    decoded_record,
+    plain_changes,
+    read_records,
+    shown,
+    told_records,
+)
 from crowrudder_daemon.fleet.ports import (
     BadRecordError,
     HistoryGoneError,
     PlatformError,
 )
 from crowrudder_model import PeerLostError
-from crowrudder_model.fleet import FleetConfig, NamedVersion, Upstream
-from crowrudder_model.messages import Changes, ChangesAsk
+from crowrudder_model.messages import ChangesAsk
 from crowrudder_model.rpc import CHANGES
 
 if TYPE_CHECKING:
@@ -35,8 +43,8 @@
     from crowrudder_daemon.fleet.ports import PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
-    from crowrudder_model.fleet import Node, Published
-    from crowrudder_model.messages import PublishedItem
+    from crowrudder_model.fleet import Node
+    from crowrudder_model.messages import Changes, PublishedItem
 
 GATHER_S = 0.08
 """Pause between an answer with changes and the next watch.
@@ -61,24 +69,6 @@
 SWEEP_S = 0.25
 
 
-@frozen
-class PeerAhead:
-    """A process has records that this one lacks."""
-
-    address: str
-    revision: int
-
-
-@frozen
-class RecordsCame:
-    """Changes, or a whole list, from the platform or a peer."""
-
-    items: tuple[PublishedItem, ...]
-    through: int
-    is_whole: bool
-    teller: str
-
-
 class CatalogTask(Task):
     """Owns the catalog and the view of the fleet that follows from it.
 
@@ -194,11 +184,12 @@
 
     async def _on_ask(self, ask: ChangesAsk, _context: object) -> Changes:
         now = clock_s()
-        return self.catalog.changes_after(
+        changes = self.catalog.changes_after(
             ask.after,
             now=now,
             confirmed_s=self.reading.confirmed_s(now),
         )
+        return changes if ask.takes_deflated else plain_changes(changes)
 
     def _ask_for_ages(self) -> None:
         """Ask a peer how old the records are that a new process has listed.
@@ -215,7 +206,9 @@
             self.spawn(self._pull(f'{ip}:{self._node.rpc_port}', after=0))
 
     async def _pull(self, address: str, after: int | None = None) -> None:
-        ask = ChangesAsk(self.catalog.revision if after is None else after)
+        if after is None:
+            after = self.catalog.revision
+        ask = ChangesAsk(after, takes_deflated=True)
         try:
             changes = await self._client.call(
                 address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
@@ -229,11 +222,7 @@
         for item in changes.items:
             if item.age_s >= 0:
                 self._lag.record(item.age_s)
-        self.post(
-            RecordsCame(
-                changes.items, changes.through, changes.is_whole, address
-            ),
-        )
+        self.post(told_records(changes, address))
 
     async def _read_for_ever(self, source: PublishedSource) -> None:
         """List once, then watch; list again where changes were missed."""
@@ -261,11 +250,7 @@
                 listing = await source.list_all()
                 self._on_answer(step)
                 self.reading.on_listed()
-                self.post(
-                    RecordsCame(
-                        listing.items, listing.through, True, 'platform'
-                    ),
-                )
+                self.post(read_records(listing, is_whole=True))
                 # The watch goes on from what this list brings in.
                 await asyncio.sleep(0)
                 if not is_informed:
@@ -280,9 +265,7 @@
         if not listing.items:
             self._peers.set_knowledge(after, self.reading.confirmed_at)
             return
-        self.post(
-            RecordsCame(listing.items, listing.through, False, 'platform'),
-        )
+        self.post(read_records(listing, is_whole=False))
         await asyncio.sleep(GATHER_S)
 
     def _on_answer(self, step: StoreStep) -> None:
@@ -324,7 +307,7 @@
             self._note(item, 'removed', teller)
             return
         try:
-            record = self._source.decode(item.key, item.payload)
+            record = decoded_record(self._source, item)
         except BadRecordError as exc:
             self._log.error(
                 'record refused',
@@ -336,7 +319,7 @@
             return
         age_s = self.catalog.age_s(item.key, now=now)
         self.view.on_record(item.key, record, age_s=age_s, now=now)
-        self._note(item, _shown(record), teller)
+        self._note(item, shown(record), teller)
 
     def _note(self, item: PublishedItem, what: str, teller: str) -> None:
         self._log.info(
@@ -369,13 +352,3 @@
             'watch_rank': self.reading.rank,
             'upstreams': len(self.view.listed()),
         }
-
-
-def _shown(record: Published) -> str:
-    match record:
-        case FleetConfig(version=version):
-            return f'configuration {version}'
-        case Upstream(id=name, state=state, weights=weights):
-            return f'upstream {name} {state.value} weights {weights}'
-        case NamedVersion(model=model, version=version):
-            return f'{model} version {version}'
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -167,7 +167,9 @@
 class PublishedItem:
     """A published record as it stands at the platform.
 
-    ``payload`` is None where the record was taken away at ``revision``.
+    ``payload`` is None where the record was taken away at ``revision``. Where
+    ``is_deflated`` is set it is the published value deflated, as one process
+    has done for all others; the revision alone says which record it is.
     ``age_s`` is how long ago the sender saw it published, negative where it
     found it already there.
     """
@@ -176,13 +178,18 @@
     revision: int
     payload: bytes | None
     age_s: float = -1
+    is_deflated: bool = False
 
 
 @frozen
 class ChangesAsk:
-    """Ask for what was published after a revision."""
+    """Ask for what was published after a revision.
+
+    ``takes_deflated`` isn't set by releases that can't inflate a payload.
+    """
 
     after: int
+    takes_deflated: bool = False
 
 
 @frozen(kw_only=True)
--- a/tests/fleet/test_record_bytes.py
+++ b/tests/fleet/test_record_bytes.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import zlib
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -11,10 +12,16 @@
 from crowrudder_platform._records import CONFIG_KEY
 
 from crowrudder_daemon.fleet import CatalogTask
-from crowrudder_daemon.fleet._catalog_task import PeerAhead
+from crowrudder_daemon.fleet._records import (
+    PeerAhead,
+    RecordsCame,
+    read_records,
+)
 from crowrudder_daemon.http import ConnectionPool
 from crowrudder_daemon.rpc import PeerClient
 from crowrudder_model.fleet import Node
+from crowrudder_model.messages import ChangesAsk, PublishedItem
+from crowrudder_model.rpc import CHANGES
 from support.counted import CountedLink, counted
 from support.fleet import PEER_PORTS, ROUTES, route, runtime_of
 from support.fleet_checks import checked
@@ -134,3 +141,93 @@
                 assert task.view.config == world.entries[0].catalog.view.config
 
         checked(check)
+
+
+class TestForms:
+    def test_one_that_cant_be_inflated_takes_no_other_with_it(self, caplog):
+        """It is refused like any record that can't be read."""
+
+        async def check(world):
+            async with learner(world) as task:
+                await task.learn(world)
+                before = task.view.config
+                revision = task.catalog.revision + 1
+                spoilt = PublishedItem(
+                    key=CONFIG_KEY,
+                    revision=revision,
+                    payload=zlib.compress(b'{}')[:-1],
+                    is_deflated=True,
+                )
+                named = PublishedItem(
+                    key='op/version/m',
+                    revision=revision,
+                    payload=b'{"model": "m", "version": 2}',
+                )
+                caplog.clear()
+                task.on_records_came(
+                    RecordsCame((spoilt, named), revision, False, 'a peer')
+                )
+                refused = [
+                    line for line in caplog.records if line.levelname == 'ERROR'
+                ]
+                (told,) = refused
+                assert told.message == 'record refused'
+                assert vars(told)['key'] == CONFIG_KEY
+                assert vars(told)['reason']
+                assert task.view.config is before
+                release = task.view.releases.newest('m')
+                assert release and release.version == 2
+                # Its place in the order is taken; the next one counts again.
+                world.publish(version=4)
+                world.publish(version=5, routes=(*ROUTES, *MORE_ROUTES))
+                await task.learn(world)
+                assert task.view.config == world.entries[0].catalog.view.config
+
+        checked(check)
+
+    def test_a_process_of_the_release_before_gets_it_as_published(self):
+        """A fleet is updated process by process.
+
+        Symptom: a process that starts on the older release has no
+        configuration, and serves nobody. Sequence: it asks one of the newer
+        release for all records. Cause: it can't inflate what it gets.
+        """
+
+        async def check(world):
+            world.publish(version=5, routes=(*ROUTES, *MORE_ROUTES))
+            async with learner(world) as task:
+                await world.ready()
+                reply = await task._client.call(
+                    task.link.address, CHANGES, ChangesAsk(0)
+                )
+                payloads = {each.key: each.payload for each in reply.items}
+                published = world.store.records[CONFIG_KEY].value
+                assert payloads[CONFIG_KEY] == published
+                assert not any(each.is_deflated for each in reply.items)
+
+        checked(check)
+
+    def test_a_list_of_the_platform_changes_nothing_that_a_peer_told(self):
+        """The one is as published, the other deflated: one record."""
+
+        async def check(world):
+            world.publish(version=5, routes=(*ROUTES, *MORE_ROUTES))
+            async with learner(world) as task:
+                await task.learn(world)
+                known = {each.key: each for each in task.catalog.items()}
+                assert known[CONFIG_KEY].is_deflated
+                task.source.decoded.clear()
+                source = PlatformStore(world.store_address, ConnectionPool())
+                listing = await source.list_all()
+                task.on_records_came(read_records(listing, is_whole=True))
+                task.on_records_came(
+                    RecordsCame(
+                        listing.items, listing.through, True, 'platform'
+                    )
+                )
+                assert not task.source.decoded
+                assert known == {
+                    each.key: each for each in task.catalog.items()
+                }
+
+        checked(check)
--- a/tests/fuzz/test_calls.py
+++ b/tests/fuzz/test_calls.py
@@ -53,6 +53,15 @@
         host='h',
         bundle=messages.BundlePart(digest='d', revision=1, base='', body=b'x'),
     ),
+    messages.ChangesAsk(3, takes_deflated=True),
+    messages.Changes(
+        through=3,
+        items=(
+            messages.PublishedItem(
+                key='k', revision=3, payload=b'x', is_deflated=True
+            ),
+        ),
+    ),
 )
 DEEP_MAP = b'\x81\xa1a' + b'\x91' * DEEP + b'\xc0'
 header_names = st.sampled_from(
