Test: a process that starts asks for the records' ages alone

Found by reading: a process that has listed the platform asks another how old the records are, from revision 0, so that all records travel a second time.

Fails: `assert 55068 <= 7296` (a configuration of 1,400 routes, 100 records of some 500 bytes; 64 bytes a record and 512 around them are allowed). The counting link listens at an address of its own, so that it can be asked by IP number.

--- a/tests/fleet/test_record_bytes.py
+++ b/tests/fleet/test_record_bytes.py
@@ -9,8 +9,9 @@
 from typing import TYPE_CHECKING, Any
 
 from crowrudder_platform import PlatformStore
-from crowrudder_platform._records import CONFIG_KEY
+from crowrudder_platform._records import CONFIG_KEY, VERSION_PREFIX
 
+from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet import CatalogTask
 from crowrudder_daemon.fleet._records import (
     PeerAhead,
@@ -22,13 +23,14 @@
 from crowrudder_model.fleet import Node
 from crowrudder_model.messages import ChangesAsk, PublishedItem
 from crowrudder_model.rpc import CHANGES
-from support.counted import CountedLink, counted
+from support.counted import LINK_IP, CountedLink, counted
 from support.fleet import PEER_PORTS, ROUTES, route, runtime_of
 from support.fleet_checks import checked
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+VERSION_KEY = f'{VERSION_PREFIX}m'
 SLOW_LINK_BYTES_PER_S = 4_700_000 / 8
 """An agent's host on the narrowest link that was met."""
 
@@ -37,6 +39,12 @@
 tokens at the size to design for."""
 
 MOST_CHANGE_BYTES = int(SLOW_LINK_BYTES_PER_S * CHANGE_S)
+MOST_AGE_BYTES = 64
+"""Of one record: its key, of which most have some 20 bytes, and two numbers."""
+
+FRAMES_BYTES = 512
+"""What goes around an answer: a new connection's settings, headers, pings."""
+
 MORE_ROUTES = tuple(
     route(f'more-{number}', f'/more/{number}/', 'safe', 'plain')
     for number in range(1400)
@@ -62,7 +70,10 @@
         node = Node(
             host='learner', role='agent', ip='127.0.0.9', peer_ports=PEER_PORTS
         )
-        peers: Any = SimpleNamespace(set_knowledge=lambda *_known: None)
+        peers: Any = SimpleNamespace(
+            set_knowledge=lambda *_known: None,
+            entries=lambda: [SimpleNamespace(ip=LINK_IP)],
+        )
         self.link = link
         self.source = Source()
         super().__init__(
@@ -74,6 +85,12 @@
             on_change=lambda: None,
         )
 
+    async def list_platform(self, world: Any) -> None:
+        """Take all records from the platform, as at a start."""
+        source = PlatformStore(world.store_address, ConnectionPool())
+        listing = await source.list_all()
+        self.on_records_came(read_records(listing, is_whole=True))
+
     def start(self) -> None:
         """Work on messages, without reading the platform."""
         self.spawn(self._loop())
@@ -231,3 +248,41 @@
                 }
 
         checked(check)
+
+
+class TestAges:
+    def test_a_new_process_asks_for_ages_alone(self):
+        """A restart costs the links all records, though it has read them.
+
+        Symptom: each process that is restarted takes a second copy of all
+        records over its link, while its requests wait behind them. Sequence:
+        it lists the platform, which shows no ages, and asks another process
+        how old the records are. Cause: it asked for what was published after
+        revision 0, which is everything.
+        """
+
+        async def check(world):
+            world.publish(version=5, routes=(*ROUTES, *MORE_ROUTES))
+            for number in range(100):
+                world.store.put(f'other/{number:03}', b'%d' % number * 200)
+            world.name_version(2)
+            await world.ready()
+            async with learner(world) as task:
+                await task.list_platform(world)
+                known = task.catalog.items()
+                revision = task.catalog.revision
+                assert task.catalog.age_s(VERSION_KEY, now=clock_s()) is None
+                task._ask_for_ages()
+                await world.until(
+                    lambda: (
+                        task.catalog.age_s(VERSION_KEY, now=clock_s())
+                        is not None
+                    )
+                )
+                most_bytes = MOST_AGE_BYTES * len(known) + FRAMES_BYTES
+                assert task.link.down_bytes <= most_bytes
+                assert task.catalog.items() == known
+                assert task.catalog.revision == revision
+                assert task.view.releases.ends_at('m', 1) > clock_s()
+
+        checked(check)
--- a/tests/support/counted.py
+++ b/tests/support/counted.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+LINK_IP = '127.0.0.30'
 PIECE_BYTES = 65_536
 
 
@@ -43,7 +44,10 @@
 
 @contextlib.asynccontextmanager
 async def counted(target: str) -> AsyncIterator[CountedLink]:
-    """Stand before a process, so that its bytes are counted."""
+    """Stand before a process, so that its bytes are counted.
+
+    It listens on the process's port, at another loopback address.
+    """
     link = CountedLink()
     jobs: list[asyncio.Future[None]] = []
     ip, _, port = target.rpartition(':')
@@ -62,9 +66,8 @@
     ) -> None:
         jobs.append(asyncio.ensure_future(carry(reader, writer)))
 
-    server = await asyncio.start_server(on_connection, '127.0.0.1', 0)
-    own_port = server.sockets[0].getsockname()[1]
-    link.address = f'127.0.0.1:{own_port}'
+    server = await asyncio.start_server(on_connection, LINK_IP, int(port))
+    link.address = f'{LINK_IP}:{port}'
     try:
         yield link
     finally:
