A process that has listed the platform asks for ages alone

Cause: it asked a peer for everything after revision 0 only to learn how old the records are (test before).

Change: a call of its own, `Ages`: key, revision and age of each record that stands and whose age is known. It can't be taken for a removal nor for a list of what stands, and doesn't move the revision that is reached; an age counts for the same revision only. What the peer had newer comes as always, by the next heartbeat. A peer of the release before doesn't know the call: a line in the log, and ages stay unknown until it is updated. Ruled out: a flag in `ChangesAsk`, whose answer a reader that overlooks it would apply.

--- a/packages/core/src/crowrudder_core/catalog/_catalog.py
+++ b/packages/core/src/crowrudder_core/catalog/_catalog.py
@@ -6,7 +6,7 @@
 
 from attrs import define, evolve, field
 
-from crowrudder_model.messages import Changes, PublishedItem
+from crowrudder_model.messages import Changes, PublishedItem, RecordAge
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -107,6 +107,29 @@
             confirmed_s=confirmed_s,
         )
 
+    def ages(self, *, now: float) -> tuple[RecordAge, ...]:
+        """Give the ages that are known of the records that stand."""
+        return tuple(
+            RecordAge(item.key, item.revision, age_s)
+            for item in self.items()
+            if (age_s := self.age_s(item.key, now=now)) is not None
+        )
+
+    def take_ages(
+        self, ages: Iterable[RecordAge], *, now: float
+    ) -> list[PublishedItem]:
+        """Take ages of records known without them; give these records.
+
+        Only ages are taken: neither a record nor its removal, nor how far
+        the other has read.
+        """
+        aged = []
+        for told in ages:
+            known = self._items.get(told.key)
+            if known is not None and self._take_age(told, known, now):
+                aged.append(self._aged(known, now))
+        return aged
+
     def age_s(self, key: str, *, now: float) -> float | None:
         """Give how long ago a record was published; None if unknown."""
         seen_at = self._seen_at.get(key)
@@ -127,7 +150,10 @@
         return True
 
     def _take_age(
-        self, item: PublishedItem, known: PublishedItem, now: float
+        self,
+        item: PublishedItem | RecordAge,
+        known: PublishedItem,
+        now: float,
     ) -> bool:
         """Take the age of a record that was known without it."""
         is_same = item.revision == known.revision
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -19,6 +19,7 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
 from crowrudder_daemon.fleet._records import (
+    AgesCame,
     PeerAhead,
     RecordsCame,
     decoded_record,
@@ -33,8 +34,8 @@
     PlatformError,
 )
 from crowrudder_model import PeerLostError
-from crowrudder_model.messages import ChangesAsk
-from crowrudder_model.rpc import CHANGES
+from crowrudder_model.messages import Ages, AgesAsk, ChangesAsk
+from crowrudder_model.rpc import AGES, CHANGES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -121,6 +122,7 @@
     def serve(self, server: PeerServer) -> None:
         """Answer other processes that ask for changes."""
         server.add(CHANGES, self._on_ask)
+        server.add(AGES, self._on_ask_ages)
 
     def start(self) -> None:
         """Begin to read."""
@@ -162,6 +164,15 @@
         if fresh or before != self.catalog.revision:
             self._on_change()
 
+    def on_ages_came(self, message: AgesCame) -> None:
+        """Take ages and renew the view of the records that had none."""
+        now = clock_s()
+        aged = self.catalog.take_ages(message.ages, now=now)
+        for item in aged:
+            self._renew(item, message.teller, now)
+        if aged:
+            self._on_change()
+
     def _with_ages(
         self, items: tuple[PublishedItem, ...], now: float
     ) -> list[PublishedItem]:
@@ -191,6 +202,9 @@
         )
         return changes if ask.takes_deflated else plain_changes(changes)
 
+    async def _on_ask_ages(self, _ask: AgesAsk, _context: object) -> Ages:
+        return Ages(self.catalog.ages(now=clock_s()))
+
     def _ask_for_ages(self) -> None:
         """Ask a peer how old the records are that a new process has listed.
 
@@ -200,15 +214,22 @@
         """
         peers = [word.ip for word in self._peers.entries()]
         others = [ip for ip in peers if ip != self._node.ip]
-        if others and not self._pulling:
-            self._pulling = True
+        if others:
             ip = self._random.choice(others)
-            self.spawn(self._pull(f'{ip}:{self._node.rpc_port}', after=0))
+            self.spawn(self._learn_ages(f'{ip}:{self._node.rpc_port}'))
+
+    async def _learn_ages(self, address: str) -> None:
+        try:
+            reply = await self._client.call(
+                address, AGES, AgesAsk(), timeout_s=PULL_TIMEOUT_S
+            )
+        except PeerLostError as exc:
+            self._log.info('ages not read: %s', exc)
+            return
+        self.post(AgesCame(reply.ages, address))
 
-    async def _pull(self, address: str, after: int | None = None) -> None:
-        if after is None:
-            after = self.catalog.revision
-        ask = ChangesAsk(after, takes_deflated=True)
+    async def _pull(self, address: str) -> None:
+        ask = ChangesAsk(self.catalog.revision, takes_deflated=True)
         try:
             changes = await self._client.call(
                 address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet.ports import Listing, PublishedSource
     from crowrudder_model.fleet import Published
-    from crowrudder_model.messages import Changes, PublishedItem
+    from crowrudder_model.messages import Changes, PublishedItem, RecordAge
 
 
 @frozen
@@ -35,6 +35,14 @@
     teller: str
 
 
+@frozen
+class AgesCame:
+    """Ages of records from a peer."""
+
+    ages: tuple[RecordAge, ...]
+    teller: str
+
+
 def read_records(listing: Listing, *, is_whole: bool) -> RecordsCame:
     """Take records from the platform, deflated for all other processes."""
     items = tuple(deflated(item) for item in listing.items)
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -10,6 +10,8 @@
     Taken,
 )
 from crowrudder_model.messages._gossip import (
+    Ages,
+    AgesAsk,
     Changes,
     ChangesAsk,
     ChunkNews,
@@ -20,6 +22,7 @@
     LoadBatch,
     MemberWord,
     PublishedItem,
+    RecordAge,
     Sighting,
     life_of,
 )
@@ -66,6 +69,8 @@
 )
 
 __all__ = (
+    'Ages',
+    'AgesAsk',
     'Attempt',
     'AttemptKey',
     'BundlePart',
@@ -100,6 +105,7 @@
     'ProcessNews',
     'ProcessState',
     'PublishedItem',
+    'RecordAge',
     'Queued',
     'Refusal',
     'ReleaseAsk',
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -204,3 +204,29 @@
     items: tuple[PublishedItem, ...] = ()
     is_whole: bool = False
     confirmed_s: float = 1.0e9
+
+
+class RecordAge(msgspec.Struct, frozen=True, array_like=True):
+    """How long ago a record was published, without the record.
+
+    It is the age of the record with this key and revision, and of no other.
+    """
+
+    key: str
+    revision: int
+    age_s: float
+
+
+@frozen
+class AgesAsk:
+    """Ask for the ages of the records that stand."""
+
+
+@frozen
+class Ages:
+    """Ages of the records that stand, as far as the sender knows them.
+
+    What isn't listed is of unknown age; nothing follows on whether it stands.
+    """
+
+    ages: tuple[RecordAge, ...] = ()
--- a/packages/model/src/crowrudder_model/rpc/__init__.py
+++ b/packages/model/src/crowrudder_model/rpc/__init__.py
@@ -1,6 +1,7 @@
 """The table of remote calls between crowrudder processes."""
 
 from crowrudder_model.rpc._methods import (
+    AGES,
     CANCEL,
     CHANGES,
     CHUNK,
@@ -22,6 +23,7 @@
 )
 
 __all__ = (
+    'AGES',
     'CANCEL',
     'CHANGES',
     'CHUNK',
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from crowrudder_core.catalog import Catalog
-from crowrudder_model.messages import PublishedItem
+from crowrudder_model.messages import PublishedItem, RecordAge
 
 
 def item(key, revision, payload=b'x', age_s=-1):
@@ -134,3 +134,37 @@
         catalog = Catalog()
         catalog.replace([item('a', 1)], through=1, now=10)
         assert catalog.age_s('a', now=12) is None
+
+    def test_ages_alone_are_taken_by_a_record_without_one(self):
+        first, second = Catalog(), Catalog()
+        first.apply([item('a', 1, age_s=0), item('b', 2)], through=2, now=10)
+        second.replace([item('a', 1), item('b', 2)], through=2, now=50)
+        told = first.ages(now=13)
+        assert told == (RecordAge('a', 1, 3),)
+        aged = second.take_ages(told, now=50)
+        assert aged == [item('a', 1, age_s=3)]
+        assert second.age_s('a', now=52) == 5
+        assert not second.take_ages(told, now=60)
+        assert second.age_s('a', now=62) == 15
+
+    def test_ages_alone_change_no_record(self):
+        """One that tells ages may be ahead, behind, or know more keys."""
+        catalog = Catalog()
+        catalog.replace([item('a', 5), item('b', 6)], through=6, now=50)
+        told = [
+            RecordAge('a', 4, 1),
+            RecordAge('b', 7, 1),
+            RecordAge('c', 8, 1),
+            RecordAge('a', 5, -1),
+        ]
+        assert not catalog.take_ages(told, now=50)
+        assert keys(catalog) == {'a': b'x', 'b': b'x'}
+        assert catalog.revision == 6
+        assert not catalog.ages(now=50)
+        reply = catalog.changes_after(5, now=50, confirmed_s=0)
+        assert reply.items == (item('b', 6),)
+
+    def test_no_age_is_told_of_a_record_that_was_taken_away(self):
+        catalog = Catalog()
+        catalog.apply([item('a', 1, None, age_s=0)], through=1, now=0)
+        assert not catalog.ages(now=1)
--- a/tests/fuzz/test_calls.py
+++ b/tests/fuzz/test_calls.py
@@ -53,6 +53,8 @@
         host='h',
         bundle=messages.BundlePart(digest='d', revision=1, base='', body=b'x'),
     ),
+    messages.AgesAsk(),
+    messages.Ages((messages.RecordAge('k', 3, 0.5),)),
     messages.ChangesAsk(3, takes_deflated=True),
     messages.Changes(
         through=3,
