--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -7,7 +7,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from attrs import evolve, frozen
+from attrs import evolve
 
 from crowrudder_core.catalog import (
     RETURN_S,
@@ -19,6 +19,15 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.fleet._records import (
+    AgesCame,
+    PeerAhead,
+    RecordsCame,
+    decoded_record,
+    plain_changes,
+    read_records,
+    told_records,
+)
 from crowrudder_daemon.fleet._shown import shown
 from crowrudder_daemon.fleet._version_ends import VersionEnds
 from crowrudder_daemon.fleet.ports import (
@@ -28,8 +37,8 @@
 )
 from crowrudder_model import PeerLostError
 from crowrudder_model.fleet import NamedVersion
-from crowrudder_model.messages import Changes, ChangesAsk
-from crowrudder_model.rpc import CHANGES
+from crowrudder_model.messages import Ages, AgesAsk, ChangesAsk
+from crowrudder_model.rpc import AGES, CHANGES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +48,7 @@
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import PublishedItem
+    from crowrudder_model.messages import Changes, PublishedItem
 
 GATHER_S = 0.08
 """Pause between an answer with changes and the next watch.
@@ -64,31 +73,6 @@
 SWEEP_S = 0.25
 
 
-@frozen
-class PeerAhead:
-    """A process has records that this one lacks."""
-
-    address: str
-    revision: int
-
-
-@frozen
-class RecordsCame:
-    """Changes, or a whole list, from the platform or a peer."""
-
-    items: tuple[PublishedItem, ...]
-    through: int
-    is_whole: bool
-    teller: str
-
-    def age_by(self, key: str, age_s: float | None) -> str:
-        """Give where the age of a record comes from; see `VersionEnds`."""
-        if age_s is None:
-            return 'nobody'
-        told = any(item.key == key and item.age_s >= 0 for item in self.items)
-        return 'teller' if told else 'guess'
-
-
 class CatalogTask(Task):
     """Owns the catalog and the view of the fleet that follows from it.
 
@@ -142,6 +126,7 @@
     def serve(self, server: PeerServer) -> None:
         """Answer other processes that ask for changes."""
         server.add(CHANGES, self._on_ask)
+        server.add(AGES, self._on_ask_ages)
 
     def start(self) -> None:
         """Begin to read."""
@@ -183,6 +168,15 @@
         if fresh or before != self.catalog.revision:
             self._on_change()
 
+    def on_ages_came(self, message: AgesCame) -> None:
+        """Take ages and renew the view of the records that had none."""
+        now = clock_s()
+        aged = self.catalog.take_ages(message.ages, now=now)
+        for item in aged:
+            self._renew(item, message, now)
+        if aged:
+            self._on_change()
+
     def _with_ages(
         self, items: tuple[PublishedItem, ...], now: float
     ) -> list[PublishedItem]:
@@ -205,11 +199,15 @@
 
     async def _on_ask(self, ask: ChangesAsk, _context: object) -> Changes:
         now = clock_s()
-        return self.catalog.changes_after(
+        changes = self.catalog.changes_after(
             ask.after,
             now=now,
             confirmed_s=self.reading.confirmed_s(now),
         )
+        return changes if ask.takes_deflated else plain_changes(changes)
+
+    async def _on_ask_ages(self, _ask: AgesAsk, _context: object) -> Ages:
+        return Ages(self.catalog.ages(now=clock_s()))
 
     def _ask_for_ages(self) -> None:
         """Ask a peer how old the records are that a new process has listed.
@@ -220,13 +218,22 @@
         """
         peers = [word.ip for word in self._peers.entries()]
         others = [ip for ip in peers if ip != self._node.ip]
-        if others and not self._pulling:
-            self._pulling = True
+        if others:
             ip = self._random.choice(others)
-            self.spawn(self._pull(f'{ip}:{self._node.rpc_port}', after=0))
+            self.spawn(self._learn_ages(f'{ip}:{self._node.rpc_port}'))
 
-    async def _pull(self, address: str, after: int | None = None) -> None:
-        ask = ChangesAsk(self.catalog.revision if after is None else after)
+    async def _learn_ages(self, address: str) -> None:
+        try:
+            reply = await self._client.call(
+                address, AGES, AgesAsk(), timeout_s=PULL_TIMEOUT_S
+            )
+        except PeerLostError as exc:
+            self._log.info('ages not read: %s', exc)
+            return
+        self.post(AgesCame(reply.ages, address))
+
+    async def _pull(self, address: str) -> None:
+        ask = ChangesAsk(self.catalog.revision, takes_deflated=True)
         try:
             changes = await self._client.call(
                 address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
@@ -240,11 +247,7 @@
         for item in changes.items:
             if item.age_s >= 0:
                 self._lag.record(item.age_s)
-        self.post(
-            RecordsCame(
-                changes.items, changes.through, changes.is_whole, address
-            ),
-        )
+        self.post(told_records(changes, address))
 
     async def _read_for_ever(self, source: PublishedSource) -> None:
         """List once, then watch; list again where changes were missed."""
@@ -272,11 +275,7 @@
                 listing = await source.list_all()
                 self._on_answer(step)
                 self.reading.on_listed()
-                self.post(
-                    RecordsCame(
-                        listing.items, listing.through, True, 'platform'
-                    ),
-                )
+                self.post(read_records(listing, is_whole=True))
                 # The watch goes on from what this list brings in.
                 await asyncio.sleep(0)
                 if not is_informed:
@@ -291,9 +290,7 @@
         if not listing.items:
             self._peers.set_knowledge(after, self.reading.confirmed_at)
             return
-        self.post(
-            RecordsCame(listing.items, listing.through, False, 'platform'),
-        )
+        self.post(read_records(listing, is_whole=False))
         await asyncio.sleep(GATHER_S)
 
     def _on_answer(self, step: StoreStep) -> None:
@@ -329,7 +326,7 @@
         )
 
     def _renew(
-        self, item: PublishedItem, message: RecordsCame, now: float
+        self, item: PublishedItem, message: RecordsCame | AgesCame, now: float
     ) -> None:
         teller = message.teller
         if item.payload is None:
@@ -338,7 +335,7 @@
             self._note(item, 'removed', teller)
             return
         try:
-            record = self._source.decode(item.key, item.payload)
+            record = decoded_record(self._source, item)
         except BadRecordError as exc:
             self._log.error(
                 'record refused',
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -167,7 +167,9 @@
 class PublishedItem:
     """A published record as it stands at the platform.
 
-    ``payload`` is None where the record was taken away at ``revision``.
+    ``payload`` is None where the record was taken away at ``revision``. Where
+    ``is_deflated`` is set it is the published value deflated, as one process
+    has done for all others; the revision alone says which record it is.
     ``age_s`` is how long ago the sender saw it published, negative where it
     found it already there.
     """
@@ -176,13 +178,18 @@
     revision: int
     payload: bytes | None
     age_s: float = -1
+    is_deflated: bool = False
 
 
 @frozen
 class ChangesAsk:
-    """Ask for what was published after a revision."""
+    """Ask for what was published after a revision.
+
+    ``takes_deflated`` isn't set by releases that can't inflate a payload.
+    """
 
     after: int
+    takes_deflated: bool = False
 
 
 @frozen(kw_only=True)
@@ -197,3 +204,29 @@
     items: tuple[PublishedItem, ...] = ()
     is_whole: bool = False
     confirmed_s: float = 1.0e9
+
+
+class RecordAge(msgspec.Struct, frozen=True, array_like=True):
+    """How long ago a record was published, without the record.
+
+    It is the age of the record with this key and revision, and of no other.
+    """
+
+    key: str
+    revision: int
+    age_s: float
+
+
+@frozen
+class AgesAsk:
+    """Ask for the ages of the records that stand."""
+
+
+@frozen
+class Ages:
+    """Ages of the records that stand, as far as the sender knows them.
+
+    What isn't listed is of unknown age; nothing follows on whether it stands.
+    """
+
+    ages: tuple[RecordAge, ...] = ()
