Ages of changes are never younger than what they are of

A peer's answer counts as of its question, so that its way and the own queue make a version older and not younger. A watch's changes count as new only where they came while the watch waited and this process read them in time; else as old as the last answer, or as the last sign of the platform where others watched before; after an absence of the platform as its return, as before. Cost: an old version may end early by an answer's way, by 0.33 s after changes in a burst, and by up to two seconds at a process that stood still.

Messages to the task of the records have a module of their own.

--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -1,6 +1,7 @@
 """Published records: their order, and what a fleet looks like by them."""
 
 from crowrudder_core.catalog._catalog import Catalog
+from crowrudder_core.catalog._punctuality import Punctuality
 from crowrudder_core.catalog._reading import (
     RETURN_S,
     WATCH_WAIT_S,
@@ -11,12 +12,14 @@
 from crowrudder_core.catalog._releases import Release, Releases
 from crowrudder_core.catalog._routes import RouteTable
 from crowrudder_core.catalog._view import FleetView, ListedUpstream
+from crowrudder_core.catalog._watch_ages import WatchAges
 
 __all__ = (
     'RETURN_S',
     'Catalog',
     'FleetView',
     'ListedUpstream',
+    'Punctuality',
     'Release',
     'Releases',
     'RouteTable',
@@ -24,4 +27,5 @@
     'StoreStep',
     'WATCHERS',
     'WATCH_WAIT_S',
+    'WatchAges',
 )
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from attrs import evolve, frozen
+from attrs import evolve
 
 from crowrudder_core.catalog import (
     RETURN_S,
@@ -18,13 +18,18 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
+from crowrudder_daemon.fleet._records_came import (
+    PeerAhead,
+    RecordsCame,
+    shown,
+)
+from crowrudder_daemon.fleet._watch_times import Heard, WatchTimes
 from crowrudder_daemon.fleet.ports import (
     BadRecordError,
     HistoryGoneError,
     PlatformError,
 )
 from crowrudder_model import PeerLostError
-from crowrudder_model.fleet import FleetConfig, NamedVersion, Upstream
 from crowrudder_model.messages import Changes, ChangesAsk
 from crowrudder_model.rpc import CHANGES
 
@@ -35,7 +40,7 @@
     from crowrudder_daemon.fleet.ports import PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
-    from crowrudder_model.fleet import Node, Published
+    from crowrudder_model.fleet import Node
     from crowrudder_model.messages import PublishedItem
 
 GATHER_S = 0.08
@@ -61,24 +66,6 @@
 SWEEP_S = 0.25
 
 
-@frozen
-class PeerAhead:
-    """A process has records that this one lacks."""
-
-    address: str
-    revision: int
-
-
-@frozen
-class RecordsCame:
-    """Changes, or a whole list, from the platform or a peer."""
-
-    items: tuple[PublishedItem, ...]
-    through: int
-    is_whole: bool
-    teller: str
-
-
 class CatalogTask(Task):
     """Owns the catalog and the view of the fleet that follows from it.
 
@@ -110,6 +97,7 @@
         self._random = random.Random(runtime.incarnation)
         self._pulling = False
         self._away_at = -1.0e9
+        self._watch_times = WatchTimes(SWEEP_S)
         self.catalog = Catalog()
         free_s = node.bounds.settle_s - START_S
         self.view = FleetView(node.bounds.version_s, clock_s() + free_s)
@@ -160,7 +148,7 @@
         now = clock_s()
         before = self.catalog.revision
         take = self.catalog.replace if message.is_whole else self.catalog.apply
-        items = self._with_ages(message.items, now)
+        items = message.older_by_wait(self._with_ages(message.items, now), now)
         fresh = take(items, through=message.through, now=now)
         self.reading.on_informed()
         for item in fresh:
@@ -216,6 +204,7 @@
 
     async def _pull(self, address: str, after: int | None = None) -> None:
         ask = ChangesAsk(self.catalog.revision if after is None else after)
+        asked_at = clock_s()
         try:
             changes = await self._client.call(
                 address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
@@ -225,13 +214,17 @@
             return
         finally:
             self._pulling = False
-        self.reading.on_peer(changes.confirmed_s, clock_s())
+        self.reading.on_peer(changes.confirmed_s, asked_at)
         for item in changes.items:
             if item.age_s >= 0:
                 self._lag.record(item.age_s)
         self.post(
             RecordsCame(
-                changes.items, changes.through, changes.is_whole, address
+                changes.items,
+                changes.through,
+                changes.is_whole,
+                address,
+                asked_at,
             ),
         )
 
@@ -254,11 +247,14 @@
     async def _step(self, source: PublishedSource, step: StoreStep) -> None:
         match step:
             case StoreStep.REST:
+                self._watch_times.on_rest()
                 until_due_s = max(self.reading.lists_at - clock_s(), 0)
                 await asyncio.sleep(min(REST_S, until_due_s + TICK_S))
             case StoreStep.LIST:
                 is_informed = bool(self.catalog.revision)
+                asked_at = clock_s()
                 listing = await source.list_all()
+                self._watch_times.on_listed(asked_at)
                 self._on_answer(step)
                 self.reading.on_listed()
                 self.post(
@@ -275,13 +271,22 @@
 
     async def _watch(self, source: PublishedSource) -> None:
         after = self.catalog.revision
+        asked_at = clock_s()
         listing = await source.watch(after, wait_s=WATCH_WAIT_S)
+        confirmed_at = self.reading.confirmed_at
         self._on_answer(StoreStep.WATCH)
+        since = self._watch_times.published_since(
+            asked_at,
+            Heard(confirmed_at, self.reading.returned_at),
+            has_changes=bool(listing.items),
+        )
         if not listing.items:
             self._peers.set_knowledge(after, self.reading.confirmed_at)
             return
         self.post(
-            RecordsCame(listing.items, listing.through, False, 'platform'),
+            RecordsCame(
+                listing.items, listing.through, False, 'platform', since
+            ),
         )
         await asyncio.sleep(GATHER_S)
 
@@ -336,7 +341,7 @@
             return
         age_s = self.catalog.age_s(item.key, now=now)
         self.view.on_record(item.key, record, age_s=age_s, now=now)
-        self._note(item, _shown(record), teller)
+        self._note(item, shown(record), teller)
 
     def _note(self, item: PublishedItem, what: str, teller: str) -> None:
         self._log.info(
@@ -352,8 +357,10 @@
         )
 
     async def _sweep_for_ever(self) -> None:
+        self._watch_times.tick()
         while True:
             await asyncio.sleep(SWEEP_S)
+            self._watch_times.tick()
             if self.view.forget_gone(now=clock_s()):
                 self._on_change()
 
@@ -369,13 +376,3 @@
             'watch_rank': self.reading.rank,
             'upstreams': len(self.view.listed()),
         }
-
-
-def _shown(record: Published) -> str:
-    match record:
-        case FleetConfig(version=version):
-            return f'configuration {version}'
-        case Upstream(id=name, state=state, weights=weights):
-            return f'upstream {name} {state.value} weights {weights}'
-        case NamedVersion(model=model, version=version):
-            return f'{model} version {version}'
--- a/tests/fleet/test_entry_changes.py
+++ b/tests/fleet/test_entry_changes.py
@@ -9,7 +9,7 @@
 
 from crowrudder_core.forecast import _outlook
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet._catalog_task import RecordsCame
+from crowrudder_daemon.fleet._records_came import RecordsCame
 from crowrudder_model.messages import EngineLoad, PublishedItem
 from crowrudder_standins.fleet_replica import stream_of
 from support.fleet import HOST, ROUTES, route
