--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -7,6 +7,7 @@
     deflated,
     inflated,
 )
+from crowrudder_core.catalog._punctuality import Punctuality
 from crowrudder_core.catalog._reading import (
     RETURN_S,
     WATCH_WAIT_S,
@@ -17,6 +18,7 @@
 from crowrudder_core.catalog._releases import Release, Releases
 from crowrudder_core.catalog._routes import RouteTable
 from crowrudder_core.catalog._view import FleetView, ListedUpstream
+from crowrudder_core.catalog._watch_ages import WatchAges
 
 __all__ = (
     'MOST_RECORD_BYTES',
@@ -25,6 +27,7 @@
     'Catalog',
     'FleetView',
     'ListedUpstream',
+    'Punctuality',
     'Release',
     'Releases',
     'RouteTable',
@@ -34,4 +37,5 @@
     'WATCH_WAIT_S',
     'deflated',
     'inflated',
+    'WatchAges',
 )
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -24,12 +24,13 @@
     PeerAhead,
     RecordsCame,
     decoded_record,
-    plain_changes,
     read_records,
     told_records,
 )
+from crowrudder_daemon.fleet._records_service import RecordsService
 from crowrudder_daemon.fleet._shown import shown
 from crowrudder_daemon.fleet._version_ends import VersionEnds
+from crowrudder_daemon.fleet._watch_times import Heard, WatchTimes
 from crowrudder_daemon.fleet.ports import (
     BadRecordError,
     HistoryGoneError,
@@ -37,7 +38,7 @@
 )
 from crowrudder_model import PeerLostError
 from crowrudder_model.fleet import NamedVersion
-from crowrudder_model.messages import Ages, AgesAsk, ChangesAsk
+from crowrudder_model.messages import AgesAsk, ChangesAsk
 from crowrudder_model.rpc import AGES, CHANGES
 
 if TYPE_CHECKING:
@@ -48,7 +49,7 @@
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import Changes, PublishedItem
+    from crowrudder_model.messages import PublishedItem
 
 GATHER_S = 0.08
 """Pause between an answer with changes and the next watch.
@@ -104,6 +105,7 @@
         self._random = random.Random(runtime.incarnation)
         self._pulling = False
         self._away_at = -1.0e9
+        self._watch_times = WatchTimes(SWEEP_S)
         self.catalog = Catalog()
         free_s = node.bounds.settle_s - START_S
         self.view = FleetView(node.bounds.version_s, clock_s() + free_s)
@@ -125,8 +127,7 @@
 
     def serve(self, server: PeerServer) -> None:
         """Answer other processes that ask for changes."""
-        server.add(CHANGES, self._on_ask)
-        server.add(AGES, self._on_ask_ages)
+        RecordsService(self.catalog, self.reading).serve(server)
 
     def start(self) -> None:
         """Begin to read."""
@@ -156,7 +157,7 @@
         now = clock_s()
         before = self.catalog.revision
         take = self.catalog.replace if message.is_whole else self.catalog.apply
-        items = self._with_ages(message.items, now)
+        items = message.older_by_wait(self._with_ages(message.items, now), now)
         fresh = take(items, through=message.through, now=now)
         self.reading.on_informed()
         for item in fresh:
@@ -171,7 +172,7 @@
     def on_ages_came(self, message: AgesCame) -> None:
         """Take ages and renew the view of the records that had none."""
         now = clock_s()
-        aged = self.catalog.take_ages(message.ages, now=now)
+        aged = self.catalog.take_ages(message.older_by_wait(now), now=now)
         for item in aged:
             self._renew(item, message, now)
         if aged:
@@ -197,18 +198,6 @@
             for item in items
         ]
 
-    async def _on_ask(self, ask: ChangesAsk, _context: object) -> Changes:
-        now = clock_s()
-        changes = self.catalog.changes_after(
-            ask.after,
-            now=now,
-            confirmed_s=self.reading.confirmed_s(now),
-        )
-        return changes if ask.takes_deflated else plain_changes(changes)
-
-    async def _on_ask_ages(self, _ask: AgesAsk, _context: object) -> Ages:
-        return Ages(self.catalog.ages(now=clock_s()))
-
     def _ask_for_ages(self) -> None:
         """Ask a peer how old the records are that a new process has listed.
 
@@ -223,6 +212,7 @@
             self.spawn(self._learn_ages(f'{ip}:{self._node.rpc_port}'))
 
     async def _learn_ages(self, address: str) -> None:
+        asked_at = clock_s()
         try:
             reply = await self._client.call(
                 address, AGES, AgesAsk(), timeout_s=PULL_TIMEOUT_S
@@ -230,10 +220,11 @@
         except PeerLostError as exc:
             self._log.info('ages not read: %s', exc)
             return
-        self.post(AgesCame(reply.ages, address))
+        self.post(AgesCame(reply.ages, address, asked_at))
 
     async def _pull(self, address: str) -> None:
         ask = ChangesAsk(self.catalog.revision, takes_deflated=True)
+        asked_at = clock_s()
         try:
             changes = await self._client.call(
                 address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
@@ -243,11 +234,11 @@
             return
         finally:
             self._pulling = False
-        self.reading.on_peer(changes.confirmed_s, clock_s())
+        self.reading.on_peer(changes.confirmed_s, asked_at)
         for item in changes.items:
             if item.age_s >= 0:
                 self._lag.record(item.age_s)
-        self.post(told_records(changes, address))
+        self.post(told_records(changes, address, as_of=asked_at))
 
     async def _read_for_ever(self, source: PublishedSource) -> None:
         """List once, then watch; list again where changes were missed."""
@@ -268,11 +259,14 @@
     async def _step(self, source: PublishedSource, step: StoreStep) -> None:
         match step:
             case StoreStep.REST:
+                self._watch_times.on_rest()
                 until_due_s = max(self.reading.lists_at - clock_s(), 0)
                 await asyncio.sleep(min(REST_S, until_due_s + TICK_S))
             case StoreStep.LIST:
                 is_informed = bool(self.catalog.revision)
+                asked_at = clock_s()
                 listing = await source.list_all()
+                self._watch_times.on_listed(asked_at)
                 self._on_answer(step)
                 self.reading.on_listed()
                 self.post(read_records(listing, is_whole=True))
@@ -285,12 +279,19 @@
 
     async def _watch(self, source: PublishedSource) -> None:
         after = self.catalog.revision
+        asked_at = clock_s()
         listing = await source.watch(after, wait_s=WATCH_WAIT_S)
+        confirmed_at = self.reading.confirmed_at
         self._on_answer(StoreStep.WATCH)
+        since = self._watch_times.published_since(
+            asked_at,
+            Heard(confirmed_at, self.reading.returned_at),
+            has_changes=bool(listing.items),
+        )
         if not listing.items:
             self._peers.set_knowledge(after, self.reading.confirmed_at)
             return
-        self.post(read_records(listing, is_whole=False))
+        self.post(read_records(listing, is_whole=False, as_of=since))
         await asyncio.sleep(GATHER_S)
 
     def _on_answer(self, step: StoreStep) -> None:
@@ -373,8 +374,10 @@
         )
 
     async def _sweep_for_ever(self) -> None:
+        self._watch_times.tick()
         while True:
             await asyncio.sleep(SWEEP_S)
+            self._watch_times.tick()
             if self.view.forget_gone(now=clock_s()):
                 self._on_change()
 
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import evolve, frozen
+from msgspec.structs import replace
 
 from crowrudder_core.catalog import deflated, inflated
 from crowrudder_daemon.fleet.ports import BadRecordError
@@ -26,12 +28,32 @@
 
 @frozen
 class RecordsCame:
-    """Changes, or a whole list, from the platform or a peer."""
+    """Changes, or a whole list, from the platform or a peer.
+
+    ``as_of`` is the time on the own clock of which their ages are; one that
+    is to come stands for when they are taken. It is never after the moment at
+    which the ages were right: what goes wrong otherwise is that the way of an
+    answer, or the wait for this process, makes a version younger than it is,
+    and the one before it is used for so much longer than its time.
+    """
 
     items: tuple[PublishedItem, ...]
     through: int
     is_whole: bool
     teller: str
+    as_of: float = math.inf
+
+    def older_by_wait(
+        self, items: list[PublishedItem], now: float
+    ) -> list[PublishedItem]:
+        """Add what has passed since ``as_of`` to the ages that are known."""
+        waited_s = max(now - self.as_of, 0)
+        return [
+            evolve(item, age_s=item.age_s + waited_s)
+            if waited_s and item.age_s >= 0
+            else item
+            for item in items
+        ]
 
     def age_by(self, key: str, age_s: float | None) -> str:
         """Give where the age of a record comes from; see `VersionEnds`."""
@@ -43,25 +65,39 @@
 
 @frozen
 class AgesCame:
-    """Ages of records from a peer."""
+    """Ages of records from a peer; ``as_of`` as for `RecordsCame`."""
 
     ages: tuple[RecordAge, ...]
     teller: str
+    as_of: float = math.inf
+
+    def older_by_wait(self, now: float) -> list[RecordAge]:
+        """Add what has passed since ``as_of`` to the ages."""
+        waited_s = max(now - self.as_of, 0)
+        return [
+            replace(told, age_s=told.age_s + waited_s) for told in self.ages
+        ]
 
     def age_by(self, _key: str, _age_s: float | None) -> str:
         """Give where the age of a record comes from; see `VersionEnds`."""
         return 'teller'
 
 
-def read_records(listing: Listing, *, is_whole: bool) -> RecordsCame:
+def read_records(
+    listing: Listing, *, is_whole: bool, as_of: float = math.inf
+) -> RecordsCame:
     """Take records from the platform, deflated for all other processes."""
     items = tuple(deflated(item) for item in listing.items)
-    return RecordsCame(items, listing.through, is_whole, 'platform')
+    return RecordsCame(items, listing.through, is_whole, 'platform', as_of)
 
 
-def told_records(changes: Changes, teller: str) -> RecordsCame:
+def told_records(
+    changes: Changes, teller: str, *, as_of: float = math.inf
+) -> RecordsCame:
     """Take records from another process as they came."""
-    return RecordsCame(changes.items, changes.through, changes.is_whole, teller)
+    return RecordsCame(
+        changes.items, changes.through, changes.is_whole, teller, as_of
+    )
 
 
 def plain_changes(changes: Changes) -> Changes:
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records_service.py
@@ -0,0 +1,43 @@
+"""Answer other processes that ask for published records."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet._records import plain_changes
+from crowrudder_model.messages import Ages, AgesAsk, Changes, ChangesAsk
+from crowrudder_model.rpc import AGES, CHANGES
+
+if TYPE_CHECKING:
+    from crowrudder_core.catalog import Catalog, StoreReading
+    from crowrudder_daemon.rpc import PeerServer
+
+
+@frozen
+class RecordsService:
+    """Gives what the catalog holds; nothing of it changes by a question."""
+
+    _catalog: Catalog
+    _reading: StoreReading
+
+    def serve(self, server: PeerServer) -> None:
+        """Take questions for changes, and for ages alone."""
+        server.add(CHANGES, self._on_changes_ask)
+        server.add(AGES, self._on_ages_ask)
+
+    async def _on_changes_ask(
+        self, ask: ChangesAsk, _context: object
+    ) -> Changes:
+        now = clock_s()
+        changes = self._catalog.changes_after(
+            ask.after,
+            now=now,
+            confirmed_s=self._reading.confirmed_s(now),
+        )
+        return changes if ask.takes_deflated else plain_changes(changes)
+
+    async def _on_ages_ask(self, _ask: AgesAsk, _context: object) -> Ages:
+        return Ages(self._catalog.ages(now=clock_s()))
--- a/tests/fleet/test_version_ends.py
+++ b/tests/fleet/test_version_ends.py
@@ -6,7 +6,7 @@
 
 from crowrudder_core.catalog import Releases
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet._catalog_task import RecordsCame
+from crowrudder_daemon.fleet._records import RecordsCame
 from crowrudder_daemon.fleet._version_ends import VersionEnds
 from crowrudder_model.fleet import NamedVersion
 from crowrudder_model.messages import PublishedItem
