--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 from crowrudder_core.forecast import Work
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet.ports import SendTerms
+from crowrudder_daemon.fleet_entry._ends import ON_THE_WAY_S
 from crowrudder_daemon.http import (
     BrokenAnswerError,
     NotConnectedError,
@@ -25,6 +27,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from crowrudder_core.dispatch import Dispatch, Ending
     from crowrudder_core.forecast import Choice
     from crowrudder_daemon.fleet.ports import (
@@ -56,7 +60,8 @@
     """How long an attempt may be silent before another is tried, seconds.
 
     ``first_s`` is up to the answer's beginning, ``pause_s`` between its parts.
-    ``begin_by`` is the time on the own clock by which the answer must begin,
+    ``begin_by`` is the time on the own clock by which the answer must begin by
+    what is known at the send; a version that is named later may end it sooner.
     ``late_s`` the pause in a stream from which on it is of less use.
     """
 
@@ -109,9 +114,15 @@
     begin_left_s: float | None = field(default=None, init=False)
     head_took_s: float = field(default=-1, init=False)
     taken_away: TakenAway | None = field(default=None, init=False)
+    begin_by: float = field(init=False)
     _ticket: int = field(default=0, init=False)
+    _wait: asyncio.Timeout | None = field(default=None, init=False)
     _event_at: float = field(default=math.inf, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Begin with the end that is known at the send."""
+        self.begin_by = self.patience.begin_by
+
     async def run(self) -> Ending:
         """Make the attempt."""
         upstream = self.choice.outlook.upstream
@@ -135,6 +146,10 @@
         if not self.dispatch.may_send(now):
             conn.close()
             return NotSent('no time left')
+        if self.begin_by - now < ON_THE_WAY_S:
+            # The wait for the connection has taken what was left.
+            conn.close()
+            return NotSent('no time left to begin in')
         request = self._dialect.request_for(
             self.call, self.body, self._terms(now)
         )
@@ -144,10 +159,10 @@
             return NotSent(str(exc))
         self.dispatch.on_sent(upstream.id, now=now)
         self.sent_at = now
-        begin_left_s = self.patience.begin_by - now
+        begin_left_s = self.begin_by - now
         if math.isfinite(begin_left_s):
             self.begin_left_s = begin_left_s
-        self._ticket = self._upstreams.ticket()
+        self._ticket = self._upstreams.begin_wait(self)
         outlook = self.choice.outlook
         self.word_age_s = outlook.word_age_s(now)
         for each in self.choice.outlooks:
@@ -163,6 +178,7 @@
             self._note_broken()
             return Broken(str(exc) or 'silent for too long')
         finally:
+            self._upstreams.end_wait(self._ticket)
             for each in self.choice.outlooks:
                 each.on_ended(self._ticket)
 
@@ -170,11 +186,11 @@
     def _is_overtaken(self) -> bool:
         """Whether it had not begun when it had to."""
         has_begun = self.first_took_s >= 0
-        return not has_begun and clock_s() >= self.patience.begin_by
+        return not has_begun and clock_s() >= self.begin_by
 
     def _note_taken_away(self, unsent_bytes: int) -> None:
         self.taken_away = TakenAway(
-            late_s=clock_s() - self.patience.begin_by,
+            late_s=clock_s() - self.begin_by,
             unsent_bytes=unsent_bytes,
         )
 
@@ -218,9 +234,8 @@
         An upstream may answer an earlier request of the connection twice; its
         caller would get what belongs to someone else.
         """
-        patience = self.patience
-        left_s = min(patience.first_s, patience.begin_by - clock_s())
-        async with asyncio.timeout(left_s):
+        left_s = min(self.patience.first_s, self.begin_by - clock_s())
+        async with self._waiting(left_s):
             for _ in range(MOST_STRAYS):
                 head = await conn.head()
                 mark = self._dialect.mark_of(head)
@@ -288,7 +303,7 @@
         return Answered(head.status)
 
     async def _part(self, conn: HttpConnection) -> bytes | None:
-        async with asyncio.timeout(self._part_s):
+        async with self._waiting(self._part_s):
             return await conn.part()
 
     @property
@@ -303,7 +318,34 @@
         has_begun = self.first_took_s >= 0
         if has_begun:
             return self.patience.pause_s
-        return min(self.patience.pause_s, self.patience.begin_by - clock_s())
+        return min(self.patience.pause_s, self.begin_by - clock_s())
+
+    @contextlib.asynccontextmanager
+    async def _waiting(self, left_s: float) -> AsyncIterator[None]:
+        """Bound a wait, by less if a version's end is seen to come sooner."""
+        try:
+            async with asyncio.timeout(left_s) as wait:
+                self._wait = wait
+                yield
+        finally:
+            self._wait = None
+
+    def on_versions(self) -> None:
+        """Take note that other versions may be in force than at the send.
+
+        What goes wrong where the end is looked up at the send alone: an age
+        is corrected while a request waits, or it waits at the first engine of
+        a path whose others give their parts up for a version that was named
+        meanwhile. It is seen as a token made by two versions.
+        """
+        begin_by = self._upstreams.begin_by(self.choice, self.call.model)
+        self.begin_by = min(self.begin_by, begin_by)
+        wait = self._wait
+        if wait is None or wait.expired() or self.first_took_s >= 0:
+            return
+        left_s = max(self.begin_by - clock_s(), 0)
+        due_at = asyncio.get_running_loop().time() + left_s
+        wait.reschedule(min(due_at, wait.when() or due_at))
 
     async def _pass_on(self, head: WireHead, whole: bytes) -> None:
         if self._side.has_begun:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -241,10 +241,17 @@
         """
         route = self.admitted.route
         late_s = route.pause_goal_s or math.inf
+        begin_by = self.parts.upstreams.begin_by(choice, self.call.model)
         if not is_movable:
-            return Patience(first_s=NEVER_S, pause_s=NEVER_S, late_s=late_s)
+            # It is taken away before its version ends all the same: a queue
+            # lasts longer than any margin, and then it would begin too late.
+            return Patience(
+                first_s=NEVER_S,
+                pause_s=NEVER_S,
+                begin_by=begin_by,
+                late_s=late_s,
+            )
         forecast_s = FORECASTS * choice.first_s
-        begin_by = self.parts.upstreams.begin_by(choice, self.call.model)
         if route.kind is RouteKind.STREAM:
             return Patience(
                 first_s=max(FIRST_SILENCE_S, forecast_s),
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_ends.py
@@ -0,0 +1,36 @@
+"""How long before a version's end requests are sent, and taken away."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+BEGIN_MARGIN_S = 0.3
+"""How long before a version's end what hasn't begun there is taken away.
+
+A request begins with its first token, and the entry sees that up to an event
+of several tokens later; an engine sees between two passes that it was taken
+away. With all slots taken a pass is some 0.1 s long by the engines' figures.
+"""
+
+BEGIN_FORECASTS = 3.0
+"""Time to begin in, in forecasts: few that are sent have to be taken away."""
+
+FIRM_MARGIN_S = 1.6
+"""The time to begin in for a request that can't go on elsewhere.
+
+Taken away it fails, so few are to be: at a full engine 1.05 s to the first
+token were seen.
+"""
+
+ON_THE_WAY_S = 0.6
+"""The least time to begin in: what was sent later may still be on its way when
+it is taken away, and begins after the end. Over a full link 0.49 s from the
+send to the engine were seen, and a request that began 52 ms after the end
+though its connection had been closed for 0.35 s. Hosts load before that."""
+
+
+class Waiting(Protocol):
+    """An attempt whose request was sent and may not have begun."""
+
+    def on_versions(self) -> None:
+        """Take note that other versions may be in force than at the send."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -17,41 +17,24 @@
 )
 from crowrudder_core.limits import SharedRetryBudget
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._ends import (
+    BEGIN_FORECASTS,
+    BEGIN_MARGIN_S,
+    FIRM_MARGIN_S,
+    ON_THE_WAY_S,
+)
 from crowrudder_daemon.http import ConnectionPool
 
 if TYPE_CHECKING:
     from crowrudder_core.catalog import FleetView
     from crowrudder_core.forecast import Choice, Path
     from crowrudder_daemon.fleet import PeersTask
+    from crowrudder_daemon.fleet_entry._ends import Waiting
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import Node, Upstream
     from crowrudder_model.messages import EngineLoad, LoadBatch
 
 
-BEGIN_MARGIN_S = 0.3
-"""How long before a version's end what hasn't begun there is taken away.
-
-A request begins with its first token, and the entry sees that up to an event
-of several tokens later; an engine sees between two passes that it was taken
-away. With all slots taken a pass is some 0.1 s long by the engines' figures.
-"""
-
-BEGIN_FORECASTS = 3.0
-"""Time to begin in, in forecasts: few that are sent have to be taken away."""
-
-ON_THE_WAY_S = 0.6
-"""The least time to begin in: what was sent later may still be on its way when
-it is taken away, and begins after the end. Over a full link 0.49 s from the
-send to the engine were seen, and a request that began 52 ms after the end
-though its connection had been closed for 0.35 s. Hosts load before that."""
-
-FIRM_MARGIN_S = 1.6
-"""The time to begin in for a request that can't be taken away.
-
-At a full engine 1.05 s to the first token were seen, and requests then began
-on an old version after its end.
-"""
-
 LOADING_BACK_S = 1.1
 """An engine that loads is back after so long: 0.7 s in which what runs there
 may end, and 0.3 s for the load."""
@@ -96,6 +79,7 @@
         self._random = random.Random(runtime.incarnation)
         self._outlooks: dict[str, Outlook] = {}
         self._ticket = 0
+        self._sent: dict[int, Waiting] = {}
         bounds = node.bounds
         self._budget = SharedRetryBudget(
             share=bounds.retry_share,
@@ -108,11 +92,16 @@
         )
         self.pool = ConnectionPool(on_open=self._opened.add)
 
-    def ticket(self) -> int:
-        """Give a number that no other attempt of this process has."""
+    def begin_wait(self, attempt: Waiting) -> int:
+        """Take an attempt that was sent; its number is no other one's."""
         self._ticket += 1
+        self._sent[self._ticket] = attempt
         return self._ticket
 
+    def end_wait(self, ticket: int) -> None:
+        """Forget an attempt that has ended."""
+        self._sent.pop(ticket, None)
+
     def renew(self) -> None:
         """Follow the published records."""
         listed = {upstream.id: upstream for upstream in self._view.listed()}
@@ -121,6 +110,8 @@
             self._drop_connections(outlook.upstream, listed.values())
         for upstream in listed.values():
             self._renew_one(upstream)
+        for attempt in self._sent.values():
+            attempt.on_versions()
         self.pool.sweep()
 
     def on_load(self, load: EngineLoad, *, age_s: float = 0) -> None:
@@ -189,6 +180,11 @@
         """
         if choice.outlook.model is None:
             return math.inf
+        if choice.path is not None and self._view.releases.after(
+            model, choice.weights
+        ):
+            # Its engines give their parts up for the newer version.
+            return clock_s()
         ends_at = self._view.releases.ends_at(model, choice.weights)
         return ends_at - BEGIN_MARGIN_S
 
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -110,7 +110,9 @@
         ),
         'side': SimpleNamespace(has_begun=False),
         'dialect': dialect,
-        'upstreams': SimpleNamespace(pool=Pool(conn), ticket=lambda: 1),
+        'upstreams': SimpleNamespace(
+            pool=Pool(conn), begin_wait=lambda _: 1, end_wait=lambda _: None
+        ),
     }
     return Attempt(
         body=b'',
--- a/tests/fleet/test_entry_changes.py
+++ b/tests/fleet/test_entry_changes.py
@@ -182,6 +182,28 @@
 
         checked(check, engines=3)
 
+    def test_what_waits_is_taken_away_once_a_newer_version_is_named(self):
+        """A token was made by two versions of the weights.
+
+        Symptom: engines of one path ran two versions. Sequence: a request
+        waits for 2.5 s at the first engine of a path; a newer version is
+        named, and another engine of the path loads it. Cause: the path was
+        looked at when the request was sent, and not again.
+        """
+
+        async def check(world):
+            self.hold_parts(world, version=1)
+            world.replicas['e0'].faults.switch_on(fault('hang', None))
+            answer = asyncio.ensure_future(
+                world.ask('/draft/x', method='POST', X_Model='m')
+            )
+            await world.until(lambda: world.replicas['e0'].runs)
+            world.name_version(2)
+            # At the end of the caller's time it would be 504.
+            assert (await answer).status == 502
+
+        checked(check, engines=3, entries=1)
+
     def test_parts_of_an_older_version_serve_nothing(self):
         async def check(world):
             named = {'model': 'm', 'version': 2}
