--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -303,23 +303,17 @@
         return Answered(head.status)
 
     async def _part(self, conn: HttpConnection) -> bytes | None:
-        async with self._waiting(self._part_s):
+        if self.first_took_s >= 0:
+            async with asyncio.timeout(self.patience.pause_s):
+                return await conn.part()
+        # What goes wrong where only the head of an answer has to come in time:
+        # an upstream sends it before it begins, and what has not begun is taken
+        # away as late as a pause of a stream may last, seen as `late_s` beside
+        # a `head_s` in the line of the request.
+        left_s = min(self.patience.pause_s, self.begin_by - clock_s())
+        async with self._waiting(left_s):
             return await conn.part()
 
-    @property
-    def _part_s(self) -> float:
-        """How long the next part may take.
-
-        What goes wrong where only the head of an answer has to come in time:
-        an upstream sends it before it begins, and a request that has not
-        begun is taken away as late as a pause of a stream may last, seen as
-        ``late_s`` beside a ``head_s`` in the line of the request.
-        """
-        has_begun = self.first_took_s >= 0
-        if has_begun:
-            return self.patience.pause_s
-        return min(self.patience.pause_s, self.begin_by - clock_s())
-
     @contextlib.asynccontextmanager
     async def _waiting(self, left_s: float) -> AsyncIterator[None]:
         """Bound a wait, by less if a version's end is seen to come sooner."""
