Agents tell why they asked the origin: by reason, in the line of a held version and a counter

Cause: a chunk is read from the origin for one of five reasons (its turn; the same before any word of another host; a gap; the origin's spare link; starved), and no log, metric or status said which. Change: a read has its reason (no part of its identity); `origin_reasons` in `version held` and `/status`, `weights_origin_reads{reason}`. One field a version, no line a chunk: the bound of the logs is kept.

--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -23,6 +23,7 @@
 from crowrudder_core.transfer._bits import full
 from crowrudder_core.transfer._pace import ORIGIN_LINKS
 from crowrudder_core.transfer._parts import part_count, parts_of
+from crowrudder_core.transfer._planner import OriginReason
 from crowrudder_model import InvariantError, ranked
 
 if TYPE_CHECKING:
@@ -45,6 +46,8 @@
 
 FIRST_WAIT_S = 0.25
 
+_BY_TURN = frozenset((OriginReason.TURN, OriginReason.UNHEARD))
+
 MOST_CORRUPTED = 4
 """Reads of one chunk that weren't the manifest's, after which the manifest is
 doubted: with one read in ten spoilt, one chunk in ten thousand gets there."""
@@ -63,6 +66,7 @@
     """A host's part in reading one version from the origin.
 
     Invariant: ``spent`` never passes this host's share of the cap.
+    ``reasons`` counts why reads began, all windows together.
     """
 
     version: str
@@ -75,6 +79,7 @@
     spent: int = 0
     failed: int = 0
     reading: int = 0
+    reasons: Counter[str] = field(factory=Counter)
     _regions: dict[str, str] = field(factory=dict)
     _orders: list[list[str]] = field(factory=list)
     _corrupted: dict[int, int] = field(factory=dict)
@@ -133,7 +138,9 @@
             groups[index * count // self.count] for index in range(self.count)
         ]
 
-    def on_started(self, index: int, *, is_out_of_turn: bool = False) -> None:
+    def on_started(
+        self, index: int, reason: OriginReason = OriginReason.TURN
+    ) -> None:
         """Spend one read of the share.
 
         A host that is starved may read over its share: its reads out of turn
@@ -144,9 +151,10 @@
         InvariantError
             When the share is spent: the origin would carry too many copies.
         """
-        if self.spent >= self.share and not is_out_of_turn:
+        if self.spent >= self.share and reason in _BY_TURN:
             raise InvariantError('a read over the cap', step='origin')
         self.spent += 1
+        self.reasons[reason.value] += 1
         self.reading |= 1 << index
 
     def on_ended(self, index: int) -> None:
--- a/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
+++ b/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
@@ -17,7 +17,7 @@
 from attrs import define, frozen
 
 from crowrudder_core.transfer._bits import full, pick, rarest
-from crowrudder_core.transfer._planner import FromOrigin
+from crowrudder_core.transfer._planner import FromOrigin, OriginReason
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -107,11 +107,12 @@
         if gaps:
             few = gaps.bit_count() <= pace.gap_share * seen.readers
             wanted = seen.missing & gaps if few else 0
-            return FromOrigin(pick(wanted, random)) if wanted else None
+            return _read(wanted, random, OriginReason.GAP)
         if not (pace.spare_origin and seen.missing and seen.lacks_uplinks):
             return None
         held = [each.chunks for each in seen.sources]
-        return FromOrigin(pick(rarest(seen.missing, held), random))
+        wanted = rarest(seen.missing, held)
+        return _read(wanted, random, OriginReason.SPARE)
 
     def _starved(
         self, seen: Holdings, pace: Pace, random: Random, now: float
@@ -129,4 +130,10 @@
         if not wanted:
             return None
         self._fed_at = now
-        return FromOrigin(pick(wanted, random))
+        return _read(wanted, random, OriginReason.STARVED)
+
+
+def _read(
+    wanted: int, random: Random, reason: OriginReason
+) -> FromOrigin | None:
+    return FromOrigin(pick(wanted, random), reason) if wanted else None
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -11,6 +11,7 @@
     OTHER_REGION,
     SAME_DOMAIN,
     SAME_REGION,
+    OriginReason,
     Source,
 )
 from crowrudder_model import ranked
@@ -87,6 +88,7 @@
     idle_until: float = 0
     shun_until: float = 0
     unwilling: bool = False
+    heard: bool = False
 
     @property
     def suspected(self) -> bool:
@@ -154,6 +156,7 @@
             return
         before = (peer.is_out, peer.passes)
         peer.failures = 0
+        peer.heard = True
         peer.chunks = stock.chunks
         peer.passes = stock.passes
         peer.busy = stock.busy
@@ -237,6 +240,13 @@
         peer = self.peers.get(host)
         return peer is not None and peer.passes.bit_count() >= count
 
+    @property
+    def turn_reason(self) -> OriginReason:
+        """Why the origin is asked where it is this host's turn."""
+        if not self.peers or any(peer.heard for peer in self.peers.values()):
+            return OriginReason.TURN
+        return OriginReason.UNHEARD
+
     def sources(self, now: float) -> list[Source]:
         """List those that hold anything, as the planner wants them."""
         near = frozenset(self.neighbours())
--- a/packages/core/src/crowrudder_core/transfer/_planner.py
+++ b/packages/core/src/crowrudder_core/transfer/_planner.py
@@ -13,7 +13,7 @@
 from operator import or_
 from typing import TYPE_CHECKING
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from crowrudder_core.transfer._bits import indices, pick, rarest
 
@@ -42,11 +42,30 @@
     host: str
 
 
+class OriginReason(enum.Enum):
+    """Why a host reads a chunk from the origin.
+
+    It is its turn; the same, before any other host has said what it holds;
+    the chunk is one of the last that nobody is known to hold; the origin has
+    a spare link while hosts lack the version; or nothing came for long.
+    """
+
+    TURN = 'turn'
+    UNHEARD = 'unheard'
+    GAP = 'gap'
+    SPARE = 'spare'
+    STARVED = 'starved'
+
+
 @frozen
 class FromOrigin:
-    """Read a chunk from the store or the origin."""
+    """Read a chunk from the store or the origin.
+
+    Two reads of one chunk are the same read, whatever their ``reason``.
+    """
 
     index: int
+    reason: OriginReason = field(default=OriginReason.TURN, eq=False)
 
 
 Read = FromPeer | FromOrigin
@@ -75,13 +94,15 @@
     ``missing`` is neither held nor on its way, ``importable`` is what this
     host fetches over the region link on behalf of its region, and
     ``from_origin`` is what it is this host's turn to ask the origin for.
-    ``first`` is what this host wants before all else.
+    ``first`` is what this host wants before all else, ``turn_reason`` says
+    why the origin is asked where it is this host's turn.
     """
 
     missing: int
     importable: int
     from_origin: int
     first: int = 0
+    turn_reason: OriginReason = OriginReason.TURN
 
 
 def plan_reads(
@@ -101,7 +122,7 @@
     held = reduce(or_, usable, 0)
     due = wants.from_origin & wants.missing & ~held
     reads: list[Read] = [
-        FromOrigin(index)
+        FromOrigin(index, wants.turn_reason)
         for index in list(indices(due))[: min(origin_room, room)]
     ]
     missing = wants.missing & held
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -207,8 +207,7 @@
         )
         if read is None:
             return []
-        self.origin.on_started(read.index, is_out_of_turn=True)
-        self.flights[read] = _Flight(now)
+        self._start(read, now)
         return [read]
 
     def overdue(self, *, now: float) -> list[Read]:
@@ -336,6 +335,7 @@
             importable=turns.importable,
             from_origin=turns.from_origin,
             first=self.first,
+            turn_reason=self.peers.turn_reason,
         )
 
     def _is_out(self, host: str, index: int) -> bool:
@@ -354,8 +354,8 @@
         match read:
             case FromPeer(host=host):
                 self.peers.peers[host].reading += 1
-            case FromOrigin(index=index):
-                self.origin.on_started(index)
+            case FromOrigin(index=index, reason=reason):
+                self.origin.on_started(index, reason)
         self.flights[read] = _Flight(now)
 
     def _end(self, read: Read) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_collect.py
@@ -164,6 +164,7 @@
         return await self._peers.chunk(address, ask, on_piece)
 
     async def _from_origin(self, read: FromOrigin) -> None:
+        self._watch.asked_origin(read)
         try:
             payload = await self._origin.chunk(
                 self._asked.version,
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -151,6 +151,7 @@
                 'waits_for': transfer.waits_for(),
                 'ends_in_s': transfer.progress.left_s(now),
                 'origin_chunks': transfer.origin.spent,
+                'origin_reasons': dict(transfer.origin.reasons),
                 'dropped': transfer.dropped,
             }
             for name, transfer in self._shelf.transfers.items()
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_watch.py
@@ -29,6 +29,11 @@
             'Verified bytes of weights read.',
             labels=('source',),
         )
+        self._origin_reads = metrics.counter(
+            'weights_origin_reads',
+            'Reads that began at the origin, by the reason for them.',
+            labels=('reason',),
+        )
         self._sent = metrics.counter(
             'weights_sent_bytes',
             'Bytes of weights sent to other agents.',
@@ -59,6 +64,10 @@
             self._ends,
         )
 
+    def asked_origin(self, read: FromOrigin) -> None:
+        """Count a read that begins at the origin."""
+        self._origin_reads.add(reason=read.reason.value)
+
     def read(self, read: Read, size: int) -> None:
         """Count a good chunk."""
         self._bytes.add(size, source=_kind(read))
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -385,6 +385,7 @@
                 'version': collected.named.artifact.name,
                 'took_s': round(took_s, 3),
                 'origin_chunks': collected.transfer.origin.spent,
+                'origin_reasons': dict(collected.transfer.origin.reasons),
             },
         )
 
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -92,6 +92,25 @@
 
         checked(check)
 
+    def test_the_line_of_a_held_version_tells_why_the_origin_was_asked(
+        self, caplog
+    ):
+        caplog.set_level('INFO', 'crowrudder.test')
+
+        async def check(world):
+            replica = await world.add_agent(1)
+            await world.until(lambda: replica.whole_weights == 1)
+            (line,) = (
+                each for each in caplog.records if each.msg == 'version held'
+            )
+            reads = world.origin.count
+            assert line.origin_reasons == {'turn': reads}
+            counted = world.agents[0].runtime.metrics.render().decode()
+            name = 'weights_origin_reads_total{reason="turn"}'
+            assert f'{name} {float(reads)}' in counted
+
+        checked(check)
+
     def test_the_newest_of_two_versions_wins(self):
         async def check(world):
             replicas = [
--- a/tests/weights/test_first_copy.py
+++ b/tests/weights/test_first_copy.py
@@ -14,6 +14,7 @@
     FromOrigin,
     Holdings,
     OriginDuty,
+    OriginReason,
     OutOfTurn,
     Place,
     Source,
@@ -118,6 +119,43 @@
         assert helped(0b1111, held=0b1111) is None
 
 
+class TestReasons:
+    """Nobody could tell from a log why a host had asked the origin."""
+
+    def test_a_turn_before_any_word_is_told_apart(self):
+        one = begin(version('m@2', NEW), host='a', hosts=('a', 'b'))
+        one.next_reads(now=0)
+        one.next_reads(now=1)
+        assert one.origin.reasons == {'unheard': 1}
+        one.abandon_reads()
+        one.on_stock(Stock(host='b', slots=1), now=1)
+        one.next_reads(now=2)
+        assert one.origin.reasons == {'unheard': 1, 'turn': 1}
+
+    def test_who_is_alone_waits_for_no_word(self):
+        one = begin(version('m@2', NEW))
+        one.next_reads(now=0)
+        assert one.origin.reasons == {'turn': 1}
+
+    def test_reads_out_of_turn_give_their_reason(self):
+        gap = helped(0b1011, held=0b1)
+        spare = helped(0b1111, 0b1011, held=0b1)
+        assert (gap.reason, spare.reason) == (
+            OriginReason.GAP,
+            OriginReason.SPARE,
+        )
+
+    def test_a_starved_host_is_told(self):
+        one = begin(
+            version('m@2', NEW), host='a', hosts=('a', 'b'), starved_s=0.1
+        )
+        one.on_stock(Stock(host='b', slots=1), now=0)
+        one.origin.spent = one.origin.share
+        one.next_reads(now=0)
+        one.next_reads(now=1)
+        assert one.origin.reasons == {'starved': 1}
+
+
 class TestSpareOrigin:
     @pytest.mark.parametrize(
         ('whole', 'reads'), [(0, True), (1, True), (2, False), (3, False)]
--- a/tests/weights/test_service.py
+++ b/tests/weights/test_service.py
@@ -237,6 +237,19 @@
 
         run(check())
 
+    def test_reads_at_the_origin_are_told(self):
+        async def check():
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, transfer = collector(
+                Peers(stalls=True), Origin(up=True), downlink
+            )
+            await made.run()
+            seen = made._watch.seen
+            assert seen.count('asked_origin') == transfer.count
+            assert transfer.origin.reasons.total() == transfer.count
+
+        run(check())
+
     def test_source_that_never_sends_is_given_up(self):
         """A peer takes the question and sends nothing.
 
