The origin's spare link: only hosts that said that they lack the version count as such

Cause: a host that comes alone asks the origin for what others hold, as long as one of them hasn't answered yet, has died, or is among those of a large fleet that it never hears: they were counted with the hosts that lack the version. `docs/decisions/0405` promises that such a host costs the origin nothing. Change: beside itself a host counts as lacking only those that answer, want the version and said that they lack chunks.

--- a/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
+++ b/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
@@ -32,15 +32,15 @@
     """What a host sees of a version: its own chunks and those of others.
 
     ``held`` are chunks (bits) that it holds, ``missing`` those that it neither
-    holds nor reads; ``hosts`` counts those that want the version, ``readers``
-    those that may ask the origin.
+    holds nor reads; ``lacking`` counts the other hosts that said that they want
+    the version and lack some of it, ``readers`` those that may ask the origin.
     """
 
     count: int
     held: int
     missing: int
     sources: Sequence[Source]
-    hosts: int
+    lacking: int
     readers: int
 
     @property
@@ -54,10 +54,11 @@
         """Whether fewer hosts hold the version than still read it.
 
         Those who hold it feed as many others over their links; a host that
-        comes alone gets nothing sooner from the origin.
+        comes alone gets nothing sooner from the origin. One whose word is on
+        its way, or never comes, is counted on neither side.
         """
         whole = sum(each.chunks == full(self.count) for each in self.sources)
-        return whole < self.hosts - whole
+        return whole < self.lacking + 1
 
 
 @define
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from crowrudder_core.transfer._bits import full
 from crowrudder_core.transfer._planner import (
     OTHER_REGION,
     SAME_DOMAIN,
@@ -247,6 +248,15 @@
             return OriginReason.TURN
         return OriginReason.UNHEARD
 
+    def lacking(self, count: int) -> int:
+        """Count the hosts that answer, and said that they lack chunks."""
+        return sum(
+            peer.heard
+            and not (peer.suspected or peer.unwilling)
+            and peer.chunks != full(count)
+            for peer in self.peers.values()
+        )
+
     def sources(self, now: float) -> list[Source]:
         """List those that hold anything, as the planner wants them."""
         near = frozenset(self.neighbours())
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -195,7 +195,7 @@
             held=self.held,
             missing=self._wants().missing,
             sources=self.peers.sources(now),
-            hosts=len(self.peers.peers) + 1,
+            lacking=self.peers.lacking(self.count),
             readers=len(self.origin.seeds),
         )
         read = self._out_of_turn.next_read(
--- a/tests/weights/test_first_copy.py
+++ b/tests/weights/test_first_copy.py
@@ -86,7 +86,7 @@
         assert all(way == ways[0] for way in ways)
 
 
-def helped(*others, held=0, under_way=0, hosts=9, spare=True):
+def helped(*others, held=0, under_way=0, lacking=8, spare=True):
     """Ask for a read out of turn, of four chunks, beside hosts with these."""
     pace = pace_for(size=4, chunk_bytes=1, link_bytes_per_s=1)
     seen = Holdings(
@@ -94,7 +94,7 @@
         held=held,
         missing=0b1111 & ~(held | under_way),
         sources=[Source('h', each, distance=0, room=1) for each in others],
-        hosts=hosts,
+        lacking=lacking,
         readers=4,
     )
     pace = evolve(pace, gap_share=0.5, spare_origin=spare)
