An empty engine is served by others: the test says when, and fails for reads out of turn

The promise: from the first word of another host on, an engine that comes empty reads nothing from the origin that others hold.

--- a/tests/weights/test_first_copy.py
+++ b/tests/weights/test_first_copy.py
@@ -132,6 +132,27 @@
         one.next_reads(now=2)
         assert one.origin.reasons == {'unheard': 1, 'turn': 1}
 
+    def test_after_a_word_nothing_that_is_held_is_read(self):
+        """The one read of an engine that comes empty, before any word.
+
+        To wait for a word would hold up the first copy of a new version by a
+        round trip on each host.
+        """
+        one = begin(
+            version('m@2', NEW), host='a', hosts=('a', 'b'), spare_origin=True
+        )
+        reads = one.next_reads(now=0) + one.next_reads(now=1)
+        assert [type(read) for read in reads] == [FromOrigin]
+        whole = Stock(host='b', chunks=full(one.count), slots=1)
+        one.on_stock(whole, now=1)
+        for now in range(2, 2 + one.count):
+            for read in reads:
+                one.on_chunk(read, NEW[read.index], now=now)
+            reads = one.next_reads(now=now)
+            assert not any(isinstance(read, FromOrigin) for read in reads)
+        assert one.complete
+        assert one.origin.reasons == {'unheard': 1}
+
     def test_who_is_alone_waits_for_no_word(self):
         one = begin(version('m@2', NEW))
         one.next_reads(now=0)
