--- a/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_caller_request.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from crowrudder_model.messages import Attempt
+
 LOWEST_PRIORITY = 9
 DEFAULT_PRIORITY = 5
 MOST_TOKENS = 100_000
@@ -170,3 +172,31 @@
 
 def _bad(message: str) -> BadRequestError:
     return BadRequestError(message, status=400, code='bad_request')
+
+
+def with_work(
+    attempt: Attempt,
+    req: CallerRequest,
+    next_index: int,
+) -> Attempt:
+    """Add what is to be run to the message that opens an attempt."""
+    completion = req.completion
+    if completion is not None:
+        return evolve(
+            attempt,
+            model=completion.model,
+            adapter=completion.adapter,
+            prompt=completion.prompt,
+            max_tokens=completion.max_tokens,
+            resume_from=next_index,
+        )
+    plain = req.plain
+    if plain is None:
+        return attempt
+    return evolve(
+        attempt,
+        method=plain.method,
+        path=plain.path,
+        headers=plain.headers,
+        body=plain.body,
+    )
--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import attrs
 from attrs import define, field
 
 from crowrudder_core.requests import RequestOwner, Vote
 from crowrudder_core.routing import Need
 from crowrudder_daemon.entry._attempt_call import AttemptCall
+from crowrudder_daemon.entry._caller_request import with_work
 from crowrudder_daemon.entry._claims import Claim, homes_among, take_claim
 from crowrudder_daemon.entry._parts import Ended, outcome_unknown, refused
 from crowrudder_model import CrowrudderError, Outcome, PeerLostError
@@ -93,7 +93,7 @@
             idempotent=head.idempotent,
             version=self.version,
         )
-        return _with_work(attempt, self.req, self.next_index)
+        return with_work(attempt, self.req, self.next_index)
 
     def grant(self, call: AttemptCall, version: str) -> bool:
         """Decide on a permit; an answer begun goes on on its version alone."""
@@ -362,32 +362,5 @@
         )
 
 
-def _with_work(
-    attempt: Attempt,
-    req: CallerRequest,
-    next_index: int,
-) -> Attempt:
-    completion = req.completion
-    if completion is not None:
-        return attrs.evolve(
-            attempt,
-            model=completion.model,
-            adapter=completion.adapter,
-            prompt=completion.prompt,
-            max_tokens=completion.max_tokens,
-            resume_from=next_index,
-        )
-    plain = req.plain
-    if plain is None:
-        return attempt
-    return attrs.evolve(
-        attempt,
-        method=plain.method,
-        path=plain.path,
-        headers=plain.headers,
-        body=plain.body,
-    )
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
