An agent whose queue the entry left by itself is asked again, after all others

Cause: an attempt that the entry cancels, as another agent gave the permit or answers sooner, counted its agent as tried in vain; with two agents nobody was left for a repeatable request whose agent died or stood still. Weighed: not to avoid such an agent at all (one that was left as it was silent could be the next choice); chosen: it comes after all others, for a next attempt and for one beside. Only cases change that ended with "no replica can serve this now", or had no second attempt. The permit is still one at a time: the old attempt's key is cancelled. Not shown: that the one failure of `TestKilled::test_agent` had this cause; it has the same message, and wasn't met again.

--- a/packages/daemon/src/crowrudder_daemon/entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_drive.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from crowrudder_core.requests import RequestOwner, Vote
 from crowrudder_core.routing import Need
@@ -54,6 +54,7 @@
     _search: asyncio.Task[None] | None = None
     _leader: AttemptCall | None = None
     _avoid: set[str] = field(factory=set)
+    _left: set[str] = field(factory=set)
     _last_refusal: Refusal | None = None
     _free_retry: bool = True
 
@@ -202,16 +203,20 @@
             self._hedge()
             return None
         call = self._calls.pop(job)
+        if job.cancelled():
+            self._left.add(call.agent.host)
+            return None
         self._avoid.add(call.agent.host)
-        return None if job.cancelled() else job.result()
+        return job.result()
 
     async def _start_next(self) -> Ended | None:
         """Start the first attempt, or one more after all others ended."""
-        agent = await self._owner_task.agents.choose_freshly(
-            self._need(),
-            self._owner_task.room_ask(self.req),
-        )
-        if agent is None:
+        ask = self._owner_task.room_ask(self.req)
+        for need in self._needs():
+            agent = await self._owner_task.agents.choose_freshly(need, ask)
+            if agent is not None:
+                break
+        else:
             return self._no_agent()
         share = self._owner_task.share_of(self.req.head.customer)
         late = agent.wait_s >= self.owner.deadline - _now()
@@ -287,9 +292,11 @@
 
     def _start_beside(self, *, hedge: bool = False) -> None:
         busy = {call.agent.host for call in self._calls.values()}
-        agent = self._owner_task.agents.choose(self._need(also_avoid=busy))
-        if agent is not None:
-            self._start(agent, hedge=hedge)
+        for need in self._needs(also_avoid=busy):
+            agent = self._owner_task.agents.choose(need)
+            if agent is not None:
+                self._start(agent, hedge=hedge)
+                return
 
     def _takes_over(self, call: AttemptCall, piece: Piece) -> bool:
         younger = (
@@ -343,6 +350,16 @@
             avoid=frozenset(self._avoid | (also_avoid or set())),
         )
 
+    def _needs(self, *, also_avoid: set[str] | None = None) -> list[Need]:
+        """Give what to choose by; who was left for another agent comes last.
+
+        Such an agent was not tried in vain: the entry gave the place up.
+        """
+        need = self._need(also_avoid=also_avoid)
+        if not self._left:
+            return [need]
+        return [evolve(need, avoid=need.avoid | self._left), need]
+
     def _no_agent(self) -> Ended:
         refusal = self._last_refusal
         if refusal is None:
