--- a/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
+++ b/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
@@ -17,7 +17,7 @@
 from attrs import define, frozen
 
 from crowrudder_core.transfer._bits import full, pick, rarest
-from crowrudder_core.transfer._planner import FromOrigin
+from crowrudder_core.transfer._planner import FromOrigin, OriginReason
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -32,15 +32,15 @@
     """What a host sees of a version: its own chunks and those of others.
 
     ``held`` are chunks (bits) that it holds, ``missing`` those that it neither
-    holds nor reads; ``hosts`` counts those that want the version, ``readers``
-    those that may ask the origin.
+    holds nor reads; ``lacking`` counts the other hosts that said that they want
+    the version and lack some of it, ``readers`` those that may ask the origin.
     """
 
     count: int
     held: int
     missing: int
     sources: Sequence[Source]
-    hosts: int
+    lacking: int
     readers: int
 
     @property
@@ -54,10 +54,11 @@
         """Whether fewer hosts hold the version than still read it.
 
         Those who hold it feed as many others over their links; a host that
-        comes alone gets nothing sooner from the origin.
+        comes alone gets nothing sooner from the origin. One whose word is on
+        its way, or never comes, is counted on neither side.
         """
         whole = sum(each.chunks == full(self.count) for each in self.sources)
-        return whole < self.hosts - whole
+        return whole < self.lacking + 1
 
 
 @define
@@ -107,11 +108,12 @@
         if gaps:
             few = gaps.bit_count() <= pace.gap_share * seen.readers
             wanted = seen.missing & gaps if few else 0
-            return FromOrigin(pick(wanted, random)) if wanted else None
+            return _read(wanted, random, OriginReason.GAP)
         if not (pace.spare_origin and seen.missing and seen.lacks_uplinks):
             return None
         held = [each.chunks for each in seen.sources]
-        return FromOrigin(pick(rarest(seen.missing, held), random))
+        wanted = rarest(seen.missing, held)
+        return _read(wanted, random, OriginReason.SPARE)
 
     def _starved(
         self, seen: Holdings, pace: Pace, random: Random, now: float
@@ -129,4 +131,10 @@
         if not wanted:
             return None
         self._fed_at = now
-        return FromOrigin(pick(wanted, random))
+        return _read(wanted, random, OriginReason.STARVED)
+
+
+def _read(
+    wanted: int, random: Random, reason: OriginReason
+) -> FromOrigin | None:
+    return FromOrigin(pick(wanted, random), reason) if wanted else None
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -7,10 +7,12 @@
 
 from attrs import define, field, frozen
 
+from crowrudder_core.transfer._bits import full
 from crowrudder_core.transfer._planner import (
     OTHER_REGION,
     SAME_DOMAIN,
     SAME_REGION,
+    OriginReason,
     Source,
 )
 from crowrudder_model import ranked
@@ -87,6 +89,7 @@
     idle_until: float = 0
     shun_until: float = 0
     unwilling: bool = False
+    heard: bool = False
 
     @property
     def suspected(self) -> bool:
@@ -154,6 +157,7 @@
             return
         before = (peer.is_out, peer.passes)
         peer.failures = 0
+        peer.heard = True
         peer.chunks = stock.chunks
         peer.passes = stock.passes
         peer.busy = stock.busy
@@ -237,6 +241,22 @@
         peer = self.peers.get(host)
         return peer is not None and peer.passes.bit_count() >= count
 
+    @property
+    def turn_reason(self) -> OriginReason:
+        """Why the origin is asked where it is this host's turn."""
+        if not self.peers or any(peer.heard for peer in self.peers.values()):
+            return OriginReason.TURN
+        return OriginReason.UNHEARD
+
+    def lacking(self, count: int) -> int:
+        """Count the hosts that answer, and said that they lack chunks."""
+        return sum(
+            peer.heard
+            and not (peer.suspected or peer.unwilling)
+            and peer.chunks != full(count)
+            for peer in self.peers.values()
+        )
+
     def sources(self, now: float) -> list[Source]:
         """List those that hold anything, as the planner wants them."""
         near = frozenset(self.neighbours())
--- a/tests/weights/test_first_copy.py
+++ b/tests/weights/test_first_copy.py
@@ -14,6 +14,7 @@
     FromOrigin,
     Holdings,
     OriginDuty,
+    OriginReason,
     OutOfTurn,
     Place,
     Source,
@@ -85,7 +86,7 @@
         assert all(way == ways[0] for way in ways)
 
 
-def helped(*others, held=0, under_way=0, hosts=9, spare=True):
+def helped(*others, held=0, under_way=0, lacking=8, spare=True):
     """Ask for a read out of turn, of four chunks, beside hosts with these."""
     pace = pace_for(size=4, chunk_bytes=1, link_bytes_per_s=1)
     seen = Holdings(
@@ -93,7 +94,7 @@
         held=held,
         missing=0b1111 & ~(held | under_way),
         sources=[Source('h', each, distance=0, room=1) for each in others],
-        hosts=hosts,
+        lacking=lacking,
         readers=4,
     )
     pace = evolve(pace, gap_share=0.5, spare_origin=spare)
@@ -118,6 +119,64 @@
         assert helped(0b1111, held=0b1111) is None
 
 
+class TestReasons:
+    """Nobody could tell from a log why a host had asked the origin."""
+
+    def test_a_turn_before_any_word_is_told_apart(self):
+        one = begin(version('m@2', NEW), host='a', hosts=('a', 'b'))
+        one.next_reads(now=0)
+        one.next_reads(now=1)
+        assert one.origin.reasons == {'unheard': 1}
+        one.abandon_reads()
+        one.on_stock(Stock(host='b', slots=1), now=1)
+        one.next_reads(now=2)
+        assert one.origin.reasons == {'unheard': 1, 'turn': 1}
+
+    def test_after_a_word_nothing_that_is_held_is_read(self):
+        """The one read of an engine that comes empty, before any word.
+
+        To wait for a word would hold up the first copy of a new version by a
+        round trip on each host.
+        """
+        one = begin(
+            version('m@2', NEW), host='a', hosts=('a', 'b'), spare_origin=True
+        )
+        reads = one.next_reads(now=0) + one.next_reads(now=1)
+        assert [type(read) for read in reads] == [FromOrigin]
+        whole = Stock(host='b', chunks=full(one.count), slots=1)
+        one.on_stock(whole, now=1)
+        for now in range(2, 2 + one.count):
+            for read in reads:
+                one.on_chunk(read, NEW[read.index], now=now)
+            reads = one.next_reads(now=now)
+            assert not any(isinstance(read, FromOrigin) for read in reads)
+        assert one.complete
+        assert one.origin.reasons == {'unheard': 1}
+
+    def test_who_is_alone_waits_for_no_word(self):
+        one = begin(version('m@2', NEW))
+        one.next_reads(now=0)
+        assert one.origin.reasons == {'turn': 1}
+
+    def test_reads_out_of_turn_give_their_reason(self):
+        gap = helped(0b1011, held=0b1)
+        spare = helped(0b1111, 0b1011, held=0b1)
+        assert (gap.reason, spare.reason) == (
+            OriginReason.GAP,
+            OriginReason.SPARE,
+        )
+
+    def test_a_starved_host_is_told(self):
+        one = begin(
+            version('m@2', NEW), host='a', hosts=('a', 'b'), starved_s=0.1
+        )
+        one.on_stock(Stock(host='b', slots=1), now=0)
+        one.origin.spent = one.origin.share
+        one.next_reads(now=0)
+        one.next_reads(now=1)
+        assert one.origin.reasons == {'starved': 1}
+
+
 class TestSpareOrigin:
     @pytest.mark.parametrize(
         ('whole', 'reads'), [(0, True), (1, True), (2, False), (3, False)]
@@ -145,3 +204,53 @@
             one.on_stock(Stock(host=host, chunks=held, slots=1), now=1)
         started = one.next_reads(now=5)
         assert any(isinstance(read, FromOrigin) for read in started) == reads
+
+    @pytest.mark.parametrize('others', [2, 30])
+    def test_a_host_that_hasnt_answered_is_not_one_that_lacks_it(self, others):
+        """A host that came alone read from the origin what others held.
+
+        Symptom: on a busy machine the origin sends up to seven chunks of
+        eight to an empty engine beside two that hold the version. Sequence:
+        one of the two has answered, the word of the other is on its way.
+        Cause: who hadn't said anything was counted with those that lack the
+        version.
+        """
+        hosts = [f'h{number}' for number in range(others + 1)]
+        one = begin(
+            version('m@2', NEW),
+            host='h0',
+            hosts=hosts,
+            spare_origin=True,
+            reads_at_once=4,
+        )
+        one.next_reads(now=0)
+        one.abandon_reads()
+        whole = Stock(host='h1', chunks=full(one.count), slots=1)
+        one.on_stock(whole, now=1)
+        started = one.next_reads(now=25)
+        assert started
+        assert not any(isinstance(read, FromOrigin) for read in started)
+
+    def test_a_host_that_fell_silent_is_not_one_that_lacks_it(self):
+        """A host that came alone asked the origin beside a dead one.
+
+        Symptom: the origin sends what others hold. Sequence: a host comes
+        empty, one of the others is dead. Cause: the dead one was counted with
+        those that lack the version, also after two questions in vain.
+        """
+        one = begin(
+            version('m@2', NEW),
+            host='h0',
+            hosts=('h0', 'h1', 'h2'),
+            spare_origin=True,
+            reads_at_once=4,
+        )
+        one.next_reads(now=0)
+        one.abandon_reads()
+        one.on_stock(Stock(host='h2', chunks=0b1, slots=1), now=0)
+        one.on_silence('h2', now=1)
+        one.on_silence('h2', now=2)
+        whole = Stock(host='h1', chunks=full(one.count), slots=1)
+        one.on_stock(whole, now=2)
+        started = one.next_reads(now=5)
+        assert not any(isinstance(read, FromOrigin) for read in started)
