--- a/packages/core/src/crowrudder_core/transfer/_pace.py
+++ b/packages/core/src/crowrudder_core/transfer/_pace.py
@@ -57,8 +57,8 @@
         alone, a host that has none of its own to read there reads one of
         those; 0 for never.
     spare_origin
-        Whether, once every chunk is out and as long as most hosts lack some,
-        a host reads one chunk at a time from the origin beside those from
+        Whether, once every chunk is out and as long as more hosts are heard
+        to lack some than to hold all, a host reads one chunk at a time from the origin beside those from
         other hosts. Together the hosts' links carry less than all of them
         could take in: same model, the last host holds the version after
         5.35 s in place of 6.02 s, for 1.5 copies more from the origin.
