--- a/packages/core/src/crowrudder_core/catalog/_packing.py
+++ b/packages/core/src/crowrudder_core/catalog/_packing.py
@@ -14,7 +14,7 @@
 
 from attrs import evolve
 
-from crowrudder_model import MalformedMessageError
+from crowrudder_model import inflate
 
 if TYPE_CHECKING:
     from crowrudder_model.messages import PublishedItem
@@ -55,17 +55,5 @@
     """
     if item.payload is None or not item.is_deflated:
         return item
-    inflator = zlib.decompressobj()
-    try:
-        body = inflator.decompress(item.payload, MOST_RECORD_BYTES)
-    except zlib.error as exc:
-        raise _refused(item, str(exc)) from exc
-    if not inflator.eof:
-        raise _refused(item, f'cut off, or over {MOST_RECORD_BYTES} bytes')
-    if inflator.unused_data:
-        raise _refused(item, 'followed by something else')
+    body = inflate(item.payload, most_bytes=MOST_RECORD_BYTES, peer=item.key)
     return evolve(item, payload=body, is_deflated=False)
-
-
-def _refused(item: PublishedItem, reason: str) -> MalformedMessageError:
-    return MalformedMessageError(reason, step='inflate', peer=item.key)
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_parts.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_parts.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING
 
 from crowrudder_core.config import Offer
-from crowrudder_model import CrowrudderError, decode_message, encode_message
+from crowrudder_model import (
+    CrowrudderError,
+    MalformedMessageError,
+    decode_message,
+    encode_message,
+    inflate,
+)
 from crowrudder_model.declared import (
     MOST_BUNDLE_BYTES,
     BundleDelta,
@@ -110,12 +116,7 @@
 
 
 def _inflated(body: bytes, peer: str) -> bytes:
-    """Decompress, but never into more than any honest part holds."""
-    inflator = zlib.decompressobj()
     try:
-        payload = inflator.decompress(body, MOST_INFLATED_BYTES)
-    except zlib.error as exc:
-        raise PartError(str(exc), step='inflate', peer=peer) from exc
-    if not inflator.eof:
-        raise PartError('cut off or too large', step='inflate', peer=peer)
-    return payload
+        return inflate(body, most_bytes=MOST_INFLATED_BYTES, peer=peer)
+    except MalformedMessageError as exc:
+        raise PartError(exc.message, step=exc.step, peer=peer) from exc
--- a/packages/model/src/crowrudder_model/__init__.py
+++ b/packages/model/src/crowrudder_model/__init__.py
@@ -15,6 +15,7 @@
     PeerLostError,
     UpstreamError,
 )
+from crowrudder_model._inflate import inflate
 from crowrudder_model._member import Member, MembersError, decode_members
 from crowrudder_model._outcome import Outcome
 from crowrudder_model._rendezvous import ranked, score
@@ -32,6 +33,7 @@
     'decode_members',
     'decode_message',
     'encode_message',
+    'inflate',
     'ranked',
     'score',
 )
