--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -10,7 +10,7 @@
 from crowrudder_core.transfer import chunks_of, full, layers_at_hand
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_agent._digests import version_name
-from crowrudder_daemon.fleet_agent._goals import figures_of
+from crowrudder_daemon.fleet_agent._goals import LEAST_USE_S, figures_of
 from crowrudder_daemon.fleet_agent._loader import CLOSING_S, Load
 from crowrudder_model import CrowrudderError
 from crowrudder_model.fleet import LayerRange
@@ -116,34 +116,56 @@
             await asyncio.sleep(RETRY_S)
 
     def _closing(self, figures: EngineFigures) -> _Closing | None:
-        """Find layers at hand of the newest version that has any."""
+        """Find what to load: of the version that the engine can soon serve.
+
+        That is the one of which most is held, if requests may still begin on
+        it for a while, else the newest. With the newest always, of two that
+        follow each other, engines were left with a few layers of it while the
+        other was all but whole: of 51 hosts 11 came to serve that one where 33
+        had before, in a run of such a day.
+        """
         whole = self._watch.whole
-        for release in self._view.releases.after(figures.model, whole):
-            name = version_name(figures.model, release.version)
-            transfer = self._library.shelf.transfers.get(name)
-            if transfer is None:
-                continue
-            layers = self._layers(figures, name, transfer)
-            if layers:
-                chunks = chunks_of(
-                    layers, layers=figures.layers, chunks=transfer.count
-                )
-                load = Load(figures.model, release.version, chunks)
-                return _Closing(load, transfer, layers)
-        return None
+        found = [
+            closing
+            for release in self._view.releases.after(figures.model, whole)
+            if (closing := self._closing_by(figures, release.version))
+        ]
+        return max(found, key=self._worth, default=None)
+
+    def _closing_by(
+        self, figures: EngineFigures, version: int
+    ) -> _Closing | None:
+        name = version_name(figures.model, version)
+        transfer = self._library.shelf.transfers.get(name)
+        if transfer is None:
+            return None
+        layers = self._layers(figures, name, transfer)
+        chunks = chunks_of(layers, layers=figures.layers, chunks=transfer.count)
+        load = Load(figures.model, version, chunks)
+        return _Closing(load, transfer, layers) if layers else None
+
+    def _worth(self, closing: _Closing) -> tuple[bool, int, int]:
+        load = closing.load
+        ends_at = self._view.releases.ends_at(load.model, load.version)
+        is_of_use = ends_at - clock_s() >= LEAST_USE_S
+        held = closing.transfer.held.bit_count() if is_of_use else 0
+        return is_of_use, held, load.version
 
     def _layers(
         self, figures: EngineFigures, name: str, transfer: Transfer
     ) -> LayerRange:
-        """Give all layers, else the host's own part, else what is held."""
+        """Give all layers, else those of the host's own part, else others.
+
+        Own ones first: paths are made of the parts that hosts divided among
+        themselves, and the rest of the part can be added.
+        """
         held = transfer.at_hand
         if held == full(transfer.count):
             return LayerRange(0, figures.layers)
-        part = self._library.part(name, transfer)
-        if part.layers and not part.chunks & ~held:
-            return part.layers
-        return layers_at_hand(
-            held, layers=figures.layers, chunks=transfer.count
+        counts = {'layers': figures.layers, 'chunks': transfer.count}
+        own = self._library.part(name, transfer).chunks
+        return layers_at_hand(held & own, **counts) or layers_at_hand(
+            held, **counts
         )
 
     def _note_open_ended(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -258,11 +258,13 @@
             return False
         if self._may_begin(model, self._loaded):
             return False
-        if reading.weights == newest.named.version and reading.layers:
-            return False
         part = self._library.part(newest.named.artifact.name, newest.transfer)
         if part.is_whole or part.chunks & ~newest.transfer.held:
             return False
+        if reading.weights == newest.named.version and reading.layers:
+            # Some of the part ended the version before, see `EndGuard`.
+            held = reading.layers
+            return part.layers.covers(held) and held != part.layers
         return self._most_idle(model)
 
     def _may_begin(self, model: str, version: int) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -130,12 +130,7 @@
 
     async def _load_all(self, load: Load, transfer: Transfer) -> None:
         if self._holds_part_of(load.version):
-            # The engine adds layers of its version beside its work.
-            self._watch.set_extending(is_extending=True)
-            try:
-                await self._carry_out(load, transfer, may_cut_off=False)
-            finally:
-                self._watch.set_extending(is_extending=False)
+            await self._extend(load, transfer)
             return
         self._watch.set_changing(is_changing=True)
         try:
@@ -150,7 +145,8 @@
     ) -> None:
         """Load some layers into an engine that nothing may begin on.
 
-        What still runs on the version before ends first.
+        What still runs on the version before ends first; to layers of the
+        same version they are added beside the work.
 
         Raises
         ------
@@ -166,14 +162,34 @@
                 step='verify',
             )
         async with self._at_work:
-            self._watch.set_changing(is_changing=True)
-            try:
-                await self._leave_paths()
-                await self._carry_out(
-                    load, transfer, may_cut_off=False, layers=layers
-                )
-            finally:
-                self._watch.set_changing(is_changing=False)
+            if self._holds_part_of(load.version):
+                await self._extend(load, transfer, layers)
+            else:
+                await self._load_layers(load, transfer, layers)
+
+    async def _extend(
+        self, load: Load, transfer: Transfer, layers: LayerRange | None = None
+    ) -> None:
+        """Add layers of the engine's version, which it does beside its work."""
+        self._watch.set_extending(is_extending=True)
+        try:
+            await self._carry_out(
+                load, transfer, may_cut_off=False, layers=layers
+            )
+        finally:
+            self._watch.set_extending(is_extending=False)
+
+    async def _load_layers(
+        self, load: Load, transfer: Transfer, layers: LayerRange
+    ) -> None:
+        self._watch.set_changing(is_changing=True)
+        try:
+            await self._leave_paths()
+            await self._carry_out(
+                load, transfer, may_cut_off=False, layers=layers
+            )
+        finally:
+            self._watch.set_changing(is_changing=False)
 
     async def _carry_out(
         self,
