--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -146,6 +146,9 @@
         if not self.dispatch.may_send(now):
             conn.close()
             return NotSent('no time left')
+        # A newer version may have been named since the choice.
+        begin_by = self._upstreams.begin_by(self.choice, self.call.model)
+        self.begin_by = min(self.begin_by, begin_by)
         if self.begin_by - now < ON_THE_WAY_S:
             # The wait for the connection has taken what was left.
             conn.close()
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -111,7 +111,10 @@
         'side': SimpleNamespace(has_begun=False),
         'dialect': dialect,
         'upstreams': SimpleNamespace(
-            pool=Pool(conn), begin_wait=lambda _: 1, end_wait=lambda _: None
+            pool=Pool(conn),
+            begin_by=lambda *_: math.inf,
+            begin_wait=lambda _: 1,
+            end_wait=lambda _: None,
         ),
     }
     return Attempt(
