--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -9,7 +9,7 @@
 
 from crowrudder_core.transfer import full, indices
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet_agent._goals import may_cut_off
+from crowrudder_daemon.fleet_agent._goals import is_of_use, may_cut_off
 from crowrudder_daemon.fleet_agent._turn import load_delay_s
 from crowrudder_model import InvariantError, UpstreamError
 
@@ -124,10 +124,21 @@
         transfer.assert_whole()
         load = Load(goal.model, named.version, full(transfer.count))
         async with self._at_work:
-            # Another load may have brought it while this one waited.
-            if self._watch.whole < named.version:
+            # Another load may have brought it, or a part of a newer version,
+            # while this one waited.
+            if self._is_of_use(load):
                 await self._load_all(load, transfer)
 
+    def _is_of_use(self, load: Load) -> bool:
+        reading = self._watch.reading
+        return is_of_use(
+            load.version,
+            whole=self._watch.whole,
+            held=reading.weights if reading else 0,
+            ends_at=self._view.releases.ends_at(load.model, load.version),
+            now=clock_s(),
+        )
+
     async def _load_all(self, load: Load, transfer: Transfer) -> None:
         if self._holds_part_of(load.version):
             # The engine adds layers of its version beside its work.
@@ -159,21 +170,30 @@
         UpstreamError
             When the engine didn't take them.
         """
-        if transfer.dropped or load.chunks & ~transfer.at_hand:
+        # Each chunk is verified; that the rest was given up for a newer
+        # version doesn't matter.
+        if load.chunks & ~transfer.at_hand:
             raise InvariantError(
                 f'a part of {transfer.manifest.version} is not held; it is '
                 'not loaded',
                 step='verify',
             )
         async with self._at_work:
-            self._watch.set_changing(is_changing=True)
-            try:
-                await self._leave_paths()
-                await self._carry_out(
-                    load, transfer, may_cut_off=False, layers=layers
-                )
-            finally:
-                self._watch.set_changing(is_changing=False)
+            # Another load may have brought more while this one waited.
+            if self._watch.whole < load.version:
+                await self._load_layers(load, transfer, layers)
+
+    async def _load_layers(
+        self, load: Load, transfer: Transfer, layers: LayerRange
+    ) -> None:
+        self._watch.set_changing(is_changing=True)
+        try:
+            await self._leave_paths()
+            await self._carry_out(
+                load, transfer, may_cut_off=False, layers=layers
+            )
+        finally:
+            self._watch.set_changing(is_changing=False)
 
     async def _carry_out(
         self,
@@ -269,8 +289,11 @@
         """
         await self._leave_paths()
         await asyncio.sleep(ANNOUNCE_S)
-        ends_at = self._view.releases.ends_at(model, self._watch.whole)
-        until = min(clock_s() + DRAIN_S, ends_at - CLOSING_S)
+        until = clock_s() + DRAIN_S
+        if self._watch.whole:
+            # Nothing is sent to a part once a newer version is named.
+            ends_at = self._view.releases.ends_at(model, self._watch.whole)
+            until = min(until, ends_at - CLOSING_S)
         while clock_s() < until:
             reading = await self._watch.read_now()
             if reading is None or not reading.running + reading.queued:
