--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -10,7 +10,7 @@
 from crowrudder_core.transfer import chunks_of, full, layers_at_hand
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_agent._digests import version_name
-from crowrudder_daemon.fleet_agent._goals import figures_of
+from crowrudder_daemon.fleet_agent._goals import LEAST_USE_S, figures_of
 from crowrudder_daemon.fleet_agent._loader import CLOSING_S, Load
 from crowrudder_model import CrowrudderError
 from crowrudder_model.fleet import LayerRange
@@ -116,21 +116,45 @@
             await asyncio.sleep(RETRY_S)
 
     def _closing(self, figures: EngineFigures) -> _Closing | None:
-        """Find layers at hand of the newest version that has any."""
-        whole = self._watch.whole
-        for release in self._view.releases.after(figures.model, whole):
-            name = version_name(figures.model, release.version)
-            transfer = self._library.shelf.transfers.get(name)
-            if transfer is None:
-                continue
-            layers = self._layers(figures, name, transfer)
-            if layers:
-                chunks = chunks_of(
-                    layers, layers=figures.layers, chunks=transfer.count
-                )
-                load = Load(figures.model, release.version, chunks)
-                return _Closing(load, transfer, layers)
-        return None
+        """Find layers at hand of the version that can serve first.
+
+        What goes wrong with the newest one: its source is away after a few
+        chunks, and the version before, which the host holds or soon will, is
+        never loaded over them; the engine serves nothing until the newest one
+        is whole. So the one of which most is at hand goes first, the newest
+        of several, and one that ends soon goes last.
+        """
+        releases = self._view.releases
+        found = [
+            closing
+            for release in releases.after(figures.model, self._watch.whole)
+            if (closing := self._closing_by(figures, release.version))
+        ]
+        now = clock_s()
+        lasting = [
+            closing
+            for closing in found
+            if releases.ends_at(figures.model, closing.load.version) - now
+            >= LEAST_USE_S
+        ]
+        return max(
+            lasting or found,
+            key=lambda closing: closing.transfer.at_hand.bit_count(),
+            default=None,
+        )
+
+    def _closing_by(
+        self, figures: EngineFigures, version: int
+    ) -> _Closing | None:
+        name = version_name(figures.model, version)
+        transfer = self._library.shelf.transfers.get(name)
+        if transfer is None:
+            return None
+        layers = self._layers(figures, name, transfer)
+        if not layers:
+            return None
+        chunks = chunks_of(layers, layers=figures.layers, chunks=transfer.count)
+        return _Closing(Load(figures.model, version, chunks), transfer, layers)
 
     def _layers(
         self, figures: EngineFigures, name: str, transfer: Transfer
--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -27,6 +27,7 @@
 
 LAYERS = 16
 CHUNKS = 8
+ALL_CHUNKS = full(CHUNKS)
 
 
 class TestClosing:
@@ -76,7 +77,7 @@
 
     @pytest.mark.parametrize(
         ('second', 'third', 'third_age_s', 'taken'),
-        [(0xFF, 0x03, 1.0, 2), (0x7F, 0x03, 1.0, 2), (0xFF, 0x03, 9.0, 3)],
+        [(0xFF, 0b11, 1.0, 2), (0x7F, 0b11, 1.0, 2), (0xFF, 0b11, 9.0, 3)],
         ids=['whole', 'nearly whole', 'about to end'],
     )
     def test_what_can_serve_first_is_taken(
@@ -151,7 +152,7 @@
             engine = FakeEngine(EngineReading(weights=1, layers=ALL))
             loader = loader_of(engine, named(2))
             whole = asyncio.ensure_future(
-                loader.load_part(Load('m', 2, full(CHUNKS)), held(), ALL)
+                loader.load_part(Load('m', 2, ALL_CHUNKS), held(), ALL)
             )
             await asyncio.sleep(0)
             await loader.load_part(Load('m', 2, 1), held(), LayerRange(0, 2))
@@ -302,7 +303,7 @@
     )
 
 
-def held(chunks=full(CHUNKS)):
+def held(chunks=ALL_CHUNKS):
     """Give a transfer of which these chunks (bits) are held."""
     return SimpleNamespace(
         count=CHUNKS,
