--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from types import SimpleNamespace
 from unittest.mock import AsyncMock, Mock
@@ -15,8 +16,10 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet.ports import EngineReading
 from crowrudder_daemon.fleet_agent import _loader
+from crowrudder_daemon.fleet_agent._collecting import Collecting
 from crowrudder_daemon.fleet_agent._end_guard import EndGuard
 from crowrudder_daemon.fleet_agent._goals import Goal
+from crowrudder_daemon.fleet_agent._keeper import WeightsKeeper
 from crowrudder_daemon.fleet_agent._library import Part
 from crowrudder_daemon.fleet_agent._loader import Load, Loader
 from crowrudder_model.fleet import LayerRange
@@ -162,6 +165,38 @@
         run(check())
 
 
+class TestPartAfterClosing:
+    def test_the_hosts_part_follows_what_closed_the_engine(self):
+        """No path had all layers though the hosts held them together.
+
+        Symptom: after a version has ended everywhere, requests are refused
+        until a host holds all of the next one. Sequence: each engine is
+        closed with the few layers that its host holds then; the host's own
+        part of the model is complete a moment later. Cause: an engine that
+        holds any layers of the newest version was not given its part.
+        """
+
+        async def check():
+            few = EngineReading(weights=3, layers=LayerRange(0, 2))
+            own = Part(layers=LayerRange(5, 10), chunks=0b11100, is_whole=False)
+            releases = named(2, 3)
+            keeper = keeper_of(FakeEngine(few), releases, own)
+            newest = Collecting(
+                Goal('m', 3, clock_s(), 3),
+                SimpleNamespace(
+                    version=3, artifact=SimpleNamespace(name='m@3')
+                ),
+                held(0b11101),
+            )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await keeper._look_at(newest, {newest: None})
+            layers = [each.args[-1] for each in keeper.loads.call_args_list]
+            assert layers == [own.layers]
+
+        run(check())
+
+
 class TestDrain:
     def test_what_runs_on_a_part_may_end(self, monkeypatch):
         """Streams on paths were cut off at once by a load.
@@ -229,6 +264,8 @@
 
 
 ALL = LayerRange(0, LAYERS)
+IDLE = SimpleNamespace(layers=LayerRange(), weights=0)
+"""An engine that holds nothing, by the records."""
 
 
 class FakeEngine:
@@ -264,6 +301,7 @@
         self._engine = engine
         self.set_changing = Mock()
         self.set_extending = Mock()
+        self.layers = LAYERS
 
     @property
     def reading(self):
@@ -303,11 +341,30 @@
     )
 
 
+def keeper_of(engine, releases, own):
+    """Give a keeper whose host has an own part, and its orders of parts."""
+    loader = SimpleNamespace(load_part=AsyncMock())
+    keeper = WeightsKeeper(
+        SimpleNamespace(log=logging.getLogger('crowrudder.test')),
+        SimpleNamespace(service='llm'),
+        view=SimpleNamespace(
+            releases=releases, engine_hosts=lambda _: {0: IDLE}
+        ),
+        watch=FakeWatch(engine),
+        engine=engine,
+        library=SimpleNamespace(part=lambda *_: own),
+        loader=loader,
+    )
+    keeper.loads = loader.load_part
+    return keeper
+
+
 def held(chunks=ALL_CHUNKS):
     """Give a transfer of which these chunks (bits) are held."""
     return SimpleNamespace(
         count=CHUNKS,
         at_hand=chunks,
+        held=chunks,
         dropped=False,
         assert_whole=lambda: None,
         chunk=lambda _index: b'chunk',
