--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -258,11 +258,15 @@
             return False
         if self._may_begin(model, self._loaded):
             return False
-        if reading.weights == newest.named.version and reading.layers:
-            return False
         part = self._library.part(newest.named.artifact.name, newest.transfer)
         if part.is_whole or part.chunks & ~newest.transfer.held:
             return False
+        held = reading.layers
+        if reading.weights == newest.named.version and (
+            # Fewer have come by `EndGuard`, and need not meet on a path.
+            held.end - held.first >= part.layers.end - part.layers.first
+        ):
+            return False
         return self._most_idle(model)
 
     def _may_begin(self, model: str, version: int) -> bool:
