--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -197,6 +197,42 @@
         run(check())
 
 
+class TestOfNoUse:
+    def test_a_version_of_no_use_is_not_looked_at_without_a_pause(
+        self, monkeypatch
+    ):
+        """An agent used all of its processor's time for nothing.
+
+        Symptom: the loop wakes late on a host that has nothing to do.
+        Sequence: the engine holds a part of version 3 from the life of the
+        agent before; the agent that starts has heard of version 2 only, and
+        holds it. Cause: a version of no use is neither loaded nor waited
+        with.
+        """
+        rounds = []
+        pursue = WeightsKeeper._pursue
+
+        async def counted(keeper, goal):
+            rounds.append(goal)
+            await pursue(keeper, goal)
+
+        monkeypatch.setattr(WeightsKeeper, '_pursue', counted)
+
+        async def check(world):
+            world.name_version(2)
+            replica = await world.add_agent(0)
+            replica.weights, replica.layers = 3, (0, 4)
+            (agent,) = world.agents
+            shares = agent.keeper.status
+            await world.until(lambda: shares()['shares'].get('m@2') == 1)
+            before = len(rounds)
+            await asyncio.sleep(1)
+            assert replica.weights == 3
+            assert len(rounds) - before < 10
+
+        checked(check, entries=1, plain=0, engines=0)
+
+
 class TestDrain:
     def test_what_runs_on_a_part_may_end(self, monkeypatch):
         """Streams on paths were cut off at once by a load.
