--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -347,8 +347,13 @@
         await self._loader.await_turn(
             goal, self._library.places(), self._is_outdated
         )
-        if not self._is_outdated(goal) and self._is_of_use(goal, named):
+        if self._is_outdated(goal):
+            return
+        if self._is_of_use(goal, named):
             await self._loader.load(goal, named, transfer)
+        else:
+            # The next round would come to the same at once.
+            await self._idle()
 
     def _is_of_use(self, goal: Goal, named: Named) -> bool:
         return is_of_use(
