--- a/packages/core/src/crowrudder_core/transfer/_parts.py
+++ b/packages/core/src/crowrudder_core/transfer/_parts.py
@@ -91,5 +91,5 @@
             run = LayerRange(layer + 1, layer + 1)
             continue
         run = LayerRange(run.first, layer + 1)
-        best = max(best, run, key=lambda each: each.end - each.first)
+        best = max(best, run, key=lambda each: each.count)
     return best
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -76,8 +76,14 @@
         while True:
             await asyncio.sleep(LOOK_S)
             figures = figures_of(self._view, self._node)
-            if figures is not None and self._is_due(figures.model):
+            if figures is None or not self._is_due(figures.model):
+                continue
+            try:
                 await self._close(figures)
+            except Exception:
+                # A fault must not leave the engine unguarded from then on.
+                self._runtime.log.exception('end guard', extra={'step': 'end'})
+                await asyncio.sleep(RETRY_S)
 
     def _is_due(self, model: str) -> bool:
         reading = self._watch.reading
@@ -94,7 +100,7 @@
             return
         reading = self._watch.reading
         self._runtime.log.info(
-            'engine begins nothing more',
+            'engine is to begin nothing more',
             extra={
                 'step': 'end',
                 'weights': self._watch.whole,
@@ -116,21 +122,32 @@
             await asyncio.sleep(RETRY_S)
 
     def _closing(self, figures: EngineFigures) -> _Closing | None:
-        """Find what to load: of the version that the engine can soon serve.
+        """Find layers at hand of the version that can serve first.
 
-        That is the one of which most is held, if requests may still begin on
-        it for a while, else the newest. With the newest always, of two that
-        follow each other, engines were left with a few layers of it while the
-        other was all but whole: of 51 hosts 11 came to serve that one where 33
-        had before, in a run of such a day.
+        What goes wrong with the newest one: its source is away after a few
+        chunks, and the version before, which the host holds or soon will, is
+        never loaded over them; the engine serves nothing until the newest one
+        is whole. So the one of which most is at hand goes first, the newest
+        of several, and one that ends soon goes last.
         """
-        whole = self._watch.whole
+        releases = self._view.releases
         found = [
             closing
-            for release in self._view.releases.after(figures.model, whole)
+            for release in releases.after(figures.model, self._watch.whole)
             if (closing := self._closing_by(figures, release.version))
         ]
-        return max(found, key=self._worth, default=None)
+        now = clock_s()
+        lasting = [
+            closing
+            for closing in found
+            if releases.ends_at(figures.model, closing.load.version) - now
+            >= LEAST_USE_S
+        ]
+        return max(
+            lasting or found,
+            key=lambda closing: closing.transfer.at_hand.bit_count(),
+            default=None,
+        )
 
     def _closing_by(
         self, figures: EngineFigures, version: int
@@ -140,16 +157,10 @@
         if transfer is None:
             return None
         layers = self._layers(figures, name, transfer)
+        if not layers:
+            return None
         chunks = chunks_of(layers, layers=figures.layers, chunks=transfer.count)
-        load = Load(figures.model, version, chunks)
-        return _Closing(load, transfer, layers) if layers else None
-
-    def _worth(self, closing: _Closing) -> tuple[bool, int, int]:
-        load = closing.load
-        ends_at = self._view.releases.ends_at(load.model, load.version)
-        is_of_use = ends_at - clock_s() >= LEAST_USE_S
-        held = closing.transfer.held.bit_count() if is_of_use else 0
-        return is_of_use, held, load.version
+        return _Closing(Load(figures.model, version, chunks), transfer, layers)
 
     def _layers(
         self, figures: EngineFigures, name: str, transfer: Transfer
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -261,10 +261,10 @@
         part = self._library.part(newest.named.artifact.name, newest.transfer)
         if part.is_whole or part.chunks & ~newest.transfer.held:
             return False
-        if reading.weights == newest.named.version and reading.layers:
-            # Some of the part ended the version before, see `EndGuard`.
-            held = reading.layers
-            return part.layers.covers(held) and held != part.layers
+        held = reading.layers
+        if reading.weights == newest.named.version and held:
+            # Fewer have come by `EndGuard`, and need not meet on a path.
+            return held.count < part.layers.count
         return self._most_idle(model)
 
     def _may_begin(self, model: str, version: int) -> bool:
@@ -345,8 +345,13 @@
         await self._loader.await_turn(
             goal, self._library.places(), self._is_outdated
         )
-        if not self._is_outdated(goal) and self._is_of_use(goal, named):
+        if self._is_outdated(goal):
+            return
+        if self._is_of_use(goal, named):
             await self._loader.load(goal, named, transfer)
+        else:
+            # The next round would come to the same at once.
+            await self._idle()
 
     def _is_of_use(self, goal: Goal, named: Named) -> bool:
         return is_of_use(
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -9,7 +9,7 @@
 
 from crowrudder_core.transfer import full, indices
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet_agent._goals import may_cut_off
+from crowrudder_daemon.fleet_agent._goals import is_of_use, may_cut_off
 from crowrudder_daemon.fleet_agent._turn import load_delay_s
 from crowrudder_model import InvariantError, UpstreamError
 
@@ -124,10 +124,21 @@
         transfer.assert_whole()
         load = Load(goal.model, named.version, full(transfer.count))
         async with self._at_work:
-            # Another load may have brought it while this one waited.
-            if self._watch.whole < named.version:
+            # Another load may have brought it, or a part of a newer version,
+            # while this one waited.
+            if self._is_of_use(load):
                 await self._load_all(load, transfer)
 
+    def _is_of_use(self, load: Load) -> bool:
+        reading = self._watch.reading
+        return is_of_use(
+            load.version,
+            whole=self._watch.whole,
+            held=reading.weights if reading else 0,
+            ends_at=self._view.releases.ends_at(load.model, load.version),
+            now=clock_s(),
+        )
+
     async def _load_all(self, load: Load, transfer: Transfer) -> None:
         if self._holds_part_of(load.version):
             await self._extend(load, transfer)
@@ -155,14 +166,19 @@
         UpstreamError
             When the engine didn't take them.
         """
-        if transfer.dropped or load.chunks & ~transfer.at_hand:
+        # Each chunk is verified; that the rest was given up for a newer
+        # version doesn't matter.
+        if load.chunks & ~transfer.at_hand:
             raise InvariantError(
                 f'a part of {transfer.manifest.version} is not held; it is '
                 'not loaded',
                 step='verify',
             )
         async with self._at_work:
-            if self._holds_part_of(load.version):
+            # Another load may have brought more while this one waited.
+            if self._watch.whole >= load.version:
+                return
+            if self._holds_part_of(load.version, within=layers):
                 await self._extend(load, transfer, layers)
             else:
                 await self._load_layers(load, transfer, layers)
@@ -205,11 +221,16 @@
             await self._order(load, may_cut_off=may_cut_off, layers=layers)
         await self._until_loaded(load.version, began_at, layers)
 
-    def _holds_part_of(self, version: int) -> bool:
+    def _holds_part_of(
+        self, version: int, *, within: LayerRange | None = None
+    ) -> bool:
+        """Whether it holds some layers of a version, all within a range."""
         reading = self._watch.reading
         if reading is None or self._watch.whole:
             return False
-        return reading.weights == version and bool(reading.layers)
+        if reading.weights != version or not reading.layers:
+            return False
+        return within is None or within.covers(reading.layers)
 
     async def _leave_paths(self) -> None:
         """Give entries time to take the engine off their paths.
@@ -285,8 +306,11 @@
         """
         await self._leave_paths()
         await asyncio.sleep(ANNOUNCE_S)
-        ends_at = self._view.releases.ends_at(model, self._watch.whole)
-        until = min(clock_s() + DRAIN_S, ends_at - CLOSING_S)
+        until = clock_s() + DRAIN_S
+        if self._watch.whole:
+            # Nothing is sent to a part once a newer version is named.
+            ends_at = self._view.releases.ends_at(model, self._watch.whole)
+            until = min(until, ends_at - CLOSING_S)
         while clock_s() < until:
             reading = await self._watch.read_now()
             if reading is None or not reading.running + reading.queued:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -146,6 +146,9 @@
         if not self.dispatch.may_send(now):
             conn.close()
             return NotSent('no time left')
+        # A newer version may have been named since the choice.
+        begin_by = self._upstreams.begin_by(self.choice, self.call.model)
+        self.begin_by = min(self.begin_by, begin_by)
         if self.begin_by - now < ON_THE_WAY_S:
             # The wait for the connection has taken what was left.
             conn.close()
@@ -185,8 +188,12 @@
     @property
     def _is_overtaken(self) -> bool:
         """Whether it had not begun when it had to."""
-        has_begun = self.first_took_s >= 0
-        return not has_begun and clock_s() >= self.begin_by
+        return not self._has_begun and clock_s() >= self.begin_by
+
+    @property
+    def _has_begun(self) -> bool:
+        """Whether an event has come."""
+        return self.first_took_s >= 0
 
     def _note_taken_away(self, unsent_bytes: int) -> None:
         self.taken_away = TakenAway(
@@ -269,7 +276,7 @@
         """Hold an answer until it is whole."""
         parts: list[bytes] = []
         size = 0
-        while (part := await self._part(conn)) is not None:
+        while (part := await self._part(conn, has_begun=True)) is not None:
             parts.append(part)
             size += len(part)
             if size > MOST_BODY_BYTES:
@@ -290,7 +297,10 @@
     async def _stream(self, conn: HttpConnection, head: WireHead) -> Ending:
         """Pass whole events on as they come."""
         self.events.begin_attempt()
-        while (part := await self._part(conn)) is not None:
+        while True:
+            part = await self._part(conn, has_begun=self._has_begun)
+            if part is None:
+                break
             whole = self.events.take(part)
             if whole:
                 self._note_first()
@@ -302,8 +312,10 @@
         self._note_whole(is_good=True)
         return Answered(head.status)
 
-    async def _part(self, conn: HttpConnection) -> bytes | None:
-        if self.first_took_s >= 0:
+    async def _part(
+        self, conn: HttpConnection, *, has_begun: bool
+    ) -> bytes | None:
+        if has_begun:
             async with asyncio.timeout(self.patience.pause_s):
                 return await conn.part()
         # What goes wrong where only the head of an answer has to come in time:
@@ -335,7 +347,7 @@
         begin_by = self._upstreams.begin_by(self.choice, self.call.model)
         self.begin_by = min(self.begin_by, begin_by)
         wait = self._wait
-        if wait is None or wait.expired() or self.first_took_s >= 0:
+        if wait is None or wait.expired() or self._has_begun:
             return
         left_s = max(self.begin_by - clock_s(), 0)
         due_at = asyncio.get_running_loop().time() + left_s
@@ -349,7 +361,7 @@
         await self._side.begin(head.status, headers, whole)
 
     def _note_first(self) -> None:
-        if self.first_took_s >= 0:
+        if self._has_begun:
             return
         now = clock_s()
         self.first_took_s = now - self.sent_at
--- a/packages/model/src/crowrudder_model/fleet/_layers.py
+++ b/packages/model/src/crowrudder_model/fleet/_layers.py
@@ -24,6 +24,11 @@
         """Whether there is any layer in it."""
         return self.end > self.first
 
+    @property
+    def count(self) -> int:
+        """How many layers there are in it."""
+        return max(self.end - self.first, 0)
+
     def covers(self, other: LayerRange) -> bool:
         """Whether all layers of another range are in this one."""
         return self.first <= other.first and other.end <= self.end
