--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -35,7 +35,7 @@
     'StoreStep',
     'WATCHERS',
     'WATCH_WAIT_S',
+    'WatchAges',
     'deflated',
     'inflated',
-    'WatchAges',
 )
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -33,10 +33,10 @@
 
 CLOSING_S = 0.4
 """How long before the end of its version an engine takes the order after which
-it begins nothing more. It covers how late the host heard of the next version
-(0.2 s over links in use), staging (0.02 s), a look at the engine; and entries
-take away what hasn't begun 0.3 s before the end: by then they have been told
-that it hasn't run, which is worth more to a caller."""
+it begins nothing more. It covers staging (0.02 s at the most), a look at the
+engine (0.05 s) and a loop that is late; and entries take away what hasn't begun
+0.3 s before the end: by then they have been told that it hasn't run, which is
+worth more to a caller."""
 
 LEAVE_PATHS_S = 1.0
 """From an agent's word that its engine gives a part up until it loads another
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_ends.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_ends.py
@@ -26,7 +26,8 @@
 """The least time to begin in: what was sent later may still be on its way when
 it is taken away, and begins after the end. Over a full link 0.49 s from the
 send to the engine were seen, and a request that began 52 ms after the end
-though its connection had been closed for 0.35 s. Hosts load before that."""
+though its connection had been closed for 0.35 s; up to 1.7 s where links are
+fuller, which the engine's agent has to meet."""
 
 
 class Waiting(Protocol):
