Stand-in replicas: who leaves leaves the queue, and queues are counted

Could not be seen: whether what an entry takes back was still waiting; a stand-in's queue began it all the same, which the users' engines do not. `Slots.take` gives the turn itself, `leave` refuses it; `seen` counts who waited, left, or was refused by a load.

--- a/packages/standins/src/crowrudder_standins/_slots.py
+++ b/packages/standins/src/crowrudder_standins/_slots.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 
 
 class Slots:
@@ -15,6 +15,9 @@
         Requests that run at once.
     places
         Requests that wait at the most.
+
+    ``seen`` counts those that waited, and those of them that a load refused
+    or that left.
     """
 
     def __init__(self, count: int, places: int = 0) -> None:
@@ -22,6 +25,7 @@
         self.places = places
         self.running = 0
         self.is_closed = False
+        self.seen: Counter[str] = Counter()
         self._waiting: deque[asyncio.Future[bool]] = deque()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -31,18 +35,27 @@
         """Requests that wait."""
         return len(self._waiting)
 
-    async def take(self) -> bool:
-        """Wait for a slot; false where there is none to be had."""
+    def take(self) -> asyncio.Future[bool]:
+        """Give what comes true with a slot; false: there is none to be had."""
+        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         if self.is_closed:
-            return False
-        if self.running < self.count:
+            turn.set_result(False)
+        elif self.running < self.count:
             self._begin()
-            return True
-        if self.queued >= self.places:
-            return False
-        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
-        return await turn
+            turn.set_result(True)
+        elif self.queued >= self.places:
+            turn.set_result(False)
+        else:
+            self._waiting.append(turn)
+            self.seen['waited'] += 1
+        return turn
+
+    def leave(self, turn: asyncio.Future[bool]) -> None:
+        """Refuse one that waits and whose caller has left."""
+        if turn in self._waiting:
+            self._waiting.remove(turn)
+            self.seen['left'] += 1
+            turn.set_result(False)
 
     def release(self) -> None:
         """Give a slot back, to whoever waits first."""
@@ -57,6 +70,7 @@
         """Let nothing begin any more, and refuse all that wait."""
         self.is_closed = True
         while self._waiting:
+            self.seen['refused'] += 1
             self._waiting.popleft().set_result(False)
 
     def open(self) -> None:
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -22,6 +22,7 @@
 import time
 from collections import Counter
 from collections.abc import Mapping
+from functools import partial
 from typing import Any
 
 from attrs import define, field
@@ -206,7 +207,11 @@
     @route('*', '/(?!-/|control/).*')
     async def serve(self, call: Call) -> Answer:
         self._refuse_foreign(call)
-        if self.faults.take('full') or not await self.places.take():
+        if self.faults.take('full'):
+            raise self._refusal(call, 503, 'full')
+        turn = self.places.take()
+        call.on_leave = partial(self.places.leave, turn)
+        if not await turn:
             raise self._refusal(call, 503, 'full')
         try:
             await self._answer(call, self._begin(call))
