Platform soak: queues at engines, large configurations and late copies as versions end

Could not be seen: a run on an old version. Engines had no queue, the configuration was small, no version need end under load, runs up to 0.5 s late passed, and any fault anywhere from 3 s before the naming excused all runs. Added: slots and queues drawn for engines; a version named early whose copy is late, engines that get slow and configurations with 1,400 routes more as its predecessor ends, from random sources of their own; the check holds a run's beginning at the engine to the end without a margin (one clock, one process), excused by its entry, the engine's agent, the store, or stand-ins that stood still for 0.1 s alone. `ends` counts what it had.

--- a/scripts/_platform_checks.py
+++ b/scripts/_platform_checks.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Any
 
-from _platform_fleet import CONFIG_S, DRAIN_S, VERSION_S
+from _platform_fleet import CONFIG_S, DRAIN_S, STAND_INS, VERSION_S
 from _platform_load import BLAMES, DEADLINE_S, NOT_RUN, Asked
 from attrs import define, field
 
@@ -15,12 +15,13 @@
 from crowrudder_standins.fleet_replica import (
     LAYERS,
     FleetReplica,
+    Run,
     body_of,
     stream_of,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from _platform_chaos import PlatformChaos
     from _platform_fleet import Life, PlatformFleet
@@ -32,7 +33,10 @@
 """The least by which an answer must be late to be called so: what a busy
 machine may need to wake this process."""
 
-BEGIN_MARGIN_S = 0.5
+LEFT_MARGIN_S = 0.5
+
+NEAR_S = 1.0
+"""Runs that begin on an old version so long before its end are counted."""
 
 
 @define
@@ -41,6 +45,8 @@
 
     outcomes: Counter[str] = field(factory=Counter)
     broken: dict[str, list[str]] = field(factory=lambda: defaultdict(list))
+    ends: Counter[str] = field(factory=Counter)
+    """What the checks on ends of versions had before them."""
 
     def note(self, promise: str, text: str) -> None:
         """Note a broken promise."""
@@ -48,17 +54,23 @@
 
 
 def judge(
-    asked: Iterable[Asked], fleet: PlatformFleet, chaos: PlatformChaos
+    asked: Collection[Asked], fleet: PlatformFleet, chaos: PlatformChaos
 ) -> Verdict:
     """Hold what callers got against the replicas' books."""
     verdict = Verdict()
     runs = _runs(fleet)
+    entries = {each.request_id: each.entry for each in asked}
     for each in asked:
         verdict.outcomes[_outcome(each)] += 1
         _judge_answer(each, verdict, chaos)
         _judge_runs(each, len(runs[each.request_id]), verdict)
     for life in fleet.all_lives():
         _judge_life(life, fleet, chaos, verdict)
+        for run in life.replica.runs:
+            sender = entries.get(run.request_id, '')
+            met_by = {sender, fleet.agent_of(life)}
+            _judge_end(run, life, met_by, fleet, chaos, verdict)
+        verdict.ends.update(life.replica.places.seen)
     return verdict
 
 
@@ -142,7 +154,7 @@
         if _layers_run(path) != list(range(LAYERS)):
             verdict.note('layers not once', f'{life.replica.id} path {path}')
     for run in life.replica.runs:
-        _judge_times(life, run.weights, run.began_at, fleet, chaos, verdict)
+        _judge_leaving(life, run.began_at, chaos, verdict)
 
 
 def _pieces_of(order: dict[str, Any], count: int) -> Iterable[int]:
@@ -163,44 +175,67 @@
     ]
 
 
-def _judge_times(
+def _judge_leaving(
+    life: Life, began_at: float, chaos: PlatformChaos, verdict: Verdict
+) -> None:
+    """Check a run's beginning against leaving.
+
+    Only where nothing at all was disturbed shortly before: who saw the
+    replica leave isn't in its books.
+    """
+    if life.left_at is None:
+        return
+    due_at = life.left_at + DRAIN_S + LEFT_MARGIN_S
+    if began_at > due_at and not _any_trouble(chaos, due_at - DRAIN_S):
+        verdict.note(
+            'sent to one that left',
+            f'{life.replica.id} {began_at - life.left_at:.2f} s after',
+        )
+
+
+def _judge_end(
+    run: Run,
     life: Life,
-    weights: int,
-    began_at: float,
+    met_by: set[str],
     fleet: PlatformFleet,
     chaos: PlatformChaos,
     verdict: Verdict,
 ) -> None:
-    """Check a run's beginning against leaving and against newer versions.
+    """Check when a run began against the end of its version, to the instant.
 
-    Only where nothing at all was disturbed shortly before: who sent the
-    request isn't in a replica's books.
+    The end is the aim itself, without a margin: naming, the end and the run's
+    beginning, out of the queue, are read from one clock in one process, and
+    what needs time on the way has to be done before the end. Excused where
+    the entry that sent it or the engine's agent was disturbed, or what all
+    depend on, and where the engines' process stood still near the end.
     """
-    if life.left_at is not None:
-        due_at = life.left_at + DRAIN_S + BEGIN_MARGIN_S
-        if began_at > due_at and not _any_trouble(chaos, due_at - DRAIN_S):
-            verdict.note(
-                'sent to one that left',
-                f'{life.replica.id} {began_at - life.left_at:.2f} s after',
-            )
-    for version, named_at in fleet.named_at.items():
-        due_at = named_at + VERSION_S + BEGIN_MARGIN_S
-        is_old = 0 < weights < version and began_at > due_at
-        if is_old and not _any_trouble(chaos, named_at, began_at):
-            verdict.note(
-                'old weights',
-                f'{life.replica.id} on {weights} {began_at - named_at:.2f} s '
-                f'after {version} was named',
-            )
-
-
-def _any_trouble(
-    chaos: PlatformChaos, since: float, until: float | None = None
-) -> bool:
-    until = time.monotonic() if until is None else until
+    newer = [version for version in fleet.named_at if 0 < run.weights < version]
+    if not newer:
+        return
+    version = min(newer, key=fleet.named_at.__getitem__)
+    named_at = fleet.named_at[version]
+    late_s = run.began_at - named_at - VERSION_S
+    if late_s <= 0:
+        verdict.ends['began in the last second'] += late_s > -NEAR_S
+        return
+    since = named_at - IN_TOUCH_S
+    is_met = any(chaos.met(name, since, run.began_at) for name in met_by)
+    near = named_at + VERSION_S - NEAR_S
+    if is_met or chaos.met(STAND_INS, near, run.began_at):
+        verdict.ends['late, excused'] += 1
+        return
+    verdict.note(
+        'old weights',
+        f'{run.request_id} at {life.replica.id} on {run.weights} '
+        f'{late_s:.3f} s after its end, {version} being named',
+    )
+
+
+def _any_trouble(chaos: PlatformChaos, since: float) -> bool:
     return any(
-        trouble.began_at <= until and trouble.ended_at >= since - IN_TOUCH_S
+        trouble.ended_at >= since - IN_TOUCH_S
         for trouble in chaos.troubles
+        if trouble.name != STAND_INS
     )
 
 
--- /dev/null
+++ b/scripts/_platform_config.py
@@ -0,0 +1,72 @@
+"""The configuration of a fleet on its users' platform, small and large."""
+
+from __future__ import annotations
+
+from typing import Any
+
+HOST = 'shop.example'
+CHUNKS = 8
+WARM_S = 0.05
+MORE_ROUTES = 1400
+"""What a large configuration has more, as the users' had: 250 KB and more."""
+
+ENGINE = {
+    'slots': 8,
+    'step_ms': 2,
+    'read_per_s': 100_000,
+    'stride': 1,
+    'usual': {'prompt': 100, 'answer': 6},
+    'models': [{'name': 'm', 'warm_s': WARM_S}],
+    'layers': 16,
+    'chunks': CHUNKS,
+    'chunk_bytes': 4096,
+}
+
+
+def configuration(
+    version: int, origin: str, keys: list[str], *, is_large: bool
+) -> dict[str, Any]:
+    """Give a configuration as it is published."""
+    return {
+        'version': version,
+        'routes': _routes() + (_more_routes() if is_large else []),
+        'services': [
+            {'name': 'plain', 'max_conns': 500},
+            {'name': 'llm', 'max_conns': 500, 'engine': ENGINE},
+            {'name': 'src', 'origin': origin},
+        ],
+        'limits': {'idle_timeout_ms': 5000, 'header_timeout_ms': 3000},
+        'tenants': [{'name': 'shop', 'api_keys': keys}],
+    }
+
+
+def _routes() -> list[dict[str, Any]]:
+    llm = {'service': 'llm', 'gap_goal_ms': 400}
+    return [
+        _route('read', 'safe', service='plain'),
+        _route('notice', 'unsafe', service='plain'),
+        _route('draft', 'streaming', resumable=True, **llm),
+        _route('once', 'streaming', **llm),
+    ]
+
+
+def _more_routes() -> list[dict[str, Any]]:
+    return [
+        _route(f'more-{number}', 'safe', service='plain')
+        for number in range(MORE_ROUTES)
+    ]
+
+
+def _route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': 4000,
+        'goal_ms': 3000,
+        'priority': 1,
+        'attempts': 2,
+        'public': False,
+        **more,
+    }
--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -16,6 +16,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from _platform_config import configuration
 from _process import Process
 from _relay import Relay
 from attrs import define, field, frozen
@@ -28,26 +29,17 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-HOST = 'shop.example'
+STAND_INS = 'stand-ins'
+"""This process, where store, origin and replicas run."""
+
 ZONES = {'z1': 'r1', 'z2': 'r1', 'z3': 'r2'}
 STORE_IP = '127.0.0.1'
-CHUNKS = 8
 VERSION_S = 4.0
 DRAIN_S = 2.0
 CONFIG_S = 2.0
 GRACE_S = 8.0
-WARM_S = 0.05
-ENGINE = {
-    'slots': 8,
-    'step_ms': 2,
-    'read_per_s': 100_000,
-    'stride': 1,
-    'usual': {'prompt': 100, 'answer': 6},
-    'models': [{'name': 'm', 'warm_s': WARM_S}],
-    'layers': 16,
-    'chunks': CHUNKS,
-    'chunk_bytes': 4096,
-}
+PLACES = ((8, 0), (8, 8), (2, 8), (1, 4))
+"""Slots and queues that are drawn for engines."""
 
 
 @frozen
@@ -106,6 +98,7 @@
     plan: Plan
     folder: Path
     rng: random.Random
+    queue_rng: random.Random
     store: FleetStore = field(factory=FleetStore)
     origin: FleetOrigin = field(factory=lambda: FleetOrigin({'--model': 'm'}))
     hosts: dict[str, Host] = field(factory=dict)
@@ -115,6 +108,7 @@
     named_at: dict[int, float] = field(factory=dict)
     version: int = 1
     config_version: int = 0
+    is_large: bool = False
     relay: Relay = field(init=False)
     _ports: dict[str, tuple[int, int]] = field(factory=dict)
     _addresses: dict[str, str] = field(factory=dict)
@@ -131,7 +125,7 @@
             for name, host in self.hosts.items()
             if host.process.running
         }
-        return {**found, 'stand-ins': os.getpid()}
+        return {**found, STAND_INS: os.getpid()}
 
     async def start(self) -> None:
         """Start stand-ins and programs."""
@@ -161,17 +155,12 @@
     def publish(self) -> None:
         """Publish the configuration, with the keys as they are."""
         self.config_version += 1
-        body = {
-            'version': self.config_version,
-            'routes': _routes(),
-            'services': [
-                {'name': 'plain', 'max_conns': 500},
-                {'name': 'llm', 'max_conns': 500, 'engine': ENGINE},
-                {'name': 'src', 'origin': self._addresses['origin']},
-            ],
-            'limits': {'idle_timeout_ms': 5000, 'header_timeout_ms': 3000},
-            'tenants': [{'name': 'shop', 'api_keys': self.keys}],
-        }
+        body = configuration(
+            self.config_version,
+            self._addresses['origin'],
+            self.keys,
+            is_large=self.is_large,
+        )
         self.store.put('op/config', json.dumps(body).encode())
 
     def name_version(self) -> None:
@@ -219,6 +208,18 @@
         """List the replicas of now and those before."""
         return [*self.lives, *self.replicas.values()]
 
+    def agent_of(self, life: Life) -> str:
+        """Name the agent beside a replica; empty for a plain one."""
+        replica = life.replica.id.partition('.')[0]
+        return next(
+            (
+                host.name
+                for host in self.hosts.values()
+                if host.replica == replica
+            ),
+            '',
+        )
+
     def entries(self) -> dict[str, str]:
         """Give the callers' addresses of entries by name."""
         return {
@@ -240,10 +241,12 @@
     def _replica(self, name: str, service: str) -> FleetReplica:
         self._life_number += 1
         is_engine = service == 'llm'
+        slots, queue = self.queue_rng.choice(PLACES) if is_engine else PLACES[0]
         return FleetReplica(
             {
                 '--id': f'{name}.{self._life_number}',
-                '--slots': 8,
+                '--slots': slots,
+                '--queue': queue,
                 '--model': 'm' if is_engine else '',
             },
         )
@@ -348,28 +351,3 @@
     except OSError:
         return False
     return True
-
-
-def _routes() -> list[dict[str, Any]]:
-    llm = {'service': 'llm', 'gap_goal_ms': 400}
-    return [
-        _route('read', 'safe', service='plain'),
-        _route('notice', 'unsafe', service='plain'),
-        _route('draft', 'streaming', resumable=True, **llm),
-        _route('once', 'streaming', **llm),
-    ]
-
-
-def _route(name: str, kind: str, **more: Any) -> dict[str, Any]:
-    return {
-        'name': name,
-        'host': HOST,
-        'prefix': f'/{name}/',
-        'kind': kind,
-        'timeout_ms': 4000,
-        'goal_ms': 3000,
-        'priority': 1,
-        'attempts': 2,
-        'public': False,
-        **more,
-    }
--- a/scripts/_platform_load.py
+++ b/scripts/_platform_load.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from _platform_fleet import HOST
+from _platform_config import HOST
 from attrs import define, field, frozen
 
 from crowrudder_daemon.http import (
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -28,6 +28,7 @@
 
 from _platform_chaos import PlatformChaos
 from _platform_checks import Verdict, judge, key_for
+from _platform_ends import Ends
 from _platform_fleet import VERSION_S, Plan, PlatformFleet
 from _platform_load import Caller
 from _platform_seeds import FAILED_ONCE
@@ -56,6 +57,7 @@
 
     fleet: PlatformFleet
     rng: random.Random
+    ends_rng: random.Random
     duration_s: float
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
@@ -75,6 +77,7 @@
             await asyncio.gather(
                 chaos.run(ends_at),
                 self._watch_keys(ends_at),
+                Ends(self.fleet, self.ends_rng, chaos, self.say).run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -165,8 +168,10 @@
     rng = random.Random(seed)
     plan = plan_of(rng, is_large=bool(options['--large']))
     with tempfile.TemporaryDirectory(prefix='crowrudder-') as name:
-        fleet = PlatformFleet(plan, Path(name), rng)
-        soak = PlatformSoak(fleet, rng, float(options['--duration']))
+        ends_rng = random.Random(f'ends of {seed}')
+        queue_rng = random.Random(f'queues of {seed}')
+        fleet = PlatformFleet(plan, Path(name), rng, queue_rng)
+        soak = PlatformSoak(fleet, rng, ends_rng, float(options['--duration']))
         soak.say(f'seed {seed}: {plan}')
         try:
             verdict = await soak.run()
@@ -188,8 +193,9 @@
         for promise, lines in verdict.broken.items()
     )
     told = dict(verdict.outcomes.most_common())
+    ends = dict(verdict.ends)
     state = 'failed' if verdict.broken else 'ok'
-    print(f'platform soak: {state} seed={seed} {counts} answers={told}')
+    print(f'platform soak: {state} seed={seed} {counts} answers={told} {ends=}')
 
 
 async def main() -> int:
--- a/tests/scripts/test_platform_checks.py
+++ b/tests/scripts/test_platform_checks.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import pytest
-from _platform_chaos import Trouble
+from _platform_chaos import PlatformChaos, Trouble
 from _platform_checks import judge
-from _platform_fleet import DRAIN_S, VERSION_S, Life
+from _platform_fleet import DRAIN_S, STAND_INS, VERSION_S, Life
 from _platform_load import KINDS, Asked
 
 from crowrudder_standins.fleet_origin import FleetOrigin
@@ -34,6 +34,10 @@
     def all_lives(self):
         return [self.life]
 
+    def agent_of(self, life):
+        assert life is self.life
+        return 'agent-0'
+
     def ran(self, request_id, *, weights=1, began_at=0.0):
         self.replica.runs.append(
             Run(request_id, 'POST', '/', b'', '', 0, weights, '', began_at)
@@ -46,8 +50,7 @@
     def __init__(self, *troubles):
         self.troubles = list(troubles)
 
-    def met(self, name, began_at, ended_at):
-        return any(trouble.name == name for trouble in self.troubles)
+    met = PlatformChaos.met
 
     def died(self, name, began_at, ended_at):
         return any(
@@ -72,6 +75,17 @@
     return Asked(**(values | changes))
 
 
+NAMED_AT = 100.0
+
+
+def ended(*requests, late_s, books=None, chaos=None):
+    """Judge a run that began on an old version near the version's end."""
+    books = books or Books()
+    books.named_at[2] = NAMED_AT
+    books.ran('q', began_at=NAMED_AT + VERSION_S + late_s)
+    return broken(*requests, books=books, runs=0, chaos=chaos)
+
+
 def broken(*requests, books: Any = None, runs=1, chaos: Any = None):
     books = books or Books()
     for _ in range(runs):
@@ -186,3 +200,55 @@
         assert broken(books=books, runs=0) == {'old weights'}
         books.replica.runs[0].weights = 2
         assert broken(books=books, runs=0) == set()
+
+
+class TestEnds:
+    def test_the_end_is_kept_to_the_instant(self):
+        """A margin of half a second hid every run but the latest."""
+        assert ended(late_s=0.001) == {'old weights'}
+        assert ended(late_s=-0.001) == set()
+
+    def test_the_beginning_counts_and_not_the_sending(self):
+        sent = asked(DRAFT, began_at=NAMED_AT + VERSION_S - 1.4)
+        assert ended(sent, late_s=0.1) == {'old weights'}
+
+    def test_the_version_that_was_named_first_ends_it(self):
+        books = Books()
+        books.named_at[3] = NAMED_AT + 2
+        assert ended(late_s=0.1, books=books) == {'old weights'}
+
+    @pytest.mark.parametrize('name', ['entry-0', 'agent-0', ''])
+    def test_it_is_excused_by_who_has_to_keep_it(self, name):
+        chaos = Calm(Trouble(name, NAMED_AT, NAMED_AT + 1))
+        assert ended(asked(DRAFT), late_s=0.1, chaos=chaos) == set()
+
+    @pytest.mark.parametrize('name', ['entry-1', 'agent-1'])
+    def test_it_is_not_excused_by_others(self, name):
+        """Any fault anywhere excused all runs, and some fault there was."""
+        chaos = Calm(Trouble(name, NAMED_AT, NAMED_AT + 1))
+        found = ended(asked(DRAFT), late_s=0.1, chaos=chaos)
+        assert found == {'old weights'}
+
+    def test_it_is_not_excused_by_what_was_over_long_before(self):
+        chaos = Calm(Trouble('agent-0', NAMED_AT - 9, NAMED_AT - 8))
+        found = ended(asked(DRAFT), late_s=0.1, chaos=chaos)
+        assert found == {'old weights'}
+
+    @pytest.mark.parametrize(('before_s', 'is_excused'), [(0.5, 1), (2, 0)])
+    def test_stand_ins_that_stood_still_excuse_it_near_the_end(
+        self, before_s, is_excused
+    ):
+        until = NAMED_AT + VERSION_S - before_s
+        chaos = Calm(Trouble(STAND_INS, until - 0.2, until))
+        found = ended(asked(DRAFT), late_s=0.1, chaos=chaos)
+        assert found == (set() if is_excused else {'old weights'})
+
+    def test_what_was_looked_at_is_counted(self):
+        books = Books()
+        books.named_at[2] = NAMED_AT
+        books.replica.places.seen['waited'] += 3
+        books.ran('p', began_at=NAMED_AT + VERSION_S - 0.2)
+        calm: Any = Calm()
+        fleet: Any = books
+        verdict = judge([], fleet, calm)
+        assert verdict.ends == {'waited': 3, 'began in the last second': 1}
