--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -111,7 +111,7 @@
             },
         )
         try:
-            await self._loader.load_part(
+            await self._loader.load_layers(
                 closing.load, closing.transfer, closing.layers
             )
         except CrowrudderError as exc:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -288,7 +288,7 @@
         part = self._library.part(newest.named.artifact.name, newest.transfer)
         load = Load(newest.goal.model, newest.named.version, part.chunks)
         try:
-            await self._loader.load_part(load, newest.transfer, part.layers)
+            await self._loader.load_layers(load, newest.transfer, part.layers)
         except UpstreamError as exc:
             self._on_hindrance(exc)
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -151,7 +151,7 @@
         finally:
             self._watch.set_changing(is_changing=False)
 
-    async def load_part(
+    async def load_layers(
         self, load: Load, transfer: Transfer, layers: LayerRange
     ) -> None:
         """Load some layers into an engine that nothing may begin on.
@@ -181,7 +181,7 @@
             if self._holds_part_of(load.version, within=layers):
                 await self._extend(load, transfer, layers)
             else:
-                await self._load_layers(load, transfer, layers)
+                await self._change_to(load, transfer, layers)
 
     async def _extend(
         self, load: Load, transfer: Transfer, layers: LayerRange | None = None
@@ -195,7 +195,7 @@
         finally:
             self._watch.set_extending(is_extending=False)
 
-    async def _load_layers(
+    async def _change_to(
         self, load: Load, transfer: Transfer, layers: LayerRange
     ) -> None:
         self._watch.set_changing(is_changing=True)
--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -102,14 +102,14 @@
             releases = Releases(window_s=9.7)
             releases.on_named('m', 2, age_s=9.5, now=clock_s())
             releases.on_named('m', 3, age_s=third_age_s, now=clock_s())
-            loader = stub(is_at_work=False, load_part=AsyncMock())
+            loader = stub(is_at_work=False, load_layers=AsyncMock())
             shelf = {'m@2': held(second), 'm@3': held(third)}
             guarding = asyncio.ensure_future(
                 guard_of(releases, loader, shelf).guard()
             )
             await asyncio.sleep(0.2)
             guarding.cancel()
-            load, *_ = loader.load_part.call_args.args
+            load, *_ = loader.load_layers.call_args.args
             assert load.version == taken
 
         run(check())
@@ -131,7 +131,7 @@
             engine = FakeEngine(EngineReading(weights=1, layers=ALL))
             loader = loader_of(engine, named(2, 3))
             part = asyncio.ensure_future(
-                loader.load_part(Load('m', 3, 1), held(), LayerRange(0, 2))
+                loader.load_layers(Load('m', 3, 1), held(), LayerRange(0, 2))
             )
             await asyncio.sleep(0)
             assert loader.is_at_work
@@ -156,10 +156,10 @@
             engine = FakeEngine(EngineReading(weights=1, layers=ALL))
             loader = loader_of(engine, named(2))
             whole = asyncio.ensure_future(
-                loader.load_part(Load('m', 2, ALL_CHUNKS), held(), ALL)
+                loader.load_layers(Load('m', 2, ALL_CHUNKS), held(), ALL)
             )
             await asyncio.sleep(0)
-            await loader.load_part(Load('m', 2, 1), held(), LayerRange(0, 2))
+            await loader.load_layers(Load('m', 2, 1), held(), LayerRange(0, 2))
             await whole
             assert engine.reading.layers == ALL
 
@@ -355,7 +355,7 @@
 
 def keeper_of(engine, releases, own):
     """Give a keeper whose host has an own part, and its orders of parts."""
-    loader = stub(load_part=AsyncMock())
+    loader = stub(load_layers=AsyncMock())
     keeper: Any = WeightsKeeper(
         stub(log=logging.getLogger('crowrudder.test')),
         stub(service='llm'),
@@ -365,7 +365,7 @@
         library=stub(part=lambda *_: own),
         loader=loader,
     )
-    keeper.loads = loader.load_part
+    keeper.loads = loader.load_layers
     return keeper
 
 
