--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -198,6 +198,7 @@
     async def _change_to(
         self, load: Load, transfer: Transfer, layers: LayerRange
     ) -> None:
+        """Load layers in place of another version, or of too few others."""
         self._watch.set_changing(is_changing=True)
         try:
             await self._leave_paths()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -183,7 +183,8 @@
         if choice.path is not None and self._view.releases.after(
             model, choice.weights
         ):
-            # Its engines give their parts up for the newer version.
+            # Its engines give their parts up for the newer version: what has
+            # not begun by now is to go elsewhere.
             return clock_s()
         ends_at = self._view.releases.ends_at(model, choice.weights)
         return ends_at - BEGIN_MARGIN_S
