Agents: one place says whether an engine gains by a version

Keeper and loader put the same question to the same parts, one before and one under the lock; the keeper asks the loader now. Behaviour as before.

--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -13,7 +13,6 @@
 from crowrudder_daemon.fleet_agent._goals import (
     LEAST_USE_S,
     Goal,
-    is_of_use,
     newest_goal,
 )
 from crowrudder_daemon.fleet_agent._loader import Load
@@ -347,21 +346,12 @@
         )
         if self._is_outdated(goal):
             return
-        if self._is_of_use(goal, named):
+        if self._loader.is_of_use(goal.model, named.version):
             await self._loader.load(goal, named, transfer)
         else:
             # The next round would come to the same at once.
             await self._idle()
 
-    def _is_of_use(self, goal: Goal, named: Named) -> bool:
-        return is_of_use(
-            named.version,
-            whole=self._loaded,
-            held=self._engine_has,
-            ends_at=self._view.releases.ends_at(goal.model, named.version),
-            now=clock_s(),
-        )
-
     @property
     def _loaded(self) -> int:
         return self._watch.whole
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -126,16 +126,17 @@
         async with self._at_work:
             # Another load may have brought it, or a part of a newer version,
             # while this one waited.
-            if self._is_of_use(load):
+            if self.is_of_use(load.model, load.version):
                 await self._load_all(load, transfer)
 
-    def _is_of_use(self, load: Load) -> bool:
+    def is_of_use(self, model: str, version: int) -> bool:
+        """Whether the engine gains by a version now, see `is_of_use`."""
         reading = self._watch.reading
         return is_of_use(
-            load.version,
+            version,
             whole=self._watch.whole,
             held=reading.weights if reading else 0,
-            ends_at=self._view.releases.ends_at(load.model, load.version),
+            ends_at=self._view.releases.ends_at(model, version),
             now=clock_s(),
         )
 
