--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -7,6 +7,7 @@
     deflated,
     inflated,
 )
+from crowrudder_core.catalog._patience import Patience
 from crowrudder_core.catalog._punctuality import Punctuality
 from crowrudder_core.catalog._reading import (
     RETURN_S,
@@ -29,6 +30,7 @@
     'Catalog',
     'FleetView',
     'ListedUpstream',
+    'Patience',
     'Punctuality',
     'Release',
     'Releases',
--- a/packages/core/src/crowrudder_core/transfer/_hosts.py
+++ b/packages/core/src/crowrudder_core/transfer/_hosts.py
@@ -44,9 +44,15 @@
         self._parts.clear()
 
     @property
-    def others(self) -> list[str]:
-        """All hosts but this one."""
-        return [host for host in self.places if host != self.host]
+    def others_by_region(self) -> tuple[list[str], list[str]]:
+        """All hosts but this one: of the own region, and of others."""
+        near: list[str] = []
+        far: list[str] = []
+        own = self.places[self.host].region
+        for host, place in self.places.items():
+            if host != self.host:
+                (near if place.region == own else far).append(host)
+        return near, far
 
     @property
     def part_count(self) -> int:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -14,6 +14,7 @@
     WATCH_WAIT_S,
     Catalog,
     FleetView,
+    Patience,
     StoreReading,
     StoreStep,
 )
@@ -62,7 +63,7 @@
 """From a process's start until it gets here, and some time to spare: it isn't
 held to the bounds for so much less than the operators allow."""
 
-PULL_TIMEOUT_S = 1.0
+AGES_TIMEOUT_S = 1.0
 SWEEP_S = 0.25
 
 
@@ -96,6 +97,7 @@
         self._on_change = on_change
         self._random = random.Random(runtime.incarnation)
         self._pulling = False
+        self._patience = Patience()
         self._away_at = -1.0e9
         self._watch_times = WatchTimes(SWEEP_S)
         self.catalog = Catalog()
@@ -207,7 +209,7 @@
         asked_at = clock_s()
         try:
             reply = await self._client.call(
-                address, AGES, AgesAsk(), timeout_s=PULL_TIMEOUT_S
+                address, AGES, AgesAsk(), timeout_s=AGES_TIMEOUT_S
             )
         except PeerLostError as exc:
             self._log.info('ages not read: %s', exc)
@@ -219,13 +221,15 @@
         asked_at = clock_s()
         try:
             changes = await self._client.call(
-                address, CHANGES, ask, timeout_s=PULL_TIMEOUT_S
+                address, CHANGES, ask, timeout_s=self._patience.timeout_s
             )
         except PeerLostError as exc:
+            self._patience.on_lost(clock_s() - asked_at)
             self._log.info('changes not read: %s', exc)
             return
         finally:
             self._pulling = False
+        self._patience.on_answer(clock_s() - asked_at)
         self.reading.on_peer(changes.confirmed_s, asked_at)
         for item in changes.items:
             if item.age_s >= 0:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -9,6 +9,7 @@
 
 from attrs import frozen
 
+from crowrudder_core.membership import drawn
 from crowrudder_core.transfer import (
     LinkShare,
     Place,
@@ -64,6 +65,12 @@
 """The same where nothing is being collected: what is held stays."""
 
 NEIGHBOURS = 12
+"""Other agents that are told of the chunks held."""
+
+FAR_NEIGHBOURS = 4
+"""Of these, agents of other regions where the own one has the rest: most chunks
+come from the own region, and bytes between regions are few and paid for."""
+
 PACE = {
     'starved_s': 0.6,
     'origin_wait_s': 0.5,
@@ -339,8 +346,9 @@
         return found
 
     def _neighbours(self) -> list[str]:
-        others = self._hosts.others
-        return self._random.sample(others, min(len(others), NEIGHBOURS))
+        near, far = self._hosts.others_by_region
+        chosen = drawn(near, NEIGHBOURS - FAR_NEIGHBOURS, self._random)
+        return chosen + drawn(far, NEIGHBOURS - len(chosen), self._random)
 
     def _address_of(self, host: str) -> str:
         return f'{host}:{self._node.rpc_port}'
