--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -18,5 +18,7 @@
     [[ -e $package/__init__.py ]] || continue
     rm -rf "$deps/${package##*/}"
     cp -r "$package" "$deps/"
+    # The processes may not write there: each start would compile all anew.
+    python3 -m compileall -q "$deps/${package##*/}"
   done
 done
