--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -27,7 +27,7 @@
 from crowrudder_model import InvariantError, ranked
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from crowrudder_core.transfer._pace import Pace
     from crowrudder_core.transfer._peers import Place
@@ -112,19 +112,58 @@
         return self.failed
 
     def on_hosts(self, places: Mapping[str, Place]) -> None:
-        """Take all hosts of the service, live or not."""
+        """Take all hosts of the service, live or not.
+
+        Those of the first list keep their turns for as long as they are in
+        it. What goes wrong when turns are drawn anew: a host that comes or
+        goes moves half of them, at another moment on each host. Some chunks
+        are read twice and others by nobody until the origin has left, seen as
+        a version that every host lacks by a few chunks.
+        """
         seeds = choose_seeds(self.version, places)
-        if seeds == self.seeds:
-            return
+        if not self.seeds:
+            self._begin(seeds, places)
+        elif set(seeds) != set(self.seeds):
+            self._follow(seeds, places)
+
+    def _begin(
+        self, seeds: tuple[str, ...], places: Mapping[str, Place]
+    ) -> None:
         self.seeds = seeds
         self._regions = {seed: places[seed].region for seed in seeds}
+        self._orders = self._ranked(seeds)
+        if self.pace.even_turns:
+            self._orders = _evened_out(self._orders, self._parts(places))
+        self._stamp = None
+
+    def _follow(
+        self, seeds: tuple[str, ...], places: Mapping[str, Place]
+    ) -> None:
+        """Take those off who have gone, and put who is new behind all others.
+
+        Who goes leaves its chunks to the next in each order.
+        """
+        kept = tuple(seed for seed in self.seeds if seed in places)
+        room = max(MOST_SEEDS - len(kept), 0)
+        added = [seed for seed in seeds if seed not in kept][:room]
+        if self.host in seeds and self.host not in (*kept, *added):
+            added = [*added[:-1], self.host]
+        self.seeds = (*kept, *added)
+        self._regions = {seed: places[seed].region for seed in self.seeds}
         self._orders = [
+            [seed for seed in order if seed in places] + behind
+            for order, behind in zip(
+                self._orders, self._ranked(added), strict=True
+            )
+        ]
+        self._stamp = None
+
+    def _ranked(self, seeds: Iterable[str]) -> list[list[str]]:
+        """Give the rendezvous order for each chunk."""
+        return [
             ranked(f'{self.version}/{index}', seeds)
             for index in range(self.count)
         ]
-        if self.pace.even_turns:
-            self._orders = _evened_out(self._orders, self._parts(places))
-        self._stamp = None
 
     def _parts(self, places: Mapping[str, Place]) -> list[frozenset[str]]:
         """Give the hosts that collect each chunk first, see `parts_of`."""
