--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -104,7 +104,7 @@
 
     def _give_up(self, read: Read) -> None:
         """End a read that stalls; its source is believed the less."""
-        self._watch.stalled(read)
+        self._watch.stalled(self._asked.version, read)
         self._transfer.on_failed(read, now=self._now())
         job = self._reads.pop(read, None)
         if job is not None:
@@ -136,7 +136,7 @@
         try:
             answer = await self._peer_answer(read)
         except CrowrudderError as exc:
-            self._watch.failed(read, exc)
+            self._watch.failed(self._asked.version, read, exc)
             self._transfer.on_failed(read, now=self._now())
             return
         if answer.stock is not None:
@@ -172,7 +172,7 @@
                 lambda size: self._note_bytes(read, size),
             )
         except CrowrudderError as exc:
-            self._watch.failed(read, exc)
+            self._watch.failed(self._asked.version, read, exc)
             self._transfer.on_failed(
                 read,
                 now=self._now(),
@@ -200,7 +200,7 @@
         if good:
             self._watch.read(read, len(payload))
         elif not self._transfer.dropped:
-            self._watch.corrupted(read)
+            self._watch.corrupted(self._asked.version, read)
         return good
 
     def _note_stock(self, reply: StockReply) -> None:
--- a/packages/daemon/src/crowrudder_daemon/chunks/_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from crowrudder_core.transfer import FromOrigin, FromPeer
 
@@ -76,22 +76,23 @@
         """Count bytes that went out."""
         self._sent.add(size)
 
-    def failed(self, read: Read, exc: CrowrudderError) -> None:
+    def failed(self, version: str, read: Read, exc: CrowrudderError) -> None:
         """Note a read that failed."""
         self._lost.add(source=_kind(read), reason='failed')
-        self._log.info('chunk %d not read: %s', read.index, exc)
+        self._log.info(
+            'chunk not read',
+            extra={**_fields(version, read), 'reason': str(exc)},
+        )
 
-    def stalled(self, read: Read) -> None:
+    def stalled(self, version: str, read: Read) -> None:
         """Note a read without a byte for too long."""
         self._lost.add(source=_kind(read), reason='stalled')
-        self._log.warning('chunk %d stalls from %s', read.index, _name(read))
+        self._log.warning('chunk stalls', extra=_fields(version, read))
 
-    def corrupted(self, read: Read) -> None:
+    def corrupted(self, version: str, read: Read) -> None:
         """Note a chunk with another digest."""
         self._lost.add(source=_kind(read), reason='corrupted')
-        self._log.warning(
-            'chunk %d came corrupted from %s', read.index, _name(read)
-        )
+        self._log.warning('chunk came corrupted', extra=_fields(version, read))
 
     def refused(self, exc: CrowrudderError) -> None:
         """Note an unsafe act that an invariant refused."""
@@ -132,5 +133,12 @@
             return 'origin'
 
 
-def _name(read: Read) -> str:
-    return read.host if isinstance(read, FromPeer) else 'the origin'
+def _fields(version: str, read: Read) -> dict[str, Any]:
+    """Give what a line says of a read."""
+    source = read.host if isinstance(read, FromPeer) else 'the origin'
+    return {
+        'step': 'chunk',
+        'version': version,
+        'chunk': read.index,
+        'source': source,
+    }
