Keeper: the newest version is begun beside the one before it

Ruled out: long pauses between tries (refused connections fail at once, tries come every 0.1 s while the newest is pursued). Changed: the newest's manifest is asked for meanwhile, and one chunk of it is read at a time until the older version is complete.

--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -70,6 +70,9 @@
     ----------
     first
         Chunks (bits) that this host wants before the others.
+    goes_behind
+        A version that goes first on this host's link: until it is complete,
+        one chunk of this one is read at a time.
     """
 
     manifest: Manifest
@@ -83,6 +86,7 @@
     dropped: bool = field(default=False, init=False)
     held: int = field(default=0, init=False)
     first: int = field(default=0, init=False)
+    goes_behind: Transfer | None = field(default=None, init=False, repr=False)
     peers: PeerBook = field(init=False)
     origin: OriginDuty = field(init=False)
     progress: Progress = field(init=False)
@@ -175,7 +179,7 @@
 
     def next_reads(self, *, now: float) -> list[Read]:
         """Give the reads to start now; they count as started."""
-        room = self.pace.reads_at_once - len(self.flights)
+        room = _reads_at_once(self.pace, self.goes_behind) - len(self.flights)
         if self.dropped or self.complete or room <= 0:
             return []
         wants = self._wants()
@@ -397,6 +401,12 @@
             self.origin.on_held(index)
 
 
+def _reads_at_once(pace: Pace, goes_behind: Transfer | None) -> int:
+    if goes_behind is None or goes_behind.complete or goes_behind.dropped:
+        return pace.reads_at_once
+    return 1
+
+
 def _source_of(read: Read) -> str:
     match read:
         case FromPeer(host=host):
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -108,37 +108,48 @@
             # Once in a life: what is staged later is held here as well.
             await self._library.take_staged(self._engine, goal.model, transfer)
             self._has_looked = True
+        ahead = asyncio.ensure_future(self._begin_ahead(goal, named, transfer))
+        try:
+            await self._bring(goal, named, transfer)
+        finally:
+            ahead.cancel()
+
+    async def _bring(
+        self, goal: Goal, named: Named, transfer: Transfer
+    ) -> None:
+        """Collect a version, and load it if the engine gains by it."""
         if not transfer.complete:
             await self._collect(Collecting(goal, named, transfer))
         if not transfer.complete or self._is_outdated(goal):
             return
         if self._loaded < named.version:
-            ahead = asyncio.ensure_future(self._begin_ahead(goal, named))
-            try:
-                await self._load(goal, named, transfer)
-            finally:
-                ahead.cancel()
+            await self._load(goal, named, transfer)
             return
         self._hinders = ''
         await self._idle()
 
-    async def _begin_ahead(self, loading: Goal, loaded: Named) -> None:
-        """Begin with the newest version while an older one is loaded.
+    async def _begin_ahead(
+        self, goal: Goal, before: Named, older: Transfer
+    ) -> None:
+        """Begin with the newest version beside the one before it.
 
-        The wait for a turn and the load take up to two seconds, in which the
-        host's link would carry nothing.
+        What goes wrong without: the origin is back, all hosts complete the
+        one before and load it, and nobody has asked for a chunk of the newest
+        until then, though the origin's link carries little else. While the
+        older one lacks chunks it goes first.
         """
-        if loading.version in {0, loading.newest}:
+        if goal.version in {0, goal.newest}:
             return
-        newest = evolve(loading, version=loading.newest)
+        newest = evolve(goal, version=goal.newest)
         while True:
             try:
                 named = await self._library.manifest(newest)
-                _, transfer = self._library.open(loaded, named)
+                _, transfer = self._library.open(before, named)
             except CrowrudderError as exc:
                 self._on_hindrance(exc)
                 await asyncio.sleep(RETRY_S)
                 continue
+            transfer.goes_behind = older
             await self._library.collector(named, transfer).run()
             return
 
