--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -122,6 +122,7 @@
     returned_at: float = -math.inf
     lists_at: float = math.inf
     joins_at: float = -math.inf
+    started_at: float = -math.inf
 
     def on_start(self, now: float, *, lists_at_once: bool = False) -> None:
         """Leave the platform to others, unless nobody tells anything.
@@ -133,7 +134,7 @@
         agents knew of it 0.6 s later than they could read it themselves.
         """
         self.rank = WATCHERS
-        self.confirmed_at = now
+        self.started_at = now
         self.lists_at = now
         if not lists_at_once:
             part = score('start', self.own) / _SCORES
@@ -236,7 +237,9 @@
 
     def _steps_in(self, now: float) -> bool:
         """Whether to try in place of watchers that don't hear the platform."""
-        if self.confirmed_s(now) < WATCH_WAIT_S + SILENT_S:
+        # A start is no sign of the platform: it isn't told to others as one.
+        silent_s = now - max(self.confirmed_at, self.started_at)
+        if silent_s < WATCH_WAIT_S + SILENT_S:
             return False
         if not self.is_reader:
             return not self.others
--- a/tests/catalog/test_reading.py
+++ b/tests/catalog/test_reading.py
@@ -24,6 +24,35 @@
         assert reading.step(100.2) is StoreStep.REST
 
 
+class TestStartInAnOutage:
+    def test_a_new_process_is_no_proof_that_the_platform_lives(self):
+        """A version ended four seconds too early on every entry.
+
+        Symptom: from 4 s after the platform's return until engines have
+        loaded the newest version nothing may begin anywhere. Sequence: the
+        platform is silent for eight seconds, in which a version is named and
+        entries are restarted in turn; on the return the version counts as
+        named when the last of them started. Cause: a process that starts took
+        that moment for a sign of the platform, so as not to step in at once,
+        and told it to all others in its heartbeats.
+        """
+        reading = StoreReading(own='a')
+        reading.on_start(100)
+        assert reading.confirmed_s(100) > 1.0e6
+        other = StoreReading(own='b')
+        other.on_answer(90)
+        other.on_peer(reading.confirmed_s(100), 100)
+        other.on_answer(101)
+        assert other.unknown_age_s(101, is_informed=True) == 0
+
+    def test_it_steps_in_only_after_the_usual_silence(self):
+        reading = StoreReading(own='a')
+        reading.on_start(100)
+        reading.on_informed()
+        assert reading.step(102) is StoreStep.REST
+        assert reading.step(104) is not StoreStep.REST
+
+
 class TestUnknownAges:
     def test_what_was_named_while_the_platform_was_away_is_new(self):
         """No engine could be used for six seconds.
