--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -1,5 +1,6 @@
 """Published records: their order, and what a fleet looks like by them."""
 
+from crowrudder_core.catalog._answer_timeout import AnswerTimeout
 from crowrudder_core.catalog._catalog import Catalog
 from crowrudder_core.catalog._packing import (
     MOST_RECORD_BYTES,
@@ -7,11 +8,9 @@
     deflated,
     inflated,
 )
-from crowrudder_core.catalog._patience import Patience
 from crowrudder_core.catalog._punctuality import Punctuality
 from crowrudder_core.catalog._reading import (
     RETURN_S,
-    STEPPING_IN,
     WATCH_WAIT_S,
     WATCHERS,
     StoreReading,
@@ -26,11 +25,10 @@
     'MOST_RECORD_BYTES',
     'RETURN_S',
     'SMALLEST_DEFLATED_BYTES',
-    'STEPPING_IN',
+    'AnswerTimeout',
     'Catalog',
     'FleetView',
     'ListedUpstream',
-    'Patience',
     'Punctuality',
     'Release',
     'Releases',
--- a/packages/core/src/crowrudder_core/catalog/_patience.py
+++ b/packages/core/src/crowrudder_core/catalog/_answer_timeout.py
@@ -15,7 +15,7 @@
 
 
 @define
-class Patience:
+class AnswerTimeout:
     """A time-out that follows from how long answers have taken.
 
     What goes wrong with one that is the same for every answer: a large
@@ -28,16 +28,16 @@
     Times are seconds.
     """
 
-    timeout_s: float = SHORTEST_S
+    seconds: float = SHORTEST_S
 
     def on_answer(self, took_s: float) -> None:
         """Take how long an answer took."""
-        self.timeout_s = min(max(SPARE * took_s, SHORTEST_S), LONGEST_S)
+        self.seconds = min(max(SPARE * took_s, SHORTEST_S), LONGEST_S)
 
     def on_lost(self, took_s: float) -> None:
         """Take note that no answer came, after so long.
 
         Who is gone fails at once, and tells nothing of the link.
         """
-        if took_s >= self.timeout_s:
-            self.timeout_s = min(SPARE * self.timeout_s, LONGEST_S)
+        if took_s >= self.seconds:
+            self.seconds = min(SPARE * self.seconds, LONGEST_S)
--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -46,7 +46,7 @@
 the hosts that the platform turns away."""
 
 SILENT_S = 0.8
-"""Without a word from the platform for so long, every entry watches itself.
+"""Without a word from the platform for so long, other entries try as well.
 
 It is under half of the shortest time (2 s) in which operators want a change
 in force, so that a second reader is in time.
--- a/packages/core/src/crowrudder_core/membership/_partners.py
+++ b/packages/core/src/crowrudder_core/membership/_partners.py
@@ -38,10 +38,8 @@
 CLOSE_ENTRIES = 8
 """Entries of its region that an agent tells of each change of its load.
 
-The others hear of it less often. In virtual time, 84 entries in five regions
-before 156 engines at 0.85 of what these can do, requests drawn among the
-engines that an entry hears often begin in time as often as where all entries
-hear all engines of their region every 0.1 s, for half of the words.
+The others hear of it less often, and send requests to other engines first. With
+fewer, more requests go to other regions.
 """
 
 RELAYS = 2
--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -146,8 +146,6 @@
         kept = tuple(seed for seed in self.seeds if seed in places)
         room = max(MOST_SEEDS - len(kept), 0)
         added = [seed for seed in seeds if seed not in kept][:room]
-        if self.host in seeds and self.host not in (*kept, *added):
-            added = [*added[:-1], self.host]
         self.seeds = (*kept, *added)
         self._regions = {seed: places[seed].region for seed in self.seeds}
         self._orders = [
--- a/packages/daemon/src/crowrudder_daemon/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/_task.py
@@ -55,8 +55,8 @@
     def handle_now(self, message: object) -> None:
         """Run a handler that is no coroutine, past the queue.
 
-        For what comes from the object's own socket, in its own loop: a
-        datagram that goes through the queue costs half as much again.
+        For what comes from the object's own socket, in its own loop: the
+        queue costs two more turns of the loop for each datagram.
         """
         try:
             getattr(self, f'on_{self._step_of(type(message))}')(message)
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -12,9 +12,9 @@
 from crowrudder_core.catalog import (
     RETURN_S,
     WATCH_WAIT_S,
+    AnswerTimeout,
     Catalog,
     FleetView,
-    Patience,
     StoreReading,
     StoreStep,
 )
@@ -31,7 +31,7 @@
 from crowrudder_daemon.fleet._records_service import RecordsService
 from crowrudder_daemon.fleet._shown import shown
 from crowrudder_daemon.fleet._version_ends import VersionEnds
-from crowrudder_daemon.fleet._watch_times import Asked, Heard, WatchTimes
+from crowrudder_daemon.fleet._watch_times import Heard, WatchAsked, WatchTimes
 from crowrudder_daemon.fleet.ports import (
     BadRecordError,
     HistoryGoneError,
@@ -97,7 +97,7 @@
         self._on_change = on_change
         self._random = random.Random(runtime.incarnation)
         self._pulling = False
-        self._patience = Patience()
+        self._pull_timeout = AnswerTimeout()
         self._away_at = -1.0e9
         self._watch_times = WatchTimes(SWEEP_S)
         self.catalog = Catalog()
@@ -221,15 +221,15 @@
         asked_at = clock_s()
         try:
             changes = await self._client.call(
-                address, CHANGES, ask, timeout_s=self._patience.timeout_s
+                address, CHANGES, ask, timeout_s=self._pull_timeout.seconds
             )
         except PeerLostError as exc:
-            self._patience.on_lost(clock_s() - asked_at)
+            self._pull_timeout.on_lost(clock_s() - asked_at)
             self._log.info('changes not read: %s', exc)
             return
         finally:
             self._pulling = False
-        self._patience.on_answer(clock_s() - asked_at)
+        self._pull_timeout.on_answer(clock_s() - asked_at)
         self.reading.on_peer(changes.confirmed_s, asked_at)
         for item in changes.items:
             if item.age_s >= 0:
@@ -280,7 +280,7 @@
         confirmed_at = self.reading.confirmed_at
         self._on_answer(StoreStep.WATCH)
         since = self._watch_times.published_since(
-            Asked(asked_at, wait_s),
+            WatchAsked(asked_at, wait_s),
             Heard(confirmed_at, self.reading.returned_at),
             has_changes=bool(listing.items),
         )
--- a/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
@@ -9,7 +9,7 @@
 
 
 @frozen
-class Asked:
+class WatchAsked:
     """When a watch was asked for, and for how long it may wait."""
 
     at: float
@@ -50,7 +50,7 @@
         self._ages.on_listed(asked_at)
 
     def published_since(
-        self, asked: Asked, heard: Heard, *, has_changes: bool
+        self, asked: WatchAsked, heard: Heard, *, has_changes: bool
     ) -> float:
         """Take a watch's answer; give since when its changes can be there."""
         now = clock_s()
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -75,11 +76,16 @@
         self._library = library
         self._loader = loader
         self._open_ended = 0
+        self._changed = asyncio.Event()
+
+    def on_change(self) -> None:
+        """Look at once: a version may have ended before it was heard of."""
+        self._changed.set()
 
     async def guard(self) -> None:
         """Look at the end again and again."""
         while True:
-            await asyncio.sleep(self._pause_s())
+            await self._pause()
             figures = figures_of(self._view, self._node)
             if figures is None or not self._is_due(figures.model):
                 continue
@@ -90,8 +96,14 @@
                 self._runtime.log.exception('end guard', extra={'step': 'end'})
                 await asyncio.sleep(RETRY_S)
 
+    async def _pause(self) -> None:
+        """Wait for a change of the records, or until the next look."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._pause_s()):
+                await self._changed.wait()
+        self._changed.clear()
+
     def _pause_s(self) -> float:
-        """Give the time until the next look."""
         figures = figures_of(self._view, self._node)
         if figures is None:
             return LONGEST_LOOK_S
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
@@ -138,3 +138,4 @@
         """Follow the published records."""
         self.library.on_change()
         self.keeper.on_change()
+        self.end_guard.on_change()
