Watches: those further back wait no longer than the others

A change that comes while a watch waits counts as published when its answer is read. With three times the wait, one that a cut link held back would be believed up to seven seconds too young in place of three: the version before it would be used for as long after its end.

--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -31,9 +31,6 @@
 which it has to be in force at the most.
 """
 
-PROVERS = 2
-"""Watchers whose answers show, every two seconds, that the platform lives."""
-
 STEPPING_IN = 4
 """Entries that try in each turn while nobody hears the platform, in the mean.
 
@@ -55,10 +52,6 @@
 WATCH_WAIT_S = 2.0
 """How long a watch waits for news; an answer also shows that it lives."""
 
-SPARE_WAITS = 3
-"""So many times as long a watcher waits whose answers nobody needs as a proof.
-"""
-
 PROOF_S = 2.9
 """Longest time between two signs of a platform that works: a watch's wait,
 and what its answer may take."""
@@ -225,11 +218,6 @@
             return StoreStep.LIST if self.needs_list else StoreStep.WATCH
         return StoreStep.REST
 
-    @property
-    def waits(self) -> int:
-        """How many times the usual wait a watch that begins now waits."""
-        return SPARE_WAITS if PROVERS <= self.rank < WATCHERS else 1
-
     @property
     def gather_s(self) -> float:
         """The pause between an answer with changes and the next watch."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -31,7 +31,7 @@
 from crowrudder_daemon.fleet._records_service import RecordsService
 from crowrudder_daemon.fleet._shown import shown
 from crowrudder_daemon.fleet._version_ends import VersionEnds
-from crowrudder_daemon.fleet._watch_times import Heard, WatchAsked, WatchTimes
+from crowrudder_daemon.fleet._watch_times import Heard, WatchTimes
 from crowrudder_daemon.fleet.ports import (
     BadRecordError,
     HistoryGoneError,
@@ -275,12 +275,11 @@
     async def _watch(self, source: PublishedSource) -> None:
         after = self.catalog.revision
         asked_at = clock_s()
-        wait_s = WATCH_WAIT_S * self.reading.waits
-        listing = await source.watch(after, wait_s=wait_s)
+        listing = await source.watch(after, wait_s=WATCH_WAIT_S)
         confirmed_at = self.reading.confirmed_at
         self._on_answer(StoreStep.WATCH)
         since = self._watch_times.published_since(
-            WatchAsked(asked_at, wait_s),
+            asked_at,
             Heard(confirmed_at, self.reading.returned_at),
             has_changes=bool(listing.items),
         )
--- a/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
@@ -4,18 +4,10 @@
 
 from attrs import frozen
 
-from crowrudder_core.catalog import Punctuality, WatchAges
+from crowrudder_core.catalog import WATCH_WAIT_S, Punctuality, WatchAges
 from crowrudder_daemon._clock import clock_s
 
 
-@frozen
-class WatchAsked:
-    """When a watch was asked for, and for how long it may wait."""
-
-    at: float
-    wait_s: float
-
-
 @frozen
 class Heard:
     """When the platform had been heard before an answer, and was back."""
@@ -50,22 +42,22 @@
         self._ages.on_listed(asked_at)
 
     def published_since(
-        self, asked: WatchAsked, heard: Heard, *, has_changes: bool
+        self, asked_at: float, heard: Heard, *, has_changes: bool
     ) -> float:
         """Take a watch's answer; give since when its changes can be there."""
         now = clock_s()
         is_punctual = self._punctuality.is_given(now)
         since = self._ages.published_since(
-            asked.at,
+            asked_at,
             now,
             confirmed_at=heard.confirmed_at,
             returned_at=heard.returned_at,
             is_punctual=is_punctual,
         )
         self._ages.on_answer(
-            asked.at,
+            asked_at,
             now,
-            wait_s=asked.wait_s,
+            wait_s=WATCH_WAIT_S,
             has_changes=has_changes,
             is_punctual=is_punctual,
         )
--- a/tests/catalog/test_calls_by_size.py
+++ b/tests/catalog/test_calls_by_size.py
@@ -73,8 +73,7 @@
         reading.on_listed()
         reading.on_informed()
         self.heard_at = now
-        is_watch = step is StoreStep.WATCH
-        return WATCH_WAIT_S * reading.waits if is_watch else 0.005
+        return WATCH_WAIT_S if step is StoreStep.WATCH else 0.005
 
 
 class TestCallsDoNotGrow:
