Logs: the digest of a request's work, and how long an attempt had run

The logs of the incident can't show which requests with other ids ask for the same work, nor which of those at an upstream had just begun when it ended: two of the three hypotheses could not be told apart by them.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -185,6 +185,13 @@
             for each in self.choice.outlooks:
                 each.on_ended(self._ticket)
 
+    @property
+    def ran_s(self) -> float:
+        """How long ago its first event came, in seconds; 0 before it."""
+        if not self._has_begun:
+            return 0
+        return clock_s() - self.sent_at - self.first_took_s
+
     @property
     def _is_overtaken(self) -> bool:
         """Whether it had not begun when it had to."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_line.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_line.py
@@ -25,6 +25,7 @@
         'forecast_s': round(attempt.choice.first_s, 3),
         'begin_left_s': None if left_s is None else round(left_s, 3),
         'first_s': round(attempt.first_took_s, 3),
+        'ran_s': round(attempt.ran_s, 3),
         'engines': len(attempt.choice.outlooks),
         'word_age_s': round(attempt.word_age_s, 2),
         'ending': type(ending).__name__ if ending else UNDER_WAY,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -19,6 +19,7 @@
     Relay,
     SendAgain,
 )
+from crowrudder_core.quarantine import digest_text, request_digest
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
 from crowrudder_daemon.fleet_entry._attempt_line import line_of
@@ -97,6 +98,7 @@
     side: CallerSide
     parts: EntryParts
     dispatch: Dispatch = field(init=False)
+    digest: int = field(init=False)
     events: EventStream = field(factory=EventStream, init=False)
     _attempts: list[dict[str, Any]] = field(factory=list, init=False)
     _under_way: Attempt | None = field(default=None, init=False)
@@ -114,6 +116,13 @@
             most_sends=route.attempts,
             limit_at=self.arrived_at + wait_s,
         )
+        self.digest = request_digest(
+            method=self.call.method,
+            host=self.call.host,
+            target=self.call.target,
+            customer=self.admitted.customer,
+            body=self.body,
+        )
 
     async def run(self) -> None:
         """Go on until the caller has its final answer, or has left."""
@@ -335,6 +344,7 @@
             extra={
                 'step': 'request',
                 'request_id': self.call.request_id,
+                'digest': digest_text(self.digest),
                 'outcome': outcome,
                 'status': int(status),
                 'reason': reason,
