Failing test: a request that ends one upstream after the other

Callers saw half of their streams cut. Twelve arrivals of one request at three entries end 16 engines (12 where it may not repeat), and 12 plain services; three, and two for the words between entries, are to be the most. Streams beside it lose more upstreams than they may be sent to.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -21,7 +21,7 @@
 import hashlib
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any
 
@@ -64,8 +64,13 @@
     seal out, ``half_event`` breaks off within an event, ``slow`` waits for
     ``amount`` seconds before it answers, ``head_alone`` sends nothing after
     the head of its answer. ``rot`` spoils a staged piece.
+
+    A body with ``fatal_mark`` ends the replica as it begins to run: `on_fatal`
+    has to close its connections, and to bring its next life.
     """
 
+    fatal_mark = b'fatal'
+
     fault_names = (
         'full',
         'fail',
@@ -97,6 +102,7 @@
         self.orders: list[dict[str, Any]] = []
         self.places = Slots(self.slots, int(options.get('--queue') or 0))
         self.is_busy = False
+        self.on_fatal: Callable[[], object] | None = None
         self._jobs: set[asyncio.Task[None]] = set()
 
     def entry(
@@ -264,6 +270,10 @@
         return began
 
     async def _answer(self, call: Call, began: Run) -> None:
+        if self.on_fatal is not None and self.fatal_mark in began.body:
+            began.ended = 'crashed'
+            self.on_fatal()
+            raise DropError
         if slow := self.faults.take('slow'):
             await asyncio.sleep(slow.amount)
         if self.faults.take('lost'):
--- /dev/null
+++ b/tests/fleet/test_crashing_request.py
@@ -0,0 +1,74 @@
+"""A request under which upstreams end, in a fleet of real entries."""
+
+from __future__ import annotations
+
+import asyncio
+
+from crowrudder_standins.fleet_replica import stream_of
+from support.crashing import AGENT_SEES_S, Crashes
+from support.fleet_checks import all_runs, checked
+
+FATAL = b'a fatal body'
+ASKED = 12
+PAUSE_S = 2 * AGENT_SEES_S
+MOST_ENDED = 5
+"""Three, and two that a word's way between entries may take."""
+
+
+async def ask_fatal(world, count=ASKED, path='/draft/x'):
+    """Send the request again and again, to one entry after the other."""
+    answers = []
+    for number in range(count):
+        entry = number % len(world.entries)
+        answers.append(
+            await world.ask(path, entry=entry, method='POST', body=FATAL)
+        )
+        await asyncio.sleep(PAUSE_S)
+    return answers
+
+
+class TestCrashingRequest:
+    """Guards against a request that ends one upstream after the other."""
+
+    def test_a_request_that_ended_three_upstreams_is_sent_to_no_more(self):
+        async def check(world):
+            crashes = Crashes(world).arm()
+            for path in ('/draft/x', '/once/x'):
+                crashes.ended.clear()
+                answers = await ask_fatal(world, path=path)
+                assert len(crashes.ended) <= MOST_ENDED
+                assert [answer.status for answer in answers[-4:]] == [400] * 4
+                assert not answers[-1].header('retry-after')
+
+        checked(check, entries=3, engines=8)
+
+    def test_plain_upstreams_without_agents_are_spared_as_well(self):
+        async def check(world):
+            crashes = Crashes(world, service='plain').arm()
+            answers = await ask_fatal(world, path='/notice/x')
+            assert len(crashes.ended) <= MOST_ENDED
+            assert answers[-1].status == 400
+
+        checked(check, entries=3, plain=8)
+
+    def test_streams_beside_it_go_on_elsewhere_and_end_whole(self):
+        """Guards against blame for those that were at the same upstream."""
+
+        async def check(world):
+            Crashes(world).arm()
+            asked = asyncio.ensure_future(ask_fatal(world))
+            number = 0
+            while not asked.done():
+                number += 1
+                request_id = f'beside-{number}'
+                answer = await world.ask(
+                    '/draft/x',
+                    entry=number % 3,
+                    method='POST',
+                    body=request_id.encode(),
+                    request_id=request_id,
+                )
+                assert answer.body == stream_of(request_id)
+            assert len(all_runs(world, 'beside-1'))
+
+        checked(check, entries=3, engines=8)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -154,15 +154,36 @@
     nodes: list[Node] = field(factory=list)
     store_address: str = ''
     origin_address: str = ''
-    _servers: list[Any] = field(factory=list)
+    _servers: dict[str, Any] = field(factory=dict)
     _asked: int = 0
 
     def serve(self, standin, ip='127.0.0.1'):
         """Run a stand-in on a free port."""
         port = free_port(ip)
         server = application(standin).listen(port, ip)
-        self._servers.append(server)
-        return f'{ip}:{port}'
+        address = f'{ip}:{port}'
+        self._servers[address] = server
+        return address
+
+    def server_at(self, address):
+        """Give the server of a stand-in."""
+        return self._servers[address]
+
+    def begin_life(self, name, address, before, service):
+        """Start a replica anew where another one has ended."""
+        ip, _, port = address.rpartition(':')
+        replica = FleetReplica(
+            {
+                '--id': name,
+                '--slots': before.slots,
+                '--model': before.model,
+                '--loaded': before.weights,
+            },
+        )
+        self.replicas[name] = replica
+        self.addresses[name] = address
+        self._servers[address] = application(replica).listen(int(port), ip)
+        self.list_replica(name, service)
 
     def publish(self, **more):
         more.setdefault('origin', self.origin_address)
@@ -295,7 +316,9 @@
             ),
         )
 
-    async def ask(self, path, *, entry=0, method='GET', **headers):
+    async def ask(
+        self, path, *, entry=0, method='GET', body=b'body', **headers
+    ):
         """Send one request as a caller does."""
         self._asked += 1
         request_id = headers.pop('request_id', f'request-{self._asked}')
@@ -312,7 +335,7 @@
             method=method,
             target=path,
             headers=tuple(fields.items()),
-            body=b'body' if method == 'POST' else b'',
+            body=body if method == 'POST' else b'',
         )
         return await call(self.nodes[entry].callers, request)
 
@@ -340,7 +363,7 @@
             await entry.runtime.cancel_jobs()
             entry._http.stop()
             entry._port.close()
-        for server in self._servers:
+        for server in self._servers.values():
             server.stop()
 
 
