Quarantine: a request under which three upstreams ended is sent to no more

Cause: a failure that belongs to the work was charged to the worker alone.

Change: requests have a digest of method, host, path, customer and body. A run whose connection its upstream closes counts against its digest once it is known that the upstream's life ended (its agent's word, a refused connection, the record's end); a run that had gone on for half a second counts half, and any run that ends whole clears its digest everywhere. Two entries drawn by rendezvous add up what others saw; from two ends on all entries are told, from three on the request is rejected with 400, and what waits at an upstream is taken back. Suspects are tried apart from each other, at places that all entries work out alike.

--- a/packages/core/src/crowrudder_core/dispatch/__init__.py
+++ b/packages/core/src/crowrudder_core/dispatch/__init__.py
@@ -10,6 +10,7 @@
     NotRun,
     NotSent,
     Refuse,
+    Reject,
     Relay,
     SendAgain,
 )
@@ -27,6 +28,7 @@
     'NotRun',
     'NotSent',
     'Refuse',
+    'Reject',
     'Relay',
     'SendAgain',
 )
--- a/packages/core/src/crowrudder_core/dispatch/_dispatch.py
+++ b/packages/core/src/crowrudder_core/dispatch/_dispatch.py
@@ -74,7 +74,14 @@
     reason: str
 
 
-Next = SendAgain | Relay | Refuse | Fail
+@frozen
+class Reject:
+    """Tell the caller never to send the request again."""
+
+    reason: str
+
+
+Next = SendAgain | Relay | Refuse | Fail | Reject
 
 
 @define(kw_only=True)
--- a/packages/core/src/crowrudder_core/quarantine/__init__.py
+++ b/packages/core/src/crowrudder_core/quarantine/__init__.py
@@ -1,5 +1,24 @@
 """Requests that end the upstreams that run them."""
 
 from crowrudder_core.quarantine._digest import digest_text, request_digest
+from crowrudder_core.quarantine._places import places_apart
+from crowrudder_core.quarantine._quarantine import (
+    Audience,
+    Convicted,
+    Effect,
+    Quarantine,
+    Tell,
+    owners,
+)
 
-__all__ = ('digest_text', 'request_digest')
+__all__ = (
+    'Audience',
+    'Convicted',
+    'Effect',
+    'Quarantine',
+    'Tell',
+    'digest_text',
+    'owners',
+    'places_apart',
+    'request_digest',
+)
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -31,6 +31,7 @@
     Heartbeat,
     LoadBatch,
     MemberWord,
+    SuspectNews,
 )
 
 if TYPE_CHECKING:
@@ -70,6 +71,9 @@
     def chunks_heard(self, ip: str, news: ChunkNews) -> None:
         """Take an agent's word on the chunks that it holds."""
 
+    def suspects_heard(self, ip: str, news: SuspectNews) -> None:
+        """Take an entry's word on requests under which upstreams ended."""
+
 
 @frozen
 class DatagramCame:
@@ -190,6 +194,8 @@
                 self._listener.loads_heard(datagram)
             case ChunkNews():
                 self._listener.chunks_heard(message.ip, datagram)
+            case SuspectNews():
+                self._listener.suspects_heard(message.ip, datagram)
 
     def on_beat_due(self, _message: BeatDue) -> None:
         """Send a heartbeat to those who are to have one."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -15,7 +15,12 @@
     from crowrudder_daemon.process import Runtime
     from crowrudder_model import Member
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import ChunkNews, EngineLoad, LoadBatch
+    from crowrudder_model.messages import (
+        ChunkNews,
+        EngineLoad,
+        LoadBatch,
+        SuspectNews,
+    )
 
 RPC_GRACE_S = 0.2
 
@@ -99,3 +104,6 @@
 
     def chunks_heard(self, ip: str, news: ChunkNews) -> None:
         """Take no interest in chunks."""
+
+    def suspects_heard(self, ip: str, news: SuspectNews) -> None:
+        """Take no interest in requests."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -114,6 +114,12 @@
     begin_left_s: float | None = field(default=None, init=False)
     head_took_s: float = field(default=-1, init=False)
     taken_away: TakenAway | None = field(default=None, init=False)
+    is_cut_off: bool = field(default=False, init=False)
+    """Whether the upstream closed the connection before its answer's end."""
+
+    is_refused: bool = field(default=False, init=False)
+    """Whether nobody listens at the upstream's address."""
+
     begin_by: float = field(init=False)
     _ticket: int = field(default=0, init=False)
     _wait: asyncio.Timeout | None = field(default=None, init=False)
@@ -131,6 +137,7 @@
                 upstream.address, timeout_s=CONNECT_S
             )
         except NotConnectedError as exc:
+            self.is_refused = not isinstance(exc.__cause__, TimeoutError)
             self.choice.outlook.on_bad(now=clock_s(), avoid=True)
             return NotSent(str(exc))
         try:
@@ -174,6 +181,7 @@
             return await self._read(conn)
         except (BrokenAnswerError, TimeoutError) as exc:
             unsent_bytes = conn.unsent_bytes
+            self.is_cut_off = conn.was_ended_by_peer
             conn.close()
             if self._is_overtaken:
                 self._note_taken_away(unsent_bytes)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -7,15 +7,17 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from crowrudder_core.dispatch import (
     Answered,
+    Broken,
     Dispatch,
     EventStream,
     Fail,
     NotSent,
     Refuse,
+    Reject,
     Relay,
     SendAgain,
 )
@@ -102,6 +104,7 @@
     events: EventStream = field(factory=EventStream, init=False)
     _attempts: list[dict[str, Any]] = field(factory=list, init=False)
     _under_way: Attempt | None = field(default=None, init=False)
+    _wait: asyncio.Timeout | None = field(default=None, init=False)
     _first_s: float = field(default=-1, init=False)
     _sent_s: float = field(default=-1, init=False)
 
@@ -126,6 +129,21 @@
 
     async def run(self) -> None:
         """Go on until the caller has its final answer, or has left."""
+        quarantine = self.parts.quarantine
+        quarantine.enter(self)
+        try:
+            await self._run()
+        finally:
+            quarantine.leave(self)
+
+    def on_convicted(self) -> None:
+        """Take an attempt back that has not begun; a stream is left to end."""
+        attempt, wait = self._under_way, self._wait
+        has_begun = attempt is not None and attempt.first_took_s >= 0
+        if wait is not None and not wait.expired() and not has_begun:
+            wait.reschedule(asyncio.get_running_loop().time())
+
+    async def _run(self) -> None:
         try:
             async with asyncio.timeout(self.dispatch.limit_at - clock_s()):
                 verdict = await self._attempt_all()
@@ -142,6 +160,8 @@
 
     async def _attempt_all(self) -> Next:
         while True:
+            if self.parts.quarantine.is_convicted(self.digest):
+                return self._reject()
             is_movable = self._is_movable
             choice = self._choose(is_movable=is_movable)
             refusal = self._refusal(choice)
@@ -149,39 +169,87 @@
                 return refusal or self._nobody()
             attempt = self._attempt(choice, is_movable=is_movable)
             self._under_way = attempt
-            ending = await attempt.run()
+            ending = await self._ending_of(attempt)
             self._under_way = None
             self._note_attempt(attempt, ending)
+            self._note_life(attempt, ending)
             verdict = self._after(attempt, ending)
             if not isinstance(verdict, SendAgain):
                 if isinstance(verdict, Relay):
                     await self._relay(attempt)
                 return verdict
 
+    async def _ending_of(self, attempt: Attempt) -> Ending:
+        """Run an attempt, unless its request is convicted meanwhile."""
+        try:
+            async with asyncio.timeout(None) as wait:
+                self._wait = wait
+                return await attempt.run()
+        except TimeoutError:
+            return Broken('upstreams ended under this request')
+        finally:
+            self._wait = None
+
+    def _note_life(self, attempt: Attempt, ending: Ending) -> None:
+        """Tell what an attempt's end says of the upstream's life."""
+        quarantine = self.parts.quarantine
+        lives = [each.upstream.id for each in attempt.choice.outlooks]
+        match ending:
+            case Answered():
+                quarantine.on_whole(self.digest)
+            case Broken() if attempt.is_cut_off:
+                quarantine.on_broken(self.digest, lives, ran_s=attempt.ran_s)
+                self.parts.upstreams.look_at(attempt.choice.outlook)
+            case NotSent() if attempt.is_refused:
+                quarantine.on_life_ended(lives[0])
+
+    def _reject(self) -> Reject | Fail:
+        reason = self.parts.quarantine.refuse(self.digest)
+        return Fail(reason) if self.side.has_begun else Reject(reason)
+
     def _after(self, attempt: Attempt, ending: Ending) -> Next:
         if attempt.is_whole:
             return Relay()
+        if self.parts.quarantine.is_convicted(self.digest):
+            return self._reject()
         if self.side.has_begun and isinstance(ending, Answered):
             # A stream that has begun can't go on with another answer.
             return Fail(f'answered {ending.status} to go on')
         return self.dispatch.after(
             ending,
             now=clock_s(),
-            take_retry=lambda: self.parts.upstreams.take_retry(
-                self.admitted.service
-            ),
+            take_retry=self._take_retry,
         )
 
+    def _take_retry(self) -> bool:
+        if not self.parts.quarantine.may_send_again(self.digest):
+            return False
+        return self.parts.upstreams.take_retry(self.admitted.service)
+
     def _choose(self, *, is_movable: bool) -> Choice | None:
-        return self.parts.upstreams.choose(
-            Wanted(
-                service=self.admitted.service,
-                model=self.call.model,
-                prompt=self.call.prompt_tokens,
-                avoid=frozenset(self.dispatch.tried | self._unreachable),
-                is_movable=is_movable,
-                may_pass_many=self.dispatch.repeatable,
-            ),
+        upstreams = self.parts.upstreams
+        wanted = Wanted(
+            service=self.admitted.service,
+            model=self.call.model,
+            prompt=self.call.prompt_tokens,
+            avoid=frozenset(self.dispatch.tried | self._unreachable),
+            is_movable=is_movable,
+            may_pass_many=self.dispatch.repeatable,
+        )
+        choice = None
+        if self.parts.quarantine.is_suspect(self.digest):
+            choice = self._choose_apart(wanted)
+        return choice or upstreams.choose(wanted)
+
+    def _choose_apart(self, wanted: Wanted) -> Choice | None:
+        """Choose an upstream at which no other suspect is tried."""
+        upstreams = self.parts.upstreams
+        place, others = self.parts.quarantine.apart(
+            self.digest, upstreams.ids_of(wanted.service)
+        )
+        choice = upstreams.choose(evolve(wanted, only=place)) if place else None
+        return choice or upstreams.choose(
+            evolve(wanted, avoid=wanted.avoid | others)
         )
 
     @property
@@ -305,6 +373,14 @@
                 )
                 await self._send_own(answer)
                 self._note('refused', answer.status, reason=reason)
+            case Reject(reason=reason):
+                answer = OwnAnswer(
+                    status=HTTPStatus.BAD_REQUEST,
+                    code='ends_upstreams',
+                    reason=reason,
+                )
+                await self._send_own(answer)
+                self._note('rejected', answer.status, reason=reason)
             case Fail(reason=reason):
                 await self._fail(failed, reason)
             case _:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_parts.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_parts.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet.ports import CallersDialect
+    from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
     from crowrudder_daemon.fleet_entry._upstreams import Upstreams
     from crowrudder_daemon.process import Runtime
 
@@ -25,6 +26,7 @@
 
     dialect: CallersDialect
     upstreams: Upstreams
+    quarantine: RequestQuarantine
     _runtime: Runtime
     _ends: Any = field(init=False)
     _took: Any = field(init=False)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -13,6 +13,7 @@
 from crowrudder_daemon.fleet_entry._directory import Directory
 from crowrudder_daemon.fleet_entry._load_relay import LoadRelay
 from crowrudder_daemon.fleet_entry._parts import EntryParts
+from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
 
@@ -21,7 +22,7 @@
     from crowrudder_daemon.fleet.ports import CallersDialect, PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import EngineLoad, LoadBatch
+    from crowrudder_model.messages import EngineLoad, LoadBatch, SuspectNews
 
 MOST_HEADER_BYTES = 65_536
 MOST_BODY_BYTES = 16 * 1024 * 1024
@@ -62,9 +63,12 @@
     ) -> None:
         super().__init__(runtime, node, source)
         self._leaving = False
-        self.upstreams = Upstreams(runtime, node, self.catalog.view, self.peers)
+        self.quarantine = RequestQuarantine(runtime, self.peers)
+        self.upstreams = Upstreams(
+            runtime, node, self.catalog.view, self.peers, self.quarantine
+        )
         self._relay = LoadRelay(node, self.peers)
-        parts = EntryParts(dialect, self.upstreams, runtime)
+        parts = EntryParts(dialect, self.upstreams, self.quarantine, runtime)
         self.requests = RequestsTask(runtime, self.catalog, parts)
         self._http = HTTPServer(
             CallersServer(self.requests.on_request),
@@ -92,6 +96,9 @@
         await self.begin()
         self.runtime.spawn(self._look_for_peers(), step='look for peers')
         self.runtime.spawn(self._relay.tell_for_ever(), step='relay loads')
+        self.runtime.spawn(
+            self.quarantine.remind_for_ever(), step='remind of suspects'
+        )
         for address, page in self._pages.items():
             ip, _, port = address.rpartition(':')
             page.listen(int(port), ip)
@@ -157,6 +164,10 @@
         if batch.pass_on:
             self._relay.pass_on(batch)
 
+    def suspects_heard(self, ip: str, news: SuspectNews) -> None:
+        """Take an entry's word on requests under which upstreams ended."""
+        self.quarantine.on_news(ip, news)
+
     def on_change(self) -> None:
         """Follow the published records."""
         self.upstreams.renew()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -26,13 +26,14 @@
     FIRM_MARGIN_S,
     ON_THE_WAY_S,
 )
-from crowrudder_daemon.http import ConnectionPool
+from crowrudder_daemon.http import ConnectionPool, NotConnectedError
 
 if TYPE_CHECKING:
     from crowrudder_core.catalog import FleetView
     from crowrudder_core.forecast import Choice, Path
     from crowrudder_daemon.fleet import PeersTask
     from crowrudder_daemon.fleet_entry._ends import Waiting
+    from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import FleetConfig, Node, Upstream
     from crowrudder_model.messages import EngineLoad, LoadBatch
@@ -46,6 +47,9 @@
 """A host that starts again answers after two to three seconds, a version whose
 source was away takes longer. Callers wait for at most a third of their time."""
 
+LOOK_S = 0.5
+"""Longest wait for an answer on whether somebody listens at an address."""
+
 _MS = 1000
 
 
@@ -53,6 +57,7 @@
 class Wanted:
     """What a request needs of an upstream.
 
+    ``only`` names the one upstream that may be chosen, empty for any.
     ``is_movable`` tells whether it may be taken away and sent elsewhere,
     ``may_pass_many`` whether it may be sent once more if one of several
     engines fails it.
@@ -62,6 +67,7 @@
     model: str = ''
     prompt: int = 0
     avoid: frozenset[str] = frozenset()
+    only: str = ''
     is_movable: bool = False
     may_pass_many: bool = False
 
@@ -83,7 +89,11 @@
         node: Node,
         view: FleetView,
         peers: PeersTask,
+        quarantine: RequestQuarantine,
     ) -> None:
+        self._runtime = runtime
+        self._quarantine = quarantine
+        self._looked_at: set[str] = set()
         self._node = node
         self._view = view
         self._peers = peers
@@ -122,6 +132,7 @@
         listed = {upstream.id: upstream for upstream in self._view.listed()}
         for gone in self._outlooks.keys() - listed.keys():
             outlook = self._outlooks.pop(gone)
+            self._quarantine.on_life_ended(gone)
             self._drop_connections(outlook.upstream, listed.values())
         is_same = self._config is self._view.config
         self._config = self._view.config
@@ -140,8 +151,13 @@
         if load.part_version:
             self._part_heard_at = now
         for outlook in self._by_address.get(load.address, ()):
-            if outlook.on_load(load, now=now - age_s):
+            is_new_life = outlook.on_load(load, now=now - age_s)
+            if is_new_life:
                 self.pool.drop(load.address)
+            if is_new_life or not load.reachable:
+                self._quarantine.on_life_ended(outlook.upstream.id)
+            else:
+                self._quarantine.on_life_sound(outlook.upstream.id, age_s=age_s)
 
     def on_loads(self, batch: LoadBatch) -> None:
         """Take words that another entry has heard."""
@@ -160,6 +176,11 @@
             random=self._random,
         )
 
+    def ids_of(self, service: str) -> list[str]:
+        """List the upstreams of a service."""
+        pool = self._pools.get(service, _Pool())
+        return [outlook.upstream.id for outlook in (*pool.near, *pool.far)]
+
     def on_request(self, service: str) -> None:
         """Count a request for a service."""
         self._budget.on_first(service, now=clock_s())
@@ -216,6 +237,31 @@
         indices = range(len(weights))
         return self._random.choices(indices, weights=weights)[0]
 
+    def look_at(self, outlook: Outlook) -> None:
+        """Look whether an upstream that closed a connection is still there.
+
+        An agent tells that of its engine; of others nobody does, until their
+        record lapses.
+        """
+        life = outlook.upstream.id
+        if life in self._looked_at or outlook.fresh_load(clock_s()):
+            return
+        self._looked_at.add(life)
+        self._runtime.spawn(self._look_at(outlook.upstream), step='look')
+
+    async def _look_at(self, upstream: Upstream) -> None:
+        try:
+            conn = await self.pool.take(
+                upstream.address, timeout_s=LOOK_S, fresh=True
+            )
+        except NotConnectedError as exc:
+            if not isinstance(exc.__cause__, TimeoutError):
+                self._quarantine.on_life_ended(upstream.id)
+        else:
+            conn.close()
+        finally:
+            self._looked_at.discard(upstream.id)
+
     def status(self) -> list[dict[str, Any]]:
         """Tell what is known of each upstream."""
         now = clock_s()
@@ -277,10 +323,12 @@
     ) -> Candidate | None:
         """Give what an option stands for, if the request can begin there."""
         if isinstance(option, Candidate):
-            return option
+            return None if wanted.only else option
         upstream_id = option.upstream.id
         if upstream_id in wanted.avoid:
             return None
+        if wanted.only and upstream_id != wanted.only:
+            return None
         if not self._view.takes_requests(upstream_id, now=now):
             return None
         option.other_entries = other_entries
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -98,6 +98,7 @@
         self._ahead = 0
         self._is_busy = False
         self._lost = ''
+        self._was_ended_by_peer = False
         self._request: WireRequest | None = None
 
     # The event loop's side.
@@ -126,6 +127,7 @@
 
     def eof_received(self) -> None:
         """Take the orderly end of the other side's bytes."""
+        self._was_ended_by_peer |= not self._lost
         self._lost = self._lost or 'closed by the other side'
         if self._is_busy:
             self._wire.receive_data(b'')
@@ -133,6 +135,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Take note that the connection is gone."""
+        self._was_ended_by_peer |= not self._lost
         if exc is not None or not self._lost:
             self._lost = f'connection lost: {exc or "closed"}'
         self._wake()
@@ -144,6 +147,11 @@
         """Whether a request may be sent: nothing lost, nothing left over."""
         return not self._lost and not self._is_busy
 
+    @property
+    def was_ended_by_peer(self) -> bool:
+        """Whether the other side has closed or reset it."""
+        return self._was_ended_by_peer
+
     @property
     def is_sent(self) -> bool:
         """Whether all bytes of the request have left this process."""
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -59,6 +59,11 @@
     Settled,
     SettledState,
 )
+from crowrudder_model.messages._suspects import (
+    LifeEnd,
+    SuspectNews,
+    SuspectWord,
+)
 from crowrudder_model.messages._weights import (
     ChunkAsk,
     ChunkPiece,
@@ -92,6 +97,7 @@
     'HeldClaim',
     'Hello',
     'Knowledge',
+    'LifeEnd',
     'ListEdition',
     'LoadBatch',
     'ManifestAsk',
@@ -121,6 +127,8 @@
     'Sighting',
     'StockAsk',
     'StockReply',
+    'SuspectNews',
+    'SuspectWord',
     'TakeAsk',
     'Taken',
     'life_of',
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -14,6 +14,8 @@
 import msgspec
 from attrs import frozen
 
+from crowrudder_model.messages._suspects import SuspectNews
+
 MemberRole = Literal['entry', 'agent']
 
 
@@ -162,7 +164,7 @@
     sightings: tuple[Sighting, ...] = ()
 
 
-Datagram = Heartbeat | EngineLoad | ChunkNews | LoadBatch
+Datagram = Heartbeat | EngineLoad | ChunkNews | LoadBatch | SuspectNews
 
 
 @frozen(kw_only=True)
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -61,6 +61,7 @@
     silent_s: float = 0
     unsent_bytes: int = 0
     is_closed: bool = False
+    was_ended_by_peer: bool = False
 
     def send(self, request):
         """Take a request."""
