--- a/packages/core/src/crowrudder_core/quarantine/__init__.py
+++ b/packages/core/src/crowrudder_core/quarantine/__init__.py
@@ -1,7 +1,6 @@
 """Requests that end the upstreams that run them."""
 
 from crowrudder_core.quarantine._digest import digest_text, request_digest
-from crowrudder_core.quarantine._places import places_apart
 from crowrudder_core.quarantine._quarantine import (
     Audience,
     Convicted,
@@ -19,6 +18,5 @@
     'Tell',
     'digest_text',
     'owners',
-    'places_apart',
     'request_digest',
 )
--- a/packages/core/src/crowrudder_core/quarantine/_ledger.py
+++ b/packages/core/src/crowrudder_core/quarantine/_ledger.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections import OrderedDict
 
 from attrs import define, field
 
-from crowrudder_core.quarantine._suspect import WHOLE_COUNTS_S, Suspect
+from crowrudder_core.quarantine._suspect import Suspect
 
 MOST_SUSPECTS = 2048
 """Requests that are remembered; a domain that loses power implicates
@@ -55,10 +54,6 @@
             suspect.on_whole(now)
         return suspect
 
-    def ran_whole(self, digest: int, *, now: float) -> bool:
-        """Whether a run ended whole a short while ago."""
-        return now - self._whole.get(digest, -math.inf) <= WHOLE_COUNTS_S
-
     def suspects(self, *, now: float) -> dict[int, Suspect]:
         """Give all of whom something counts."""
         over = [
--- a/packages/core/src/crowrudder_core/quarantine/_quarantine.py
+++ b/packages/core/src/crowrudder_core/quarantine/_quarantine.py
@@ -24,9 +24,6 @@
 MOST_WORDS = 8
 """Words in one datagram."""
 
-TRIED_S = 10.0
-"""A suspect is kept apart for so long after the last end under it."""
-
 
 class Audience(Enum):
     """Whom a word is for."""
@@ -87,27 +84,6 @@
         weight = suspect.weight if suspect else 0
         return weight + len(unconfirmed - known.keys()) < CONVICTING
 
-    def is_suspect(self, digest: int, *, now: float) -> bool:
-        """Whether an upstream may have ended under a request just now."""
-        suspect = self._ledger.get(digest, now=now)
-        if suspect is not None and _is_tried(suspect, now):
-            return True
-        return self._is_unconfirmed(digest, now)
-
-    def suspects(self, *, now: float) -> list[int]:
-        """List the requests to keep apart from each other."""
-        known = [
-            digest
-            for digest, suspect in self._ledger.suspects(now=now).items()
-            if _is_tried(suspect, now)
-        ]
-        unconfirmed = [
-            digest
-            for digest in self._unconfirmed.digests(now=now)
-            if self._is_unconfirmed(digest, now)
-        ]
-        return [*known, *unconfirmed]
-
     def on_broken(
         self, digest: int, lives: Iterable[str], *, ran_s: float, now: float
     ) -> None:
@@ -170,12 +146,6 @@
         drawn = random.sample(shared, min(len(shared), MOST_WORDS))
         return [suspect.word(digest, now=now) for digest, suspect in drawn]
 
-    def _is_unconfirmed(self, digest: int, now: float) -> bool:
-        """Whether a run broke off, of a request that never ran whole lately."""
-        if self._ledger.ran_whole(digest, now=now):
-            return False
-        return bool(self._unconfirmed.lives_under(digest, now=now))
-
 
 def owners(digest: int, entry_ips: Iterable[str]) -> list[str]:
     """Give the entries that add up what is seen of a request."""
@@ -196,11 +166,5 @@
     return effects
 
 
-def _is_tried(suspect: Suspect, now: float) -> bool:
-    if suspect.is_convicted:
-        return False
-    return any(now - end.at < TRIED_S for end in suspect.ends.values())
-
-
 def _is_for_owners(effect: Effect) -> bool:
     return isinstance(effect, Tell) and effect.audience is Audience.OWNERS
--- a/packages/core/src/crowrudder_core/quarantine/_unconfirmed.py
+++ b/packages/core/src/crowrudder_core/quarantine/_unconfirmed.py
@@ -66,13 +66,6 @@
             if any(each.digest == digest for each in broken)
         }
 
-    def digests(self, *, now: float) -> set[int]:
-        """Give the requests under which lives may have ended."""
-        self._forget(now)
-        return {
-            each.digest for broken in self._broken.values() for each in broken
-        }
-
     def _forget(self, now: float) -> None:
         kept = {
             life: [each for each in broken if now - each.end.at < UNCONFIRMED_S]
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from crowrudder_core.dispatch import (
     Answered,
@@ -227,29 +227,15 @@
         return self.parts.upstreams.take_retry(self.admitted.service)
 
     def _choose(self, *, is_movable: bool) -> Choice | None:
-        upstreams = self.parts.upstreams
-        wanted = Wanted(
-            service=self.admitted.service,
-            model=self.call.model,
-            prompt=self.call.prompt_tokens,
-            avoid=frozenset(self.dispatch.tried | self._unreachable),
-            is_movable=is_movable,
-            may_pass_many=self.dispatch.repeatable,
-        )
-        choice = None
-        if self.parts.quarantine.is_suspect(self.digest):
-            choice = self._choose_apart(wanted)
-        return choice or upstreams.choose(wanted)
-
-    def _choose_apart(self, wanted: Wanted) -> Choice | None:
-        """Choose an upstream at which no other suspect is tried."""
-        upstreams = self.parts.upstreams
-        place, others = self.parts.quarantine.apart(
-            self.digest, upstreams.ids_of(wanted.service)
-        )
-        choice = upstreams.choose(evolve(wanted, only=place)) if place else None
-        return choice or upstreams.choose(
-            evolve(wanted, avoid=wanted.avoid | others)
+        return self.parts.upstreams.choose(
+            Wanted(
+                service=self.admitted.service,
+                model=self.call.model,
+                prompt=self.call.prompt_tokens,
+                avoid=frozenset(self.dispatch.tried | self._unreachable),
+                is_movable=is_movable,
+                may_pass_many=self.dispatch.repeatable,
+            ),
         )
 
     @property
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
@@ -15,7 +15,6 @@
     Tell,
     digest_text,
     owners,
-    places_apart,
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_model.messages import SuspectNews
@@ -94,19 +93,6 @@
         """Whether another upstream may be tried after a break."""
         return self._core.may_send_again(digest, now=clock_s())
 
-    def is_suspect(self, digest: int) -> bool:
-        """Whether a request is to be kept apart from other suspects."""
-        return self._core.is_suspect(digest, now=clock_s())
-
-    def apart(
-        self, digest: int, upstream_ids: Iterable[str]
-    ) -> tuple[str, frozenset[str]]:
-        """Give the place of a suspect, and the places of all others."""
-        suspects = self._core.suspects(now=clock_s())
-        places = places_apart(suspects, upstream_ids)
-        own = places.pop(digest, '')
-        return own, frozenset(places.values())
-
     def on_broken(
         self, digest: int, lives: Iterable[str], *, ran_s: float
     ) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -57,7 +57,6 @@
 class Wanted:
     """What a request needs of an upstream.
 
-    ``only`` names the one upstream that may be chosen, empty for any.
     ``is_movable`` tells whether it may be taken away and sent elsewhere,
     ``may_pass_many`` whether it may be sent once more if one of several
     engines fails it.
@@ -67,7 +66,6 @@
     model: str = ''
     prompt: int = 0
     avoid: frozenset[str] = frozenset()
-    only: str = ''
     is_movable: bool = False
     may_pass_many: bool = False
 
@@ -176,11 +174,6 @@
             random=self._random,
         )
 
-    def ids_of(self, service: str) -> list[str]:
-        """List the upstreams of a service."""
-        pool = self._pools.get(service, _Pool())
-        return [outlook.upstream.id for outlook in (*pool.near, *pool.far)]
-
     def on_request(self, service: str) -> None:
         """Count a request for a service."""
         self._budget.on_first(service, now=clock_s())
@@ -323,12 +316,10 @@
     ) -> Candidate | None:
         """Give what an option stands for, if the request can begin there."""
         if isinstance(option, Candidate):
-            return None if wanted.only else option
+            return option
         upstream_id = option.upstream.id
         if upstream_id in wanted.avoid:
             return None
-        if wanted.only and upstream_id != wanted.only:
-            return None
         if not self._view.takes_requests(upstream_id, now=now):
             return None
         option.other_entries = other_entries
