--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -132,13 +132,16 @@
     """What an upstream's answer says of itself.
 
     ``is_vouched`` is set where the upstream vouches for the answer,
-    ``not_run`` where it says that it didn't run the request.
+    ``not_run`` where it says that it didn't run the request. ``limit_per_s``
+    is how many requests a second it takes from all entries together, None
+    where it names no limit.
     """
 
     request_id: str
     is_vouched: bool
     not_run: bool
     retry_after_s: float = 0
+    limit_per_s: float | None = None
 
 
 class CallersDialect(Protocol):
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -120,6 +120,9 @@
     is_refused: bool = field(default=False, init=False)
     """Whether nobody listens at the upstream's address."""
 
+    limit_per_s: float | None = field(default=None, init=False)
+    """The limit that the upstream named in its answer."""
+
     begin_by: float = field(init=False)
     _ticket: int = field(default=0, init=False)
     _wait: asyncio.Timeout | None = field(default=None, init=False)
@@ -238,6 +241,7 @@
     async def _read(self, conn: HttpConnection) -> Ending:
         head, mark = await self._own_head(conn)
         self.head_took_s = clock_s() - self.sent_at
+        self.limit_per_s = mark.limit_per_s
         if mark.not_run:
             return await self._not_run(conn, head, mark)
         if self.is_stream and head.status < FIRST_ERROR:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_line.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_line.py
@@ -31,6 +31,8 @@
         'ending': type(ending).__name__ if ending else UNDER_WAY,
         'why': getattr(ending, 'reason', ''),
     }
+    if attempt.limit_per_s is not None:
+        line['limit_per_s'] = attempt.limit_per_s
     taken = attempt.taken_away
     if taken is not None:
         line['late_s'] = round(taken.late_s, 3)
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -37,6 +37,7 @@
 EVENTS = 6
 SEAL = 'X-Replica-Seal'
 REQUEST_ID = 'X-Attempt-Id'
+LIMIT = 'Server-Limit'
 
 
 @define
@@ -65,6 +66,9 @@
     ``amount`` seconds before it answers, ``head_alone`` sends nothing after
     the head of its answer. ``rot`` spoils a staged piece.
 
+    A ``limit_per_s`` that isn't empty is named in each answer, as it is;
+    ``arrived_at`` are the times of all requests.
+
     A body with ``fatal_mark`` ends the replica as it begins to run: `on_fatal`
     has to close its connections, and to bring its next life.
     """
@@ -102,6 +106,8 @@
         self.orders: list[dict[str, Any]] = []
         self.places = Slots(self.slots, int(options.get('--queue') or 0))
         self.is_busy = False
+        self.limit_per_s = ''
+        self.arrived_at: list[float] = []
         self.on_fatal: Callable[[], object] | None = None
         self._jobs: set[asyncio.Task[None]] = set()
 
@@ -212,6 +218,9 @@
 
     @route('*', '/(?!-/|control/).*')
     async def serve(self, call: Call) -> Answer:
+        self.arrived_at.append(time.monotonic())
+        if self.limit_per_s:
+            call.set_header(LIMIT, self.limit_per_s)
         self._refuse_foreign(call)
         if self.faults.take('full'):
             raise self._refusal(call, 503, 'full')
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -370,6 +370,24 @@
         assert not mark.is_vouched
         assert (mark.request_id, mark.retry_after_s) == ('9c41', 0.5)
 
+    @pytest.mark.parametrize(
+        ('text', 'limit'),
+        [
+            ('1.6', 1.6),
+            ('0', 0),
+            ('1e9', 1e9),
+            ('', None),
+            ('-1', None),
+            ('nan', None),
+            ('inf', None),
+            ('1,5', None),
+            ('many', None),
+        ],
+    )
+    def test_a_limit_is_read_if_it_is_a_number(self, text, limit):
+        head = WireHead(status=200, headers=(('server-limit', text),))
+        assert PlatformCallers().mark_of(head).limit_per_s == limit
+
     def test_another_replica_didnt_run_it(self):
         mark = PlatformCallers().mark_of(WireHead(status=421, headers=()))
         assert mark.not_run
