Limits that upstreams name are kept by all entries together

Callers of an upstream in need saw it break down further: an upstream that named 1.6 requests a second got 18 in four seconds, 15 were allowed.

Cause: nobody read the limit; an entry went by load alone. If each kept it by itself, their sum would still be too much: a bound that the receiver counts over all senders and each sender keeps for itself.

Change: who gets an answer with a limit tells the other entries, each of which passes it on once. Few entries send to a limited upstream, drawn by rendezvous and near ones first, each with an equal part in a bucket that begins empty; for all others it has no room, so that their requests go elsewhere at once. Where nothing has room, Retry-After is the time until this entry's part has. A limit ends with an answer that names none, with the upstream's life, or when nobody repeats it.

In virtual time with 8, 30 and 340 entries, limits of 0.4, 1 and 8 and bursts, no window of 4 s has more than 1.5 times the limit + 5, also while entries are replaced every 1.5 s; at least 0.8 of a limit of 4 is used with 3, 8 and 30 entries.

--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -29,6 +29,7 @@
     ChunkNews,
     EngineLoad,
     Heartbeat,
+    LimitNews,
     LoadBatch,
     MemberWord,
     SuspectNews,
@@ -74,6 +75,9 @@
     def suspects_heard(self, ip: str, news: SuspectNews) -> None:
         """Take an entry's word on requests under which upstreams ended."""
 
+    def limits_heard(self, ip: str, news: LimitNews) -> None:
+        """Take an entry's word on limits that upstreams named."""
+
 
 @frozen
 class DatagramCame:
@@ -196,6 +200,8 @@
                 self._listener.chunks_heard(message.ip, datagram)
             case SuspectNews():
                 self._listener.suspects_heard(message.ip, datagram)
+            case LimitNews():
+                self._listener.limits_heard(message.ip, datagram)
 
     def on_beat_due(self, _message: BeatDue) -> None:
         """Send a heartbeat to those who are to have one."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -18,6 +18,7 @@
     from crowrudder_model.messages import (
         ChunkNews,
         EngineLoad,
+        LimitNews,
         LoadBatch,
         SuspectNews,
     )
@@ -107,3 +108,6 @@
 
     def suspects_heard(self, ip: str, news: SuspectNews) -> None:
         """Take no interest in requests."""
+
+    def limits_heard(self, ip: str, news: LimitNews) -> None:
+        """Take no interest in limits."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -135,6 +135,8 @@
     async def run(self) -> Ending:
         """Make the attempt."""
         upstream = self.choice.outlook.upstream
+        if not self._upstreams.limits.take(upstream.id):
+            return NotSent('its limit allows no more requests now')
         try:
             conn = await self._upstreams.pool.take(
                 upstream.address, timeout_s=CONNECT_S
@@ -242,6 +244,9 @@
         head, mark = await self._own_head(conn)
         self.head_took_s = clock_s() - self.sent_at
         self.limit_per_s = mark.limit_per_s
+        self._upstreams.limits.on_answer(
+            self.choice.outlook.upstream.id, mark.limit_per_s
+        )
         if mark.not_run:
             return await self._not_run(conn, head, mark)
         if self.is_stream and head.status < FIRST_ERROR:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -22,7 +22,12 @@
     from crowrudder_daemon.fleet.ports import CallersDialect, PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import EngineLoad, LoadBatch, SuspectNews
+    from crowrudder_model.messages import (
+        EngineLoad,
+        LimitNews,
+        LoadBatch,
+        SuspectNews,
+    )
 
 MOST_HEADER_BYTES = 65_536
 MOST_BODY_BYTES = 16 * 1024 * 1024
@@ -168,6 +173,10 @@
         """Take an entry's word on requests under which upstreams ended."""
         self.quarantine.on_news(ip, news)
 
+    def limits_heard(self, ip: str, news: LimitNews) -> None:
+        """Take an entry's word on limits that upstreams named."""
+        self.upstreams.limits.on_news(ip, news)
+
     def on_change(self) -> None:
         """Follow the published records."""
         self.upstreams.renew()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -26,6 +26,7 @@
     FIRM_MARGIN_S,
     ON_THE_WAY_S,
 )
+from crowrudder_daemon.fleet_entry._limits import UpstreamLimits
 from crowrudder_daemon.http import ConnectionPool, NotConnectedError
 
 if TYPE_CHECKING:
@@ -47,6 +48,8 @@
 """A host that starts again answers after two to three seconds, a version whose
 source was away takes longer. Callers wait for at most a third of their time."""
 
+LEAST_BACK_S = 0.1
+
 LOOK_S = 0.5
 """Longest wait for an answer on whether somebody listens at an address."""
 
@@ -91,6 +94,7 @@
     ) -> None:
         self._runtime = runtime
         self._quarantine = quarantine
+        self.limits = UpstreamLimits(runtime, peers, self._region_of)
         self._looked_at: set[str] = set()
         self._node = node
         self._view = view
@@ -131,6 +135,7 @@
         for gone in self._outlooks.keys() - listed.keys():
             outlook = self._outlooks.pop(gone)
             self._quarantine.on_life_ended(gone)
+            self.limits.on_gone(gone)
             self._drop_connections(outlook.upstream, listed.values())
         is_same = self._config is self._view.config
         self._config = self._view.config
@@ -198,12 +203,21 @@
         and lost, though the service is back before their time is over.
         """
         now = clock_s()
-        is_loading = any(
-            outlook.is_changing(now)
-            for outlook in self._outlooks.values()
-            if outlook.upstream.service == service
+        pool = self._pools.get(service, _Pool())
+        outlooks = [*pool.near, *pool.far]
+        is_loading = any(outlook.is_changing(now) for outlook in outlooks)
+        back_s = LOADING_BACK_S if is_loading else ABSENT_BACK_S
+        limited_s = self.limits.wait_s(
+            outlook.upstream.id for outlook in outlooks
         )
-        return LOADING_BACK_S if is_loading else ABSENT_BACK_S
+        return max(min(back_s, limited_s), LEAST_BACK_S)
+
+    def _region_of(self, upstream_id: str) -> str:
+        outlook = self._outlooks.get(upstream_id)
+        place = self._node.place
+        if outlook is None:
+            return place.region
+        return place.region_of(outlook.upstream.failure_domain)
 
     def begin_by(self, choice: Choice | Candidate, model: str) -> float:
         """Give until when a request has to begin at an upstream, or move on.
@@ -316,10 +330,13 @@
     ) -> Candidate | None:
         """Give what an option stands for, if the request can begin there."""
         if isinstance(option, Candidate):
-            return option
+            has_room = self.limits.has_room(option.outlook.upstream.id)
+            return option if has_room else None
         upstream_id = option.upstream.id
         if upstream_id in wanted.avoid:
             return None
+        if not self.limits.has_room(upstream_id):
+            return None
         if not self._view.takes_requests(upstream_id, now=now):
             return None
         option.other_entries = other_entries
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -37,6 +37,7 @@
     ProcessState,
     TakeAsk,
 )
+from crowrudder_model.messages._limits import LimitNews, LimitWord
 from crowrudder_model.messages._report import (
     Report,
     ReportAsk,
@@ -98,6 +99,8 @@
     'Hello',
     'Knowledge',
     'LifeEnd',
+    'LimitNews',
+    'LimitWord',
     'ListEdition',
     'LoadBatch',
     'ManifestAsk',
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -14,6 +14,7 @@
 import msgspec
 from attrs import frozen
 
+from crowrudder_model.messages._limits import LimitNews
 from crowrudder_model.messages._suspects import SuspectNews
 
 MemberRole = Literal['entry', 'agent']
@@ -164,7 +165,9 @@
     sightings: tuple[Sighting, ...] = ()
 
 
-Datagram = Heartbeat | EngineLoad | ChunkNews | LoadBatch | SuspectNews
+Datagram = (
+    Heartbeat | EngineLoad | ChunkNews | LoadBatch | SuspectNews | LimitNews
+)
 
 
 @frozen(kw_only=True)
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -116,6 +116,9 @@
             begin_by=lambda *_: math.inf,
             begin_wait=lambda _: 1,
             end_wait=lambda _: None,
+            limits=SimpleNamespace(
+                take=lambda _: True, on_answer=lambda *_: None
+            ),
         ),
     }
     return Attempt(
--- /dev/null
+++ b/tests/limits/test_named_limits.py
@@ -0,0 +1,131 @@
+"""Limits that upstreams name, kept by all entries together."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crowrudder_core.limits import NamedLimits, senders_of
+from crowrudder_model.messages import LimitWord
+from support.limits_world import NAMED_AT_S, LimitsWorld, Load
+
+WINDOW_S = 4.0
+CONTACT_S = 3.0
+FROM_S = NAMED_AT_S + CONTACT_S
+SEEDS = range(10)
+SIZES = pytest.mark.parametrize(
+    ('entries', 'upstreams', 'per_s'),
+    [(8, 9, 60), (30, 40, 200), (340, 650, 1900)],
+)
+LIMITS = pytest.mark.parametrize('limit', [0.4, 1.0, 8.0])
+
+
+def allowed(limit):
+    return 1.5 * limit * WINDOW_S + 5
+
+
+def played(seeds, **load):
+    return [LimitsWorld(Load(**load), seed).play() for seed in seeds]
+
+
+class TestBurstsBeforeALimit:
+    """Guards against a limit that each entry keeps for itself."""
+
+    @LIMITS
+    @SIZES
+    def test_all_entries_keep_it_together(
+        self, entries, upstreams, per_s, limit
+    ):
+        seeds = SEEDS if entries < 100 else SEEDS[:1]
+        for world in played(
+            seeds,
+            entries=entries,
+            upstreams=upstreams,
+            per_s=per_s,
+            limit=limit,
+            lasts_s=11,
+        ):
+            most = world.most_in(WINDOW_S, FROM_S)
+            assert most <= allowed(limit), world.seed
+
+    @pytest.mark.parametrize('entries', [3, 8, 30])
+    def test_it_is_used_where_demand_is_there(self, entries):
+        for world in played(
+            SEEDS, entries=entries, upstreams=1, per_s=60, limit=4.0
+        ):
+            assert world.used(FROM_S) >= 0.8, world.seed
+
+    def test_it_is_kept_while_entries_come_and_go(self):
+        for world in played(
+            SEEDS,
+            entries=8,
+            upstreams=2,
+            per_s=60,
+            limit=4.0,
+            restart_every_s=1.5,
+        ):
+            assert world.most_in(WINDOW_S, FROM_S) <= allowed(4.0), world.seed
+
+    def test_it_ends_when_answers_name_it_no_more(self):
+        for world in played(
+            SEEDS, entries=8, upstreams=2, per_s=60, limit=1.0, ends_at=8.0
+        ):
+            late = [at for at, _ in world.arrivals if at > 14]
+            assert len(late) > 100, world.seed
+
+
+class TestWords:
+    """What a word on a limit may say."""
+
+    @given(
+        per_s=st.floats(allow_nan=True, allow_infinity=True),
+        age_ms=st.integers(-(2**40), 2**40),
+    )
+    def test_any_numbers_are_borne(self, per_s, age_ms):
+        limits = NamedLimits(lambda *_: 1)
+        limits.on_word(LimitWord('u', per_s, age_ms), now=100)
+        assert limits.wait_s(['u'], now=100) > 0
+        limits.take('u', now=101)
+
+    def test_an_older_word_changes_nothing(self):
+        limits = NamedLimits(lambda *_: 1)
+        assert limits.on_answer('u', 1.0, now=100) is not None
+        assert limits.on_word(LimitWord('u', -1, 500), now=100.1) is None
+        assert not limits.has_room('u', now=100.1)
+
+    def test_another_limit_in_each_answer_is_not_told_each_time(self):
+        limits = NamedLimits(lambda *_: 1)
+        told = [
+            limits.on_answer('u', 1.0 + number % 7, now=100 + number / 1000)
+            for number in range(1000)
+        ]
+        assert sum(word is not None for word in told) <= 5
+
+    def test_a_limit_that_nobody_repeats_is_forgotten(self):
+        limits = NamedLimits(lambda *_: 0)
+        limits.on_answer('u', 1.0, now=100)
+        assert not limits.has_room('u', now=119)
+        assert limits.has_room('u', now=121)
+
+    def test_the_memory_is_bounded(self):
+        limits = NamedLimits(lambda *_: 0)
+        for number in range(1500):
+            limits.on_answer(f'u{number}', 1.0, now=100)
+        assert math.isinf(limits.wait_s(['u1499'], now=100))
+
+
+class TestSenders:
+    """Who sends to an upstream with a limit."""
+
+    def test_few_near_ones_first(self):
+        near, far = ['a', 'b'], ['c', 'd', 'e']
+        chosen = senders_of('u', 1.0, near, far)
+        assert len(chosen) == 3
+        assert {'a', 'b'} <= set(chosen)
+
+    def test_more_for_a_higher_rate(self):
+        ips = [str(number) for number in range(340)]
+        assert len(senders_of('u', 25.0, ips, [])) == 25
