Soak: requests that end replicas, and replicas that name a limit

Judged: more than three begins later than 3 s after the third end, by entries that nothing disturbed; in any 4 s more than 1.5 times a limit + 5, by entries that had passed on an answer naming it half a second before.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -67,7 +67,7 @@
     the head of its answer. ``rot`` spoils a staged piece.
 
     A ``limit_per_s`` that isn't empty is named in each answer, as it is;
-    ``arrived_at`` are the times of all requests.
+    ``arrivals`` are the times and ids of all requests.
 
     A body with ``fatal_mark`` ends the replica as it begins to run: `on_fatal`
     has to close its connections, and to bring its next life.
@@ -107,7 +107,7 @@
         self.places = Slots(self.slots, int(options.get('--queue') or 0))
         self.is_busy = False
         self.limit_per_s = ''
-        self.arrived_at: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
         self.on_fatal: Callable[[], object] | None = None
         self._jobs: set[asyncio.Task[None]] = set()
 
@@ -218,7 +218,8 @@
 
     @route('*', '/(?!-/|control/).*')
     async def serve(self, call: Call) -> Answer:
-        self.arrived_at.append(time.monotonic())
+        request_id = call.request.headers.get(REQUEST_ID, '')
+        self.arrivals.append((time.monotonic(), request_id))
         if self.limit_per_s:
             call.set_header(LIMIT, self.limit_per_s)
         self._refuse_foreign(call)
--- a/scripts/_platform_chaos.py
+++ b/scripts/_platform_chaos.py
@@ -265,11 +265,7 @@
         if not name:
             return ''
         self._busy.add(name)
-        self.fleet.relay.close(name)
-        self.fleet.relay.reset(name)
-        await asyncio.sleep(self.rng.uniform(*DOWN_S))
-        await self.fleet.replace(name)
-        await self.fleet.relay.listen(name)
+        await self.fleet.crash(name, self.rng.uniform(*DOWN_S))
         self._busy.discard(name)
         return f'{name} crashed, and another came'
 
--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import random
@@ -27,6 +28,7 @@
 from crowrudder_standins.fleet_store import FleetStore
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 STAND_INS = 'stand-ins'
@@ -109,6 +111,7 @@
     version: int = 1
     config_version: int = 0
     is_large: bool = False
+    on_fatal: Callable[[str], object] = str
     relay: Relay = field(init=False)
     _ports: dict[str, tuple[int, int]] = field(factory=dict)
     _addresses: dict[str, str] = field(factory=dict)
@@ -204,6 +207,14 @@
         )
         self.list_replica(name)
 
+    async def crash(self, name: str, away_s: float) -> None:
+        """End a replica at once; its next life begins a while later."""
+        self.relay.close(name)
+        self.relay.reset(name)
+        await asyncio.sleep(away_s)
+        await self.replace(name)
+        await self.relay.listen(name)
+
     def all_lives(self) -> list[Life]:
         """List the replicas of now and those before."""
         return [*self.lives, *self.replicas.values()]
@@ -242,7 +253,7 @@
         self._life_number += 1
         is_engine = service == 'llm'
         slots, queue = self.queue_rng.choice(PLACES) if is_engine else PLACES[0]
-        return FleetReplica(
+        replica = FleetReplica(
             {
                 '--id': f'{name}.{self._life_number}',
                 '--slots': slots,
@@ -250,6 +261,8 @@
                 '--model': 'm' if is_engine else '',
             },
         )
+        replica.on_fatal = lambda: self.on_fatal(name)
+        return replica
 
     async def _serve(self, name: str, standin: Any, ip: str) -> str:
         listed, own = free_port(ip, self.rng), free_port(ip, self.rng)
--- a/scripts/_platform_load.py
+++ b/scripts/_platform_load.py
@@ -85,6 +85,8 @@
     rng: random.Random
     entries: Callable[[], dict[str, str]]
     key: Callable[[], str]
+    kinds: tuple[Kind, ...] = KINDS
+    body: bytes = b'body'
     asked: list[Asked] = field(factory=list)
     _conn: HttpConnection | None = None
     _entry: str = ''
@@ -101,7 +103,7 @@
 
     async def ask(self, request_id: str) -> Asked:
         """Send one request and read its answer."""
-        kind = self.rng.choice(KINDS)
+        kind = self.rng.choice(self.kinds)
         leaves = self.rng.random() < SHARE_LEAVES
         found = Asked(request_id, kind, self._entry, time.monotonic())
         wait_s = PATIENCE_S
@@ -183,7 +185,7 @@
         }
         if found.kind.is_stream:
             headers |= {'X-Model': 'm', 'X-Token-Count': '100,6'}
-        body = b'body' if found.kind.method == 'POST' else b''
+        body = self.body if found.kind.method == 'POST' else b''
         return WireRequest(
             method=found.kind.method,
             target=found.kind.path,
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -31,6 +31,7 @@
 from _platform_ends import Ends
 from _platform_fleet import VERSION_S, Plan, PlatformFleet
 from _platform_load import Caller
+from _platform_needs import Needs, judge_needs
 from _platform_seeds import FAILED_ONCE
 from _process import end_on_signal
 from attrs import define, field
@@ -58,6 +59,7 @@
     fleet: PlatformFleet
     rng: random.Random
     ends_rng: random.Random
+    needs_rng: random.Random
     duration_s: float
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
@@ -71,6 +73,7 @@
             Caller(self._child(), self.fleet.entries, self._key)
             for _ in range(CALLERS)
         ]
+        needs = Needs(self.fleet, self.needs_rng, self._key, self.say)
         problems = await self._settle('start', START_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
@@ -78,6 +81,7 @@
                 chaos.run(ends_at),
                 self._watch_keys(ends_at),
                 Ends(self.fleet, self.ends_rng, chaos, self.say).run(ends_at),
+                needs.run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -87,6 +91,7 @@
             problems += await self._stop()
         asked = [each for caller in self.callers for each in caller.asked]
         verdict = judge(asked, self.fleet, chaos)
+        judge_needs(needs, asked, self.fleet, chaos, verdict)
         problems += chaos.problems
         for problem in problems:
             verdict.note('state', problem)
@@ -171,7 +176,10 @@
         ends_rng = random.Random(f'ends of {seed}')
         queue_rng = random.Random(f'queues of {seed}')
         fleet = PlatformFleet(plan, Path(name), rng, queue_rng)
-        soak = PlatformSoak(fleet, rng, ends_rng, float(options['--duration']))
+        needs_rng = random.Random(f'needs of {seed}')
+        soak = PlatformSoak(
+            fleet, rng, ends_rng, needs_rng, float(options['--duration'])
+        )
         soak.say(f'seed {seed}: {plan}')
         try:
             verdict = await soak.run()
--- a/tests/fleet/test_named_limit.py
+++ b/tests/fleet/test_named_limit.py
@@ -32,7 +32,7 @@
 
 
 def arrivals(replica, since):
-    return sum(at >= since for at in replica.arrived_at)
+    return sum(at >= since for at, _ in replica.arrivals)
 
 
 class TestNamedLimit:
--- a/tests/support/limits_world.py
+++ b/tests/support/limits_world.py
@@ -40,8 +40,11 @@
 
 @define(eq=False)
 class LimitsWorld:
-    """Plays a load; ``arrivals`` are those at the limited upstream, with
-    the time since which their entry knew the limit."""
+    """Plays a load.
+
+    ``arrivals`` are those at the limited upstream, with the time since which
+    their entry knew the limit.
+    """
 
     load: Load
     seed: int
