--- a/tests/fleet/test_named_limit.py
+++ b/tests/fleet/test_named_limit.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from support.fleet import Answer
 from support.fleet_checks import checked
 
 LIMIT_PER_S = 1.0
@@ -23,7 +24,7 @@
 async def ask_all(world, lasts_s=LASTS_S, path='/read/x'):
     """Send requests to all entries in turn, many more than the limit."""
     ends_at = time.monotonic() + lasts_s
-    answers = []
+    answers: list[Answer] = []
     while time.monotonic() < ends_at:
         entry = len(answers) % len(world.entries)
         answers.append(await world.ask(path, entry=entry))
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -47,6 +47,12 @@
     def chunks_heard(self, ip, news):
         pass
 
+    def suspects_heard(self, ip, news):
+        pass
+
+    def limits_heard(self, ip, news):
+        pass
+
 
 def entry_word(number):
     return MemberWord(
--- a/tests/model/test_gossip.py
+++ b/tests/model/test_gossip.py
@@ -14,7 +14,12 @@
     EngineLoad,
     HeardWord,
     Heartbeat,
+    LifeEnd,
+    LimitNews,
+    LimitWord,
     MemberWord,
+    SuspectNews,
+    SuspectWord,
 )
 
 WORD = MemberWord(
@@ -39,15 +44,28 @@
 NEWS = ChunkNews(
     version='model@3', manifest='f' * 64, chunks=b'\xff' * 6, passes=b''
 )
+SUSPECTS = SuspectNews(
+    tuple(
+        SuspectWord(
+            digest=2**64 - 1 - each,
+            ends=tuple(
+                LifeEnd(f'i-{number:010x}', 60_000, is_fresh=True)
+                for number in range(4)
+            ),
+        )
+        for each in range(8)
+    )
+)
+LIMITS = LimitNews((LimitWord('i-0123456789', 1.6, 250),))
 ETHERNET_BYTES = 1472
 
 
 class TestDatagrams:
-    @pytest.mark.parametrize('datagram', [BEAT, LOAD, NEWS])
+    @pytest.mark.parametrize('datagram', [BEAT, LOAD, NEWS, SUSPECTS, LIMITS])
     def test_each_kind_says_which_it_is(self, datagram):
         assert decode_datagram(encode_message(datagram)) == datagram
 
-    @pytest.mark.parametrize('datagram', [BEAT, LOAD, NEWS])
+    @pytest.mark.parametrize('datagram', [BEAT, LOAD, NEWS, SUSPECTS, LIMITS])
     def test_each_fits_into_one_packet(self, datagram):
         assert len(encode_message(datagram)) <= ETHERNET_BYTES
 
@@ -68,6 +86,11 @@
         except MalformedMessageError as exc:
             assert exc.peer == '10.0.0.1'
 
+    def test_a_word_on_a_request_is_a_tenth_of_a_packet(self):
+        """They go to all entries while upstreams end one after the other."""
+        one = SuspectNews(SUSPECTS.words[:1])
+        assert len(encode_message(one)) <= ETHERNET_BYTES / 10
+
     @given(cut=st.integers(0, 200), flip=st.integers(0, 200))
     def test_a_spoilt_datagram_is_a_datagram_or_an_error(self, cut, flip):
         payload = bytearray(encode_message(BEAT))
--- a/tests/quarantine/test_digest.py
+++ b/tests/quarantine/test_digest.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from crowrudder_core.quarantine import digest_text, request_digest
 
-ASKED = {
+ASKED: dict[str, Any] = {
     'method': 'POST',
     'host': 'shop.example',
     'target': '/draft/a?b=1',
--- a/tests/support/crashing.py
+++ b/tests/support/crashing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from attrs import define, field
 
@@ -19,7 +20,7 @@
     ``ended`` are the names of the lives that ended, in order.
     """
 
-    world: object
+    world: Any
     away_s: float = 0.3
     service: str = 'llm'
     ended: list = field(factory=list)
--- a/tests/support/limits_world.py
+++ b/tests/support/limits_world.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+from typing import Any
 
 from attrs import define, field, frozen
 
@@ -53,11 +54,11 @@
     refused: int = 0
     told_at: dict = field(factory=dict)
     words: int = 0
-    rng: object = field(init=False)
+    rng: Any = field(init=False)
     limits: list = field(init=False)
     alive: set = field(init=False)
     _events: list = field(factory=list)
-    _count: object = field(factory=itertools.count)
+    _count: Any = field(factory=itertools.count)
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
--- a/tests/support/quarantine_world.py
+++ b/tests/support/quarantine_world.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+from typing import Any
 
 from attrs import define, field, frozen
 
@@ -86,12 +87,12 @@
     rejected: set = field(factory=set)
     fatal_sends: list = field(factory=list)
     words: int = 0
-    rng: object = field(init=False)
+    rng: Any = field(init=False)
     cores: list = field(init=False)
     names: list = field(init=False)
     lives: list = field(init=False)
     _events: list = field(factory=list)
-    _count: object = field(factory=itertools.count)
+    _count: Any = field(factory=itertools.count)
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
