Entry: patience and the look at an upstream's life in modules of their own

Behaviour as before, but that only a refused connection counts as an upstream's end, and no other error of a connect. Tests of a verdict that comes while an arrival waits, and of a word from a host that is no entry.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -37,6 +37,7 @@
         CallersDialect,
     )
     from crowrudder_daemon.fleet_entry._caller_side import CallerSide
+    from crowrudder_daemon.fleet_entry._patience import Patience
     from crowrudder_daemon.fleet_entry._upstreams import Upstreams
     from crowrudder_daemon.http import HttpConnection, WireHead
 
@@ -55,22 +56,6 @@
 """Statuses that say to a caller that its request hasn't run."""
 
 
-@frozen(kw_only=True)
-class Patience:
-    """How long an attempt may be silent before another is tried, seconds.
-
-    ``first_s`` is up to the answer's beginning, ``pause_s`` between its parts.
-    ``begin_by`` is the time on the own clock by which the answer must begin by
-    what is known at the send; a version that is named later may end it sooner.
-    ``late_s`` the pause in a stream from which on it is of less use.
-    """
-
-    first_s: float
-    pause_s: float
-    begin_by: float = math.inf
-    late_s: float = math.inf
-
-
 @frozen(kw_only=True)
 class TakenAway:
     """How late an attempt was taken away, and what its connection still held.
@@ -142,7 +127,7 @@
                 upstream.address, timeout_s=CONNECT_S
             )
         except NotConnectedError as exc:
-            self.is_refused = not isinstance(exc.__cause__, TimeoutError)
+            self.is_refused = exc.is_refused
             self.choice.outlook.on_bad(now=clock_s(), avoid=True)
             return NotSent(str(exc))
         try:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -23,10 +22,11 @@
 )
 from crowrudder_core.quarantine import digest_text, request_digest
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
+from crowrudder_daemon.fleet_entry._attempt import Attempt
 from crowrudder_daemon.fleet_entry._attempt_line import line_of
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
 from crowrudder_daemon.fleet_entry._own_answer import OwnAnswer, send_own
+from crowrudder_daemon.fleet_entry._patience import patience_for
 from crowrudder_daemon.fleet_entry._upstreams import Wanted
 from crowrudder_model.fleet import RouteKind
 
@@ -41,22 +41,6 @@
 ANSWER_MARGIN_S = 0.02
 """An answer of one's own leaves so long before its caller gives up."""
 
-FIRST_SILENCE_S = 0.9
-"""Least silence before the first event after which another upstream is tried;
-ten times a usual first event, so that load alone doesn't cause it."""
-
-PAUSE_SILENCE_S = 0.9
-"""The same within a stream: over twice the pause of which callers complain,
-and under half of that after which they leave."""
-
-WHOLE_SILENCE_S = 0.45
-"""The same for a short answer that may be repeated."""
-
-FORECASTS = 4
-"""An attempt may take so many times its forecast before another is tried."""
-
-NEVER_S = 3600.0
-
 LATE_GOALS = 1.0
 """A request is refused at once where its first event is forecast after so
 many times its goal: it would take the place of one that can be in time."""
@@ -199,7 +183,7 @@
                 quarantine.on_whole(self.digest)
             case Broken() if attempt.is_cut_off:
                 quarantine.on_broken(self.digest, lives, ran_s=attempt.ran_s)
-                self.parts.upstreams.look_at(attempt.choice.outlook)
+                self.parts.upstreams.probe.look_at(attempt.choice.outlook)
             case NotSent() if attempt.is_refused:
                 quarantine.on_life_ended(lives[0])
 
@@ -288,7 +272,12 @@
             choice=choice,
             customer=self.admitted.customer,
             urgency=self.admitted.urgency,
-            patience=self._patience(choice, is_movable=is_movable),
+            patience=patience_for(
+                self.admitted.route,
+                first_s=choice.first_s,
+                begin_by=self.parts.upstreams.begin_by(choice, self.call.model),
+                is_movable=is_movable,
+            ),
             dispatch=self.dispatch,
             events=self.events,
             is_stream=self.admitted.route.kind is RouteKind.STREAM,
@@ -297,36 +286,6 @@
             upstreams=self.parts.upstreams,
         )
 
-    def _patience(self, choice: Choice, *, is_movable: bool) -> Patience:
-        """Give how long the upstream may be silent.
-
-        Silence is a reason to end an attempt only where another one follows.
-        """
-        route = self.admitted.route
-        late_s = route.pause_goal_s or math.inf
-        begin_by = self.parts.upstreams.begin_by(choice, self.call.model)
-        if not is_movable:
-            # It is taken away before its version ends all the same: a queue
-            # lasts longer than any margin, and then it would begin too late.
-            return Patience(
-                first_s=NEVER_S,
-                pause_s=NEVER_S,
-                begin_by=begin_by,
-                late_s=late_s,
-            )
-        forecast_s = FORECASTS * choice.first_s
-        if route.kind is RouteKind.STREAM:
-            return Patience(
-                first_s=max(FIRST_SILENCE_S, forecast_s),
-                pause_s=max(PAUSE_SILENCE_S, 2 * route.pause_goal_s),
-                begin_by=begin_by,
-                late_s=late_s,
-            )
-        patience_s = max(WHOLE_SILENCE_S, forecast_s)
-        return Patience(
-            first_s=patience_s, pause_s=patience_s, begin_by=begin_by
-        )
-
     @property
     def _is_movable(self) -> bool:
         """Whether another attempt may follow one that is given up."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -26,8 +26,9 @@
     FIRM_MARGIN_S,
     ON_THE_WAY_S,
 )
+from crowrudder_daemon.fleet_entry._life_probe import LifeProbe
 from crowrudder_daemon.fleet_entry._limits import UpstreamLimits
-from crowrudder_daemon.http import ConnectionPool, NotConnectedError
+from crowrudder_daemon.http import ConnectionPool
 
 if TYPE_CHECKING:
     from crowrudder_core.catalog import FleetView
@@ -50,9 +51,6 @@
 
 LEAST_BACK_S = 0.1
 
-LOOK_S = 0.5
-"""Longest wait for an answer on whether somebody listens at an address."""
-
 _MS = 1000
 
 
@@ -92,10 +90,8 @@
         peers: PeersTask,
         quarantine: RequestQuarantine,
     ) -> None:
-        self._runtime = runtime
         self._quarantine = quarantine
         self.limits = UpstreamLimits(runtime, peers, self._region_of)
-        self._looked_at: set[str] = set()
         self._node = node
         self._view = view
         self._peers = peers
@@ -118,6 +114,7 @@
             'Connections to upstreams that were opened.',
         )
         self.pool = ConnectionPool(on_open=self._opened.add)
+        self.probe = LifeProbe(runtime, self.pool, quarantine)
 
     def begin_wait(self, attempt: Waiting) -> int:
         """Take an attempt that was sent; its number is no other one's."""
@@ -244,31 +241,6 @@
         indices = range(len(weights))
         return self._random.choices(indices, weights=weights)[0]
 
-    def look_at(self, outlook: Outlook) -> None:
-        """Look whether an upstream that closed a connection is still there.
-
-        An agent tells that of its engine; of others nobody does, until their
-        record lapses.
-        """
-        life = outlook.upstream.id
-        if life in self._looked_at or outlook.fresh_load(clock_s()):
-            return
-        self._looked_at.add(life)
-        self._runtime.spawn(self._look_at(outlook.upstream), step='look')
-
-    async def _look_at(self, upstream: Upstream) -> None:
-        try:
-            conn = await self.pool.take(
-                upstream.address, timeout_s=LOOK_S, fresh=True
-            )
-        except NotConnectedError as exc:
-            if not isinstance(exc.__cause__, TimeoutError):
-                self._quarantine.on_life_ended(upstream.id)
-        else:
-            conn.close()
-        finally:
-            self._looked_at.discard(upstream.id)
-
     def status(self) -> list[dict[str, Any]]:
         """Tell what is known of each upstream."""
         now = clock_s()
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -36,6 +36,11 @@
 class NotConnectedError(UpstreamError):
     """No connection could be opened: nothing of the request was sent."""
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether nobody listens there, by the answer of the other side."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class BrokenAnswerError(UpstreamError):
     """The answer broke off, or was none; the request may have run."""
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -14,8 +14,9 @@
 from crowrudder_core.forecast import _outlook
 from crowrudder_daemon.fleet.ports import AnswerMark
 from crowrudder_daemon.fleet_entry import _attempt
-from crowrudder_daemon.fleet_entry._attempt import Attempt, Patience
+from crowrudder_daemon.fleet_entry._attempt import Attempt
 from crowrudder_daemon.fleet_entry._attempt_line import line_of
+from crowrudder_daemon.fleet_entry._patience import Patience
 from crowrudder_daemon.http import WireHead
 from support.aio import run
 from support.fleet_checks import (
--- a/tests/fleet/test_crashing_request.py
+++ b/tests/fleet/test_crashing_request.py
@@ -4,9 +4,12 @@
 
 import asyncio
 
+from crowrudder_core.quarantine import request_digest
+from crowrudder_model.messages import LifeEnd, SuspectNews, SuspectWord
 from crowrudder_standins.fleet_replica import stream_of
 from support.crashing import AGENT_SEES_S, Crashes
-from support.fleet_checks import checked
+from support.fleet import HOST
+from support.fleet_checks import checked, spoil_all
 
 FATAL = b'a fatal body'
 ASKED = 12
@@ -84,3 +87,52 @@
         if answer.body == stream_of(request_id):
             return True
     return False
+
+
+def verdict_on(request_body):
+    """Give what another entry tells of a request that it has convicted."""
+    digest = request_digest(
+        method='POST',
+        host=HOST,
+        target='/draft/x',
+        customer='shop',
+        body=request_body,
+    )
+    ends = tuple(LifeEnd(f'gone-{number}', 100) for number in range(3))
+    return SuspectNews((SuspectWord(digest, ends),))
+
+
+class TestVerdictOfAnotherEntry:
+    """Guards against arrivals that wait at an upstream as the verdict comes."""
+
+    def test_what_waits_is_taken_back_and_answered_at_once(self):
+        async def check(world):
+            spoil_all(world, 'e', 'hang', None)
+            asked = asyncio.ensure_future(
+                world.ask('/draft/x', method='POST', body=FATAL)
+            )
+            await world.until(lambda: any_runs(world))
+            peer_ip = world.nodes[1].ip
+            await world.until(lambda: knows(world, peer_ip))
+            world.entries[0].suspects_heard(peer_ip, verdict_on(FATAL))
+            answer = await asked
+            assert answer.status == 400
+            assert world.entries[0].requests.running == 0
+
+        checked(check, entries=2)
+
+    def test_a_word_of_a_host_that_is_no_entry_is_left(self):
+        async def check(world):
+            world.entries[0].suspects_heard('127.0.0.99', verdict_on(FATAL))
+            answer = await world.ask('/draft/x', method='POST', body=FATAL)
+            assert answer.status == 200
+
+        checked(check)
+
+
+def any_runs(world):
+    return any(replica.runs for replica in world.replicas.values())
+
+
+def knows(world, ip):
+    return ip in [word.ip for word in world.entries[0].peers.entries()]
