Entry: an overdue word counts against the time left before a version's end

Callers got answers of a version past its end: a host's link narrows as it gives and takes chunks, so that words, requests and closes wait on it for seconds. An entry sent 0.74 s before the time was over, to an upstream whose agent had last spoken 0.77 s before; the request was taken back in time and began all the same.

Cause: the bound of the sender didn't cover the way. What a word is overdue, beyond the usual 0.5 s of the own region and 1.2 s of others, counts against the time left.

Test red before (200 in place of 503).

An attempt that raises a time-out of its own isn't taken for one that was taken back any more.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -165,12 +165,15 @@
 
     async def _ending_of(self, attempt: Attempt) -> Ending:
         """Run an attempt, unless its request is convicted meanwhile."""
+        wait = asyncio.timeout(None)
+        self._wait = wait
         try:
-            async with asyncio.timeout(None) as wait:
-                self._wait = wait
+            async with wait:
                 return await attempt.run()
         except TimeoutError:
-            return Broken('upstreams ended under this request')
+            if not wait.expired():
+                raise
+            return Broken('taken back, as upstreams ended under this request')
         finally:
             self._wait = None
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_ends.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_ends.py
@@ -29,6 +29,29 @@
 though its connection had been closed for 0.35 s; up to 1.7 s where links are
 fuller, which the engine's agent has to meet."""
 
+NEAR_WORD_S = 0.5
+"""Age up to which a word from the own region is usual: it is repeated every
+0.4 s."""
+
+FAR_WORD_S = 1.2
+"""The same for one that relays bring from another region."""
+
+MOST_OVERDUE_S = 2.0
+"""An agent that is gone mustn't keep requests from its engine for longer."""
+
+
+def overdue_s(age_s: float, *, is_far: bool) -> float:
+    """Give by how long an upstream's last word is late.
+
+    What holds the words up on its link holds up requests as well, and the
+    close that takes them back.
+
+    >>> overdue_s(0.3, is_far=False), overdue_s(0.9, is_far=False)
+    (0.0, 0.4)
+    """
+    usual_s = FAR_WORD_S if is_far else NEAR_WORD_S
+    return min(max(age_s - usual_s, 0.0), MOST_OVERDUE_S)
+
 
 class Waiting(Protocol):
     """An attempt whose request was sent and may not have begun."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -25,6 +25,7 @@
     BEGIN_MARGIN_S,
     FIRM_MARGIN_S,
     ON_THE_WAY_S,
+    overdue_s,
 )
 from crowrudder_daemon.fleet_entry._life_probe import LifeProbe
 from crowrudder_daemon.fleet_entry._limits import UpstreamLimits
@@ -396,6 +397,9 @@
         if not candidate.weights or outlook.is_changing(now):
             return False
         left_s = self.begin_by(candidate, wanted.model) - now
+        left_s -= overdue_s(
+            outlook.word_age_s(now), is_far=candidate.other_region
+        )
         if left_s > FIRM_MARGIN_S - BEGIN_MARGIN_S:
             return True
         if not wanted.is_movable:
--- a/tests/fleet/test_late_sends.py
+++ b/tests/fleet/test_late_sends.py
@@ -101,3 +101,37 @@
 
 async def ask_model(world, path):
     return await world.ask(path, method='POST', request_id='a', X_Model='m')
+
+
+class TestOverdueWord:
+    """Guards against sends over a link that holds everything up for seconds."""
+
+    def test_an_upstream_whose_word_is_overdue_gets_nothing_near_the_end(self):
+        async def check(world):
+            end_soon(world, end_s=1.55)
+            await world.ready()
+            keep_away(world, 'e1')
+            tell(world, 'e0', age_s=1.9)
+            answer = await ask_model(world, '/draft/x')
+            assert answer.status == 503
+            assert not world.replicas['e0'].runs
+
+        checked(check, entries=1)
+
+    def test_one_that_spoke_just_now_gets_it(self):
+        async def check(world):
+            end_soon(world, end_s=1.55)
+            await world.ready()
+            keep_away(world, 'e1')
+            tell(world, 'e0', age_s=0)
+            answer = await ask_model(world, '/draft/x')
+            assert answer.status == 200
+
+        checked(check, entries=1)
+
+
+def tell(world, name, *, age_s):
+    """Tell an entry the word of an upstream's agent, so old."""
+    load = EngineLoad(address=world.addresses[name], reachable=True, weights=1)
+    for entry in world.entries:
+        entry.upstreams.on_load(load, age_s=age_s)
