--- a/packages/core/src/crowrudder_core/membership/_roster.py
+++ b/packages/core/src/crowrudder_core/membership/_roster.py
@@ -121,6 +121,10 @@
         }
         return [heard.word for heard in self._others.values()]
 
+    def knows(self, ip: str, *, now: float) -> bool:
+        """Whether a host is another entry that isn't forgotten yet."""
+        return any(word.ip == ip for word in self.known(now=now))
+
     def budget_share(self, *, now: float) -> float:
         """Give this entry's part of what all entries may do together.
 
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -247,6 +247,11 @@
         """Send something else to some hosts, now."""
         self._send_bytes(encode_message(datagram), ips)
 
+    def tell_partners(self, datagram: Datagram) -> None:
+        """Send something to a bounded number of entries, who pass it on."""
+        near, far = partners(*self._others(), self._random)
+        self.tell(datagram, [*near, *far])
+
     def entry_ips(self) -> tuple[list[str], list[str]]:
         """List the hosts of live entries: of the own region, and of others.
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_limits.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_limits.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 from crowrudder_core.limits import NamedLimits, senders_of
-from crowrudder_core.membership import partners, split_by_region
+from crowrudder_core.membership import split_by_region
 from crowrudder_daemon._clock import clock_s
 from crowrudder_model.messages import LimitNews
 
@@ -43,7 +42,6 @@
         self._runtime = runtime
         self._peers = peers
         self._region_of = region_of
-        self._random = random.Random(runtime.incarnation)
         self._limits = NamedLimits(self._part_of)
         self._parts: dict[str, tuple[float, float, float]] = {}
         self._kept = runtime.metrics.counter(
@@ -56,12 +54,11 @@
         word = self._limits.on_answer(upstream_id, per_s, now=clock_s())
         if word is not None:
             self._log(word, self._peers.roster.own.ip)
-            self._pass_on(word)
+            self._peers.tell_partners(LimitNews((word,)))
 
     def on_news(self, ip: str, news: LimitNews) -> None:
         """Take what another entry heard."""
-        known = self._peers.roster.known(now=clock_s())
-        if all(word.ip != ip for word in known):
+        if not self._peers.roster.knows(ip, now=clock_s()):
             self._runtime.log.debug(
                 'word on limits from an unknown host',
                 extra={'step': 'limit', 'peer': ip},
@@ -70,7 +67,7 @@
         for word in news.words[:MOST_WORDS]:
             if self._limits.on_word(word, now=clock_s()) is not None:
                 self._log(word, ip)
-                self._pass_on(word)
+                self._peers.tell_partners(LimitNews((word,)))
 
     def has_room(self, upstream_id: str) -> bool:
         """Whether a request may be sent to an upstream now."""
@@ -122,11 +119,3 @@
                 'age_s': word.age_ms / 1000,
             },
         )
-
-    def _pass_on(self, word: LimitWord) -> None:
-        own = self._peers.roster.own.ip
-        near, far = self._peers.entry_ips()
-        near, far = partners(
-            [ip for ip in near if ip != own], far, self._random
-        )
-        self._peers.tell(LimitNews((word,)), [*near, *far])
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
@@ -7,7 +7,6 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, Protocol
 
-from crowrudder_core.membership import partners
 from crowrudder_core.quarantine import (
     Audience,
     Convicted,
@@ -137,7 +136,7 @@
 
     def on_news(self, ip: str, news: SuspectNews) -> None:
         """Take what another entry tells of some requests."""
-        if not self._is_entry(ip):
+        if not self._peers.roster.knows(ip, now=clock_s()):
             self._runtime.log.debug(
                 'word on suspects from an unknown host',
                 extra={'step': 'quarantine', 'peer': ip},
@@ -158,11 +157,7 @@
         for effect in effects:
             match effect:
                 case Tell(word=word, audience=Audience.PARTNERS):
-                    near, far = self._peers.entry_ips()
-                    near, far = partners(
-                        self._without_own(near), far, self._random
-                    )
-                    self._tell([word], [*near, *far])
+                    self._peers.tell_partners(SuspectNews((word,)))
                 case Tell(word=word):
                     ips = owners(word.digest, self._entry_ips())
                     self._tell([word], self._without_own(ips))
@@ -197,7 +192,3 @@
     def _without_own(self, ips: list[str]) -> list[str]:
         own = self._peers.roster.own.ip
         return [ip for ip in ips if ip != own]
-
-    def _is_entry(self, ip: str) -> bool:
-        known = self._peers.roster.known(now=clock_s())
-        return any(word.ip == ip for word in known)
