--- a/tests/workspace/test_known_red.py
+++ b/tests/workspace/test_known_red.py
@@ -81,3 +81,17 @@
         outcome = self._run(suite, listed)
         assert outcome.ret == pytest.ExitCode.USAGE_ERROR
         outcome.stderr.fnmatch_lines([expected])
+
+    def test_played_day_is_printed_and_passes_no_test_over(self, suite):
+        suite.path.joinpath('deploy', 'days').mkdir(parents=True)
+        (suite.path / 'deploy/days/cut.toml').touch()
+        outcome = self._run(suite, 'deploy/days/cut.toml --seed 2 | c | #2\n')
+        outcome.assert_outcomes(failed=2, errors=1, passed=1, skipped=1)
+        outcome.stdout.fnmatch_lines(
+            ['KNOWN RED: deploy/days/cut.toml --seed 2 | c | #2']
+        )
+
+    def test_played_day_without_its_file_stops_the_run(self, suite):
+        outcome = self._run(suite, 'deploy/days/gone.toml --seed 2 | c | #2\n')
+        assert outcome.ret == pytest.ExitCode.USAGE_ERROR
+        outcome.stderr.fnmatch_lines(['*no such day: deploy/days/gone.toml'])
