--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -26,7 +26,9 @@
     from crowrudder_daemon.chunks._watch import WeightsWatch
     from crowrudder_model.messages import StockReply
 
-TICK_S = 0.02
+TICK_S = 0.05
+"""Between two looks of a transfer at which no call has ended, seconds."""
+
 
 
 class Collector:
@@ -159,7 +161,9 @@
         )
 
         async def on_piece(size: int) -> None:
-            await asyncio.sleep(self._take_link(read, size))
+            wait_s = self._take_link(read, size)
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
 
         return await self._peers.chunk(address, ask, on_piece)
 
--- a/packages/daemon/src/crowrudder_daemon/chunks/_uploads.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_uploads.py
@@ -27,11 +27,12 @@
 PIECE_BYTES = 256 * 1024
 """Bytes of a chunk that go out at once, where the link is a fast one."""
 
-PIECE_S = 0.007
+PIECE_S = 0.025
 """Longest time for which one piece takes the link.
 
-An answer's event waits for the piece before it. On a slow link (5 Mbit/s) a
-whole chunk of 48 KB would hold it up by 80 ms; a piece is then some 4 KB.
+An answer's event waits for the piece before it, and each piece wakes both
+processes. On a slow link (5 Mbit/s) a whole chunk of 48 KB would hold the event
+up by 80 ms; a piece is then some 16 KB.
 """
 
 LEAST_PIECE_BYTES = 2048
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -72,6 +72,7 @@
 come from the own region, and bytes between regions are few and paid for."""
 
 PACE = {
+    'poll_s': 1.0,
     'starved_s': 0.6,
     'origin_wait_s': 0.5,
     'even_turns': True,
@@ -80,6 +81,7 @@
 }
 """What a transfer has otherwise than by the sizes and the link: a window of
 some seconds leaves no time to wait for a host that doesn't bring its part.
+Agents tell what they hold by datagrams, so that only a silent one is asked.
 With 0.3 s hosts were starved as a version began, before the first chunks came
 round: by the model of `measure/_weights_fleet.py` a tenth of a copy was read
 twice, and the origin needed 2.6 s for a whole one in place of 2.4 s.
