--- a/packages/daemon/src/crowrudder_daemon/agent/_upstream.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_upstream.py
@@ -8,14 +8,14 @@
 import msgspec
 from attrs import frozen
 
-from crowrudder_daemon.http import Fetcher, ServerEvent, stream_events
+from crowrudder_daemon.fetch import Fetcher, ServerEvent, stream_events
 from crowrudder_model import Outcome, UpstreamError
 from crowrudder_model.messages import Attempt, Final, Piece
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from crowrudder_daemon.http import Answer
+    from crowrudder_daemon.fetch import Answer
 
 _Event = TypeVar('_Event')
 
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_manifests.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_manifests.py
@@ -12,11 +12,8 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from crowrudder_daemon.chunks import Artifact
-    from crowrudder_daemon.chunks._sources import (
-        OriginSource,
-        PeerSource,
-    )
+    from crowrudder_daemon.agent.weights._origin_source import OriginSource
+    from crowrudder_daemon.chunks import Artifact, PeerSource
 
 TRY_S = 0.25
 OTHERS_ASKED = 2
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_task.py
@@ -21,11 +21,12 @@
 )
 from crowrudder_daemon.agent.weights._loading import Loader
 from crowrudder_daemon.agent.weights._manifests import ManifestReader
+from crowrudder_daemon.agent.weights._origin_source import OriginSource
 from crowrudder_daemon.agent.weights._words import progress_line
 from crowrudder_daemon.chunks import Artifact
 from crowrudder_daemon.chunks._collect import Collector
 from crowrudder_daemon.chunks._shelf import Shelf
-from crowrudder_daemon.chunks._sources import OriginSource, PeerSource
+from crowrudder_daemon.chunks._sources import PeerSource
 from crowrudder_daemon.chunks._stock import EngineNote, UploadSlots
 from crowrudder_daemon.chunks._uploads import ChunkService
 from crowrudder_daemon.chunks._watch import WeightsWatch
--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -30,7 +30,6 @@
 """Between two looks of a transfer at which no call has ended, seconds."""
 
 
-
 class Collector:
     """The calls that one transfer has under way.
 
--- a/packages/daemon/src/crowrudder_daemon/knowledge/_platform.py
+++ b/packages/daemon/src/crowrudder_daemon/knowledge/_platform.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from crowrudder_daemon.http import Fetcher
+from crowrudder_daemon.fetch import Fetcher
 from crowrudder_model import (
     Member,
     MembersError,
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from crowrudder_daemon.http import Answer
+    from crowrudder_daemon.fetch import Answer
     from crowrudder_daemon.process import Runtime
 
 WATCH_S = 6
--- a/tests/fuzz/test_calls.py
+++ b/tests/fuzz/test_calls.py
@@ -16,7 +16,7 @@
     parse_completion,
     parse_head,
 )
-from crowrudder_daemon.http import ServerEvent, stream_events
+from crowrudder_daemon.fetch import ServerEvent, stream_events
 from crowrudder_daemon.rpc import PeerClient
 from crowrudder_model import (
     MalformedMessageError,
--- a/tests/fuzz/test_declared.py
+++ b/tests/fuzz/test_declared.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from crowrudder_core.transfer import Manifest, ManifestError, decode_manifest
-from crowrudder_daemon.http import Answer
+from crowrudder_daemon.fetch import Answer
 from crowrudder_daemon.knowledge._platform import (
     BundleRead,
     PlatformClient,
--- a/tests/weights/test_adapter.py
+++ b/tests/weights/test_adapter.py
@@ -14,7 +14,7 @@
 from crowrudder_daemon.agent.weights._loading import Loader
 from crowrudder_daemon.chunks import Artifact
 from crowrudder_daemon.chunks._stock import EngineNote
-from crowrudder_daemon.http import Answer
+from crowrudder_daemon.fetch import Answer
 from crowrudder_model import InvariantError, UpstreamError
 from crowrudder_model.declared import Service, Version
 from support.aio import run
