--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from attrs import frozen
 
@@ -71,7 +71,7 @@
 """Of these, agents of other regions where the own one has the rest: most chunks
 come from the own region, and bytes between regions are few and paid for."""
 
-PACE = {
+PACE: dict[str, Any] = {
     'poll_s': 1.0,
     'starved_s': 0.6,
     'origin_wait_s': 0.5,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -306,8 +306,8 @@
     async def _stream(self, conn: HttpConnection, head: WireHead) -> Ending:
         """Pass whole events on as they come."""
         self.events.begin_attempt()
-        while True:
-            part = await self._part(conn, has_begun=self._has_begun)
+        while not self._has_begun:
+            part = await self._part(conn, has_begun=False)
             if part is None:
                 break
             whole = self.events.take(part)
@@ -315,12 +315,22 @@
                 self._note_first()
                 self._note_pause()
                 await self._pass_on(head, whole)
+        else:
+            await conn.relay(self._push, pause_s=self.patience.pause_s)
         await self._pass_on(head, self.events.rest())
         self._upstreams.pool.keep(conn, head)
         self.is_whole = True
         self._note_whole(is_good=True)
         return Answered(head.status)
 
+    def _push(self, part: bytes) -> asyncio.Future[None] | None:
+        """Pass the whole events on that a part completes."""
+        whole = self.events.take(part)
+        if not whole:
+            return None
+        self._note_pause()
+        return self._side.push(whole)
+
     async def _part(
         self, conn: HttpConnection, *, has_begun: bool
     ) -> bytes | None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -16,6 +16,7 @@
 from tornado.iostream import StreamClosedError
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from tornado.http1connection import HTTP1Connection
@@ -75,6 +76,26 @@
         if piece:
             await self._sent(self._conn.write, piece)
 
+    def push(self, piece: bytes) -> asyncio.Future[None] | None:
+        """Send a part of the body; give what is done once it has left.
+
+        None where it has left already.
+
+        Raises
+        ------
+        CallerGoneError
+            When the caller has left.
+        """
+        if self.is_gone:
+            raise CallerGoneError
+        sent = self._conn.write(piece)
+        if not sent.done():
+            return sent
+        if isinstance(sent.exception(), StreamClosedError):
+            self.is_gone = True
+            raise CallerGoneError
+        return None
+
     def finish(self) -> None:
         """End the answer as a whole one."""
         self._on_gone = None
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -16,6 +16,7 @@
 import h11
 from attrs import frozen
 
+from crowrudder_daemon.http._body_relay import BodyRelay
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
@@ -105,6 +106,7 @@
         self._lost = ''
         self._was_ended_by_peer = False
         self._request: WireRequest | None = None
+        self._relay: BodyRelay | None = None
 
     # The event loop's side.
 
@@ -223,13 +225,30 @@
         BrokenAnswerError
             When it ends before.
         """
-        match await self._event():
-            case h11.Data(data=data):
-                return bytes(data)
-            case h11.EndOfMessage():
-                return None
-            case _:
-                raise self._broken('broke off within the body')
+        return self._body_part(await self._event())
+
+    async def relay(
+        self,
+        take: Callable[[bytes], asyncio.Future[None] | None],
+        *,
+        pause_s: float,
+    ) -> None:
+        """Hand on the rest of the body as it comes, see `BodyRelay`.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When it ends before its proper end.
+        TimeoutError
+            When no part came for ``pause_s``.
+        """
+        self._relay = BodyRelay(
+            take, self._part_at_hand, self._hold, pause_s=pause_s
+        )
+        try:
+            await self._relay.run()
+        finally:
+            self._relay = None
 
     async def closed(self) -> None:
         """Wait until the connection is gone."""
@@ -313,17 +332,47 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _body_part(self, event: object) -> bytes | None:
+        match event:
+            case h11.Data(data=data):
+                return bytes(data)
+            case h11.EndOfMessage():
+                return None
+            case _:
+                raise self._broken('broke off within the body')
+
+    def _part_at_hand(self) -> bytes | None:
+        """Give a part of the body; empty while none has come."""
+        self._ahead = 0
+        event = self._event_at_hand()
+        if event is not h11.NEED_DATA:
+            return self._body_part(event)
+        # Too many bytes at once have stopped the reading, see `data_received`.
+        self._hold(is_held=False)
+        return b''
+
+    def _hold(self, *, is_held: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if is_held:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     async def _event(self) -> object:
-        while True:
-            try:
-                event = self._wire.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise self._broken(self._lost or str(exc)) from exc
-            if event is not h11.NEED_DATA:
-                return event
-            if self._lost:
-                raise self._broken(self._lost)
+        while (event := self._event_at_hand()) is h11.NEED_DATA:
             await self._more()
+        return event
+
+    def _event_at_hand(self) -> object:
+        """Give the next event, `NEED_DATA` while more may come."""
+        try:
+            event = self._wire.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise self._broken(self._lost or str(exc)) from exc
+        if event is h11.NEED_DATA and self._lost:
+            raise self._broken(self._lost)
+        return event
 
     async def _more(self) -> None:
         self._ahead = 0
@@ -336,6 +385,8 @@
             self._waiter = None
 
     def _wake(self) -> None:
+        if self._relay is not None:
+            self._relay.on_bytes()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -14,6 +14,7 @@
     NotConnectedError,
     WireRequest,
 )
+from crowrudder_daemon.http._connection import READ_AHEAD_BYTES
 from crowrudder_model import UpstreamError
 from support.aio import run
 from support.wire import serving
@@ -53,6 +54,38 @@
         run(check())
 
 
+class TestRelay:
+    def test_more_than_is_read_ahead_comes_through(self):
+        """A stream whose bytes came all at once stood still for good."""
+
+        async def check():
+            size = 5 * READ_AHEAD_BYTES
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+            taken: list[bytes] = []
+            async with serving([head + bytes(size)]) as server:
+                conn = await ConnectionPool().take(server.address, timeout_s=1)
+                conn.send(GET)
+                await conn.head()
+                await conn.relay(taken.append, pause_s=1)
+            assert len(b''.join(taken)) == size
+
+        run(check())
+
+    def test_a_body_that_breaks_off_is_no_end(self):
+        """Half a stream was passed on as a whole one."""
+
+        async def check():
+            text = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'
+            async with serving([text], close=True) as server:
+                conn = await ConnectionPool().take(server.address, timeout_s=1)
+                conn.send(GET)
+                await conn.head()
+                with pytest.raises(BrokenAnswerError):
+                    await conn.relay(lambda _: None, pause_s=1)
+
+        run(check())
+
+
 class TestProgress:
     def test_bytes_are_told_as_they_come(self):
         """A read that moved counted as stalled.
