--- a/packages/daemon/src/crowrudder_daemon/_loop_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/_loop_watch.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._ticks import until_tick_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -82,7 +83,7 @@
 
     Parameters
     ----------
-    clock, sleep
+    clock, sleep, wait_s
         Replaced by tests.
     """
 
@@ -92,10 +93,12 @@
         *,
         clock: Callable[[], float] = clock_s,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        wait_s: Callable[[float], float] = until_tick_s,
     ) -> None:
         self._log = runtime.log
         self._clock = clock
         self._sleep = sleep
+        self._wait_s = wait_s
         self._lateness = Lateness()
         self._late = runtime.metrics.histogram(
             'loop_late_seconds',
@@ -110,8 +113,9 @@
 
     async def look(self) -> None:
         """Sleep once and take how late the sleep ended."""
-        due_at = self._clock() + LOOK_S
-        await self._sleep(LOOK_S)
+        wait_s = self._wait_s(LOOK_S)
+        due_at = self._clock() + wait_s
+        await self._sleep(wait_s)
         now = self._clock()
         late_s = max(now - due_at, 0)
         self._late.record(late_s)
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -20,6 +20,7 @@
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
+from crowrudder_daemon._ticks import sleep_to_tick, until_tick_s
 from crowrudder_daemon.fleet._records import (
     AgesCame,
     PeerAhead,
@@ -64,7 +65,7 @@
 held to the bounds for so much less than the operators allow."""
 
 AGES_TIMEOUT_S = 1.0
-SWEEP_S = 0.25
+SWEEP_S = 0.2
 
 
 class CatalogTask(Task):
@@ -256,7 +257,8 @@
             case StoreStep.REST:
                 self._watch_times.on_rest()
                 until_due_s = max(self.reading.lists_at - clock_s(), 0)
-                await asyncio.sleep(min(REST_S, until_due_s + TICK_S))
+                rest_s = until_tick_s(REST_S)
+                await asyncio.sleep(min(rest_s, until_due_s + TICK_S))
             case StoreStep.LIST:
                 is_informed = bool(self.catalog.revision)
                 asked_at = clock_s()
@@ -371,7 +373,7 @@
     async def _sweep_for_ever(self) -> None:
         self._watch_times.tick()
         while True:
-            await asyncio.sleep(SWEEP_S)
+            await sleep_to_tick(SWEEP_S)
             self._watch_times.tick()
             if self.view.forget_gone(now=clock_s()):
                 self._on_change()
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -10,6 +10,7 @@
 
 from crowrudder_core.transfer import chunks_of, full, layers_at_hand
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._ticks import until_tick_s
 from crowrudder_daemon.fleet_agent._digests import version_name
 from crowrudder_daemon.fleet_agent._goals import LEAST_USE_S, figures_of
 from crowrudder_daemon.fleet_agent._loader import CLOSING_S, Load
@@ -106,9 +107,11 @@
     def _pause_s(self) -> float:
         figures = figures_of(self._view, self._node)
         if figures is None:
-            return LONGEST_LOOK_S
+            return until_tick_s(LONGEST_LOOK_S)
         left_s = self._closes_at(figures.model) - clock_s()
-        return min(max(left_s, LOOK_S), LONGEST_LOOK_S)
+        if left_s > LONGEST_LOOK_S:
+            return until_tick_s(LONGEST_LOOK_S)
+        return max(left_s, LOOK_S)
 
     def _closes_at(self, model: str) -> float:
         ends_at = self._view.releases.ends_at(model, self._watch.whole)
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -10,6 +10,7 @@
 
 from crowrudder_core.membership import close_entries
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._ticks import sleep_to_tick
 from crowrudder_daemon.fleet.ports import EngineReading
 from crowrudder_model import UpstreamError
 from crowrudder_model.fleet import NO_LAYERS, LayerRange
@@ -119,7 +120,7 @@
         """Read again and again."""
         while True:
             await self.read_now()
-            await asyncio.sleep(READ_EVERY_S)
+            await sleep_to_tick(READ_EVERY_S)
 
     async def read_now(self) -> EngineReading | None:
         """Read once and tell the entries of what changed."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -9,6 +9,7 @@
 from attrs import evolve
 
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._ticks import until_tick_s
 from crowrudder_daemon.fleet_agent._collecting import Collecting
 from crowrudder_daemon.fleet_agent._goals import (
     LEAST_USE_S,
@@ -30,7 +31,7 @@
     from crowrudder_model.fleet import Node
 
 RETRY_S = 0.2
-IDLE_S = 0.25
+IDLE_S = 0.2
 LOOK_S = 0.08
 MOST_ABLE = 0.5
 """Engines load parts while requests may begin at less than this share of them:
@@ -157,7 +158,7 @@
         """Wait for a change, or a while."""
         self._changed.clear()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_S):
+            async with asyncio.timeout(until_tick_s(IDLE_S)):
                 await self._changed.wait()
 
     async def _reachable(self, goal: Goal) -> tuple[Goal, Named]:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -17,6 +17,7 @@
     chunks_of,
     layers_of,
 )
+from crowrudder_daemon._ticks import until_tick_s
 from crowrudder_daemon.chunks import (
     ChunkService,
     Collector,
@@ -327,7 +328,9 @@
             for transfer in self.shelf.transfers.values()
         )
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(NEWS_S if is_collecting else QUIET_S):
+            async with asyncio.timeout(
+                NEWS_S if is_collecting else until_tick_s(QUIET_S)
+            ):
                 await self._changed.wait()
         self._changed.clear()
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_load_relay.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_load_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
@@ -10,6 +9,7 @@
 
 from crowrudder_core.membership import relays
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._ticks import sleep_to_tick
 from crowrudder_model.messages import EngineLoad, LoadBatch
 
 if TYPE_CHECKING:
@@ -70,7 +70,7 @@
     async def tell_for_ever(self) -> None:
         """Tell the other regions, while it is this entry's part."""
         while True:
-            await asyncio.sleep(EVERY_S)
+            await sleep_to_tick(EVERY_S)
             self._tell()
 
     def _tell(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections import defaultdict
 from typing import TYPE_CHECKING, Protocol
@@ -16,6 +15,7 @@
     owners,
 )
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._ticks import sleep_to_tick
 from crowrudder_model.messages import SuspectNews
 
 if TYPE_CHECKING:
@@ -147,7 +147,7 @@
     async def remind_for_ever(self) -> None:
         """Tell entries that have started or missed it what all are to know."""
         while True:
-            await asyncio.sleep(REMIND_EVERY_S)
+            await sleep_to_tick(REMIND_EVERY_S)
             words = self._core.reminder(self._random, now=clock_s())
             others = self._others()
             if words and others:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 
 from crowrudder_daemon._callers_port import CallersPort
+from crowrudder_daemon._ticks import sleep_to_tick
 from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_entry._caller_side import CallersServer
 from crowrudder_daemon.fleet_entry._directory import Directory
@@ -190,6 +191,6 @@
     async def _look_for_peers(self) -> None:
         """Ask agents for entries while no other entry is known."""
         while True:
-            await asyncio.sleep(CONTACT_EVERY_S)
+            await sleep_to_tick(CONTACT_EVERY_S)
             ips = {each.host_ip for each in self.catalog.view.listed()}
             self.peers.add_contacts(ips)
--- a/tests/daemon/test_loop_watch.py
+++ b/tests/daemon/test_loop_watch.py
@@ -51,7 +51,7 @@
     runtime: Any = SimpleNamespace(
         log=logging.getLogger('test'), metrics=metrics
     )
-    watch = LoopWatch(runtime, clock=clock, sleep=clock.sleep)
+    watch = LoopWatch(runtime, clock=clock, sleep=clock.sleep, wait_s=float)
 
     async def all_looks():
         while clock.late:
--- /dev/null
+++ b/tests/daemon/test_ticks.py
@@ -0,0 +1,41 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from crowrudder_daemon._ticks import TICK_S, sleep_to_tick, until_tick_s
+from support.aio import run
+
+
+class TestTicks:
+    def test_looks_of_all_periods_wake_the_process_together(self):
+        """A process at rest was woken fifty times a second, for ten looks.
+
+        Guards against timers that each have a time of their own.
+        """
+        woken = []
+        looks = []
+
+        async def look(period_s):
+            await sleep_to_tick(period_s)
+            woken.append(asyncio.get_running_loop().time())
+
+        async def check():
+            for delay_s in (0, 0.01, 0.02):
+                await asyncio.sleep(delay_s)
+                looks.append(asyncio.ensure_future(look(TICK_S)))
+            await asyncio.gather(*looks)
+
+        run(check())
+        assert len(woken) == 3
+        assert max(woken) - min(woken) < TICK_S / 10
+
+    @pytest.mark.parametrize('period_s', [0.1, 0.2, 0.4, 0.6, 1.0])
+    def test_a_tick_is_never_further_off_than_the_period(self, period_s):
+        async def check():
+            for _ in range(20):
+                assert 0 < until_tick_s(period_s) <= period_s * 1.01
+                await asyncio.sleep(0.003)
+
+        run(check())
