--- a/measure/_weights_fleet.py
+++ b/measure/_weights_fleet.py
@@ -397,6 +397,7 @@
         transfer = host.transfer
         if stock is not None:
             transfer.on_stock(stock, now=self.clock.now_s)
+        transfer.on_moved(read, now=self.clock.now_s, size=len(payload))
         was_held = transfer.held >> read.index & 1
         transfer.on_chunk(read, payload, now=self.clock.now_s)
         self.events['doubled'] += was_held
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from crowrudder_core.transfer._bits import full, indices
+from crowrudder_core.transfer._inflow import Inflow
 from crowrudder_core.transfer._origin import OriginDuty
 from crowrudder_core.transfer._out_of_turn import Holdings, OutOfTurn
 from crowrudder_core.transfer._peers import PeerBook, Place, Stock
@@ -33,6 +34,11 @@
     from crowrudder_core.transfer._store import ChunkStore
 
 MOST_WAITS = 3
+NARROW_PATIENCE = 4
+"""Times as long as usual that a read may stall on a narrow link."""
+
+MOST_SILENT = 2
+"""Silent reads beside which another one goes on over a narrow link."""
 
 
 @define
@@ -91,6 +97,7 @@
     peers: PeerBook = field(init=False)
     origin: OriginDuty = field(init=False)
     progress: Progress = field(init=False)
+    inflow: Inflow = field(init=False)
     flights: dict[Read, _Flight] = field(factory=dict, init=False)
     _places: Mapping[str, Place] = field(factory=dict, init=False)
     _out_of_turn: OutOfTurn = field(factory=OutOfTurn, init=False)
@@ -109,6 +116,7 @@
             pace=self.pace,
         )
         self.progress = Progress(self.manifest.size)
+        self.inflow = Inflow(self.manifest.chunk_bytes / self.pace.chunk_s)
         for index, digest in enumerate(self.manifest.chunks):
             self._same[digest] = self._same.get(digest, 0) | 1 << index
         for digest, bits in self._same.items():
@@ -180,7 +188,14 @@
 
     def next_reads(self, *, now: float) -> list[Read]:
         """Give the reads to start now; they count as started."""
-        room = _reads_at_once(self.pace, self.goes_behind) - len(self.flights)
+        self.inflow.on_reads(len(self.flights), now=now)
+        most = _reads_at_once(self.pace, self.goes_behind)
+        if self.inflow.is_narrow(now):
+            # Sources may be silent as well: one read goes on beside them.
+            most = 1 + min(
+                _silent(self.flights, now - self.pace.stall_s), MOST_SILENT
+            )
+        room = most - len(self.flights)
         if self.dropped or self.complete or room <= 0:
             return []
         wants = self._wants()
@@ -229,15 +244,22 @@
         return [read]
 
     def overdue(self, *, now: float) -> list[Read]:
-        """Give the reads that stall, to be ended with `on_failed`."""
+        """Give the reads that stall, to be ended with `on_failed`.
+
+        What goes wrong when they are given up as soon on a link that has
+        become narrow: each read is given up before its bytes come through the
+        link's queue, the next one puts more into it, and no chunk arrives.
+        """
+        patience = NARROW_PATIENCE if self.inflow.is_narrow(now) else 1
         return [
             read
             for read, flight in self.flights.items()
-            if now - flight.moved_at >= self.pace.stall_s
+            if now - flight.moved_at >= patience * self.pace.stall_s
         ]
 
-    def on_moved(self, read: Read, *, now: float) -> None:
+    def on_moved(self, read: Read, *, now: float, size: int = 0) -> None:
         """Note that some bytes of a read came."""
+        self.inflow.on_bytes(size, now=now)
         flight = self.flights.get(read)
         if flight is not None:
             flight.moved_at = now
@@ -416,6 +438,11 @@
     return 1
 
 
+def _silent(flights: Mapping[Read, _Flight], since: float) -> int:
+    """Count the reads without a byte since then."""
+    return sum(flight.moved_at <= since for flight in flights.values())
+
+
 def _source_of(read: Read) -> str:
     match read:
         case FromPeer(host=host):
--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -191,7 +191,7 @@
 
     def _take_link(self, read: Read, size: int) -> float:
         """Note bytes that came; give how long the link is full."""
-        self._transfer.on_moved(read, now=self._now())
+        self._transfer.on_moved(read, now=self._now(), size=size)
         return self._downlink.reserve(size, now=self._now())
 
     def _take(self, read: Read, payload: bytes) -> bool:
