--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_keeper.py
@@ -104,6 +104,9 @@
     async def _pursue(self, goal: Goal) -> None:
         """Go one round: collect what the goal needs, then load it."""
         goal, named = await self._reachable(goal)
+        if self._is_outdated(goal):
+            # Named while the manifest was waited for: nothing is begun with.
+            return
         (transfer,) = self._library.open(named)
         if not (transfer.complete or self._has_looked):
             # Once in a life: what is staged later is held here as well.
@@ -194,7 +197,7 @@
         if release is None or self._loaded >= release.version:
             return False
         named = self._library.manifests.known(goal.model, release.version)
-        if named is None:
+        if named is None or not self._library.holds_part_of(named):
             return False
         (transfer,) = self._library.open(named)
         collecting = asyncio.ensure_future(
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -202,6 +202,12 @@
         known = self.manifests.known(goal.model, goal.version)
         return known is not None or bool(self._heard.get(name))
 
+    def holds_part_of(self, named: Named) -> bool:
+        """Whether any chunk of a version is held."""
+        artifact = named.artifact
+        transfer = self.shelf.find(artifact.name, artifact.manifest)
+        return transfer is not None and bool(transfer.held)
+
     def open(self, *wanted: Named) -> list[Transfer]:
         """Begin or go on with versions; all others are given up."""
         names = frozenset(named.artifact.name for named in wanted)
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from functools import reduce
 from operator import or_
@@ -223,6 +224,50 @@
 
         checked(check)
 
+    def test_a_manifest_that_comes_too_late_begins_nothing(self, monkeypatch):
+        """Engines loaded a version that was read only after a newer one.
+
+        Guards against a keeper that is still waiting for an older manifest
+        when a newer version is named.
+        """
+        monkeypatch.setattr(_loader, 'load_delay_s', lambda **_: 0)
+
+        async def check(world):
+            replica = await world.add_agent(1, loaded=1, version_s=30)
+            await world.ready()
+            agent = world.agents[0]
+            real = agent.library.manifest
+
+            async def manifest(goal, **more):
+                named = await real(goal, **more)
+                if goal.version == 2:
+                    world.name_version(3)
+                    await world.until(
+                        lambda: (
+                            (it := agent.catalog.view.releases.newest('m'))
+                            is not None
+                            and it.version == 3
+                        )
+                    )
+                elif goal.version == 3:
+                    await asyncio.sleep(0.5)
+                return named
+
+            agent.library.manifest = manifest
+            world.origin.faults.switch_on(Fault('down'))
+            world.name_version(2)
+            await world.until(
+                lambda: (
+                    agent.catalog.view.releases.newest('m') is not None
+                    and agent.keeper.status()['goal'] == 2
+                )
+            )
+            world.origin.faults.switch_off('down')
+            await world.until(lambda: replica.whole_weights == 3)
+            assert [order['version'] for order in replica.orders] == [3]
+
+        checked(check)
+
     def test_an_engine_that_lost_its_weights_gets_them_again(self):
         async def check(world):
             replica = await world.add_agent(1, loaded=1)
