--- a/packages/core/src/crowrudder_core/forecast/_choice.py
+++ b/packages/core/src/crowrudder_core/forecast/_choice.py
@@ -32,7 +32,7 @@
 
 DRAWN = 4
 """Candidates that are compared: three of the own region where it has them,
-and one of another. From three to six do about as well in virtual time."""
+and one of another."""
 
 
 _Option = TypeVar('_Option')
@@ -83,12 +83,7 @@
 
     What goes wrong with the best of all: entries have the same words of the
     same agents, up to a tenth of a second old, and all of them choose the
-    engine that looks the emptiest; with 44 entries it gets thirty requests
-    before the next word. In virtual time (`make measure ARGS=dispatch`), 44
-    entries and 24 engines at 0.85 and 0.95 of what these can do, the share of
-    first events within 0.45 s is 0.913 and 0.794 with the best of all, 0.986
-    and 0.961 with the best of four, and under half as many requests go to
-    other regions. With six entries the two are alike. Nor are all looked at
+    engine that looks the emptiest until the next word. Nor are all looked at
     before a request is refused: in overload, that is the best of all again.
 
     Parameters
--- a/packages/core/src/crowrudder_core/forecast/_outlook.py
+++ b/packages/core/src/crowrudder_core/forecast/_outlook.py
@@ -273,10 +273,7 @@
         makes first events late, the forecasts rise above what is admitted,
         and without requests nothing tells that the burst is over, seen as
         engines that refuse nine of ten requests though those that they take
-        begin in a third of the forecast. In the logs of a small fleet, 114
-        were refused and 5 served in a second. In the choice of an engine it
-        lasts: in virtual time (`make measure ARGS=dispatch`), the lead of the
-        draw over the best of all shrinks from 0.07 to 0.03 where it fades.
+        begin in a third of the forecast. In the choice of an engine it lasts.
         """
         lasting_s = self.first_s(prompt, now)
         if self.model is None:
--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import enum
-import gc
 import io
 import os
 import signal
@@ -237,8 +236,6 @@
     # Unhandled, it would end the process and cut off all that runs.
     loop.add_signal_handler(signal.SIGHUP, runtime.ask_reload)
     life = Lifecycle(runtime, build(runtime))
-    # Modules and tasks stay until the end: collections needn't walk them.
-    gc.freeze()
     code = await life.run(stop)
     if life.stuck:
         # The loop's own end waits for every task, so for this one for ever.
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -83,12 +83,6 @@
 """What a transfer has otherwise than by the sizes and the link: a window of
 some seconds leaves no time to wait for a host that doesn't bring its part.
 Agents tell what they hold by datagrams, so that only a silent one is asked.
-With 0.3 s hosts were starved as a version began, before the first chunks came
-round: by the model of `measure/_weights_fleet.py` a tenth of a copy was read
-twice, and the origin needed 2.6 s for a whole one in place of 2.4 s.
-
-More reads at once than the usual three, and two at the origin, made a sixth of
-the streams late that ran as a transfer began: the links between regions filled.
 """
 
 BURST_S = 0.02
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -46,14 +46,7 @@
 many times its goal: it would take the place of one that can be in time."""
 
 CROWDED_GOALS = 0.75
-"""The same at an engine with few free slots, where forecasts fall short.
-
-What goes wrong at 1.0: at 1.15 of what the engines can do nearly half of the
-streams begin late, though each was forecast in time. In virtual time, 44
-entries and 24 engines, begun in time and late: 0.769 and 0.120 with 1.0, 0.815
-and 0.074 with 0.8, 0.816 and 0.060 with 0.7; at 0.7 of the load 0.993 and
-0.987 with 1.0 and 0.7.
-"""
+"""The same at an engine with few free slots, where forecasts fall short."""
 
 SPARE_GOALS = 0.8
 """The same for a request that comes back after its goal has passed: it is
