--- a/packages/core/src/crowrudder_core/transfer/_inflow.py
+++ b/packages/core/src/crowrudder_core/transfer/_inflow.py
@@ -9,9 +9,6 @@
 SPAN_S = 0.5
 """Time over which what comes is compared with the link, seconds."""
 
-NARROW_SHARE = 0.25
-"""Below this part of its rate a link that is asked for more is narrow."""
-
 HOLD_S = 2.0
 """Time after which more reads are tried again, seconds."""
 
@@ -29,9 +26,13 @@
     ----------
     link_bytes_per_s
         What the link is said to carry.
+    narrow_share
+        Below this part of it a link that is asked for more is narrow; 0 for
+        never.
     """
 
     link_bytes_per_s: float
+    narrow_share: float
     _came: deque[tuple[float, int]] = field(factory=deque, init=False)
     _asked_since: float | None = field(default=None, init=False)
     _narrow_until: float = field(default=0, init=False)
@@ -39,6 +40,7 @@
     def on_bytes(self, size: int, *, now: float) -> None:
         """Take bytes that came."""
         self._came.append((now, size))
+        self._forget(now)
 
     def on_reads(self, under_way: int, *, now: float) -> None:
         """Take the number of reads under way."""
@@ -53,11 +55,14 @@
             return True
         if self._asked_since is None or now - self._asked_since < SPAN_S:
             return False
-        while self._came and self._came[0][0] < now - SPAN_S:
-            self._came.popleft()
+        self._forget(now)
         came = sum(size for _, size in self._came)
-        if came >= NARROW_SHARE * self.link_bytes_per_s * SPAN_S:
+        if came >= self.narrow_share * self.link_bytes_per_s * SPAN_S:
             return False
         self._narrow_until = now + HOLD_S
         self._asked_since = None
         return True
+
+    def _forget(self, now: float) -> None:
+        while self._came and self._came[0][0] < now - SPAN_S:
+            self._came.popleft()
--- a/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
+++ b/packages/core/src/crowrudder_core/transfer/_out_of_turn.py
@@ -37,8 +37,9 @@
 
     ``held`` are chunks (bits) that it holds, ``missing`` those that it neither
     holds nor reads, ``own`` those for which it is the first reader of the
-    origin that takes part; ``lacking`` counts the other hosts that said that they want
-    the version and lack some of it, ``readers`` those that may ask the origin.
+    origin that takes part; ``lacking`` counts the other hosts that said that
+    they want the version and lack some of it, ``readers`` those that may ask
+    the origin.
     """
 
     count: int
--- a/packages/core/src/crowrudder_core/transfer/_pace.py
+++ b/packages/core/src/crowrudder_core/transfer/_pace.py
@@ -62,6 +62,9 @@
         other hosts. Together the hosts' links carry less than all of them
         could take in: same model, the last host holds the version after
         5.35 s in place of 6.02 s, for 1.5 copies more from the origin.
+    narrow_share
+        Part of the host's link below which it counts as narrow while several
+        reads are under way, see `Inflow`; 0 for never.
     """
 
     chunk_s: float
@@ -77,6 +80,7 @@
     even_turns: bool = False
     gap_share: float = 0
     spare_origin: bool = False
+    narrow_share: float = 0
     order: ChunkOrder = ChunkOrder.RAREST
 
 
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -116,7 +116,10 @@
             pace=self.pace,
         )
         self.progress = Progress(self.manifest.size)
-        self.inflow = Inflow(self.manifest.chunk_bytes / self.pace.chunk_s)
+        self.inflow = Inflow(
+            self.manifest.chunk_bytes / self.pace.chunk_s,
+            self.pace.narrow_share,
+        )
         for index, digest in enumerate(self.manifest.chunks):
             self._same[digest] = self._same.get(digest, 0) | 1 << index
         for digest, bits in self._same.items():
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -79,6 +79,7 @@
     'even_turns': True,
     'gap_share': 0.5,
     'spare_origin': True,
+    'narrow_share': 0.25,
 }
 """What a transfer has otherwise than by the sizes and the link: a window of
 some seconds leaves no time to wait for a host that doesn't bring its part.
--- a/tests/weights/test_inflow.py
+++ b/tests/weights/test_inflow.py
@@ -6,6 +6,7 @@
 
 from crowrudder_core.transfer import FromPeer, Stock, full
 from crowrudder_core.transfer._inflow import HOLD_S, SPAN_S, Inflow
+from crowrudder_daemon.fleet_agent._library import PACE
 from support.weights_versions import begin, version
 
 LINK = 100_000.0
@@ -14,7 +15,7 @@
 
 def inflow_after(rate, *, reads=3):
     """Let bytes come at a rate beside so many reads; give both at the end."""
-    inflow = Inflow(LINK)
+    inflow = Inflow(LINK, PACE['narrow_share'])
     now = 0.0
     while now < 2 * SPAN_S:
         inflow.on_reads(reads, now=now)
@@ -40,6 +41,13 @@
         assert inflow.is_narrow(now)
         assert not inflow.is_narrow(now + HOLD_S)
 
+    def test_what_came_long_ago_is_forgotten(self):
+        """A long transfer grew its process with every piece."""
+        inflow = Inflow(LINK, PACE['narrow_share'])
+        for piece in range(10_000):
+            inflow.on_bytes(1, now=piece * TICK_S)
+        assert len(inflow._came) <= 2 * SPAN_S / TICK_S
+
 
 class TestReadsOverANarrowLink:
     """Guards against reads that are given up before their bytes come through.
@@ -53,7 +61,7 @@
         one = begin(
             version('m@2', payloads), host='a', hosts=('a', 'b', 'c', 'd')
         )
-        one.inflow.link_bytes_per_s = LINK
+        one.inflow = Inflow(LINK, PACE['narrow_share'])
         for host in ('b', 'c', 'd'):
             stock = Stock(host=host, chunks=full(one.count), slots=3)
             one.on_stock(stock, now=0)
