--- a/tests/daemon/test_ticks.py
+++ b/tests/daemon/test_ticks.py
@@ -22,6 +22,8 @@
             woken.append(asyncio.get_running_loop().time())
 
         async def check():
+            # They begin between two ticks.
+            await sleep_to_tick(TICK_S)
             for delay_s in (0, 0.01, 0.02):
                 await asyncio.sleep(delay_s)
                 looks.append(asyncio.ensure_future(look(TICK_S)))
