--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -320,6 +320,10 @@
     ) -> Turns:
         if not self.is_seed:
             return Turns()
+
+        def takes_no_part(host: str, _: int) -> bool:
+            return is_away is not None and is_away(host)
+
         origin = region = own = 0
         for index in range(self.count):
             ahead = [self._regions[host] for host in self._ahead(index, out)]
@@ -327,18 +331,10 @@
                 origin |= 1 << index
             if self.region not in ahead:
                 region |= 1 << index
-            if self._is_first(index, is_away):
+            if not self._ahead(index, takes_no_part):
                 own |= 1 << index
         return Turns(from_origin=origin, importable=region, own=own)
 
-    def _is_first(
-        self, index: int, is_away: Callable[[str], bool] | None
-    ) -> bool:
-        """Whether all before this host in a chunk's order take no part."""
-        order = self._orders[index]
-        before = order[: order.index(self.host)]
-        return all(is_away is not None and is_away(host) for host in before)
-
     def _may_read(self, ahead: list[str]) -> bool:
         """Tell from the regions of those ahead whether a copy is left.
 
