Statements of upstreams: read, counted and logged

The logs couldn't tell whether an entry knew that an upstream leaves or had asked for a pause. The adapter now reads both headers once, with the rate limit, into UpstreamStatements; each is counted by kind (upstream_statements), logged with the answer that had it and its age, and stands in the line of the attempt. What can't be read is counted and logged as invalid. The stand-in replica states both. No decision changes: Retry-After still goes to the caller alone.

--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -8,7 +8,12 @@
 from attrs import field, frozen
 
 from crowrudder_model import CrowrudderError, UpstreamError
-from crowrudder_model.fleet import NO_LAYERS, LayerRange
+from crowrudder_model.fleet import (
+    NO_LAYERS,
+    NO_STATEMENTS,
+    LayerRange,
+    UpstreamStatements,
+)
 
 if TYPE_CHECKING:
     from crowrudder_daemon.http import WireHead, WireRequest
@@ -134,15 +139,17 @@
 
     ``is_authentic`` is set if the answer has the upstream's seal of authenticity,
     ``not_run`` if the upstream states that it didn't run the request.
-    ``limit_per_s`` is the rate of requests a second that it accepts from all
-    entries together, None if it states no limit.
+    ``answered_by`` is the id that the answering upstream gives, ``at_fault`` the
+    id or address of another one that it blames; each is empty if not stated.
     """
 
     request_id: str
     is_authentic: bool
     not_run: bool
     retry_after_s: float = 0
-    limit_per_s: float | None = None
+    answered_by: str = ''
+    at_fault: str = ''
+    statements: UpstreamStatements = NO_STATEMENTS
 
 
 class CallerProtocol(Protocol):
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -19,12 +19,14 @@
 from crowrudder_core.forecast import InFlightRequest
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet.ports import SendTerms
+from crowrudder_daemon.fleet_entry._statement_log import AnswerSource
 from crowrudder_daemon.fleet_entry._version_end import MIN_START_WINDOW_S
 from crowrudder_daemon.http import (
     BrokenAnswerError,
     NotConnectedError,
     WireAnswer,
 )
+from crowrudder_model.fleet import NO_STATEMENTS
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -40,6 +42,7 @@
     from crowrudder_daemon.fleet_entry._timeouts import AttemptTimeouts
     from crowrudder_daemon.fleet_entry._upstreams import Upstreams
     from crowrudder_daemon.http import HttpConnection, WireHead
+    from crowrudder_model.fleet import UpstreamStatements
 
 CONNECT_S = 0.3
 """Timeout for a connection to an upstream. A host without power never answers;
@@ -107,8 +110,8 @@
     is_refused: bool = field(default=False, init=False)
     """Whether the upstream's address refused the connection."""
 
-    limit_per_s: float | None = field(default=None, init=False)
-    """The rate limit that the upstream stated in its answer."""
+    statements: UpstreamStatements = field(default=NO_STATEMENTS, init=False)
+    """The upstream's statements about itself in its answer."""
 
     begin_by: float = field(init=False)
     _ticket: int = field(default=0, init=False)
@@ -233,10 +236,7 @@
     async def _read(self, conn: HttpConnection) -> AttemptOutcome:
         head, metadata = await self._matching_head(conn)
         self.time_to_head_s = clock_s() - self.sent_at
-        self.limit_per_s = metadata.limit_per_s
-        self._upstreams.limits.on_answer(
-            self.choice.forecast.upstream.id, metadata.limit_per_s
-        )
+        self._record_statements(head, metadata)
         if metadata.not_run:
             return await self._not_run(conn, head, metadata)
         if self.is_stream and head.status < FIRST_NON_SUCCESS_STATUS:
@@ -247,6 +247,22 @@
             return await self._stream(conn, head)
         return await self._buffer_answer(conn, head, metadata)
 
+    def _record_statements(
+        self, head: WireHead, metadata: ResponseMetadata
+    ) -> None:
+        """Record what the upstream states about itself in its answer."""
+        self.statements = metadata.statements
+        source = AnswerSource(
+            upstream_id=self.choice.forecast.upstream.id,
+            request_id=self.call.request_id,
+            status=head.status,
+            age_s=self.time_to_head_s,
+        )
+        self._upstreams.statements.on_answer(source, self.statements)
+        self._upstreams.limits.on_answer(
+            source.upstream_id, self.statements.limit_per_s
+        )
+
     async def _matching_head(
         self, conn: HttpConnection
     ) -> tuple[WireHead, ResponseMetadata]:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -33,8 +33,13 @@
         'ending': type(ending).__name__ if ending else IN_PROGRESS,
         'why': getattr(ending, 'reason', ''),
     }
-    if attempt.limit_per_s is not None:
-        line['limit_per_s'] = attempt.limit_per_s
+    statements = attempt.statements
+    if statements.limit_per_s is not None:
+        line['limit_per_s'] = statements.limit_per_s
+    if statements.is_leaving:
+        line['leaving'] = True
+    if statements.pause_s is not None:
+        line['asked_pause_s'] = statements.pause_s
     cancellation = attempt.cancellation
     if cancellation is not None:
         line['late_s'] = round(cancellation.late_s, 3)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -21,6 +21,7 @@
 from crowrudder_core.limits import SharedRetryBudget
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._limits import UpstreamLimits
+from crowrudder_daemon.fleet_entry._statement_log import StatementLog
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
 from crowrudder_daemon.fleet_entry._version_end import (
     CANCEL_MARGIN_S,
@@ -94,6 +95,7 @@
     ) -> None:
         self._quarantine = quarantine
         self.limits = UpstreamLimits(runtime, peers, self._region_of)
+        self.statements = StatementLog(runtime)
         self._node = node
         self._view = view
         self._peers = peers
@@ -135,6 +137,7 @@
             forecast = self._forecasts.pop(gone)
             self._quarantine.on_incarnation_ended(gone)
             self.limits.on_gone(gone)
+            self.statements.on_gone(gone)
             self._drop_connections(forecast.upstream, listed.values())
         is_same = self._config is self._view.config
         self._config = self._view.config
--- a/packages/model/src/crowrudder_model/fleet/__init__.py
+++ b/packages/model/src/crowrudder_model/fleet/__init__.py
@@ -22,9 +22,14 @@
     Upstream,
     UpstreamState,
 )
+from crowrudder_model.fleet._statements import (
+    NO_STATEMENTS,
+    UpstreamStatements,
+)
 
 __all__ = (
     'NO_LAYERS',
+    'NO_STATEMENTS',
     'Bounds',
     'CallerLimits',
     'CustomerKeys',
@@ -42,4 +47,5 @@
     'RouteTarget',
     'Upstream',
     'UpstreamState',
+    'UpstreamStatements',
 )
--- a/packages/standins/src/crowrudder_standins/_serving.py
+++ b/packages/standins/src/crowrudder_standins/_serving.py
@@ -62,6 +62,9 @@
     async def run(self) -> None:
         """Run background work."""
 
+    def prepare(self, call: Call) -> None:
+        """Set the headers that all answers have."""
+
     @route('GET', '/control/books')
     async def get_request_log(self, call: Call) -> Answer:
         return self.request_log()
@@ -127,6 +130,7 @@
             raise RefusedError(405, 'method')
         if not self.request.path.startswith('/control/'):
             await self._standin.faults.wait_cleared('freeze')
+        self._standin.prepare(self)
         try:
             return await endpoint(self, *args)
         except (ValueError, KeyError, TypeError) as exc:
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -38,6 +38,8 @@
 SEAL = 'X-Replica-Seal'
 REQUEST_ID = 'X-Attempt-Id'
 LIMIT = 'Server-Limit'
+LEAVING = 'Server-Leaving'
+PAUSE = 'Retry-After'
 
 
 @define
@@ -67,8 +69,11 @@
     ``head_alone`` sends nothing after the headers. ``rot`` corrupts a staged
     piece.
 
-    A non-empty ``limit_per_s`` is sent with each answer, unchanged;
-    ``arrivals`` holds the time and id of every request.
+    What it states about itself: a non-empty ``limit_per_s`` is sent with each
+    answer, unchanged; while ``is_leaving`` is set, all answers say so; while
+    ``pause_s`` isn't empty, each request is refused with it as the pause that is
+    asked for. ``arrivals`` holds the time and id of every request, ``pauses``
+    those of the refusals that asked for a pause.
 
     A request whose body contains ``fatal_marker`` crashes the replica when its
     run starts: `on_fatal` must close the connections and start the next
@@ -109,7 +114,10 @@
         self.places = Slots(self.slots, int(options.get('--queue') or 0))
         self.is_busy = False
         self.limit_per_s = ''
+        self.is_leaving = False
+        self.pause_s = ''
         self.arrivals: list[tuple[float, str]] = []
+        self.pauses: list[tuple[float, str, str]] = []
         self.on_fatal: Callable[[], object] | None = None
         self._load_tasks: set[asyncio.Task[None]] = set()
 
@@ -158,6 +166,12 @@
             ],
         }
 
+    def prepare(self, call: Call) -> None:
+        """Set the header of an upstream that is leaving."""
+        if self.is_leaving:
+            call.set_header(LEAVING, '1')
+            call.set_header('Connection', 'close')
+
     @route('GET', '/-/report')
     async def report(self, call: Call) -> Answer:
         return {
@@ -227,6 +241,10 @@
         if self.limit_per_s:
             call.set_header(LIMIT, self.limit_per_s)
         self._check_expectations(call)
+        if self.pause_s:
+            self.pauses.append((time.monotonic(), request_id, self.pause_s))
+            call.set_header(PAUSE, self.pause_s)
+            raise self._refusal(call, 503, 'pause')
         if self.faults.take('full'):
             raise self._refusal(call, 503, 'full')
         granted = self.places.take()
@@ -250,6 +268,7 @@
     def _check_expectations(self, call: Call) -> None:
         headers = call.request.headers
         if headers.get('X-Expect-Replica', self.id) != self.id:
+            call.set_header('X-Replica-Id', self.id)
             raise self._refusal(call, 421, 'other replica')
         wanted = headers.get('X-Expect-Version')
         if wanted and int(wanted) != self.weights:
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -120,6 +120,7 @@
             limits=SimpleNamespace(
                 take=lambda _: True, on_answer=lambda *_: None
             ),
+            statements=SimpleNamespace(on_answer=lambda *_: None),
         ),
     }
     return Attempt(
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -386,7 +386,68 @@
     )
     def test_limit_is_read_if_it_is_a_number(self, text, limit):
         head = WireHead(status=200, headers=(('server-limit', text),))
-        assert PlatformCallers().response_metadata(head).limit_per_s == limit
+        found = PlatformCallers().response_metadata(head).statements
+        assert found.limit_per_s == limit
+        assert bool(found.invalid) == (limit is None)
+
+    @pytest.mark.parametrize(
+        ('status', 'texts', 'pause_s'),
+        [
+            (503, ['3'], 3),
+            (503, ['0.5'], 0.5),
+            (429, ['2'], 2),
+            (503, ['0'], 0),
+            (503, ['3', '5', '4'], 5),
+            (503, ['3, 5'], 5),
+            (503, ['999999999'], 999999999),
+            (503, ['-1'], None),
+            (503, ['nan'], None),
+            (503, ['soon'], None),
+            (503, [''], None),
+            (503, ['Wed, 21 Oct 2099 07:28:00 GMT'], None),
+            (200, ['3'], None),
+            (500, ['3'], None),
+            (503, [], None),
+        ],
+    )
+    def test_pause_is_read_from_a_refusal(self, status, texts, pause_s):
+        headers = tuple(('retry-after', text) for text in texts)
+        head = WireHead(status=status, headers=headers)
+        found = PlatformCallers().response_metadata(head).statements
+        assert found.pause_s == pause_s
+        is_refusal = status in {429, 503}
+        assert bool(found.invalid) == (
+            is_refusal and bool(texts) and pause_s is None
+        )
+
+    @pytest.mark.parametrize('status', [200, 421, 429, 500, 503])
+    @pytest.mark.parametrize(
+        ('texts', 'is_leaving', 'is_valid'),
+        [
+            (['1'], True, True),
+            (['0'], False, True),
+            (['0', '1'], True, True),
+            (['yes'], False, False),
+            ([''], False, False),
+            ([], False, True),
+        ],
+    )
+    def test_leaving_is_read_from_any_answer(
+        self, status, texts, is_leaving, is_valid
+    ):
+        headers = tuple(('server-leaving', text) for text in texts)
+        head = WireHead(status=status, headers=headers)
+        found = PlatformCallers().response_metadata(head).statements
+        assert found.is_leaving == is_leaving
+        assert bool(found.invalid) != is_valid
+
+    def test_an_answer_names_who_gave_it_and_who_is_at_fault(self):
+        head = WireHead(
+            status=421,
+            headers=(('x-replica-id', 'i-02'), ('at-server', '10.0.0.1:8')),
+        )
+        found = PlatformCallers().response_metadata(head)
+        assert (found.answered_by, found.at_fault) == ('i-02', '10.0.0.1:8')
 
     def test_misdirected_request_was_not_run(self):
         mark = PlatformCallers().response_metadata(
