Failing tests: an upstream that leaves, an upstream that asks for a pause

Three entries, one plain upstream. Its answers say that it leaves, the store is silent: each entry goes on sending, 14 and 13 requests in a second instead of one. It refuses with a pause of 1.5 s: every request of every entry reaches it in that time, instead of one of each entry.

--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+from collections import Counter
+
 import pytest
 
-from support.fleet_checks import checked
+from support.fleet import Answer
+from support.fleet_checks import checked, fault
 
 STATEMENTS = {
     'leaving': ('is_leaving', True, 1),
@@ -80,3 +85,58 @@
         (line,) = logged_statements(caplog)
         assert (line.kind, line.header) == ('invalid', 'retry-after')
         assert line.text == 'Wed, 21 Oct 2099 07:28:00 GMT'
+
+
+SILENT_S = 1.0
+PAUSE_S = 1.5
+ASK_INTERVAL_S = 0.02
+
+
+async def ask_for(world, duration_s, path='/read/x'):
+    """Send requests to all entries in turn; return the answers."""
+    ends_at = time.monotonic() + duration_s
+    answers: list[Answer] = []
+    while time.monotonic() < ends_at:
+        entry = len(answers) % len(world.entries)
+        request_id = f'{entry}-{len(answers)}'
+        answers.append(
+            await world.ask(path, entry=entry, request_id=request_id)
+        )
+        await asyncio.sleep(ASK_INTERVAL_S)
+    return answers
+
+
+def arrivals_by_entry(replica):
+    """Return how many requests of `ask_for` reached a replica, by entry."""
+    return Counter(
+        request_id.partition('-')[0] for _, request_id in replica.arrivals
+    )
+
+
+class TestLeavingUpstream:
+    """Guards against requests to an upstream whose answer said that it leaves."""
+
+    def test_gets_no_request_from_an_entry_after_its_answer(self):
+        async def check(world):
+            world.store.faults.switch_on(fault('silent', None))
+            world.replicas['p0'].is_leaving = True
+            answers = await ask_for(world, SILENT_S)
+            assert {answer.status for answer in answers} == {200, 503}
+            counts = arrivals_by_entry(world.replicas['p0'])
+            assert set(counts.values()) == {1}
+
+        checked(check, entries=3, plain=1)
+
+
+class TestPausingUpstream:
+    """Guards against requests to an upstream that asked this entry for a pause."""
+
+    def test_gets_no_request_from_an_entry_before_the_pause_ends(self):
+        async def check(world):
+            world.replicas['p0'].pause_s = str(PAUSE_S)
+            answers = await ask_for(world, PAUSE_S - 0.2)
+            assert {answer.status for answer in answers} == {503}
+            counts = arrivals_by_entry(world.replicas['p0'])
+            assert set(counts.values()) == {1}
+
+        checked(check, entries=3, plain=1)
