Entry: an upstream that says it leaves gets no more requests

What callers saw: requests reached an upstream that had said it was leaving, up to 5.3 s after the entry had passed such an answer on, as its record stayed ready while the store was silent.

Cause: no module read Server-Leaving.

StatementRegistry keeps what each incarnation has stated (leaving, rate limit), in one place; EntryStatements takes the place of UpstreamLimits. It is asked at the choice and right before the send, where the record is asked again as well, for the first upstream and for each stage of a pipeline. A statement ends with the incarnation and nothing else: a good answer, a lapsed record that returns, a report or a configuration don't end it; an answer of an earlier incarnation doesn't mark the next.

--- /dev/null
+++ b/packages/core/src/crowrudder_core/statements/_acceptance.py
@@ -0,0 +1,38 @@
+"""Whether an upstream accepts a request now, by its own statements.
+
+``wait_s`` is the time until the next request may be sent to it, infinite if
+that can't be told; ``reason`` completes the sentence "it ...".
+"""
+
+from __future__ import annotations
+
+import math
+
+from attrs import frozen
+
+
+@frozen
+class Accepting:
+    """It has stated nothing that speaks against a request."""
+
+    wait_s: float = 0
+    reason: str = 'accepts requests'
+
+
+@frozen
+class Leaving:
+    """It is leaving and accepts no request any more."""
+
+    wait_s: float = math.inf
+    reason: str = 'is leaving'
+
+
+@frozen
+class Limited:
+    """Its rate limit leaves this entry no request now."""
+
+    wait_s: float
+    reason: str = 'allows no more requests now by its limit'
+
+
+Acceptance = Accepting | Leaving | Limited
--- /dev/null
+++ b/packages/core/src/crowrudder_core/statements/_registry.py
@@ -0,0 +1,211 @@
+"""The statements of upstreams about themselves, kept per incarnation."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+from crowrudder_core.limits import StatedLimits
+from crowrudder_core.statements._acceptance import (
+    Acceptance,
+    Accepting,
+    Leaving,
+    Limited,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from crowrudder_core.limits import EntryShare
+    from crowrudder_model.fleet import UpstreamStatements
+    from crowrudder_model.messages import LimitReport
+
+MAX_UNLISTED = 1024
+"""Incarnations whose statements are kept although they have no record. Records
+lapse during an outage of the platform and are written again after it."""
+
+
+@frozen
+class IncarnationKey:
+    """The incarnation of an upstream to which a request is sent.
+
+    ``number`` counts the incarnations of an upstream, so that a late answer of
+    an earlier one says nothing about the present one.
+    """
+
+    upstream_id: str
+    number: int
+
+
+@frozen
+class LeavingStated:
+    """An upstream stated for the first time that it leaves."""
+
+
+@frozen
+class LimitStated:
+    """An upstream's limit that other entries should know."""
+
+    report: LimitReport
+
+
+StatementChange = LeavingStated | LimitStated
+
+
+@define
+class _Incarnation:
+    """The statements of one incarnation of an upstream."""
+
+    number: int
+    started_ms: int = 0
+    is_listed: bool = False
+    is_leaving: bool = False
+
+
+class StatementRegistry:
+    """Keeps what upstreams have stated, and answers whether they accept.
+
+    A statement ends with its incarnation. Neither a good answer, nor a record,
+    nor a load report, nor a new configuration ends it before.
+
+    Parameters
+    ----------
+    entry_share
+        Returns this entry's share of an upstream's rate limit.
+    """
+
+    def __init__(self, entry_share: EntryShare) -> None:
+        self._limits = StatedLimits(entry_share)
+        self._numbers = itertools.count(1)
+        self._incarnations: dict[str, _Incarnation] = {}
+
+    def key_of(self, upstream_id: str) -> IncarnationKey:
+        """Return the key of the present incarnation of an upstream."""
+        return IncarnationKey(upstream_id, self._present(upstream_id).number)
+
+    def on_listed(self, upstream_id: str, started_ms: int) -> None:
+        """Record that an upstream has a record, with its start time if known.
+
+        A record that lapsed and is written again is of the same incarnation,
+        unless its start time differs.
+        """
+        present = self._present(upstream_id)
+        if started_ms and present.started_ms not in {0, started_ms}:
+            present = self._restart(upstream_id)
+        present.started_ms = started_ms or present.started_ms
+        present.is_listed = True
+
+    def on_unlisted(self, upstream_id: str) -> None:
+        """Record that an upstream has no record any more."""
+        present = self._incarnations.pop(upstream_id, None)
+        if present is not None:
+            present.is_listed = False
+            self._keep_unlisted(upstream_id, present)
+
+    def on_restarted(self, upstream_id: str, started_ms: int) -> None:
+        """Record a new incarnation under the same id, without statements."""
+        self._restart(upstream_id).started_ms = started_ms
+
+    def on_answer(
+        self, key: IncarnationKey, statements: UpstreamStatements, *, now: float
+    ) -> list[StatementChange]:
+        """Apply the statements of an answer; return what is new in them."""
+        present = self._present(key.upstream_id)
+        if present.number != key.number:
+            return []
+        changes: list[StatementChange] = []
+        if statements.is_leaving and not present.is_leaving:
+            present.is_leaving = True
+            changes.append(LeavingStated())
+        limit = self._limits.on_answer(
+            key.upstream_id, statements.limit_per_s, now=now
+        )
+        if limit is not None:
+            changes.append(LimitStated(limit))
+        return changes
+
+    def on_limit_report(
+        self, report: LimitReport, *, now: float
+    ) -> LimitReport | None:
+        """Apply another entry's report; return it if it is to be sent on."""
+        return self._limits.on_report(report, now=now)
+
+    def acceptance(
+        self,
+        upstream_id: str,
+        *,
+        now: float,
+        later_stages: Iterable[str] = (),
+    ) -> Acceptance:
+        """Return whether an upstream accepts a request now.
+
+        Parameters
+        ----------
+        later_stages
+            The upstreams that the request passes after the first one.
+        """
+        for stage in (upstream_id, *later_stages):
+            found = self.stage_acceptance(stage)
+            if not isinstance(found, Accepting):
+                return found
+        if self._limits.has_capacity(upstream_id, now=now):
+            return Accepting()
+        return Limited(self._limits.wait_s([upstream_id], now=now))
+
+    def stage_acceptance(self, upstream_id: str) -> Acceptance:
+        """Return whether an upstream accepts to be a later stage of a pipeline.
+
+        A rate limit counts only the requests that reach an upstream directly.
+        """
+        present = self._incarnations.get(upstream_id)
+        is_leaving = present is not None and present.is_leaving
+        return Leaving() if is_leaving else Accepting()
+
+    def take(
+        self,
+        upstream_id: str,
+        *,
+        now: float,
+        later_stages: Iterable[str] = (),
+    ) -> Acceptance:
+        """Count a request that is sent now, if it is accepted."""
+        found = self.acceptance(upstream_id, now=now, later_stages=later_stages)
+        if isinstance(found, Accepting):
+            self._limits.take(upstream_id, now=now)
+        return found
+
+    def waits_s(
+        self, upstream_ids: Iterable[str], *, now: float
+    ) -> list[float]:
+        """Return the seconds until each upstream accepts; 0 if it does now."""
+        return [
+            self.acceptance(upstream_id, now=now).wait_s
+            for upstream_id in upstream_ids
+        ]
+
+    def _present(self, upstream_id: str) -> _Incarnation:
+        present = self._incarnations.get(upstream_id)
+        if present is None:
+            present = _Incarnation(next(self._numbers))
+            self._keep_unlisted(upstream_id, present)
+        return present
+
+    def _restart(self, upstream_id: str) -> _Incarnation:
+        self._limits.on_gone(upstream_id)
+        before = self._present(upstream_id)
+        started = _Incarnation(next(self._numbers), is_listed=before.is_listed)
+        self._incarnations[upstream_id] = started
+        return started
+
+    def _keep_unlisted(self, upstream_id: str, present: _Incarnation) -> None:
+        """Keep an incarnation without a record; drop the oldest beyond a limit."""
+        self._incarnations[upstream_id] = present
+        unlisted = [
+            other
+            for other, each in self._incarnations.items()
+            if not each.is_listed
+        ]
+        for other in unlisted[: max(len(unlisted) - MAX_UNLISTED, 0)]:
+            del self._incarnations[other]
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -33,6 +33,7 @@
 
     from crowrudder_core.dispatch import AttemptOutcome, Dispatch
     from crowrudder_core.forecast import Choice
+    from crowrudder_core.statements import IncarnationKey
     from crowrudder_daemon.fleet.ports import (
         Call,
         CallerProtocol,
@@ -114,6 +115,9 @@
     """The upstream's statements about itself in its answer."""
 
     begin_by: float = field(init=False)
+    _incarnation: IncarnationKey = field(init=False)
+    """The upstream's incarnation at the send, to which the answer belongs."""
+
     _ticket: int = field(default=0, init=False)
     _wait: asyncio.Timeout | None = field(default=None, init=False)
     _last_event_at: float = field(default=math.inf, init=False)
@@ -125,8 +129,6 @@
     async def run(self) -> AttemptOutcome:
         """Run the attempt and return how it ended."""
         upstream = self.choice.forecast.upstream
-        if not self._upstreams.limits.take(upstream.id):
-            return NotSent('its limit allows no more requests now')
         try:
             conn = await self._upstreams.pool.acquire(
                 upstream.address, timeout_s=CONNECT_S
@@ -156,6 +158,11 @@
             # The wait for the connection used up the time to begin.
             conn.close()
             return NotSent('no time left to begin in')
+        refusal = self._upstreams.take_send(self.choice)
+        if refusal:
+            self._upstreams.pool.put_back(conn)
+            return NotSent(refusal)
+        self._incarnation = self._upstreams.statements.key_of(upstream.id)
         request = self._dialect.upstream_request(
             self.call, self.body, self._terms(now)
         )
@@ -258,9 +265,8 @@
             status=head.status,
             age_s=self.time_to_head_s,
         )
-        self._upstreams.statements.on_answer(source, self.statements)
-        self._upstreams.limits.on_answer(
-            source.upstream_id, self.statements.limit_per_s
+        self._upstreams.statements.on_answer(
+            self._incarnation, source, self.statements
         )
 
     async def _matching_head(
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -179,7 +179,7 @@
 
     def limits_received(self, ip: str, update: LimitUpdate) -> None:
         """Apply an entry's reports on limits that upstreams stated."""
-        self.upstreams.limits.on_update(ip, update)
+        self.upstreams.statements.on_limits(ip, update)
 
     def on_change(self) -> None:
         """Apply a change of the published records."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
@@ -11,10 +11,16 @@
 
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import UpstreamStatements
+    from crowrudder_model.messages import LimitReport
 
+LEAVING = 'leaving'
+PAUSE = 'pause'
+LIMIT = 'limit'
 INVALID = 'invalid'
 """Label of statements that can't be read."""
 
+_MS = 1000
+
 
 @frozen(kw_only=True)
 class AnswerSource:
@@ -34,31 +40,62 @@
 
     def __init__(self, runtime: Runtime) -> None:
         self._runtime = runtime
-        self._leaving: set[str] = set()
-        self._statements = runtime.metrics.counter(
+        self._invalid: dict[str, tuple[tuple[str, str], ...]] = {}
+        metrics = runtime.metrics
+        self._statements = metrics.counter(
             'upstream_statements',
             'Statements in the answers of upstreams, by kind.',
             labels=('kind',),
         )
+        self._withheld = metrics.counter(
+            'upstream_sends_withheld',
+            'Sends that were given up right before, by the statement.',
+            labels=('kind',),
+        )
 
     def on_answer(
         self, source: AnswerSource, statements: UpstreamStatements
     ) -> None:
-        """Count the statements of an answer and log those that are new."""
-        for kind, amount in _amounts(statements):
+        """Count the statements of an answer; log pauses and invalid ones.
+
+        An upstream whose answers all have the same invalid header has it
+        logged once.
+        """
+        for kind in _kinds(statements):
             self._statements.add(kind=kind)
-            if kind == 'leaving' and source.upstream_id in self._leaving:
-                continue
-            self._log(source, kind=kind, amount=amount)
-        if statements.is_leaving:
-            self._leaving.add(source.upstream_id)
+        if statements.pause_s is not None:
+            self._log(source, kind=PAUSE, amount=statements.pause_s)
         for name, text in statements.invalid:
             self._statements.add(kind=INVALID)
-            self._log(source, kind=INVALID, header=name, text=text)
+            if self._invalid.get(source.upstream_id) != statements.invalid:
+                self._log(source, kind=INVALID, header=name, text=text)
+        if statements.invalid:
+            self._invalid[source.upstream_id] = statements.invalid
+
+    def on_stated(self, source: AnswerSource, kind: str, amount: float) -> None:
+        """Log a statement that changes what is known of an upstream."""
+        self._log(source, kind=kind, amount=amount)
+
+    def on_limit(self, report: LimitReport, source_ip: str) -> None:
+        """Log a change of an upstream's rate limit."""
+        self._runtime.log.info(
+            'limit of an upstream',
+            extra={
+                'step': 'limit',
+                'upstream': report.upstream_id,
+                'per_s': report.per_s,
+                'teller': source_ip,
+                'age_s': report.age_ms / _MS,
+            },
+        )
+
+    def on_withheld(self, kind: str) -> None:
+        """Count a send that a statement prevented."""
+        self._withheld.add(kind=kind)
 
-    def on_gone(self, upstream_id: str) -> None:
-        """Remove an upstream whose incarnation has ended."""
-        self._leaving.discard(upstream_id)
+    def remove(self, upstream_id: str) -> None:
+        """Remove what was logged of an upstream without a record."""
+        self._invalid.pop(upstream_id, None)
 
     def _log(self, source: AnswerSource, **extra: Any) -> None:
         self._runtime.log.info(
@@ -74,9 +111,10 @@
         )
 
 
-def _amounts(statements: UpstreamStatements) -> Iterator[tuple[str, float]]:
-    """Yield the kinds of what is stated, each with its amount."""
+def _kinds(statements: UpstreamStatements) -> Iterator[str]:
     if statements.is_leaving:
-        yield 'leaving', 1
+        yield LEAVING
     if statements.pause_s is not None:
-        yield 'pause', statements.pause_s
+        yield PAUSE
+    if statements.limit_per_s is not None:
+        yield LIMIT
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
@@ -0,0 +1,136 @@
+"""What upstreams state about themselves, as this entry and others know it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from crowrudder_core.statements import (
+    Accepting,
+    Leaving,
+    LeavingStated,
+    Limited,
+    LimitStated,
+    StatementRegistry,
+)
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._limit_shares import LimitShares
+from crowrudder_daemon.fleet_entry._statement_log import (
+    LEAVING,
+    LIMIT,
+    StatementLog,
+)
+from crowrudder_model.messages import LimitUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from crowrudder_core.statements import Acceptance, IncarnationKey
+    from crowrudder_daemon.fleet import PeersTask
+    from crowrudder_daemon.fleet_entry._statement_log import AnswerSource
+    from crowrudder_daemon.process import Runtime
+    from crowrudder_model.fleet import UpstreamStatements
+
+MAX_REPORTS_PER_DATAGRAM = 16
+"""Reports read from one datagram; further ones are ignored."""
+
+
+class EntryStatements:
+    """The one place that is asked whether an upstream accepts a request.
+
+    Parameters
+    ----------
+    region_of
+        Returns the region of an upstream by its id.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        peers: PeersTask,
+        region_of: Callable[[str], str],
+    ) -> None:
+        self._runtime = runtime
+        self._peers = peers
+        self._shares = LimitShares(peers, region_of)
+        self._registry = StatementRegistry(self._shares.share_of)
+        self._log = StatementLog(runtime)
+        self._diverted = runtime.metrics.counter(
+            'upstream_limits_kept',
+            'Sends that went elsewhere as an upstream had named a limit.',
+        )
+
+    def key_of(self, upstream_id: str) -> IncarnationKey:
+        """Return the key of the present incarnation of an upstream."""
+        return self._registry.key_of(upstream_id)
+
+    def on_listed(self, upstream_id: str, started_ms: int) -> None:
+        """Record that an upstream has a record."""
+        self._registry.on_listed(upstream_id, started_ms)
+
+    def on_unlisted(self, upstream_id: str) -> None:
+        """Record that an upstream has no record any more."""
+        self._registry.on_unlisted(upstream_id)
+        self._shares.remove(upstream_id)
+        self._log.remove(upstream_id)
+
+    def on_restarted(self, upstream_id: str, started_ms: int) -> None:
+        """Record a new incarnation under the same id."""
+        self._registry.on_restarted(upstream_id, started_ms)
+
+    def on_answer(
+        self,
+        key: IncarnationKey,
+        source: AnswerSource,
+        statements: UpstreamStatements,
+    ) -> None:
+        """Apply the statements of an answer."""
+        self._log.on_answer(source, statements)
+        for change in self._registry.on_answer(key, statements, now=clock_s()):
+            match change:
+                case LeavingStated():
+                    self._log.on_stated(source, LEAVING, 1)
+                case LimitStated(report=report):
+                    self._log.on_limit(report, self._peers.roster.own.ip)
+                    self._peers.send_to_partners(LimitUpdate((report,)))
+
+    def on_limits(self, ip: str, update: LimitUpdate) -> None:
+        """Apply another entry's reports on limits and forward the new ones."""
+        if not self._peers.roster.knows(ip, now=clock_s()):
+            self._runtime.log.debug(
+                'limit update from an unknown host',
+                extra={'step': 'limit', 'peer': ip},
+            )
+            return
+        for report in update.reports[:MAX_REPORTS_PER_DATAGRAM]:
+            if self._registry.on_limit_report(report, now=clock_s()):
+                self._log.on_limit(report, ip)
+                self._peers.send_to_partners(LimitUpdate((report,)))
+
+    def accepts(self, upstream_id: str) -> bool:
+        """Return whether an upstream accepts a request now."""
+        found = self._registry.acceptance(upstream_id, now=clock_s())
+        return isinstance(found, Accepting)
+
+    def accepts_stage(self, upstream_id: str) -> bool:
+        """Return whether an upstream accepts to be a stage of a pipeline."""
+        found = self._registry.stage_acceptance(upstream_id)
+        return isinstance(found, Accepting)
+
+    def take(
+        self, upstream_id: str, *, later_stages: Iterable[str] = ()
+    ) -> Acceptance:
+        """Count a request right before it is sent, if it is accepted."""
+        found = self._registry.take(
+            upstream_id, now=clock_s(), later_stages=later_stages
+        )
+        match found:
+            case Leaving():
+                self._log.on_withheld(LEAVING)
+            case Limited():
+                self._diverted.add()
+                self._log.on_withheld(LIMIT)
+        return found
+
+    def waits_s(self, upstream_ids: Iterable[str]) -> list[float]:
+        """Return the seconds until each upstream accepts; 0 if it does now."""
+        return self._registry.waits_s(upstream_ids, now=clock_s())
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -19,9 +19,9 @@
 from crowrudder_core.forecast._choice import SAMPLE_SIZE
 from crowrudder_core.forecast._upstream_forecast import STAGE_REPORT_TTL_S
 from crowrudder_core.limits import SharedRetryBudget
+from crowrudder_core.statements import Accepting
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet_entry._limits import UpstreamLimits
-from crowrudder_daemon.fleet_entry._statement_log import StatementLog
+from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
 from crowrudder_daemon.fleet_entry._version_end import (
     CANCEL_MARGIN_S,
@@ -94,8 +94,7 @@
         quarantine: RequestQuarantine,
     ) -> None:
         self._quarantine = quarantine
-        self.limits = UpstreamLimits(runtime, peers, self._region_of)
-        self.statements = StatementLog(runtime)
+        self.statements = EntryStatements(runtime, peers, self._region_of)
         self._node = node
         self._view = view
         self._peers = peers
@@ -136,8 +135,7 @@
         for gone in self._forecasts.keys() - listed.keys():
             forecast = self._forecasts.pop(gone)
             self._quarantine.on_incarnation_ended(gone)
-            self.limits.on_gone(gone)
-            self.statements.on_gone(gone)
+            self.statements.on_unlisted(gone)
             self._drop_connections(forecast.upstream, listed.values())
         is_same = self._config is self._view.config
         self._config = self._view.config
@@ -159,6 +157,9 @@
             is_new_incarnation = forecast.on_load(load, now=now - age_s)
             if is_new_incarnation:
                 self.pool.drop(load.address)
+                self.statements.on_restarted(
+                    forecast.upstream.id, load.started_ms
+                )
             if is_new_incarnation or not load.reachable:
                 self._quarantine.on_incarnation_ended(forecast.upstream.id)
             else:
@@ -211,10 +212,28 @@
         forecasts = [*pool.near, *pool.far]
         is_loading = any(forecast.is_changing(now) for forecast in forecasts)
         outage_s = LOADING_RETRY_AFTER_S if is_loading else ABSENT_RETRY_AFTER_S
-        limit_wait_s = self.limits.wait_s(
+        waits_s = self.statements.waits_s(
             forecast.upstream.id for forecast in forecasts
         )
-        return max(min(outage_s, limit_wait_s), MIN_RETRY_AFTER_S)
+        known_waits_s = (wait_s for wait_s in waits_s if wait_s > 0)
+        return max(min((outage_s, *known_waits_s)), MIN_RETRY_AFTER_S)
+
+    def take_send(self, choice: Choice) -> str:
+        """Count a request right before it is sent; return why it may not be.
+
+        The choice may be old: records and statements may have come while the
+        request waited for its connection. The result is empty if the upstream,
+        and each stage of its pipeline, accepts the request.
+        """
+        now = clock_s()
+        first, *later_stages = (each.upstream.id for each in choice.forecasts)
+        if not all(
+            self._view.takes_requests(upstream_id, now=now)
+            for upstream_id in (first, *later_stages)
+        ):
+            return 'its record takes no requests any more'
+        found = self.statements.take(first, later_stages=later_stages)
+        return '' if isinstance(found, Accepting) else f'it {found.reason}'
 
     def _region_of(self, upstream_id: str) -> str:
         forecast = self._forecasts.get(upstream_id)
@@ -312,12 +331,12 @@
     ) -> Candidate | None:
         """Return the option as a candidate if the request can begin there."""
         if isinstance(option, Candidate):
-            has_capacity = self.limits.has_capacity(option.forecast.upstream.id)
-            return option if has_capacity else None
+            upstream_id = option.forecast.upstream.id
+            return option if self.statements.accepts(upstream_id) else None
         upstream_id = option.upstream.id
         if upstream_id in required.avoid:
             return None
-        if not self.limits.has_capacity(upstream_id):
+        if not self.statements.accepts(upstream_id):
             return None
         if not self._view.takes_requests(upstream_id, now=now):
             return None
@@ -334,6 +353,7 @@
             for upstream in self._view.upstreams(required.service, now=now)
             if upstream.id in self._forecasts
             and upstream.id not in required.avoid
+            and self.statements.accepts_stage(upstream.id)
         ]
 
     def _candidate(
@@ -438,9 +458,11 @@
         if forecast is None:
             forecast = UpstreamForecast(upstream)
             self._forecasts[upstream.id] = forecast
+            self.statements.on_listed(upstream.id, upstream.started_ms)
         if forecast.on_record(upstream, now=clock_s()):
             # Idle connections lead to the previous incarnation.
             self.pool.drop(upstream.address)
+            self.statements.on_restarted(upstream.id, upstream.started_ms)
         config = self._view.config
         service = config.service(upstream.service) if config else None
         forecast.on_engine_figures(service.engine if service else None)
--- a/packages/daemon/src/crowrudder_daemon/http/_pool.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_pool.py
@@ -76,6 +76,14 @@
         conn.usable_until = clock_s() + kept_s
         self._idle.setdefault(conn.peer, []).append(conn)
 
+    def put_back(self, conn: HttpConnection) -> None:
+        """Return a connection to the pool that wasn't used since `acquire`."""
+        if not conn.is_open:
+            return
+        if not conn.requests:
+            conn.usable_until = clock_s() + DEFAULT_KEEP_ALIVE_S
+        self._idle.setdefault(conn.peer, []).append(conn)
+
     def keep(self, conn: HttpConnection, head: WireHead) -> None:
         """Return a connection to the pool, as the response headers allow."""
         self.release(conn, kept_s=kept_s_of(head.headers))
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -117,10 +117,10 @@
             begin_by=lambda *_: math.inf,
             add_pending=lambda _: 1,
             remove_pending=lambda _: None,
-            limits=SimpleNamespace(
-                take=lambda _: True, on_answer=lambda *_: None
+            take_send=lambda _: '',
+            statements=SimpleNamespace(
+                key_of=lambda _: None, on_answer=lambda *_: None
             ),
-            statements=SimpleNamespace(on_answer=lambda *_: None),
         ),
     }
     return Attempt(
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._statement_log import AnswerSource
+from crowrudder_model.fleet import UpstreamStatements
 from support.fleet import Answer
 from support.fleet_checks import checked, fault
 
@@ -140,3 +143,163 @@
             assert set(counts.values()) == {1}
 
         checked(check, entries=3, plain=1)
+
+
+def apply_statement(world, name, **stated):
+    """Let all entries know a statement, as from an answer."""
+    source = AnswerSource(
+        upstream_id=name, request_id='earlier', status=200, age_s=0
+    )
+    for entry in world.entries:
+        known = entry.upstreams.statements
+        known.on_answer(
+            known.key_of(name), source, UpstreamStatements(**stated)
+        )
+
+
+def hold_connections(world, monkeypatch, name, meanwhile):
+    """Let something happen while a request waits for its connection to an upstream."""
+    pool = world.entries[0].upstreams.pool
+    acquire = pool.acquire
+
+    async def held(address, **options):
+        conn = await acquire(address, **options)
+        if address == world.addresses[name]:
+            meanwhile()
+            await asyncio.sleep(0)
+        return conn
+
+    monkeypatch.setattr(pool, 'acquire', held)
+
+
+class TestEveryWayOfSending:
+    """Guards against a way of sending that does not ask for statements."""
+
+    @pytest.mark.parametrize('answer_fault', ['full'], ids=['refused'])
+    def test_retry_avoids_an_upstream_that_leaves(self, answer_fault):
+        async def check(world):
+            apply_statement(world, 'p1', is_leaving=True)
+            world.replicas['p0'].faults.switch_on(fault(answer_fault, None))
+            answer = await world.ask('/read/x')
+            assert answer.status == 503
+            assert not world.replicas['p1'].arrivals
+
+        checked(check)
+
+    def test_resumed_stream_avoids_an_upstream_that_leaves(self):
+        async def check(world):
+            apply_statement(world, 'e1', is_leaving=True)
+            world.replicas['e0'].faults.switch_on(fault('cut', None))
+            answer = await world.ask('/draft/x', method='POST')
+            assert answer.cut
+            assert not world.replicas['e1'].arrivals
+
+        checked(check)
+
+    @pytest.mark.parametrize('stated', [{'is_leaving': True}])
+    def test_request_that_waits_for_its_connection_goes_elsewhere(
+        self, stated, monkeypatch
+    ):
+        async def check(world):
+            hold_connections(
+                world,
+                monkeypatch,
+                'p0',
+                lambda: apply_statement(world, 'p0', **stated),
+            )
+            answers = await ask_for(world, 0.3)
+            assert {answer.status for answer in answers} == {200}
+            assert not world.replicas['p0'].arrivals
+
+        checked(check)
+
+    def test_record_that_changes_during_the_wait_is_respected(
+        self, monkeypatch
+    ):
+        async def check(world):
+            view = world.entries[0].catalog.view
+            hold_connections(
+                world,
+                monkeypatch,
+                'p0',
+                lambda: view.on_removed(
+                    'servers/p0', now=clock_s(), may_return=False
+                ),
+            )
+            answers = await ask_for(world, 0.3)
+            assert {answer.status for answer in answers} == {200}
+            assert not world.replicas['p0'].arrivals
+
+        checked(check)
+
+    def test_avoided_upstreams_are_no_fallback_if_they_leave(self):
+        async def check(world):
+            apply_statement(world, 'p0', is_leaving=True)
+            upstreams = world.entries[0].upstreams
+            for forecast in upstreams._pools['plain'].near:
+                forecast.on_failure(now=clock_s(), avoid=True)
+            answer = await world.ask('/read/x')
+            assert answer.status == 200
+            assert not world.replicas['p0'].arrivals
+
+        checked(check)
+
+    def test_request_is_refused_at_once_if_all_upstreams_leave(self):
+        async def check(world):
+            for name in ('p0', 'p1'):
+                apply_statement(world, name, is_leaving=True)
+            began_at = time.monotonic()
+            answer = await world.ask('/read/x')
+            assert answer.status == 503
+            assert answer.retry_after_s > 0
+            assert time.monotonic() - began_at < 0.5
+
+        checked(check)
+
+
+class TestEveryAnswer:
+    """Guards against an answer whose statements are not read."""
+
+    @pytest.mark.parametrize(
+        ('name', 'path', 'method', 'answer_fault'),
+        [
+            ('p0', '/read/x', 'GET', ''),
+            ('p0', '/read/x', 'GET', 'full'),
+            ('p0', '/read/x', 'GET', 'fail'),
+            ('p0', '/read/x', 'GET', 'unvouched'),
+            ('p0', '/read/x', 'GET', 'cut'),
+            ('e0', '/draft/x', 'POST', ''),
+            ('e0', '/draft/x', 'POST', 'cut'),
+            ('e0', '/draft/x', 'POST', 'head_alone'),
+        ],
+    )
+    @pytest.mark.default_timeouts
+    def test_leaving_is_known_from_the_head(
+        self, name, path, method, answer_fault
+    ):
+        async def check(world):
+            replica = world.replicas[name]
+            replica.is_leaving = True
+            if answer_fault:
+                replica.faults.switch_on(fault(answer_fault, None))
+            for _ in range(3):
+                await world.ask(path, method=method)
+            assert len(replica.arrivals) == 1
+
+        checked(check, plain=1, engines=1)
+
+    def test_leaving_ends_with_a_new_incarnation_at_the_same_address(self):
+        async def check(world):
+            left = world.replicas['p0']
+            left.is_leaving = True
+            await world.ask('/read/x')
+            world.store.remove('servers/p0')
+            address = world.addresses['p0']
+            world.server_at(address).stop()
+            world.begin_life('p9', address, left, 'plain')
+            await world.ready()
+            answer = await world.ask('/read/x')
+            assert answer.status == 200
+            assert len(world.replicas['p9'].arrivals) == 1
+
+        checked(check, plain=1)
