Entry: a pause that an upstream asks for is kept until it ends

Cause: Retry-After of an upstream's 503 became the caller's and was kept nowhere; a refusal doesn't even begin the avoidance after failures, which the next good answer of an earlier request would end.

The registry keeps the pause for the incarnation, for this entry alone; the longest of several counts, more than an hour counts as an hour. After it the requests of an entry double each quarter of a second from one on, and each entry prolongs its pause by up to a quarter (a second at most), so that the upstream isn't flooded as pauses end together. A caller's Retry-After is now the time until the first upstream of the service accepts, spread over the second of its return, and no upstream's own value where others accept.

--- a/packages/core/src/crowrudder_core/dispatch/_dispatch.py
+++ b/packages/core/src/crowrudder_core/dispatch/_dispatch.py
@@ -30,7 +30,6 @@
     """The upstream itself reports that it didn't and won't run the request."""
 
     reason: str
-    retry_after_s: float = 0
 
 
 @frozen
@@ -153,8 +152,8 @@
         match outcome:
             case NotSent(reason=reason):
                 return self._after_not_sent(reason, now)
-            case NotRun(reason=reason, retry_after_s=after_s):
-                return self._after_not_run(reason, after_s, now, spend_retry)
+            case NotRun(reason=reason):
+                return self._after_not_run(reason, now, spend_retry)
             case Broken(reason=reason):
                 if self.may_send(now) and spend_retry():
                     return SendAgain()
@@ -177,14 +176,13 @@
     def _after_not_run(
         self,
         reason: str,
-        retry_after_s: float,
         now: float,
         spend_retry: Callable[[], bool],
     ) -> Decision:
         self.unresolved_sends -= 1
         if self.may_send(now) and spend_retry():
             return SendAgain()
-        return self.refuse(reason, retry_after_s)
+        return self.refuse(reason)
 
     def _after_answer(
         self,
--- a/packages/core/src/crowrudder_core/statements/__init__.py
+++ b/packages/core/src/crowrudder_core/statements/__init__.py
@@ -5,18 +5,29 @@
     Accepting,
     Leaving,
     Limited,
+    Pausing,
+)
+from crowrudder_core.statements._pause import (
+    MAX_PAUSE_S,
+    RETURN_S,
+    Pause,
 )
 from crowrudder_core.statements._registry import (
+    MAX_RESUME_SPREAD_S,
     MAX_UNLISTED,
     IncarnationKey,
     LeavingStated,
     LimitStated,
+    PauseStated,
     StatementChange,
     StatementRegistry,
 )
 
 __all__ = (
+    'MAX_PAUSE_S',
+    'MAX_RESUME_SPREAD_S',
     'MAX_UNLISTED',
+    'RETURN_S',
     'Acceptance',
     'Accepting',
     'IncarnationKey',
@@ -24,6 +35,9 @@
     'LeavingStated',
     'LimitStated',
     'Limited',
+    'Pause',
+    'PauseStated',
+    'Pausing',
     'StatementChange',
     'StatementRegistry',
 )
--- a/packages/core/src/crowrudder_core/statements/_acceptance.py
+++ b/packages/core/src/crowrudder_core/statements/_acceptance.py
@@ -27,6 +27,14 @@
     reason: str = 'is leaving'
 
 
+@frozen
+class Pausing:
+    """It asked this entry for a pause, which lasts or ends by degrees."""
+
+    wait_s: float
+    reason: str = 'asked for a pause'
+
+
 @frozen
 class Limited:
     """Its rate limit leaves this entry no request now."""
@@ -35,4 +43,4 @@
     reason: str = 'allows no more requests now by its limit'
 
 
-Acceptance = Accepting | Leaving | Limited
+Acceptance = Accepting | Leaving | Pausing | Limited
--- a/packages/core/src/crowrudder_core/statements/_registry.py
+++ b/packages/core/src/crowrudder_core/statements/_registry.py
@@ -13,10 +13,13 @@
     Accepting,
     Leaving,
     Limited,
+    Pausing,
 )
+from crowrudder_core.statements._pause import MAX_PAUSE_S, Pause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from random import Random
 
     from crowrudder_core.limits import EntryShare
     from crowrudder_model.fleet import UpstreamStatements
@@ -26,6 +29,12 @@
 """Incarnations whose statements are kept although they have no record. Records
 lapse during an outage of the platform and are written again after it."""
 
+RESUME_SPREAD = 0.25
+"""Greatest random part by which an entry prolongs a pause. Entries that were
+asked for one at the same time would otherwise resume at the same time."""
+
+MAX_RESUME_SPREAD_S = 1.0
+
 
 @frozen
 class IncarnationKey:
@@ -44,6 +53,13 @@
     """An upstream stated for the first time that it leaves."""
 
 
+@frozen
+class PauseStated:
+    """An upstream asked for a pause; ``left_s`` is the time until it ends."""
+
+    left_s: float
+
+
 @frozen
 class LimitStated:
     """An upstream's limit that other entries should know."""
@@ -51,7 +67,7 @@
     report: LimitReport
 
 
-StatementChange = LeavingStated | LimitStated
+StatementChange = LeavingStated | PauseStated | LimitStated
 
 
 @define
@@ -62,6 +78,21 @@
     started_ms: int = 0
     is_listed: bool = False
     is_leaving: bool = False
+    pause: Pause | None = None
+
+    def pause_left_s(self, now: float) -> float:
+        """Return the seconds until the pause allows the next request."""
+        if self.pause is None:
+            return 0
+        if self.pause.is_over(now):
+            self.pause = None
+            return 0
+        return self.pause.wait_s(now)
+
+    def on_sent(self) -> None:
+        """Count a request in the return after a pause."""
+        if self.pause is not None:
+            self.pause.on_sent()
 
 
 class StatementRegistry:
@@ -74,10 +105,13 @@
     ----------
     entry_share
         Returns this entry's share of an upstream's rate limit.
+    random
+        Spreads the ends of pauses.
     """
 
-    def __init__(self, entry_share: EntryShare) -> None:
+    def __init__(self, entry_share: EntryShare, random: Random) -> None:
         self._limits = StatedLimits(entry_share)
+        self._random = random
         self._numbers = itertools.count(1)
         self._incarnations: dict[str, _Incarnation] = {}
 
@@ -119,6 +153,9 @@
         if statements.is_leaving and not present.is_leaving:
             present.is_leaving = True
             changes.append(LeavingStated())
+        if statements.pause_s:
+            left_s = self._extend_pause(present, statements.pause_s, now)
+            changes.append(PauseStated(left_s))
         limit = self._limits.on_answer(
             key.upstream_id, statements.limit_per_s, now=now
         )
@@ -147,21 +184,25 @@
             The upstreams that the request passes after the first one.
         """
         for stage in (upstream_id, *later_stages):
-            found = self.stage_acceptance(stage)
+            found = self.stage_acceptance(stage, now=now)
             if not isinstance(found, Accepting):
                 return found
         if self._limits.has_capacity(upstream_id, now=now):
             return Accepting()
         return Limited(self._limits.wait_s([upstream_id], now=now))
 
-    def stage_acceptance(self, upstream_id: str) -> Acceptance:
+    def stage_acceptance(self, upstream_id: str, *, now: float) -> Acceptance:
         """Return whether an upstream accepts to be a later stage of a pipeline.
 
         A rate limit counts only the requests that reach an upstream directly.
         """
         present = self._incarnations.get(upstream_id)
-        is_leaving = present is not None and present.is_leaving
-        return Leaving() if is_leaving else Accepting()
+        if present is None:
+            return Accepting()
+        if present.is_leaving:
+            return Leaving()
+        wait_s = present.pause_left_s(now)
+        return Pausing(wait_s) if wait_s > 0 else Accepting()
 
     def take(
         self,
@@ -174,16 +215,19 @@
         found = self.acceptance(upstream_id, now=now, later_stages=later_stages)
         if isinstance(found, Accepting):
             self._limits.take(upstream_id, now=now)
+            self._present(upstream_id).on_sent()
         return found
 
-    def waits_s(
-        self, upstream_ids: Iterable[str], *, now: float
-    ) -> list[float]:
-        """Return the seconds until each upstream accepts; 0 if it does now."""
-        return [
-            self.acceptance(upstream_id, now=now).wait_s
-            for upstream_id in upstream_ids
-        ]
+    def _extend_pause(
+        self, present: _Incarnation, pause_s: float, now: float
+    ) -> float:
+        spread_s = min(RESUME_SPREAD * pause_s, MAX_RESUME_SPREAD_S)
+        left_s = min(pause_s, MAX_PAUSE_S) + self._random.uniform(0, spread_s)
+        if present.pause is None:
+            present.pause = Pause(now + left_s)
+        else:
+            present.pause.extend(now + left_s)
+        return present.pause.until - now
 
     def _present(self, upstream_id: str) -> _Incarnation:
         present = self._incarnations.get(upstream_id)
--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -146,7 +146,6 @@
     request_id: str
     is_authentic: bool
     not_run: bool
-    retry_after_s: float = 0
     answered_by: str = ''
     at_fault: str = ''
     statements: UpstreamStatements = NO_STATEMENTS
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -245,7 +245,7 @@
         self.time_to_head_s = clock_s() - self.sent_at
         self._record_statements(head, metadata)
         if metadata.not_run:
-            return await self._not_run(conn, head, metadata)
+            return await self._not_run(conn, head)
         if self.is_stream and head.status < FIRST_NON_SUCCESS_STATUS:
             if not metadata.is_authentic:
                 raise BrokenAnswerError(
@@ -291,17 +291,12 @@
             'only answers to other requests', step='answer', peer=conn.peer
         )
 
-    async def _not_run(
-        self,
-        conn: HttpConnection,
-        head: WireHead,
-        metadata: ResponseMetadata,
-    ) -> NotRun:
+    async def _not_run(self, conn: HttpConnection, head: WireHead) -> NotRun:
         async with asyncio.timeout(self.timeouts.pause_s):
             await conn.drain()
         self._upstreams.pool.keep(conn, head)
         self.choice.forecast.on_failure(now=clock_s(), avoid=False)
-        return NotRun(f'answered {head.status}', metadata.retry_after_s)
+        return NotRun(f'answered {head.status}')
 
     async def _buffer_answer(
         self,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
@@ -56,15 +56,13 @@
     def on_answer(
         self, source: AnswerSource, statements: UpstreamStatements
     ) -> None:
-        """Count the statements of an answer; log pauses and invalid ones.
+        """Count the statements of an answer; log those that can't be read.
 
         An upstream whose answers all have the same invalid header has it
         logged once.
         """
         for kind in _kinds(statements):
             self._statements.add(kind=kind)
-        if statements.pause_s is not None:
-            self._log(source, kind=PAUSE, amount=statements.pause_s)
         for name, text in statements.invalid:
             self._statements.add(kind=INVALID)
             if self._invalid.get(source.upstream_id) != statements.invalid:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from crowrudder_core.statements import (
@@ -10,6 +11,8 @@
     LeavingStated,
     Limited,
     LimitStated,
+    PauseStated,
+    Pausing,
     StatementRegistry,
 )
 from crowrudder_daemon._clock import clock_s
@@ -17,6 +20,7 @@
 from crowrudder_daemon.fleet_entry._statement_log import (
     LEAVING,
     LIMIT,
+    PAUSE,
     StatementLog,
 )
 from crowrudder_model.messages import LimitUpdate
@@ -52,7 +56,9 @@
         self._runtime = runtime
         self._peers = peers
         self._shares = LimitShares(peers, region_of)
-        self._registry = StatementRegistry(self._shares.share_of)
+        self._registry = StatementRegistry(
+            self._shares.share_of, random.Random(runtime.incarnation)
+        )
         self._log = StatementLog(runtime)
         self._diverted = runtime.metrics.counter(
             'upstream_limits_kept',
@@ -89,6 +95,8 @@
             match change:
                 case LeavingStated():
                     self._log.on_stated(source, LEAVING, 1)
+                case PauseStated(left_s=left_s):
+                    self._log.on_stated(source, PAUSE, round(left_s, 3))
                 case LimitStated(report=report):
                     self._log.on_limit(report, self._peers.roster.own.ip)
                     self._peers.send_to_partners(LimitUpdate((report,)))
@@ -106,14 +114,17 @@
                 self._log.on_limit(report, ip)
                 self._peers.send_to_partners(LimitUpdate((report,)))
 
+    def acceptance(self, upstream_id: str) -> Acceptance:
+        """Return whether an upstream accepts a request now, or when it will."""
+        return self._registry.acceptance(upstream_id, now=clock_s())
+
     def accepts(self, upstream_id: str) -> bool:
         """Return whether an upstream accepts a request now."""
-        found = self._registry.acceptance(upstream_id, now=clock_s())
-        return isinstance(found, Accepting)
+        return isinstance(self.acceptance(upstream_id), Accepting)
 
     def accepts_stage(self, upstream_id: str) -> bool:
         """Return whether an upstream accepts to be a stage of a pipeline."""
-        found = self._registry.stage_acceptance(upstream_id)
+        found = self._registry.stage_acceptance(upstream_id, now=clock_s())
         return isinstance(found, Accepting)
 
     def take(
@@ -126,11 +137,9 @@
         match found:
             case Leaving():
                 self._log.on_withheld(LEAVING)
+            case Pausing():
+                self._log.on_withheld(PAUSE)
             case Limited():
                 self._diverted.add()
                 self._log.on_withheld(LIMIT)
         return found
-
-    def waits_s(self, upstream_ids: Iterable[str]) -> list[float]:
-        """Return the seconds until each upstream accepts; 0 if it does now."""
-        return self._registry.waits_s(upstream_ids, now=clock_s())
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -19,7 +19,12 @@
 from crowrudder_core.forecast._choice import SAMPLE_SIZE
 from crowrudder_core.forecast._upstream_forecast import STAGE_REPORT_TTL_S
 from crowrudder_core.limits import SharedRetryBudget
-from crowrudder_core.statements import Accepting
+from crowrudder_core.statements import (
+    RETURN_S,
+    Accepting,
+    Limited,
+    Pausing,
+)
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
@@ -205,18 +210,27 @@
 
         If the estimate is too short, callers retry during the same outage and
         use up their retries: their requests are refused twice and lost,
-        although the service is back before their deadline.
+        although the service is back before their deadline. Where no upstream
+        accepts a request by its own statements, the first one that will tells
+        the time, and callers are spread over the second of its return.
         """
         now = clock_s()
         pool = self._pools.get(service, _Pool())
         forecasts = [*pool.near, *pool.far]
         is_loading = any(forecast.is_changing(now) for forecast in forecasts)
         outage_s = LOADING_RETRY_AFTER_S if is_loading else ABSENT_RETRY_AFTER_S
-        waits_s = self.statements.waits_s(
-            forecast.upstream.id for forecast in forecasts
-        )
-        known_waits_s = (wait_s for wait_s in waits_s if wait_s > 0)
-        return max(min((outage_s, *known_waits_s)), MIN_RETRY_AFTER_S)
+        found = [
+            self.statements.acceptance(forecast.upstream.id)
+            for forecast in forecasts
+        ]
+        first = min(found, key=lambda each: each.wait_s, default=Accepting())
+        match first:
+            case Pausing(wait_s=wait_s):
+                return wait_s + self._random.uniform(0, RETURN_S)
+            case Limited(wait_s=wait_s):
+                return max(wait_s, MIN_RETRY_AFTER_S)
+        waits_s = (each.wait_s for each in found if each.wait_s > 0)
+        return max(min((outage_s, *waits_s)), MIN_RETRY_AFTER_S)
 
     def take_send(self, choice: Choice) -> str:
         """Count a request right before it is sent; return why it may not be.
