Entry: an upstream's own error is delivered if no other one answers

What callers saw: 502 of the entry in place of a complete 500 of an upstream. A safe request that was answered 500 is sent again; if no other upstream accepted it, or the second attempt failed, the first answer was dropped. Statements make this more frequent, as they leave fewer upstreams to go to; found by a test of the retry.

The answer is kept until the request ends, and relayed where it would end with an error of the entry's own. Three tests failed before (502 for 500).

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -81,6 +81,9 @@
     events: EventStream = field(factory=EventStream, init=False)
     _attempts: list[dict[str, Any]] = field(factory=list, init=False)
     _current_attempt: Attempt | None = field(default=None, init=False)
+    _answered_attempt: Attempt | None = field(default=None, init=False)
+    """An attempt with a complete answer that another one was to improve on."""
+
     _wait: asyncio.Timeout | None = field(default=None, init=False)
     _first_s: float = field(default=-1, init=False)
     _sent_s: float = field(default=-1, init=False)
@@ -155,6 +158,8 @@
                 if isinstance(next_step, Relay):
                     await self._relay(attempt)
                 return next_step
+            if attempt.answer is not None:
+                self._answered_attempt = attempt
 
     async def _run_attempt(self, attempt: Attempt) -> AttemptOutcome:
         """Run an attempt, and cancel it if its request is quarantined."""
@@ -339,11 +344,22 @@
                 )
                 await self._send_error(answer)
                 self._record_end('rejected', answer.status, reason=reason)
+            case Fail() if self._answered_attempt and not self.side.has_begun:
+                await self._relay_earlier(self._answered_attempt)
             case Fail(reason=reason):
                 await self._fail(failed, reason)
             case _:
                 self._record_end('answered', HTTPStatus.OK)
 
+    async def _relay_earlier(self, attempt: Attempt) -> None:
+        """Relay the answer of an attempt after which no other one answered."""
+        try:
+            await self._relay(attempt)
+        except CallerGoneError:
+            self._record_end('caller_gone', 0)
+        else:
+            self._record_end('answered', HTTPStatus.OK)
+
     async def _fail(self, status: HTTPStatus, reason: str) -> None:
         if self.side.has_begun:
             self.side.abort()
--- a/tests/fleet/test_entry.py
+++ b/tests/fleet/test_entry.py
@@ -119,6 +119,24 @@
         checked(check)
 
 
+class TestAnswersOfFailures:
+    """Guards against an upstream's own answer that is replaced by a 502."""
+
+    @pytest.mark.parametrize('second', [None, 'full', 'lost'])
+    def test_first_answer_is_relayed_if_no_other_upstream_answers(self, second):
+        async def check(world):
+            world.replicas['p0'].faults.switch_on(fault('fail', None))
+            if second:
+                world.replicas['p1'].faults.switch_on(fault(second, None))
+            for number in range(6):
+                answer = await world.ask('/read/x', request_id=f'a{number}')
+                if world.replicas['p0'].runs_of(f'a{number}'):
+                    assert answer.status == 500
+                    assert answer.body == b'failed'
+
+        checked(check, plain=2 if second else 1)
+
+
 class TestOnce:
     @pytest.mark.parametrize('how', ['lost', 'cut', 'unvouched'])
     def test_runs_once_if_its_answer_is_lost(self, how):
