Entries tell each other that an upstream leaves; agents report it of their engine

An entry learned from its own answers alone that an upstream leaves. While the store is silent, one without a recent answer sent its next request to an upstream that may have exited. The first entry that reads the statement now tells its partners (a datagram of some 30 bytes), and each passes it on once; it names the incarnation. An agent's load report has the statement as well; it names its engine by address alone, so that it holds only until it expires or the next one follows. A pause is of one entry and isn't told.

--- a/packages/core/src/crowrudder_core/limits/_stated_limits.py
+++ b/packages/core/src/crowrudder_core/limits/_stated_limits.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from crowrudder_core.limits._shared_rate import SharedRate
-from crowrudder_model.messages import LimitReport
+from crowrudder_model.statements import LimitReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/core/src/crowrudder_core/statements/_registry.py
+++ b/packages/core/src/crowrudder_core/statements/_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, frozen
@@ -16,6 +17,7 @@
     Pausing,
 )
 from crowrudder_core.statements._pause import MAX_PAUSE_S, Pause
+from crowrudder_model.statements import LeavingReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,7 +25,7 @@
 
     from crowrudder_core.limits import EntryShare
     from crowrudder_model.fleet import UpstreamStatements
-    from crowrudder_model.messages import LimitReport
+    from crowrudder_model.statements import LimitReport
 
 MAX_UNLISTED = 1024
 """Incarnations whose statements are kept although they have no record. Records
@@ -52,6 +54,8 @@
 class LeavingStated:
     """An upstream stated for the first time that it leaves."""
 
+    report: LeavingReport
+
 
 @frozen
 class PauseStated:
@@ -78,6 +82,9 @@
     started_ms: int = 0
     is_listed: bool = False
     is_leaving: bool = False
+    leaving_until: float = -math.inf
+    """Until when a load report holds that states that it leaves."""
+
     pause: Pause | None = None
 
     def pause_left_s(self, now: float) -> float:
@@ -152,7 +159,8 @@
         changes: list[StatementChange] = []
         if statements.is_leaving and not present.is_leaving:
             present.is_leaving = True
-            changes.append(LeavingStated())
+            report = LeavingReport(key.upstream_id, present.started_ms)
+            changes.append(LeavingStated(report))
         if statements.pause_s:
             left_s = self._extend_pause(present, statements.pause_s, now)
             changes.append(PauseStated(left_s))
@@ -163,6 +171,26 @@
             changes.append(LimitStated(limit))
         return changes
 
+    def on_leaving_report(self, report: LeavingReport) -> bool:
+        """Apply another entry's report; return whether it is new."""
+        present = self._present(report.upstream_id)
+        starts_ms = {report.started_ms, present.started_ms} - {0}
+        if present.is_leaving or len(starts_ms) > 1:
+            return False
+        present.is_leaving = True
+        return True
+
+    def on_load_report(
+        self, upstream_id: str, *, is_leaving: bool, until: float
+    ) -> None:
+        """Apply an agent's report, which names its engine by address alone.
+
+        It may be of the engine that had the address before, so that it holds
+        only until it expires or another one follows.
+        """
+        present = self._present(upstream_id)
+        present.leaving_until = until if is_leaving else -math.inf
+
     def on_limit_report(
         self, report: LimitReport, *, now: float
     ) -> LimitReport | None:
@@ -199,7 +227,7 @@
         present = self._incarnations.get(upstream_id)
         if present is None:
             return Accepting()
-        if present.is_leaving:
+        if present.is_leaving or now < present.leaving_until:
             return Leaving()
         wait_s = present.pause_left_s(now)
         return Pausing(wait_s) if wait_s > 0 else Accepting()
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -29,11 +29,11 @@
     ChunkInventory,
     EngineLoad,
     Heartbeat,
-    LimitUpdate,
     LoadBatch,
     MemberStatus,
     SuspicionUpdate,
 )
+from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -81,6 +81,9 @@
     def limits_received(self, ip: str, update: LimitUpdate) -> None:
         """Receive an entry's reports on limits that upstreams stated."""
 
+    def leaving_received(self, ip: str, update: LeavingUpdate) -> None:
+        """Receive an entry's reports on upstreams that leave."""
+
 
 @frozen
 class DatagramReceived:
@@ -205,6 +208,8 @@
                 self._listener.suspects_received(message.ip, datagram)
             case LimitUpdate():
                 self._listener.limits_received(message.ip, datagram)
+            case LeavingUpdate():
+                self._listener.leaving_received(message.ip, datagram)
 
     def on_heartbeat_due(self, _message: HeartbeatDue) -> None:
         """Send a heartbeat to the partners of this process."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -18,10 +18,10 @@
     from crowrudder_model.messages import (
         ChunkInventory,
         EngineLoad,
-        LimitUpdate,
         LoadBatch,
         SuspicionUpdate,
     )
+    from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 RPC_GRACE_S = 0.2
 
@@ -113,3 +113,6 @@
 
     def limits_received(self, ip: str, update: LimitUpdate) -> None:
         """Ignore reports on upstreams' limits."""
+
+    def leaving_received(self, ip: str, update: LeavingUpdate) -> None:
+        """Ignore reports on upstreams that leave."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -201,13 +201,15 @@
     """The state that an engine reports.
 
     ``weights`` is the version of which it holds ``layers``, 0 for none;
-    ``is_busy`` is set while an order is being executed. ``started_ms`` is its
-    start time in Unix milliseconds, 0 if it isn't reported.
+    ``is_busy`` is set while an order is being executed, ``is_leaving`` if it
+    states that it leaves. ``started_ms`` is its start time in Unix
+    milliseconds, 0 if it isn't reported.
     """
 
     model: str = ''
     weights: int = 0
     is_busy: bool = False
+    is_leaving: bool = False
     running: int = 0
     queued: int = 0
     memory_used: int = 0
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -69,11 +69,11 @@
         return load != self.last_sent and not self.only_repeats
 
 
-def _urgent_fields(load: EngineLoad) -> tuple[bool, int, bool, int, int]:
+def _urgent_fields(load: EngineLoad) -> tuple[object, ...]:
     return (
         load.reachable,
+        (load.is_changing, load.is_leaving),
         load.weights,
-        load.is_changing,
         load.partial_version,
         load.end_layer,
     )
@@ -227,6 +227,7 @@
             memory_used=reading.memory_used,
             pace=reading.pace,
             started_ms=reading.started_ms,
+            is_leaving=reading.is_leaving,
             partial_version=reading.weights if partial_layers else 0,
             first_layer=partial_layers.first,
             end_layer=partial_layers.end,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -23,12 +23,8 @@
     from crowrudder_daemon.fleet.ports import CallerProtocol, PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import (
-        EngineLoad,
-        LimitUpdate,
-        LoadBatch,
-        SuspicionUpdate,
-    )
+    from crowrudder_model.messages import EngineLoad, LoadBatch, SuspicionUpdate
+    from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -181,6 +177,10 @@
         """Apply an entry's reports on limits that upstreams stated."""
         self.upstreams.statements.on_limits(ip, update)
 
+    def leaving_received(self, ip: str, update: LeavingUpdate) -> None:
+        """Apply an entry's reports on upstreams that leave."""
+        self.upstreams.statements.on_leaving(ip, update)
+
     def on_change(self) -> None:
         """Apply a change of the published records."""
         self.upstreams.refresh()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
@@ -11,7 +11,7 @@
 
     from crowrudder_daemon.process import Runtime
     from crowrudder_model.fleet import UpstreamStatements
-    from crowrudder_model.messages import LimitReport
+    from crowrudder_model.statements import LeavingReport, LimitReport
 
 LEAVING = 'leaving'
 PAUSE = 'pause'
@@ -96,6 +96,18 @@
             },
         )
 
+    def on_leaving_report(self, report: LeavingReport, source_ip: str) -> None:
+        """Log that another entry was told that an upstream leaves."""
+        self._runtime.log.info(
+            'statement of an upstream',
+            extra={
+                'step': 'statement',
+                'upstream': report.upstream_id,
+                'kind': LEAVING,
+                'teller': source_ip,
+            },
+        )
+
     def on_withheld(self, kind: str) -> None:
         """Count a send that a statement prevented."""
         self._withheld.add(kind=kind)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
@@ -23,7 +23,7 @@
     PAUSE,
     StatementLog,
 )
-from crowrudder_model.messages import LimitUpdate
+from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -100,27 +100,50 @@
             return
         for change in self._registry.on_answer(key, statements, now=clock_s()):
             match change:
-                case LeavingStated():
+                case LeavingStated(report=report):
                     self._log.on_stated(source, LEAVING, 1)
+                    self._peers.send_to_partners(LeavingUpdate((report,)))
                 case PauseStated(left_s=left_s):
                     self._log.on_stated(source, PAUSE, round(left_s, 3))
                 case LimitStated(report=report):
                     self._log.on_limit(report, self._peers.roster.own.ip)
                     self._peers.send_to_partners(LimitUpdate((report,)))
 
+    def on_leaving(self, ip: str, update: LeavingUpdate) -> None:
+        """Apply another entry's reports on leaving and forward the new ones."""
+        if not self._is_known(ip):
+            return
+        for report in update.reports[:MAX_REPORTS_PER_DATAGRAM]:
+            if self._registry.on_leaving_report(report):
+                self._log.on_leaving_report(report, ip)
+                self._peers.send_to_partners(LeavingUpdate((report,)))
+
+    def on_load_report(
+        self, upstream_id: str, *, is_leaving: bool, until: float
+    ) -> None:
+        """Apply what an agent reports of its engine until the report expires."""
+        self._registry.on_load_report(
+            upstream_id, is_leaving=is_leaving, until=until
+        )
+
     def on_limits(self, ip: str, update: LimitUpdate) -> None:
         """Apply another entry's reports on limits and forward the new ones."""
-        if not self._peers.roster.knows(ip, now=clock_s()):
-            self._runtime.log.debug(
-                'limit update from an unknown host',
-                extra={'step': 'limit', 'peer': ip},
-            )
+        if not self._is_known(ip):
             return
         for report in update.reports[:MAX_REPORTS_PER_DATAGRAM]:
             if self._registry.on_limit_report(report, now=clock_s()):
                 self._log.on_limit(report, ip)
                 self._peers.send_to_partners(LimitUpdate((report,)))
 
+    def _is_known(self, ip: str) -> bool:
+        is_known = self._peers.roster.knows(ip, now=clock_s())
+        if not is_known:
+            self._runtime.log.debug(
+                'report on upstreams from an unknown host',
+                extra={'step': 'statement', 'peer': ip},
+            )
+        return is_known
+
     def acceptance(self, upstream_id: str) -> Acceptance:
         """Return whether an upstream accepts a request now, or when it will."""
         return self._registry.acceptance(upstream_id, now=clock_s())
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -17,7 +17,10 @@
     choose_eligible,
 )
 from crowrudder_core.forecast._choice import SAMPLE_SIZE
-from crowrudder_core.forecast._upstream_forecast import STAGE_REPORT_TTL_S
+from crowrudder_core.forecast._upstream_forecast import (
+    LOAD_REPORT_TTL_S,
+    STAGE_REPORT_TTL_S,
+)
 from crowrudder_core.limits import SharedRetryBudget
 from crowrudder_core.statements import (
     RETURN_S,
@@ -165,6 +168,12 @@
                 self.statements.on_restarted(
                     forecast.upstream.id, load.started_ms
                 )
+            if forecast.load is load:
+                self.statements.on_load_report(
+                    forecast.upstream.id,
+                    is_leaving=load.is_leaving,
+                    until=now - age_s + LOAD_REPORT_TTL_S,
+                )
             if is_new_incarnation or not load.reachable:
                 self._quarantine.on_incarnation_ended(forecast.upstream.id)
             else:
--- a/packages/model/src/crowrudder_model/messages/__init__.py
+++ b/packages/model/src/crowrudder_model/messages/__init__.py
@@ -37,7 +37,6 @@
     ProcessStatus,
     SnapshotRequest,
 )
-from crowrudder_model.messages._limits import LimitReport, LimitUpdate
 from crowrudder_model.messages._report import (
     CapacityReply,
     CapacityRequest,
@@ -99,8 +98,6 @@
     'Hello',
     'Knowledge',
     'IncarnationEnd',
-    'LimitUpdate',
-    'LimitReport',
     'MemberListEdition',
     'LoadBatch',
     'ManifestRequest',
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -13,8 +13,8 @@
 import msgspec
 from attrs import frozen
 
-from crowrudder_model.messages._limits import LimitUpdate
 from crowrudder_model.messages._suspects import SuspicionUpdate
+from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 MemberRole = Literal['entry', 'agent']
 
@@ -83,6 +83,7 @@
     some layers has ``weights`` 0; it holds those of ``partial_version`` from
     ``first_layer`` up to but not including ``end_layer``. ``is_close`` is set
     for the few entries to which the agent sends load reports most often.
+    ``is_leaving`` is set if the engine states in its answers that it leaves.
     """
 
     address: str
@@ -98,6 +99,7 @@
     first_layer: int = 0
     end_layer: int = 0
     is_close: bool = False
+    is_leaving: bool = False
 
 
 class LoadBatch(
@@ -173,6 +175,7 @@
     | LoadBatch
     | SuspicionUpdate
     | LimitUpdate
+    | LeavingUpdate
 )
 
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -50,6 +50,9 @@
     def suspects_received(self, ip, news):
         pass
 
+    def leaving_received(self, ip, news):
+        pass
+
     def limits_received(self, ip, news):
         pass
 
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -13,6 +13,7 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._statement_log import AnswerSource
 from crowrudder_model.fleet import UpstreamStatements
+from crowrudder_model.statements import LeavingReport, LeavingUpdate
 from support.fleet import Answer
 from support.fleet_checks import checked, fault
 
@@ -371,3 +372,58 @@
             assert len(world.replicas['p9'].arrivals) == 1
 
         checked(check, plain=1)
+
+
+class TestOtherEntriesAreTold:
+    """Guards against an entry that learns too late that an upstream leaves."""
+
+    def test_statement_to_one_entry_is_known_to_all(self):
+        async def check(world):
+            world.replicas['p0'].stated.is_leaving = True
+            await world.ask('/read/x', entry=0)
+            await asyncio.sleep(0.2)
+            answers = [
+                await world.ask('/read/x', entry=number) for number in range(3)
+            ]
+            assert {answer.status for answer in answers} == {503}
+            assert len(world.replicas['p0'].arrivals) == 1
+
+        checked(check, entries=3, plain=1)
+
+    def test_report_of_an_unknown_host_is_ignored(self):
+        async def check(world):
+            update = LeavingUpdate((LeavingReport('p0'),))
+            world.entries[0].leaving_received('192.0.2.1', update)
+            answer = await world.ask('/read/x')
+            assert answer.status == 200
+
+        checked(check, plain=1)
+
+    def test_pause_of_one_entry_does_not_keep_others_away(self):
+        async def check(world):
+            replica = world.replicas['p0']
+            replica.stated.pause_s = '9'
+            await world.ask('/read/x', entry=0)
+            replica.stated.pause_s = ''
+            await asyncio.sleep(0.2)
+            answers = [
+                await world.ask('/read/x', entry=number) for number in range(3)
+            ]
+            assert [answer.status for answer in answers] == [503, 200, 200]
+
+        checked(check, entries=3, plain=1)
+
+    def test_agent_reports_an_engine_that_leaves(self):
+        async def check(world):
+            replica = await world.add_agent(1, loaded=1)
+            await world.ready()
+            replica.stated.is_leaving = True
+            statements = world.entries[0].upstreams.statements
+            await world.until(lambda: not statements.accepts('a1'))
+            answer = await world.ask('/draft/x', method='POST')
+            assert answer.status == 503
+            assert not replica.arrivals
+            replica.stated.is_leaving = False
+            await world.until(lambda: statements.accepts('a1'))
+
+        checked(check, entries=1, engines=0)
--- a/tests/limits/test_stated_limits.py
+++ b/tests/limits/test_stated_limits.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from crowrudder_core.limits import StatedLimits, senders_of
-from crowrudder_model.messages import LimitReport
+from crowrudder_model.statements import LimitReport
 from support.limits_world import NAMED_AT_S, LimitsWorld, Load
 
 WINDOW_S = 4.0
--- a/tests/model/test_gossip.py
+++ b/tests/model/test_gossip.py
@@ -15,12 +15,16 @@
     ForwardedStatus,
     Heartbeat,
     IncarnationEnd,
-    LimitReport,
-    LimitUpdate,
     MemberStatus,
     SuspicionReport,
     SuspicionUpdate,
 )
+from crowrudder_model.statements import (
+    LeavingReport,
+    LeavingUpdate,
+    LimitReport,
+    LimitUpdate,
+)
 
 STATUS = MemberStatus(
     ip='10.1.0.40',
@@ -56,19 +60,20 @@
         for each in range(8)
     )
 )
+LEAVING = LeavingUpdate((LeavingReport('i-0123456789', 1_700_000_000_000),))
 LIMITS = LimitUpdate((LimitReport('i-0123456789', 1.6, 250),))
 ETHERNET_BYTES = 1472
 
 
 class TestDatagrams:
     @pytest.mark.parametrize(
-        'datagram', [BEAT, LOAD, INVENTORY, SUSPECTS, LIMITS]
+        'datagram', [BEAT, LOAD, INVENTORY, SUSPECTS, LIMITS, LEAVING]
     )
     def test_tag_selects_the_message_class(self, datagram):
         assert decode_datagram(encode_message(datagram)) == datagram
 
     @pytest.mark.parametrize(
-        'datagram', [BEAT, LOAD, INVENTORY, SUSPECTS, LIMITS]
+        'datagram', [BEAT, LOAD, INVENTORY, SUSPECTS, LIMITS, LEAVING]
     )
     def test_datagram_fits_into_one_packet(self, datagram):
         assert len(encode_message(datagram)) <= ETHERNET_BYTES
--- a/tests/statements/test_registry.py
+++ b/tests/statements/test_registry.py
@@ -11,12 +11,13 @@
     MAX_UNLISTED,
     Accepting,
     Leaving,
+    LeavingStated,
     Limited,
     Pausing,
     StatementRegistry,
 )
 from crowrudder_model.fleet import NO_STATEMENTS, UpstreamStatements
-from crowrudder_model.messages import LimitReport
+from crowrudder_model.statements import LeavingReport, LimitReport
 
 LEAVES = UpstreamStatements(is_leaving=True)
 NOW = 100.0
@@ -98,6 +99,44 @@
         assert made.take('first', now=NOW, later_stages=['u']) == Leaving()
 
 
+class TestLeavingReports:
+    """Guards against a report that marks another incarnation."""
+
+    def test_report_of_another_entry_marks_the_upstream_once(self):
+        made = registry()
+        assert made.on_leaving_report(LeavingReport('u', 1000))
+        assert not made.on_leaving_report(LeavingReport('u', 1000))
+        assert made.acceptance('u', now=NOW) == Leaving()
+
+    def test_own_statement_is_reported_with_the_incarnation(self):
+        (change,) = state(registry(), LEAVES)
+        assert change == LeavingStated(LeavingReport('u', 1000))
+
+    def test_report_on_another_incarnation_is_ignored(self):
+        made = registry()
+        assert not made.on_leaving_report(LeavingReport('u', 999))
+        assert made.acceptance('u', now=NOW) == Accepting()
+
+    def test_report_without_start_time_counts(self):
+        made = registry()
+        assert made.on_leaving_report(LeavingReport('u'))
+
+    def test_report_may_come_before_the_record(self):
+        made = StatementRegistry(lambda *_: 1, random.Random(1))
+        assert made.on_leaving_report(LeavingReport('u', 1000))
+        made.on_listed('u', 1000)
+        assert made.acceptance('u', now=NOW) == Leaving()
+
+    def test_load_report_counts_until_it_expires_or_another_follows(self):
+        made = registry()
+        made.on_load_report('u', is_leaving=True, until=NOW + 1)
+        assert made.acceptance('u', now=NOW + 0.9) == Leaving()
+        assert made.acceptance('u', now=NOW + 1) == Accepting()
+        made.on_load_report('u', is_leaving=True, until=NOW + 2)
+        made.on_load_report('u', is_leaving=False, until=NOW + 3)
+        assert made.acceptance('u', now=NOW + 1.5) == Accepting()
+
+
 def pause(pause_s):
     return UpstreamStatements(pause_s=pause_s)
 
