Agent: no order to load chunks that the engine has lost

It had been replaced at its address while they were staged; the puts after it went to the new one over a new connection, so that no call failed, and its reports name no start time.

The agent reads the list of staged chunks right before the order; it costs a call to the local engine for each load.

--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -221,6 +221,7 @@
     ) -> None:
         async with self._staging_lock:
             await self._stage(load, transfer)
+            await self._check_staged(load)
             began_at = clock_s()
             await self._send_order(load, may_cut_off=may_cut_off, layers=layers)
         await self._until_loaded(load.version, began_at, layers)
@@ -343,6 +344,21 @@
             },
         )
 
+    async def _check_staged(self, load: Load) -> None:
+        """Raise if the engine lacks a chunk right before the order.
+
+        If it restarts while its chunks are staged, those from before are lost,
+        and no call fails: an idle connection was closed.
+        """
+        staged = await self._engine.staged(load.model)
+        missing = [
+            index for index in indices(load.chunks) if index not in staged
+        ]
+        if missing:
+            raise UpstreamError(
+                f'the engine lost {len(missing)} staged chunks', step='stage'
+            )
+
     async def _send_order(
         self, load: Load, *, may_cut_off: bool, layers: LayerRange | None
     ) -> None:
--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -22,6 +22,7 @@
 from crowrudder_daemon.fleet_agent._keeper import WeightsKeeper
 from crowrudder_daemon.fleet_agent._library import LayerPart
 from crowrudder_daemon.fleet_agent._loader import Load, Loader
+from crowrudder_model import UpstreamError
 from crowrudder_model.fleet import LayerRange
 from crowrudder_standins._slots import Slots
 from crowrudder_standins.origin import Pacer
@@ -304,7 +305,16 @@
     def __init__(self, reading):
         self.reading = reading
         self.loads = []
-        self.put_chunk = AsyncMock()
+        self.kept = set()
+        self.restarts_after = None
+
+    async def put_chunk(self, model, index, payload):
+        self.kept.add(index)
+        if index == self.restarts_after:
+            self.kept.clear()
+
+    async def staged(self, model):
+        return frozenset(self.kept)
 
     async def load(self, model, version, *, may_cut_off, layers):
         self.loads.append(version)
@@ -374,3 +384,21 @@
         assert_complete=lambda: None,
         chunk=lambda _index: b'chunk',
     )
+
+
+class TestLostStagedChunks:
+    """Guards against an order to load chunks that a restart has removed."""
+
+    @pytest.mark.parametrize('restarts_after', [0, 3, CHUNKS - 1])
+    def test_no_order_after_a_restart_during_staging(self, restarts_after):
+        async def check():
+            engine = FakeEngine(EngineReading(weights=1, layers=ALL))
+            engine.restarts_after = restarts_after
+            loader = loader_of(engine, named(2))
+            with pytest.raises(UpstreamError, match='lost'):
+                await loader.load_layers(
+                    Load('m', 2, ALL_CHUNKS), held(), LayerRange(0, LAYERS)
+                )
+            assert not engine.loads
+
+        run(check())
