Platform soak: replicas that leave and replicas that ask for a pause

Replicas state both in series and overlapping, at times only in answers to requests, with the store silent in half of the leaves and another incarnation at the address after it. The check counts at the replica, by the entry that sent, from when the entry passed the answer on (leaving) or from half a second after the refusal (pause, two are allowed); the store's disturbances excuse nothing, a restart or disturbance of the entry does. The stand-ins state it in the attributes of FleetReplica.stated.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -61,13 +61,15 @@
 class Statements:
     """What a replica states about itself in its answers.
 
-    While ``is_leaving`` is set, all answers say so. While ``pause_s`` isn't empty,
+    While ``is_leaving`` is set, all answers say so, or only those to requests if
+    ``is_silent_to_agent`` is set. While ``pause_s`` isn't empty,
     each request is refused with it as the pause that is asked for; ``pauses``
     holds time, request id and pause of these refusals. ``stray_headers`` are
     further header lines of answers to other requests.
     """
 
     is_leaving: bool = False
+    is_silent_to_agent: bool = False
     pause_s: str = ''
     stray_headers: str = ''
     pauses: list[tuple[float, str, str]] = field(factory=list)
@@ -180,6 +182,9 @@
 
     def prepare(self, call: Call) -> None:
         """Set the header of an upstream that is leaving."""
+        is_own_interface = call.request.path.startswith('/-/')
+        if is_own_interface and self.stated.is_silent_to_agent:
+            return
         if self.stated.is_leaving:
             call.set_header(LEAVING, '1')
             call.set_header('Connection', 'close')
--- a/scripts/_platform_chaos.py
+++ b/scripts/_platform_chaos.py
@@ -63,6 +63,9 @@
     fault_counts: Counter[str] = field(factory=Counter)
     disturbances: list[Disturbance] = field(factory=list)
     problems: list[str] = field(factory=list)
+    restarts: list[tuple[str, float]] = field(factory=list)
+    """Name and time of each start of a process after its first."""
+
     _busy: set[str] = field(factory=set)
 
     async def run(self, ends_at: float) -> None:
@@ -136,6 +139,7 @@
         host.process.kill()
         await asyncio.sleep(self.rng.uniform(*DOWNTIME_S))
         host.process.start()
+        self.restarts.append((host.name, time.monotonic()))
         self._record_disturbance(host.name, began_at)
         self._busy.discard(host.name)
         return f'killed {host.name}'
@@ -165,6 +169,7 @@
             self.problems.append(f'{host.name} ended with {code}')
             host.process.kill()
         host.process.start()
+        self.restarts.append((host.name, time.monotonic()))
         self._busy.discard(host.name)
         return f'restarted {host.name}'
 
@@ -247,34 +252,41 @@
         self.fleet.store.compact()
         return 'store forgot its history'
 
-    def _choose_undisturbed_replica(self) -> str:
+    def reserve_replica(self, rng: random.Random) -> str:
+        """Reserve a random replica that no other fault ends; empty if none."""
         names = [
             name
             for name in sorted(self.fleet.replicas)
             if name not in self._busy
         ]
-        return self.rng.choice(names) if names else ''
+        if not names:
+            return ''
+        chosen = rng.choice(names)
+        self._busy.add(chosen)
+        return chosen
+
+    def release_replica(self, name: str) -> None:
+        """Allow other faults to end a replica again."""
+        self._busy.discard(name)
 
     async def _leave(self) -> str:
         """Drain a replica, keep it serving for a while, then replace it."""
-        name = self._choose_undisturbed_replica()
+        name = self.reserve_replica(self.rng)
         if not name:
             return ''
-        self._busy.add(name)
         self.fleet.list_replica(name, 'draining')
         await asyncio.sleep(DRAIN_SERVICE_S)
         await self.fleet.replace(name)
-        self._busy.discard(name)
+        self.release_replica(name)
         return f'{name} left, and another came'
 
     async def _crash(self) -> str:
         """End a replica at once; its record is removed later."""
-        name = self._choose_undisturbed_replica()
+        name = self.reserve_replica(self.rng)
         if not name:
             return ''
-        self._busy.add(name)
         await self.fleet.crash(name, self.rng.uniform(*DOWNTIME_S))
-        self._busy.discard(name)
+        self.release_replica(name)
         return f'{name} crashed, and another came'
 
     async def _version(self) -> str:
--- a/scripts/_platform_load.py
+++ b/scripts/_platform_load.py
@@ -18,7 +18,7 @@
     WireRequest,
     kept_s_of,
 )
-from crowrudder_standins.fleet_replica import REQUEST_ID, SEAL
+from crowrudder_standins.fleet_replica import LEAVING, REQUEST_ID, SEAL
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,6 +72,8 @@
     caller_left: bool = False
     connect_failed: bool = False
     retry_after: str = ''
+    head_at: float = 0
+    states_leaving: bool = False
 
 
 @define(eq=False)
@@ -140,6 +142,8 @@
         result.echoed = head.header(REQUEST_ID.lower())
         result.has_seal = bool(head.header(SEAL.lower()))
         result.retry_after = head.header('retry-after')
+        result.head_at = time.monotonic()
+        result.states_leaving = bool(head.header(LEAVING.lower()))
         parts: list[bytes] = []
         while (part := await conn.part()) is not None:
             parts.append(part)
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -33,6 +33,7 @@
 from _platform_fleet import VERSION_S, Plan, PlatformFleet
 from _platform_load import Caller
 from _platform_seeds import REGRESSION_SEEDS
+from _platform_statements import StatingReplicas, check_statements
 from _process import end_on_signal
 from attrs import define, field
 from docopt import docopt
@@ -60,6 +61,7 @@
     rng: random.Random
     version_ends_rng: random.Random
     fatals_rng: random.Random
+    statements_rng: random.Random
     duration_s: float
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
@@ -76,6 +78,9 @@
         fatals_and_limits = FatalsAndLimits(
             self.fleet, self.fatals_rng, self._key, self.log_line
         )
+        stating = StatingReplicas(
+            self.fleet, self.statements_rng, chaos, self.log_line
+        )
         problems = await self._settle('start', START_TIMEOUT_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
@@ -86,6 +91,7 @@
                     self.fleet, self.version_ends_rng, chaos, self.log_line
                 ).run(ends_at),
                 fatals_and_limits.run(ends_at),
+                stating.run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -98,6 +104,12 @@
         check_fatals_and_limits(
             fatals_and_limits, results, self.fleet, chaos, verdict
         )
+        fatal_results = (
+            each
+            for caller in fatals_and_limits.callers
+            for each in caller.results
+        )
+        check_statements(stating, [*results, *fatal_results], verdict)
         problems += chaos.problems
         for problem in problems:
             verdict.add_violation('state', problem)
@@ -183,11 +195,13 @@
         queue_rng = random.Random(f'queues of {seed}')
         fleet = PlatformFleet(plan, Path(name), rng, queue_rng)
         fatals_rng = random.Random(f'needs of {seed}')
+        statements_rng = random.Random(f'statements of {seed}')
         soak = PlatformSoak(
             fleet,
             rng,
             version_ends_rng,
             fatals_rng,
+            statements_rng,
             float(options['--duration']),
         )
         soak.log_line(f'seed {seed}: {plan}')
