Entry: a refusal is charged to the stage of the pipeline that it blames

At-Server of a 421 or 503 names the replica at fault and wasn't read: the first stage, which answers for all, was charged, and a later stage that is down was chosen again with the next request. The stage that is named is now avoided for a while.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -31,7 +31,7 @@
     from collections.abc import AsyncIterator
 
     from crowrudder_core.dispatch import AttemptOutcome, Dispatch
-    from crowrudder_core.forecast import Choice
+    from crowrudder_core.forecast import Choice, UpstreamForecast
     from crowrudder_daemon.fleet.ports import (
         Call,
         CallerProtocol,
@@ -59,6 +59,20 @@
 """Statuses that promise the caller that its request was not executed."""
 
 
+def stage_at_fault(
+    choice: Choice, metadata: ResponseMetadata
+) -> UpstreamForecast:
+    """Return the stage of a pipeline that a refusal blames, else the first.
+
+    The first one answers for all of them. If it were blamed itself, a later
+    stage that is down would be chosen again for the next request.
+    """
+    for stage in choice.forecasts[1:]:
+        if metadata.at_fault in {stage.upstream.id, stage.upstream.address}:
+            return stage
+    return choice.forecast
+
+
 @frozen(kw_only=True)
 class Cancellation:
     """Details of an attempt's cancellation before the end of its version.
@@ -249,7 +263,7 @@
         head, metadata = await self._matching_head(conn)
         self.time_to_head_s = clock_s() - self.sent_at
         if metadata.not_run:
-            return await self._not_run(conn, head)
+            return await self._not_run(conn, head, metadata)
         if self.is_stream and head.status < FIRST_NON_SUCCESS_STATUS:
             if not metadata.is_authentic:
                 raise BrokenAnswerError(
@@ -279,11 +293,19 @@
             'only answers to other requests', step='answer', peer=conn.peer
         )
 
-    async def _not_run(self, conn: HttpConnection, head: WireHead) -> NotRun:
+    async def _not_run(
+        self,
+        conn: HttpConnection,
+        head: WireHead,
+        metadata: ResponseMetadata,
+    ) -> NotRun:
         async with asyncio.timeout(self.timeouts.pause_s):
             await conn.drain()
         self._upstreams.pool.keep(conn, head)
-        self.choice.forecast.on_failure(now=clock_s(), avoid=False)
+        failed = stage_at_fault(self.choice, metadata)
+        failed.on_failure(
+            now=clock_s(), avoid=failed is not self.choice.forecast
+        )
         return NotRun(f'answered {head.status}')
 
     async def _buffer_answer(
