Entry: Retry-After counts only upstreams whose record takes requests

A draining upstream that had stated nothing itself counted as accepting, so that callers of a service whose other upstreams pause were told a constant. The status shows what each upstream has stated.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -231,6 +231,7 @@
         found = [
             self.statements.acceptance(forecast.upstream.id)
             for forecast in forecasts
+            if self._view.takes_requests(forecast.upstream.id, now=now)
         ]
         first = min(found, key=lambda each: each.wait_s, default=Accepting())
         match first:
@@ -301,6 +302,9 @@
                 'own': forecast.own,
                 'others': forecast.others(now),
                 'avoided': forecast.is_avoided(now),
+                'states': self.statements.acceptance(
+                    forecast.upstream.id
+                ).reason,
                 'slowness': round(forecast.slowness, 2),
             }
             for forecast in self._forecasts.values()
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -282,6 +282,31 @@
 
         checked(check)
 
+    def test_retry_after_ignores_an_upstream_whose_record_takes_no_requests(
+        self,
+    ):
+        async def check(world):
+            world.list_replica('p1', 'plain', 'draining')
+            await world.ready()
+            apply_statement(world, 'p0', pause_s=5.0)
+            answer = await world.ask('/read/x')
+            assert answer.status == 503
+            assert answer.retry_after_s >= 4.5
+
+        checked(check)
+
+    def test_status_shows_what_an_upstream_stated(self):
+        async def check(world):
+            apply_statement(world, 'p0', is_leaving=True)
+            states = {
+                each['id']: each['states']
+                for each in world.entries[0].status()['known_upstreams']
+            }
+            assert states['p0'] == 'is leaving'
+            assert states['p1'] == 'accepts requests'
+
+        checked(check)
+
     def test_retry_after_does_not_wait_for_one_upstream_of_several(self):
         """Guards against a pause of one upstream that all callers wait for."""
 
