--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
@@ -135,15 +135,6 @@
                 self._log.on_limit(report, ip)
                 self._peers.send_to_partners(LimitUpdate((report,)))
 
-    def _is_known(self, ip: str) -> bool:
-        is_known = self._peers.roster.knows(ip, now=clock_s())
-        if not is_known:
-            self._runtime.log.debug(
-                'report on upstreams from an unknown host',
-                extra={'step': 'statement', 'peer': ip},
-            )
-        return is_known
-
     def acceptance(self, upstream_id: str) -> Acceptance:
         """Return whether an upstream accepts a request now, or when it will."""
         return self._registry.acceptance(upstream_id, now=clock_s())
@@ -173,3 +164,12 @@
                 self._diverted.add()
                 self._log.on_withheld(LIMIT)
         return found
+
+    def _is_known(self, ip: str) -> bool:
+        is_known = self._peers.roster.knows(ip, now=clock_s())
+        if not is_known:
+            self._runtime.log.debug(
+                'report on upstreams from an unknown host',
+                extra={'step': 'statement', 'peer': ip},
+            )
+        return is_known
