Entry: an upstream whose address has another one gets no requests for a while

What callers saw: refusals "answered 421", one after the other, while a record stands that hasn't lapsed yet. What upstreams saw: up to 86 requests of one entry for the previous user of the address in a pause that they had asked for.

Same class: the other upstream's statement that it has the address was read as a refusal of one request and forgotten. The registry keeps it for two seconds, by when the record has lapsed, since a record may also be late.

--- a/packages/core/src/crowrudder_core/statements/__init__.py
+++ b/packages/core/src/crowrudder_core/statements/__init__.py
@@ -1,6 +1,7 @@
 """What upstreams state about themselves, and whether they accept a request."""
 
 from crowrudder_core.statements._acceptance import (
+    Absent,
     Acceptance,
     Accepting,
     Leaving,
@@ -28,6 +29,7 @@
     'MAX_RESUME_SPREAD_S',
     'MAX_UNLISTED',
     'RETURN_S',
+    'Absent',
     'Acceptance',
     'Accepting',
     'IncarnationKey',
--- a/packages/core/src/crowrudder_core/statements/_acceptance.py
+++ b/packages/core/src/crowrudder_core/statements/_acceptance.py
@@ -27,6 +27,14 @@
     reason: str = 'is leaving'
 
 
+@frozen
+class Absent:
+    """Another upstream answered at its address."""
+
+    wait_s: float
+    reason: str = 'has another upstream at its address'
+
+
 @frozen
 class Pausing:
     """It asked this entry for a pause, which lasts or ends by degrees."""
@@ -43,4 +51,4 @@
     reason: str = 'allows no more requests now by its limit'
 
 
-Acceptance = Accepting | Leaving | Pausing | Limited
+Acceptance = Accepting | Leaving | Absent | Pausing | Limited
--- a/packages/core/src/crowrudder_core/statements/_registry.py
+++ b/packages/core/src/crowrudder_core/statements/_registry.py
@@ -10,6 +10,7 @@
 
 from crowrudder_core.limits import StatedLimits
 from crowrudder_core.statements._acceptance import (
+    Absent,
     Acceptance,
     Accepting,
     Leaving,
@@ -31,6 +32,10 @@
 """Incarnations whose statements are kept although they have no record. Records
 lapse during an outage of the platform and are written again after it."""
 
+ABSENT_S = 2.0
+"""How long an upstream gets no requests after another one answered at its address.
+By then its record has lapsed, also after an outage of the platform."""
+
 RESUME_SPREAD = 0.25
 """Greatest random part by which an entry prolongs a pause. Entries that were
 asked for one at the same time would otherwise resume at the same time."""
@@ -85,6 +90,7 @@
     leaving_until: float = -math.inf
     """Until when a load report holds that states that it leaves."""
 
+    absent_until: float = -math.inf
     pause: Pause | None = None
 
     def pause_left_s(self, now: float) -> float:
@@ -171,6 +177,16 @@
             changes.append(LimitStated(limit))
         return changes
 
+    def on_misdirected(self, key: IncarnationKey, *, now: float) -> None:
+        """Record that another upstream answered at an upstream's address.
+
+        The upstream has ended, unless the record of the one that answered is
+        late, so that it is tried again after a while.
+        """
+        present = self._present(key.upstream_id)
+        if present.number == key.number:
+            present.absent_until = now + ABSENT_S
+
     def on_leaving_report(self, report: LeavingReport) -> bool:
         """Apply another entry's report; return whether it is new."""
         present = self._present(report.upstream_id)
@@ -229,6 +245,8 @@
             return Accepting()
         if present.is_leaving or now < present.leaving_until:
             return Leaving()
+        if now < present.absent_until:
+            return Absent(present.absent_until - now)
         wait_s = present.pause_left_s(now)
         return Pausing(wait_s) if wait_s > 0 else Accepting()
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
@@ -16,6 +16,9 @@
 LEAVING = 'leaving'
 PAUSE = 'pause'
 LIMIT = 'limit'
+ABSENT = 'absent'
+"""Label of answers in which another upstream gives its own id."""
+
 INVALID = 'invalid'
 """Label of statements that can't be read."""
 
@@ -74,6 +77,11 @@
         if statements.invalid:
             self._invalid[source.upstream_id] = statements.invalid
 
+    def on_misdirected(self, source: AnswerSource) -> None:
+        """Count and log an answer of another upstream at the address."""
+        self._statements.add(kind=ABSENT)
+        self._log(source, kind=ABSENT)
+
     def on_unattributed(self, source: AnswerSource) -> None:
         """Log an answer whose giver isn't known."""
         self._statements.add(kind=UNATTRIBUTED)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_reader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_reader.py
@@ -57,6 +57,7 @@
         if is_own:
             self._has_own_head = True
             self.stated = metadata.statements
+        self._check_misdirected(head, metadata)
         key = self._giver(head, metadata, is_own=is_own)
         states_nothing = metadata.statements == NO_STATEMENTS
         # An answer to this request that states no limit ends an earlier one.
@@ -83,19 +84,38 @@
             self._request_id,
         }
 
+    def _check_misdirected(
+        self, head: WireHead, metadata: ResponseMetadata
+    ) -> None:
+        """Record a refusal by another upstream at the address."""
+        key = self._incarnation
+        if key is None or head.status != HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        if metadata.answered_by not in {'', key.upstream_id}:
+            source = self._source(head, metadata, key)
+            self._statements.on_misdirected(key, source)
+
     def _record(
         self,
         head: WireHead,
         metadata: ResponseMetadata,
         key: IncarnationKey | None,
     ) -> None:
-        source = AnswerSource(
+        source = self._source(head, metadata, key)
+        self._statements.on_answer(key, source, metadata.statements)
+
+    def _source(
+        self,
+        head: WireHead,
+        metadata: ResponseMetadata,
+        key: IncarnationKey | None,
+    ) -> AnswerSource:
+        return AnswerSource(
             upstream_id=key.upstream_id if key else '',
             request_id=metadata.request_id or self._request_id,
             status=head.status,
             age_s=clock_s() - self._sent_at,
         )
-        self._statements.on_answer(key, source, metadata.statements)
 
     def _giver(
         self, head: WireHead, metadata: ResponseMetadata, *, is_own: bool
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statements.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from crowrudder_core.statements import (
+    Absent,
     Accepting,
     Leaving,
     LeavingStated,
@@ -18,6 +19,7 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._limit_shares import LimitShares
 from crowrudder_daemon.fleet_entry._statement_log import (
+    ABSENT,
     LEAVING,
     LIMIT,
     PAUSE,
@@ -109,6 +111,11 @@
                     self._log.on_limit(report, self._peers.roster.own.ip)
                     self._peers.send_to_partners(LimitUpdate((report,)))
 
+    def on_misdirected(self, key: IncarnationKey, source: AnswerSource) -> None:
+        """Record that another upstream answered at an upstream's address."""
+        self._log.on_misdirected(source)
+        self._registry.on_misdirected(key, now=clock_s())
+
     def on_leaving(self, ip: str, update: LeavingUpdate) -> None:
         """Apply another entry's reports on leaving and forward the new ones."""
         if not self._is_known(ip):
@@ -158,6 +165,8 @@
         match found:
             case Leaving():
                 self._log.on_withheld(LEAVING)
+            case Absent():
+                self._log.on_withheld(ABSENT)
             case Pausing():
                 self._log.on_withheld(PAUSE)
             case Limited():
--- a/scripts/_platform_seeds.py
+++ b/scripts/_platform_seeds.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 REGRESSION_SEEDS = {
+    204: (
+        'an upstream whose record had not lapsed yet got a request after the '
+        'other, although another one answered at its address'
+    ),
     3: (
         'the origin sent the same wrong digest to all hosts for a second; '
         'the manifest was trusted permanently'
--- a/tests/fleet/test_statement_reader.py
+++ b/tests/fleet/test_statement_reader.py
@@ -18,12 +18,11 @@
 
 
 def head(status=200, request_id='', **headers):
-    fields = {'server-leaving': '1', 'x-attempt-id': request_id, **headers}
-    named = [(name.replace('_', '-'), text) for name, text in fields.items()]
-    return WireHead(
-        status=status,
-        headers=tuple((name, text) for name, text in named if text),
+    fields = {'server_leaving': '1', 'x_attempt_id': request_id, **headers}
+    named = tuple(
+        (name.replace('_', '-'), text) for name, text in fields.items() if text
     )
+    return WireHead(status=status, headers=named)
 
 
 @define
@@ -38,6 +37,9 @@
     def key_of(self, upstream_id):
         return self.registry.key_of(upstream_id)
 
+    def on_misdirected(self, key, _source):
+        self.registry.on_misdirected(key, now=0)
+
     def on_answer(self, key, _source, statements):
         if key is None:
             self.unattributed += 1
@@ -99,6 +101,12 @@
         sent(statements, Connection(), NEW).read(misdirected)
         assert statements.leaving() == {OLD}
 
+    def test_an_upstream_that_answers_for_itself_is_not_absent(self):
+        statements = Statements()
+        other_version = head(421, 'a', x_replica_id=NEW, server_leaving='')
+        sent(statements, Connection(), NEW).read(other_version)
+        assert statements.registry.acceptance(NEW, now=0) == Accepting()
+
     def test_a_misdirected_answer_without_a_name_is_of_nobody(self):
         statements = Statements()
         sent(statements, Connection(), NEW).read(head(421, 'a'))
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -9,7 +9,11 @@
 
 import pytest
 
-from crowrudder_core.statements import MAX_RESUME_SPREAD_S, RETURN_S
+from crowrudder_core.statements import (
+    MAX_RESUME_SPREAD_S,
+    RETURN_S,
+    _registry,
+)
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._statement_log import AnswerSource
 from crowrudder_model.fleet import UpstreamStatements
@@ -452,3 +456,43 @@
             await world.until(lambda: statements.accepts('a1'))
 
         checked(check, entries=1, engines=0)
+
+
+class TestAddressOfAnotherUpstream:
+    """Guards against requests for an upstream whose address has another one."""
+
+    def test_gets_one_request_while_the_old_record_stands(self):
+        async def check(world):
+            address = world.addresses['p0']
+            world.server_at(address).stop()
+            world.begin_life(
+                'p9',
+                address,
+                world.replicas['p0'],
+                'plain',
+                is_listed=False,
+            )
+            answers = await ask_for(world, 1.0)
+            assert {answer.status for answer in answers} == {503}
+            assert len(world.replicas['p9'].arrivals) == 1
+
+        checked(check, plain=1)
+
+    def test_upstream_is_tried_again_after_a_while(self, monkeypatch):
+        """Guards against an upstream that is left alone for good by mistake."""
+        monkeypatch.setattr(_registry, 'ABSENT_S', 0.2)
+
+        async def check(world):
+            replica = world.replicas['p0']
+            replica.id = 'p9'
+            answer = await world.ask('/read/x')
+            assert answer.status == 503
+            replica.id = 'p0'
+            answer = await world.ask('/read/x')
+            assert answer.status == 503
+            await asyncio.sleep(0.25)
+            answer = await world.ask('/read/x')
+            assert answer.status == 200
+            assert len(replica.arrivals) == 2
+
+        checked(check, plain=1)
--- a/tests/statements/test_registry.py
+++ b/tests/statements/test_registry.py
@@ -9,6 +9,7 @@
 from crowrudder_core.statements import (
     MAX_PAUSE_S,
     MAX_UNLISTED,
+    Absent,
     Accepting,
     Leaving,
     LeavingStated,
@@ -215,6 +216,23 @@
         assert isinstance(found, Pausing)
 
 
+class TestAbsent:
+    """Guards against requests to an address that another upstream has."""
+
+    def test_misdirected_request_keeps_others_away_for_a_while(self):
+        made = registry()
+        made.on_misdirected(made.key_of('u'), now=NOW)
+        assert made.take('u', now=NOW + 1) == Absent(1)
+        assert made.acceptance('u', now=NOW + 2) == Accepting()
+
+    def test_late_answer_does_not_mark_the_next_incarnation(self):
+        made = registry()
+        key = made.key_of('u')
+        made.on_restarted('u', 2000)
+        made.on_misdirected(key, now=NOW)
+        assert made.acceptance('u', now=NOW) == Accepting()
+
+
 class TestReturnAfterAPause:
     """Guards against an upstream that is overloaded at the end of its pause."""
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -169,7 +169,7 @@
         """Return the server of a stand-in."""
         return self._servers[address]
 
-    def begin_life(self, name, address, before, service):
+    def begin_life(self, name, address, before, service, *, is_listed=True):
         """Start a new incarnation at the address of an ended replica."""
         ip, _, port = address.rpartition(':')
         replica = FleetReplica(
@@ -183,7 +183,8 @@
         self.replicas[name] = replica
         self.addresses[name] = address
         self._servers[address] = application(replica).listen(int(port), ip)
-        self.list_replica(name, service)
+        if is_listed:
+            self.list_replica(name, service)
 
     def publish(self, **more):
         more.setdefault('origin', self.origin_address)
