Statements: a 421 marks the address only in the answer to the own request

A late 421 to an earlier request, or one that blames a later stage of a pipeline, says nothing about who has the address of the upstream that was asked.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_log.py
@@ -26,6 +26,9 @@
 """Label of answers with statements that aren't known to be of the upstream to
 which the request was sent."""
 
+MAX_INVALID = 1024
+"""Most upstreams whose invalid headers are remembered as logged."""
+
 _MS = 1000
 
 
@@ -74,6 +77,8 @@
             self._statements.add(kind=INVALID)
             if self._invalid.get(source.upstream_id) != statements.invalid:
                 self._log(source, kind=INVALID, header=name, text=text)
+        if len(self._invalid) >= MAX_INVALID:
+            self._invalid.clear()
         if statements.invalid:
             self._invalid[source.upstream_id] = statements.invalid
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_reader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_statement_reader.py
@@ -57,7 +57,7 @@
         if is_own:
             self._has_own_head = True
             self.stated = metadata.statements
-        self._check_misdirected(head, metadata)
+            self._check_misdirected(head, metadata)
         key = self._giver(head, metadata, is_own=is_own)
         states_nothing = metadata.statements == NO_STATEMENTS
         # An answer to this request that states no limit ends an earlier one.
@@ -88,10 +88,18 @@
         self, head: WireHead, metadata: ResponseMetadata
     ) -> None:
         """Record a refusal by another upstream at the address."""
-        key = self._incarnation
-        if key is None or head.status != HTTPStatus.MISDIRECTED_REQUEST:
+        key, upstream = self._incarnation, self._upstream
+        if key is None or upstream is None:
             return
-        if metadata.answered_by not in {'', key.upstream_id}:
+        # A later stage of a pipeline may be the one that refuses.
+        blames_stage = bool(metadata.at_fault) and not _is_named(
+            upstream, metadata.at_fault
+        )
+        if (
+            head.status == HTTPStatus.MISDIRECTED_REQUEST
+            and metadata.answered_by not in {'', upstream.id}
+            and not blames_stage
+        ):
             source = self._source(head, metadata, key)
             self._statements.on_misdirected(key, source)
 
@@ -129,10 +137,14 @@
         if not is_own:
             return self._earlier or self._incarnation
         is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
-        names_itself = metadata.answered_by or metadata.at_fault in {
-            upstream.id,
-            upstream.address,
-        }
+        names_itself = metadata.answered_by == upstream.id or _is_named(
+            upstream, metadata.at_fault
+        )
         if is_misdirected and not names_itself:
             return None
         return self._incarnation
+
+
+def _is_named(upstream: Upstream, text: str) -> bool:
+    """Return whether a text is the id or the address of an upstream."""
+    return text in {upstream.id, upstream.address}
--- a/tests/fleet/test_statement_reader.py
+++ b/tests/fleet/test_statement_reader.py
@@ -6,10 +6,16 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from attrs import define, field
 from crowrudder_platform import PlatformCallers
 
-from crowrudder_core.statements import Accepting, Leaving, StatementRegistry
+from crowrudder_core.statements import (
+    Absent,
+    Accepting,
+    Leaving,
+    StatementRegistry,
+)
 from crowrudder_daemon.fleet_entry._statement_reader import StatementReader
 from crowrudder_daemon.http import WireHead
 
@@ -101,6 +107,26 @@
         sent(statements, Connection(), NEW).read(misdirected)
         assert statements.leaving() == {OLD}
 
+    @pytest.mark.parametrize(
+        ('request_id', 'at_fault', 'is_absent'),
+        [
+            ('a', '', True),
+            ('a', ADDRESS, True),
+            ('a', '10.0.0.9:80', False),
+            ('earlier', '', False),
+        ],
+    )
+    def test_own_address_has_another_upstream(
+        self, request_id, at_fault, is_absent
+    ):
+        statements = Statements()
+        misdirected = head(
+            421, request_id, x_replica_id=OLD, at_server=at_fault
+        )
+        sent(statements, Connection(), NEW).read(misdirected)
+        found = statements.registry.acceptance(NEW, now=0)
+        assert isinstance(found, Absent) == is_absent
+
     def test_an_upstream_that_answers_for_itself_is_not_absent(self):
         statements = Statements()
         other_version = head(421, 'a', x_replica_id=NEW, server_leaving='')
