--- a/scripts/_platform_statements.py
+++ b/scripts/_platform_statements.py
@@ -129,8 +129,10 @@
     verdict: Verdict,
 ) -> None:
     told_at = _told_at(leave, results)
+    # Requests for another replica, which get 421, don't count for one that leaves.
+    arrivals = set(leave.replica.arrivals) - leave.replica.stated.misdirected
     verdict.ends['entries told of leaving'] += len(told_at)
-    for at, request_id in leave.replica.arrivals:
+    for at, request_id in sorted(arrivals):
         entry = entries.get(request_id, '')
         since = told_at.get(entry)
         if since is None or at <= since + NOTICE_S:
--- a/tests/scripts/test_platform_statements.py
+++ b/tests/scripts/test_platform_statements.py
@@ -75,6 +75,13 @@
         soak.send(TOLD_AT + 0.4)
         assert not soak.violations()
 
+    def test_a_request_for_another_replica_does_not_count(self):
+        soak = Soak()
+        soak.leave()
+        request_id = soak.send(TOLD_AT + 2)
+        soak.replica.stated.misdirected.add((TOLD_AT + 2, request_id))
+        assert not soak.violations()
+
     def test_another_entry_is_bound_by_its_own_answer_alone(self):
         soak = Soak()
         soak.leave()
@@ -116,6 +123,15 @@
             soak.send(TOLD_AT + delay_s)
         assert not soak.violations()
 
+    def test_requests_for_another_replica_count_in_a_pause(self):
+        soak = Soak()
+        soak.pause()
+        for delay_s in (0.6, 1.5, 2.9):
+            request_id = soak.send(TOLD_AT + delay_s)
+            arrival = (TOLD_AT + delay_s, request_id)
+            soak.replica.stated.misdirected.add(arrival)
+        assert soak.violations() == {'sent in a pause'}
+
     def test_sends_of_other_entries_are_allowed(self):
         soak = Soak()
         soak.pause()
