--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -308,3 +308,63 @@
             assert HttpConnection('nobody').unsent_bytes == -1
 
         run(check())
+
+
+class TestUnusedConnections:
+    """Guards against connections that are opened for a send that is given up."""
+
+    def test_connection_that_was_put_back_is_reused(self):
+        async def check():
+            async with serving([ANSWER]) as server:
+                pool = ConnectionPool()
+                pool.put_back(await pool.acquire(server.address, timeout_s=1))
+                _, answer = await answer_of(pool, server.address)
+                assert answer.body == b'ok'
+                assert server.connections == 1
+
+        run(check())
+
+    def test_closed_connection_is_not_put_back(self):
+        async def check():
+            async with serving([ANSWER]) as server:
+                pool = ConnectionPool()
+                closed = await pool.acquire(server.address, timeout_s=1)
+                closed.close()
+                pool.put_back(closed)
+                conn = await pool.acquire(server.address, timeout_s=1)
+                assert conn is not closed
+                pool.close()
+                conn.close()
+
+        run(check())
+
+
+class TestReceivedHead:
+    """Guards against a wait, or an error, for a head that has not arrived."""
+
+    def test_head_that_has_arrived_is_returned_without_waiting(self):
+        async def check():
+            async with serving([ANSWER]) as server:
+                conn = await ConnectionPool().acquire(
+                    server.address, timeout_s=1
+                )
+                conn.send(GET)
+                assert conn.received_head() is None
+                while (head := conn.received_head()) is None:
+                    await asyncio.sleep(0.005)
+                assert head.status == 200
+                conn.close()
+
+        run(check())
+
+    def test_invalid_head_is_none(self):
+        async def check():
+            async with serving([b'no answer\r\n\r\n'], close=True) as server:
+                conn = await ConnectionPool().acquire(
+                    server.address, timeout_s=1
+                )
+                conn.send(GET)
+                await conn.closed()
+                assert conn.received_head() is None
+
+        run(check())
