--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 import math
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
-from attrs import define
+from attrs import define, field
 
 from crowrudder_core.dispatch import Dispatch, EventStream
 from crowrudder_core.forecast import _upstream_forecast
+from crowrudder_core.statements import IncarnationKey
 from crowrudder_daemon.fleet.ports import ResponseMetadata
 from crowrudder_daemon.fleet_entry import _attempt
 from crowrudder_daemon.fleet_entry._attempt import Attempt
@@ -204,6 +207,39 @@
         assert 'late_s' not in line
 
 
+@define
+class EarlyHead(Connection):
+    """A connection whose head arrives as nobody waits for it any more."""
+
+    def received_head(self):
+        return HEAD
+
+    async def head(self):
+        raise self.failure
+
+    failure: BaseException = field(factory=TimeoutError)
+
+
+class TestUnreadHead:
+    """Guards against a statement in a head that arrives as its wait ends."""
+
+    @pytest.mark.parametrize('failure', [TimeoutError, asyncio.CancelledError])
+    def test_head_is_read_before_the_connection_is_closed(self, clock, failure):
+        conn = EarlyHead(clock, failure=failure())
+        attempt = create_attempt(
+            conn, AttemptTimeouts(first_s=9, pause_s=9, begin_by=math.inf)
+        )
+        recorded: list[Any] = []
+        attempt._reader._statements = SimpleNamespace(
+            key_of=lambda name: IncarnationKey(name, 1),
+            on_answer=lambda key, *_: recorded.append(key),
+        )
+        with contextlib.suppress(asyncio.CancelledError):
+            run(attempt.run())
+        assert recorded == [IncarnationKey('e0', 1)]
+        assert conn.is_closed
+
+
 class TestLogLine:
     def test_logs_json_compatible_fields_of_a_cancelled_attempt(
         self, caplog, monkeypatch
