Logs: unacknowledged requests, waits for connections, held chunks by layer, narrow links

- An attempt in the line of its request has connect_s, unacked_s (time from the send to the last check that found bytes unacknowledged) and unacked_bytes.
- The lines of an agent at a version's end have the held chunks by layer.
- An agent logs when its inbound link becomes narrow, or is tried as wide again.

No logic is changed.

--- a/packages/core/src/crowrudder_core/transfer/__init__.py
+++ b/packages/core/src/crowrudder_core/transfer/__init__.py
@@ -5,6 +5,7 @@
 from crowrudder_core.transfer._layer_ranges import (
     assign_layer_ranges,
     chunks_of_layers,
+    held_chunks_by_layer,
     layer_range_count,
     layers_of_range,
     longest_held_layers,
@@ -70,6 +71,7 @@
     'chunks_of_layers',
     'decode_manifest',
     'full',
+    'held_chunks_by_layer',
     'indices',
     'longest_held_layers',
     'layers_of_range',
--- a/packages/core/src/crowrudder_core/transfer/_inbound_link.py
+++ b/packages/core/src/crowrudder_core/transfer/_inbound_link.py
@@ -49,6 +49,11 @@
         elif self._concurrent_since is None:
             self._concurrent_since = now
 
+    def rate(self, now: float) -> float:
+        """Return the bytes per second received of late."""
+        self._discard_old(now)
+        return sum(size for _, size in self._received) / WINDOW_S
+
     def is_narrow(self, now: float) -> bool:
         """Return whether the link carries only one read at a time."""
         if now < self._narrow_until:
@@ -58,12 +63,7 @@
             or now - self._concurrent_since < WINDOW_S
         ):
             return False
-        self._discard_old(now)
-        received_bytes = sum(size for _, size in self._received)
-        if (
-            received_bytes
-            >= self.narrow_share * self.link_bytes_per_s * WINDOW_S
-        ):
+        if self.rate(now) >= self.narrow_share * self.link_bytes_per_s:
             return False
         self._narrow_until = now + NARROW_HOLD_S
         self._concurrent_since = None
--- a/packages/core/src/crowrudder_core/transfer/_layer_ranges.py
+++ b/packages/core/src/crowrudder_core/transfer/_layer_ranges.py
@@ -79,6 +79,23 @@
     return (1 << end) - (1 << first)
 
 
+def held_chunks_by_layer(held: int, *, layers: int, chunks: int) -> list[int]:
+    """Return how many chunks of each layer are among the held ones (bits).
+
+    >>> held_chunks_by_layer(0b0101, layers=2, chunks=4)
+    [1, 1]
+    """
+    return [
+        (
+            held
+            & chunks_of_layers(
+                LayerRange(layer, layer + 1), layers=layers, chunks=chunks
+            )
+        ).bit_count()
+        for layer in range(layers)
+    ]
+
+
 def longest_held_layers(held: int, *, layers: int, chunks: int) -> LayerRange:
     """Return the longest run of layers whose chunks (bits) are all held.
 
--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -64,6 +64,7 @@
             transfer.manifest.version,
             transfer.manifest_digest,
         )
+        self._is_narrow = False
         self._jobs: set[asyncio.Task[None]] = set()
         self._reads: dict[Read, asyncio.Task[None]] = {}
         self._wakeup = asyncio.Event()
@@ -88,6 +89,20 @@
             self._spawn(self._query_inventory(host))
         for read in self._transfer.next_reads(now=now):
             self._reads[read] = self._spawn(self._read(read))
+        self._check_link(now)
+
+    def _check_link(self, now: float) -> None:
+        """Log when the inbound link becomes narrow or wide again."""
+        link = self._transfer.inbound_link
+        is_narrow = link.is_narrow(now)
+        if is_narrow != self._is_narrow:
+            self._is_narrow = is_narrow
+            self._watch.link_changed(
+                self._transfer.manifest.version,
+                is_narrow=is_narrow,
+                bytes_per_s=link.rate(now),
+                reads=len(self._transfer.in_flight),
+            )
 
     async def _wait(self) -> None:
         """Wait for the end of a call or the next tick.
--- a/packages/daemon/src/crowrudder_daemon/chunks/_metrics.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_metrics.py
@@ -91,6 +91,20 @@
             'chunk read stalled', extra=_log_fields(version, read)
         )
 
+    def link_changed(
+        self, version: str, *, is_narrow: bool, bytes_per_s: float, reads: int
+    ) -> None:
+        """Log that the inbound link became narrow, or is tried as a wide one."""
+        self._log.info(
+            'inbound link narrow' if is_narrow else 'inbound link not narrow',
+            extra={
+                'step': 'chunk',
+                'version': version,
+                'bytes_per_s': round(bytes_per_s),
+                'reads': reads,
+            },
+        )
+
     def corrupted(self, version: str, read: Read) -> None:
         """Count and log a chunk with a wrong digest."""
         self._lost.add(source=_source_kind(read), reason='corrupted')
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -8,7 +8,12 @@
 
 from attrs import frozen
 
-from crowrudder_core.transfer import chunks_of_layers, full, longest_held_layers
+from crowrudder_core.transfer import (
+    chunks_of_layers,
+    full,
+    held_chunks_by_layer,
+    longest_held_layers,
+)
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._ticks import until_tick_s
 from crowrudder_daemon.fleet_agent._digests import version_name
@@ -124,7 +129,7 @@
     async def _close(self, figures: EngineFigures) -> None:
         closing = self._choose_closing_load(figures)
         if closing is None:
-            self._warn_no_replacement()
+            self._warn_no_replacement(figures)
             return
         reading = self._watch.reading
         self._runtime.log.info(
@@ -136,6 +141,7 @@
                 'layers': [closing.layers.first, closing.layers.end],
                 'running': reading.running if reading else 0,
                 'queued': reading.queued if reading else 0,
+                'held': self._held_chunks(figures),
             },
         )
         try:
@@ -214,7 +220,26 @@
             held, **counts
         )
 
-    def _warn_no_replacement(self) -> None:
+    def _held_chunks(self, figures: EngineFigures) -> dict[str, list[int]]:
+        """Return the number of held chunks of each layer of newer versions."""
+        names = (
+            version_name(figures.model, release.version)
+            for release in self._view.releases.after(
+                figures.model, self._watch.whole
+            )
+        )
+        transfers = self._library.versions.transfers
+        return {
+            name: held_chunks_by_layer(
+                transfers[name].servable_chunks,
+                layers=figures.layers,
+                chunks=transfers[name].count,
+            )
+            for name in names
+            if name in transfers
+        }
+
+    def _warn_no_replacement(self, figures: EngineFigures) -> None:
         """Log once per version that it ended and nothing can replace it."""
         loaded_version = self._watch.whole
         if self._warned_version == loaded_version:
@@ -222,5 +247,9 @@
         self._warned_version = loaded_version
         self._runtime.log.warning(
             'nothing at hand of a newer version',
-            extra={'step': 'end', 'weights': loaded_version},
+            extra={
+                'step': 'end',
+                'weights': loaded_version,
+                'held': self._held_chunks(figures),
+            },
         )
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -38,6 +38,7 @@
         ResponseMetadata,
     )
     from crowrudder_daemon.fleet_entry._caller_side import CallerSide
+    from crowrudder_daemon.fleet_entry._delivery import Delivery
     from crowrudder_daemon.fleet_entry._timeouts import AttemptTimeouts
     from crowrudder_daemon.fleet_entry._upstreams import Upstreams
     from crowrudder_daemon.http import HttpConnection, WireHead
@@ -94,7 +95,8 @@
     a partial one.
 
     ``begin_left_s`` is the time from the send to ``begin_by``, None if there
-    is no such deadline.
+    is no such deadline. ``connect_s`` is the wait for a connection, -1 before
+    its end.
     """
 
     call: Call
@@ -116,6 +118,8 @@
     load_report_age_s: float = field(default=-1, init=False)
     begin_left_s: float | None = field(default=None, init=False)
     time_to_head_s: float = field(default=-1, init=False)
+    connect_s: float = field(default=-1, init=False)
+    delivery: Delivery | None = field(default=None, init=False)
     cancellation: Cancellation | None = field(default=None, init=False)
     is_cut_off: bool = field(default=False, init=False)
     """Whether the upstream closed the connection before its answer ended."""
@@ -141,14 +145,17 @@
     async def run(self) -> AttemptOutcome:
         """Run the attempt and return how it ended."""
         upstream = self.choice.forecast.upstream
+        began_at = clock_s()
         try:
             conn = await self._upstreams.pool.acquire(
                 upstream.address, timeout_s=CONNECT_S
             )
         except NotConnectedError as exc:
+            self.connect_s = clock_s() - began_at
             self.is_refused = exc.is_refused
             self.choice.forecast.on_failure(now=clock_s(), avoid=True)
             return NotSent(str(exc))
+        self.connect_s = clock_s() - began_at
         try:
             return await self._run_on(conn)
         except BaseException:
@@ -185,6 +192,7 @@
         self.dispatch.on_sent(upstream.id, now=now)
         self._reader.on_sent(conn, upstream)
         self.sent_at = now
+        self.delivery = self._upstreams.deliveries.start(conn, sent_at=now)
         begin_left_s = self.begin_by - now
         if math.isfinite(begin_left_s):
             self.begin_left_s = begin_left_s
@@ -196,7 +204,7 @@
                 self._ticket, InFlightRequest(self.call.prompt_tokens, now)
             )
         try:
-            return await self._read(conn)
+            return await self._read_delivered(conn)
         except (BrokenAnswerError, TimeoutError) as exc:
             self._reader.read_received(conn)
             unsent_bytes = conn.unsent_bytes
@@ -259,6 +267,14 @@
             path=self.choice.path.parts if self.choice.path else (),
         )
 
+    async def _read_delivered(self, conn: HttpConnection) -> AttemptOutcome:
+        """Read the answer, and stop watching the delivery of the request."""
+        try:
+            return await self._read(conn)
+        finally:
+            if self.delivery is not None:
+                self._upstreams.deliveries.finish(self.delivery)
+
     async def _read(self, conn: HttpConnection) -> AttemptOutcome:
         head, metadata = await self._matching_head(conn)
         self.time_to_head_s = clock_s() - self.sent_at
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -11,6 +11,9 @@
 IN_PROGRESS = 'under way'
 """The logged ending of an attempt that was running when its request ended."""
 
+MIN_LOGGED_S = 0.05
+"""Waits for a connection that are shorter than this aren't logged."""
+
 
 def log_fields(
     attempt: Attempt, ending: AttemptOutcome | None
@@ -33,6 +36,12 @@
         'ending': type(ending).__name__ if ending else IN_PROGRESS,
         'why': getattr(ending, 'reason', ''),
     }
+    if attempt.connect_s >= MIN_LOGGED_S:
+        line['connect_s'] = round(attempt.connect_s, 3)
+    delivery = attempt.delivery
+    if delivery is not None and delivery.unacknowledged_s:
+        line['unacked_s'] = round(delivery.unacknowledged_s, 3)
+        line['unacked_bytes'] = delivery.unacknowledged_bytes
     statements = attempt.statements
     if statements.limit_per_s is not None:
         line['limit_per_s'] = statements.limit_per_s
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
@@ -0,0 +1,87 @@
+"""Observe how long sent requests remain unacknowledged by the peer's host."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from attrs import define
+
+from crowrudder_daemon._clock import clock_s
+
+POLL_INTERVAL_S = 0.05
+"""Interval of checks while a request is unacknowledged. A check costs one system
+call for each of them, and most are acknowledged before the first one."""
+
+
+class SendQueue(Protocol):
+    """A connection whose unacknowledged bytes can be counted."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of unacknowledged bytes; -1 if unknown."""
+
+
+@define(kw_only=True, eq=False)
+class Delivery:
+    """A sent request, until the peer's host has acknowledged its bytes.
+
+    Attributes
+    ----------
+    unacknowledged_s
+        Time from the send to the last check that found bytes unacknowledged;
+        0 if none did.
+    unacknowledged_bytes
+        Bytes found by the last check; 0 once all are acknowledged.
+    """
+
+    sent_at: float
+    unacknowledged_s: float = 0
+    unacknowledged_bytes: int = 0
+    _queue: SendQueue
+
+    def check(self, now: float) -> bool:
+        """Record what is unacknowledged; return whether to check again."""
+        size = self._queue.unsent_bytes
+        if size < 0:
+            return False
+        self.unacknowledged_bytes = size
+        if size:
+            self.unacknowledged_s = now - self.sent_at
+        return bool(size)
+
+
+class DeliveryWatch:
+    """Checks the requests that are in transit to upstreams."""
+
+    def __init__(self) -> None:
+        self._in_transit: set[Delivery] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self, queue: SendQueue, *, sent_at: float) -> Delivery:
+        """Watch a request that was just sent."""
+        delivery = Delivery(queue=queue, sent_at=sent_at)
+        self._in_transit.add(delivery)
+        if self._timer is None:
+            self._schedule()
+        return delivery
+
+    def finish(self, delivery: Delivery) -> None:
+        """Check a request a last time, before its connection is closed."""
+        if delivery in self._in_transit:
+            self._in_transit.discard(delivery)
+            delivery.check(clock_s())
+
+    def _schedule(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            POLL_INTERVAL_S, self._poll
+        )
+
+    def _poll(self) -> None:
+        now = clock_s()
+        self._in_transit = {
+            delivery for delivery in self._in_transit if delivery.check(now)
+        }
+        self._timer = None
+        if self._in_transit:
+            self._schedule()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -29,6 +29,7 @@
     Pausing,
 )
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._delivery import DeliveryWatch
 from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
 from crowrudder_daemon.fleet_entry._version_end import (
@@ -125,6 +126,7 @@
             'Connections to upstreams that were opened.',
         )
         self.pool = ConnectionPool(on_open=self._opened.add)
+        self.deliveries = DeliveryWatch()
         self.probe = UpstreamProbe(runtime, self.pool, quarantine)
 
     def add_pending(self, attempt: PendingAttempt) -> int:
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -125,6 +125,9 @@
             add_pending=lambda _: 1,
             remove_pending=lambda _: None,
             take_send=lambda _: '',
+            deliveries=SimpleNamespace(
+                start=lambda *_, **_more: None, finish=lambda _: None
+            ),
             statements=SimpleNamespace(
                 key_of=lambda _: None, on_answer=lambda *_: None
             ),
