Agent: an engine's version ends also where nothing newer is held

What callers saw: requests that began on a version up to 0.9 s after its end.

Cause: an agent ended its engine's version by loading held layers of a newer one. On a narrow link no layer was whole as the version ended, so that only the entries' cancellations were left, which stand behind the requests in the queue of the same link.

Change: the agent orders the engine to give up all but one layer of the expired version. What is left is offered to no entry, so that the next load doesn't wait for pipelines to be left.

The tests in fleet/test_ends_at_engines.py::TestNothingHeld failed before: the late request ran, and the engine stayed open.

--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -18,7 +18,11 @@
 from crowrudder_daemon._ticks import until_tick_s
 from crowrudder_daemon.fleet_agent._digests import version_name
 from crowrudder_daemon.fleet_agent._goal import MIN_USE_S, figures_of
-from crowrudder_daemon.fleet_agent._loader import CLOSE_LEAD_S, Load
+from crowrudder_daemon.fleet_agent._loader import (
+    CLOSE_LEAD_S,
+    WITHDRAWN_LAYERS,
+    Load,
+)
 from crowrudder_model import CrowrudderError
 from crowrudder_model.fleet import LayerRange
 
@@ -60,7 +64,10 @@
     has accepted a load order it starts no further requests, queued ones
     included, and answers the queued ones as not executed. The order comes
     from the same host, so no network link is involved, and any layers of a
-    newer version suffice. Running requests may finish.
+    newer version suffice. If none is held, the engine is ordered to give up
+    layers of the expired version: on a narrow link no layer may arrive in
+    time, and that link also delays the cancellations. Running requests may
+    finish.
     """
 
     def __init__(
@@ -79,7 +86,6 @@
         self._watch = watch
         self._library = library
         self._loader = loader
-        self._warned_version = 0
         self._changed = asyncio.Event()
 
     def on_change(self) -> None:
@@ -128,26 +134,28 @@
 
     async def _close(self, figures: EngineFigures) -> None:
         closing = self._choose_closing_load(figures)
-        if closing is None:
-            self._warn_no_replacement(figures)
-            return
+        version = closing.load.version if closing else self._watch.whole
+        layers = closing.layers if closing else WITHDRAWN_LAYERS
         reading = self._watch.reading
         self._runtime.log.info(
             'engine is to begin nothing more',
             extra={
                 'step': 'end',
                 'weights': self._watch.whole,
-                'version': closing.load.version,
-                'layers': [closing.layers.first, closing.layers.end],
+                'version': version,
+                'layers': [layers.first, layers.end],
                 'running': reading.running if reading else 0,
                 'queued': reading.queued if reading else 0,
                 'held': self._held_chunks(figures),
             },
         )
         try:
-            await self._loader.load_layers(
-                closing.load, closing.transfer, closing.layers
-            )
+            if closing is None:
+                await self._loader.withdraw(figures.model, version)
+            else:
+                await self._loader.load_layers(
+                    closing.load, closing.transfer, layers
+                )
         except CrowrudderError as exc:
             self._runtime.log.warning(
                 'engine not closed yet',
@@ -238,18 +246,3 @@
             for name in names
             if name in transfers
         }
-
-    def _warn_no_replacement(self, figures: EngineFigures) -> None:
-        """Log once per version that it ended and nothing can replace it."""
-        loaded_version = self._watch.whole
-        if self._warned_version == loaded_version:
-            return
-        self._warned_version = loaded_version
-        self._runtime.log.warning(
-            'nothing at hand of a newer version',
-            extra={
-                'step': 'end',
-                'weights': loaded_version,
-                'held': self._held_chunks(figures),
-            },
-        )
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define
@@ -86,8 +87,15 @@
     ----------
     layers
         Returns the number of layers of the engine's model; 0 while unknown.
+    is_newest
+        Returns whether no version after one of the engine's model is published.
     on_running
         Called after each read with the number of running requests.
+
+    Attributes
+    ----------
+    offered_at
+        When a report last offered a partial version to the entries.
     """
 
     def __init__(
@@ -98,9 +106,12 @@
         peers: PeersTask,
         layers: Callable[[], int],
         *,
+        is_newest: Callable[[int], bool],
         on_running: Callable[[int], None],
     ) -> None:
         self._layers = layers
+        self._is_newest = is_newest
+        self.offered_at = -math.inf
         self._is_extending = False
         self._runtime = runtime
         self._node = node
@@ -197,8 +208,10 @@
 
     def _send_load(self) -> None:
         """Send the load report to all entries for which it is due."""
-        load = self._load_report()
+        load = self.load_report()
         now = clock_s()
+        if load.partial_version and not load.is_changing:
+            self.offered_at = now
         near, far = self._peers.entry_ips()
         if not near:
             # No entry of this region would forward the reports.
@@ -210,12 +223,15 @@
             if ips and recipients.mark_if_due(load, now):
                 self._peers.send(load, ips)
 
-    def _load_report(self) -> EngineLoad:
+    def load_report(self) -> EngineLoad:
+        """Return the load report on the last reading."""
         reading = self.reading
         if reading is None:
             return EngineLoad(address=self._node.upstream, reachable=False)
         loaded_version = self.whole
-        partial_layers = NO_LAYERS if loaded_version else reading.layers
+        # Entries build pipelines of the newest version only.
+        is_offered = not loaded_version and self._is_newest(reading.weights)
+        partial_layers = reading.layers if is_offered else NO_LAYERS
         is_loading = reading.is_busy and not self._is_extending
         return EngineLoad(
             address=self._node.upstream,
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -12,6 +12,7 @@
 from crowrudder_daemon.fleet_agent._goal import is_worth_loading, may_cut_off
 from crowrudder_daemon.fleet_agent._load_schedule import load_delay_s
 from crowrudder_model import InvariantError, UpstreamError
+from crowrudder_model.fleet import LayerRange
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -23,7 +24,7 @@
     from crowrudder_daemon.fleet_agent._engine_watch import EngineWatch
     from crowrudder_daemon.fleet_agent._goal import Goal
     from crowrudder_daemon.process import Runtime
-    from crowrudder_model.fleet import LayerRange, Node
+    from crowrudder_model.fleet import Node
 
 ANNOUNCE_DELAY_S = 0.03
 """Time after which entries have received the announcement of a load."""
@@ -45,6 +46,10 @@
 LOAD_TIMEOUT_S = 12.0
 """Timeout of a load: running requests may take the longest timeout of callers."""
 
+WITHDRAWN_LAYERS = LayerRange(0, 1)
+"""What an engine keeps of a withdrawn version: an order names some layers, and no
+request runs on a single one."""
+
 CHECK_INTERVAL_S = 0.05
 EARLY_STAGE_INTERVAL_S = 0.25
 """Interval of checks for chunks to stage early."""
@@ -186,6 +191,38 @@
             else:
                 await self._change_to(load, transfer, layers)
 
+    async def withdraw(self, model: str, version: int) -> None:
+        """Make the engine give up most layers of an expired version.
+
+        From the order on, the engine starts no requests on it, and answers
+        queued ones as not executed. No chunk is needed, so it works however
+        late chunks of a newer version are. Running requests may finish.
+
+        Raises
+        ------
+        UpstreamError
+            If the engine did not accept the order.
+        """
+        async with self._load_lock:
+            if self._watch.whole != version:
+                return
+            async with self._staging_lock:
+                await self._send_order(
+                    Load(model, version, 0),
+                    may_cut_off=False,
+                    layers=WITHDRAWN_LAYERS,
+                )
+            await self._until_idle()
+
+    async def _until_idle(self) -> None:
+        """Wait until the engine has executed its order."""
+        began_at = clock_s()
+        while clock_s() - began_at < LOAD_TIMEOUT_S:
+            reading = await self._watch.read_now()
+            if reading is None or not reading.is_busy:
+                return
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     async def _extend(
         self, load: Load, transfer: Transfer, layers: LayerRange | None = None
     ) -> None:
@@ -244,9 +281,9 @@
         layers of one version, while it holds the same layers of another when
         the request arrives, and a token would be computed by two versions.
         """
-        reading = self._watch.reading
-        if reading is not None and reading.layers and not self._watch.whole:
-            await asyncio.sleep(LEAVE_PIPELINES_S)
+        left_s = self._watch.offered_at + LEAVE_PIPELINES_S - clock_s()
+        if left_s > 0:
+            await asyncio.sleep(left_s)
 
     async def stage_early(self, goal: Goal, transfer: Transfer) -> None:
         """Stage chunks at the engine as they arrive, until cancelled.
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
@@ -7,7 +7,7 @@
 from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_agent._end_guard import EndGuard
 from crowrudder_daemon.fleet_agent._engine_watch import EngineWatch
-from crowrudder_daemon.fleet_agent._goal import figures_of
+from crowrudder_daemon.fleet_agent._goal import figures_of, model_of
 from crowrudder_daemon.fleet_agent._keeper import WeightsKeeper
 from crowrudder_daemon.fleet_agent._library import Library
 from crowrudder_daemon.fleet_agent._loader import Loader
@@ -69,6 +69,7 @@
             engine,
             self.peers,
             self._layers,
+            is_newest=self._is_newest,
             on_running=self.library.on_live_traffic,
         )
         loader = Loader(
@@ -97,6 +98,11 @@
         figures = figures_of(self.catalog.view, self.node)
         return figures.layers if figures else 0
 
+    def _is_newest(self, version: int) -> bool:
+        """Return whether no later version of the engine's model is published."""
+        view = self.catalog.view
+        return not view.releases.after(model_of(view, self.node), version)
+
     async def start(self) -> None:
         """Start the server, membership and the agent's tasks."""
         self.library.serve(self.rpc)
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -240,6 +240,9 @@
         self.is_busy = True
         self.places.close()
         layers = (int(order.get('from', 0)), int(order.get('target', LAYERS)))
+        if int(order['version']) == self.weights:
+            # Layers outside the range are given up before running requests end.
+            self.layers = layers
         load_task = asyncio.ensure_future(
             self._load(int(order['version']), layers)
         )
--- a/tests/fleet/test_ends_at_engines.py
+++ b/tests/fleet/test_ends_at_engines.py
@@ -9,6 +9,7 @@
 
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_agent._goal import is_worth_loading
+from crowrudder_daemon.fleet_agent._loader import LEAVE_PIPELINES_S
 from crowrudder_standins._slots import Slots
 from crowrudder_standins.fleet_replica import stream_of
 from crowrudder_standins.origin import Pacer
@@ -69,6 +70,63 @@
         checked(check, entries=1, plain=0, engines=0)
 
 
+class TestNothingHeld:
+    """Guards against an engine that stays open as no chunk reached its host.
+
+    A host's link became narrow right after a version was published, and no
+    layer of it was complete when the previous version ended. Requests that
+    had waited in the queue of the link began on the expired version.
+    """
+
+    def test_no_request_starts_after_the_end(self):
+        async def check(world):
+            replica, agent = await busy_engine(world, origin_rate=1)
+            releases = agent.catalog.view.releases
+            await world.until(lambda: clock_s() >= releases.ends_at('m', 1))
+            late = await world.ask_engine('a0', request_id='late', weights=1)
+            assert late.status in {421, 503}
+            assert late.header('x-not-executed')
+            assert not replica.runs_of('late')
+            assert not agent.library.versions.transfers['m@2'].held
+
+        checked(check, entries=1, plain=0, engines=0)
+
+    def test_a_running_request_ends_whole(self):
+        async def check(world):
+            replica, agent = await busy_engine(world, origin_rate=1)
+            replica.faults.switch_on(fault('slow', 1, WINDOW_S + 0.2))
+            runs = await world.ask_engine('a0', request_id='runs', weights=1)
+            assert runs.body == stream_of('runs')
+            assert not agent.watch.whole
+
+        checked(check, entries=1, plain=0, engines=0)
+
+    def test_entries_are_told_of_no_layers_of_the_expired_version(self):
+        """Guards against pipelines over what is left of an expired version."""
+
+        async def check(world):
+            _, agent = await busy_engine(world, origin_rate=1)
+            await world.until(lambda: not agent.watch.whole)
+            await agent.watch.read_now()
+            assert agent.watch.reading.layers
+            assert not agent.watch.load_report().partial_version
+
+        checked(check, entries=1, plain=0, engines=0)
+
+    def test_the_newer_version_is_loaded_without_a_wait_for_pipelines(self):
+        async def check(world):
+            replica, agent = await busy_engine(world, origin_rate=1)
+            await world.until(lambda: not agent.watch.whole)
+            world.origin.pacer = Pacer(1e9)
+            transfer = agent.library.versions.transfers['m@2']
+            await world.until(lambda: transfer.complete)
+            held_at = clock_s()
+            await world.until(lambda: replica.whole_weights == 2)
+            assert clock_s() - held_at < LEAVE_PIPELINES_S
+
+        checked(check, entries=1, plain=0, engines=0)
+
+
 class TestUse:
     def test_older_version_is_not_loaded_over_partial_newer_one(self):
         """Guard against a token computed by two versions of the weights.
@@ -90,14 +148,17 @@
         assert is_worth_loading(3, whole=1, held=1, ends_at=math.inf, now=99)
 
 
-async def busy_engine(world):
-    """Return an engine with one slot that lacks a version another one has."""
+async def busy_engine(world, *, origin_rate=SLOW_LINK):
+    """Return an engine with one slot that lacks a version another one has.
+
+    The new version is read over the origin's link, in bytes per second.
+    """
     world.add_replica('e0', 'llm', model='m', loaded=2)
     replica = await world.add_agent(0, loaded=1, version_s=WINDOW_S)
     replica.places = Slots(1, 4)
     (agent,) = world.agents
     await world.until(lambda: agent.keeper.status()['shares'].get('m@1') == 1)
-    world.origin.pacer = Pacer(SLOW_LINK)
+    world.origin.pacer = Pacer(origin_rate)
     world.name_version(2)
     releases = agent.catalog.view.releases
     await world.until(lambda: releases.newest('m') is not None)
--- a/tests/support/agent_stubs.py
+++ b/tests/support/agent_stubs.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import Mock
 
+from crowrudder_daemon._clock import clock_s
+
 LAYERS = 16
 
 
@@ -31,6 +34,12 @@
     def whole(self):
         return self.reading.whole(LAYERS)
 
+    @property
+    def offered_at(self):
+        """Return when a partial version was reported last: with each reading."""
+        is_partial = self.reading.layers and not self.whole
+        return clock_s() if is_partial else -math.inf
+
     async def read_now(self):
         return self.reading
 
