--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -25,9 +25,9 @@
 from crowrudder_daemon.fleet_entry._attempt import Attempt
 from crowrudder_daemon.fleet_entry._attempt_log import log_fields
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
+from crowrudder_daemon.fleet_entry._choosing import UpstreamRequirements
 from crowrudder_daemon.fleet_entry._error_answer import ErrorAnswer, send_error
 from crowrudder_daemon.fleet_entry._timeouts import timeouts_for
-from crowrudder_daemon.fleet_entry._upstreams import UpstreamRequirements
 from crowrudder_model.fleet import RouteKind
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_retry_after.py
@@ -0,0 +1,58 @@
+"""When refused callers are to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from crowrudder_core.statements import (
+    RETURN_S,
+    Accepting,
+    Limited,
+    Pausing,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from crowrudder_core.statements import Acceptance
+
+LOADING_RETRY_AFTER_S = 1.1
+"""Time until an engine that loads is available again: 0.7 s for running
+requests to end and 0.3 s for the load."""
+
+ABSENT_RETRY_AFTER_S = 2.0
+"""Delay before a retry if no upstream is available. A host that restarts
+answers after two to three seconds; a version whose source was away takes
+longer. Callers wait for at most a third of their time."""
+
+MIN_RETRY_AFTER_S = 0.1
+
+
+def retry_after_s(
+    found: Sequence[Acceptance], *, is_loading: bool, random: Random
+) -> float:
+    """Return the estimated seconds until a service is available again.
+
+    If the estimate is too short, callers retry during the same outage and
+    use up their retries: their requests are refused twice and lost,
+    although the service is back before their deadline. Where no upstream
+    accepts a request by its own statements, the first one that will tells
+    the time, and callers are spread over the second of its return.
+
+    Parameters
+    ----------
+    found
+        What each upstream whose record takes requests states.
+    is_loading
+        Whether any engine of the service loads weights.
+    """
+    outage_s = LOADING_RETRY_AFTER_S if is_loading else ABSENT_RETRY_AFTER_S
+    first = min(found, key=lambda each: each.wait_s, default=Accepting())
+    match first:
+        case Pausing(wait_s=wait_s):
+            return wait_s + random.uniform(0, RETURN_S)
+        case Limited(wait_s=wait_s):
+            return max(wait_s, MIN_RETRY_AFTER_S)
+    waits_s = (each.wait_s for each in found if each.wait_s > 0)
+    return max(min((outage_s, *waits_s)), MIN_RETRY_AFTER_S)
--- a/tests/fleet/test_send_checks.py
+++ b/tests/fleet/test_send_checks.py
@@ -29,7 +29,7 @@
 
 def refusal(upstreams, *stages):
     """Return why a request to a pipeline of upstreams may not be sent."""
-    forecasts = [upstreams._forecasts[name] for name in stages]
+    forecasts = [upstreams._table.by_id[name] for name in stages]
     choice: Any = SimpleNamespace(forecasts=forecasts)
     return upstreams.take_send(choice)
 
@@ -88,10 +88,14 @@
     def test_pipeline_whose_first_stage_refuses_is_no_candidate(self, stated):
         async def check(world):
             upstreams = world.entries[0].upstreams
-            pipeline = Candidate(forecast=upstreams._forecasts['e0'])
+            pipeline = Candidate(forecast=upstreams._table.by_id['e0'])
             required: Any = SimpleNamespace()
             ask = partial(
-                upstreams._eligible_candidate, required, clock_s(), 0, pipeline
+                upstreams._chooser._eligible_candidate,
+                required,
+                clock_s(),
+                0,
+                pipeline,
             )
             assert ask() is pipeline
             state(upstreams, 'e0', stated)
@@ -105,7 +109,7 @@
             upstreams = world.entries[0].upstreams
             state(upstreams, 'e1', stated)
             required: Any = SimpleNamespace(service='llm', avoid=frozenset())
-            usable = upstreams._usable(required, clock_s())
+            usable = upstreams._chooser._usable(required, clock_s())
             assert [each.upstream.id for each in usable] == ['e0']
 
         checked(check)
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -251,7 +251,7 @@
         async def check(world):
             apply_statement(world, 'p0', **stated)
             upstreams = world.entries[0].upstreams
-            for forecast in upstreams._pools['plain'].near:
+            for forecast in upstreams._table.pool('plain').near:
                 forecast.on_failure(now=clock_s(), avoid=True)
             answer = await world.ask('/read/x')
             assert answer.status == 200
