Processes: signals are held before the imports that take time

An entry that was restarted got SIGHUP 0.8 s later, while it still imported its modules, and the system's default action ended it; SIGTERM in that time cut it off without a log line.

A program holds SIGTERM, SIGINT and SIGHUP in its first lines, before any import that takes time; crowrudder_platform itself imports nothing any more (its public names are in crowrudder_platform.adapter), and so does the start of crowrudderd, which had the same fault. A stop that arrives by then ends the process with a log line and code 0.

Tests: fleet/test_processes.py::TestEarlySignals.

--- a/packages/daemon/src/crowrudder_daemon/_lifecycle.py
+++ b/packages/daemon/src/crowrudder_daemon/_lifecycle.py
@@ -16,6 +16,7 @@
 from crowrudder_daemon._loop_watch import LoopWatch
 from crowrudder_daemon._runtime import Role, Runtime
 from crowrudder_daemon.admin import AdminServer, AdminView
+from crowrudder_daemon.early_signals import take_signals
 from crowrudder_daemon.logs import start_logs
 
 if TYPE_CHECKING:
@@ -235,6 +236,11 @@
         loop.add_signal_handler(number, stop.ask, number.name)
     # Unhandled, SIGHUP would end the process and all running work.
     loop.add_signal_handler(signal.SIGHUP, runtime.request_reload)
+    # SIGHUP isn't repeated: the settings are read after it anyhow.
+    stops = [each for each in take_signals() if each is not signal.SIGHUP]
+    if stops:
+        log.info('stopped before it served', extra={'step': 'start'})
+        return EXIT_DRAINED
     lifecycle = Lifecycle(runtime, build(runtime))
     code = await lifecycle.run(stop)
     if lifecycle.has_unfinished_steps:
--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -67,11 +67,12 @@
     def ended_cleanly(self, code: int | None) -> bool:
         """Return whether a process ended cleanly after SIGTERM.
 
-        A process that receives SIGTERM before it serves has no request to
-        finish, and may not have installed its signal handlers yet.
+        The system ends a process that receives SIGTERM before its program
+        runs at all. From its first line on the program holds the signal, and
+        logs at least that it was stopped.
         """
         if code == -signal.SIGTERM:
-            return not self.process.has_logged('"serving"')
+            return not self.process.has_logged('"message"')
         return code == 0
 
     @property
--- a/scripts/_platform_seeds.py
+++ b/scripts/_platform_seeds.py
@@ -19,4 +19,8 @@
         'SIGTERM arrived before the signal handlers were installed; allowed '
         'if the log shows that the process did not serve yet'
     ),
+    202: (
+        'SIGHUP arrived while a restarted process still imported its modules, '
+        'and ended it'
+    ),
 }
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -2,7 +2,7 @@
 
 import json
 
-from crowrudder_platform import PlatformCallers
+from crowrudder_platform.adapter import PlatformCallers
 
 from crowrudder_daemon.fleet_entry._directory import MAX_ADDRESSES, Directory
 from crowrudder_model.messages import MemberStatus
--- a/tests/fleet/test_own_settings.py
+++ b/tests/fleet/test_own_settings.py
@@ -93,7 +93,7 @@
         """
         program = f"""
 import sys
-import crowrudder_platform.__main__, crowrudder_daemon.fleet_{role}
+import crowrudder_platform._program, crowrudder_daemon.fleet_{role}
 print(*(name for name in sys.modules if name.count('.') == 1))
 """
         completed = subprocess.run(
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -6,7 +6,10 @@
 import contextlib
 import json
 import os
+import pathlib
+import re
 import signal
+import subprocess
 import sys
 
 import pytest
@@ -165,3 +168,87 @@
         assert answer.head.status == 503
         assert float(answer.head.header('retry-after')) >= 0
         await asyncio.sleep(0.05)
+
+
+class TestEarlySignals:
+    """Guards against a process that a signal ends while it still starts.
+
+    An entry received SIGHUP 0.8 s after its restart, before the event loop
+    handled signals, and ended.
+    """
+
+    @pytest.mark.parametrize(
+        'module', ['crowrudder_platform', 'crowrudder_daemon._program']
+    )
+    def test_signals_are_held_before_the_imports_that_take_time(self, module):
+        script = (
+            'import os, runpy, signal, sys\n'
+            'from crowrudder_daemon import early_signals as early\n'
+            'hold = early.hold_signals\n'
+            'def held():\n'
+            '    hold()\n'
+            '    heavy = {"tornado", "grpc", "asyncio"} & set(sys.modules)\n'
+            '    print("imported", sorted(heavy))\n'
+            '    os.kill(os.getpid(), signal.SIGHUP)\n'
+            '    print("received", [each.name for each in early.take_signals()])\n'
+            '    raise SystemExit\n'
+            'early.hold_signals = held\n'
+            f'module = "{module}"\n'
+            'sys.argv = [module, "entry"]\n'
+            'names = runpy.run_module(module, run_name="__main__")\n'
+            'names["main"]()\n'
+        )
+        child = subprocess.run(
+            [sys.executable, '-c', script],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+        assert child.stdout.splitlines() == [
+            'imported []',
+            "received ['SIGHUP']",
+        ], child.stderr
+
+    @pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+    def test_a_signal_during_the_imports_is_handled(self, tmp_path, number):
+        async def check():
+            settings = SETTINGS.format(
+                name='entry',
+                role='entry',
+                serves='["front", "control", "directory"]',
+                ip=ENTRY_IP,
+                listen=json.dumps(
+                    {
+                        name: f'{ENTRY_IP}:{free_port(ENTRY_IP)}'
+                        for name in ('front', 'ready', 'directory')
+                    }
+                ),
+                ports=PEER_PORTS,
+                store='127.0.0.1:1',
+                seed=ENTRY_IP,
+                app='',
+            )
+            async with run_process('entry', settings, tmp_path) as child:
+                await until_held(child.pid)
+                child.send_signal(number)
+                if number == signal.SIGTERM:
+                    await wait_for_log(child, 'stopped before it served')
+                    assert not await child.wait()
+                else:
+                    await wait_for_log(child, 'serving')
+
+        run(check())
+
+
+async def until_held(pid):
+    """Wait until a process catches SIGHUP."""
+    while not catches(pid, signal.SIGHUP):  # noqa: ASYNC110
+        await asyncio.sleep(0.001)
+
+
+def catches(pid, number):
+    """Return whether a process handles a signal, as the system tells."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    (caught,) = re.findall(r'SigCgt:\s*([0-9a-f]+)', status)
+    return bool(int(caught, 16) >> number - 1 & 1)
--- a/tests/fleet/test_record_bytes.py
+++ b/tests/fleet/test_record_bytes.py
@@ -8,8 +8,8 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
-from crowrudder_platform import PlatformStore
 from crowrudder_platform._records import CONFIG_KEY, VERSION_PREFIX
+from crowrudder_platform.adapter import PlatformStore
 
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet import CatalogTask
--- a/tests/fleet/test_statement_reader.py
+++ b/tests/fleet/test_statement_reader.py
@@ -8,7 +8,7 @@
 
 import pytest
 from attrs import define, field
-from crowrudder_platform import PlatformCallers
+from crowrudder_platform.adapter import PlatformCallers
 
 from crowrudder_core.statements import (
     Absent,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 import pytest
-from crowrudder_platform import (
+from crowrudder_platform._boot import decode_node
+from crowrudder_platform.adapter import (
     BootError,
     PlatformCallers,
     decode_record,
     read_node,
 )
-from crowrudder_platform._boot import decode_node
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/tests/platform/test_adapter_calls.py
+++ b/tests/platform/test_adapter_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from crowrudder_platform import (
+from crowrudder_platform.adapter import (
     PlatformEngine,
     PlatformOrigin,
     PlatformStore,
--- a/tests/platform/test_statements_read.py
+++ b/tests/platform/test_statements_read.py
@@ -6,7 +6,7 @@
 
 import attrs
 import pytest
-from crowrudder_platform import PlatformCallers
+from crowrudder_platform.adapter import PlatformCallers
 
 from crowrudder_core.statements import Accepting, StatementRegistry
 from crowrudder_daemon.http import WireHead, kept_s_of
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from attrs import define, field
-from crowrudder_platform import (
+from crowrudder_platform.adapter import (
     PlatformCallers,
     PlatformEngine,
     PlatformOrigin,
