Agent: early staging leaves the layer that a withdrawn engine keeps

An engine whose expired version is withdrawn keeps one layer and takes it again, from what is staged then. Chunks of the next version are staged as they arrive, over those of the loaded one, so that the layer could be of two versions; no request runs on it, but a later load of the rest would. The chunks of that layer are staged only with the load itself.

Test: fleet/test_end_races.py::TestEarlyStaging (failed before: chunk 0 of the newer version was staged).

--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from crowrudder_core.transfer import full, indices
+from crowrudder_core.transfer import chunks_of_layers, full, indices
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_agent._goal import is_worth_loading, may_cut_off
 from crowrudder_daemon.fleet_agent._load_schedule import load_delay_s
@@ -292,7 +292,8 @@
         incarnation finds those at the engine. Staging loads nothing: a load
         stages all chunks again, and chunks that arrive meanwhile wait until
         its order is accepted; otherwise the engine would load chunks of two
-        versions.
+        versions. The chunks that an engine takes again when its version is
+        withdrawn stay those of that version.
         """
         staged: set[int] = set()
         engine_started_ms = self._engine_started_ms
@@ -301,17 +302,22 @@
                 # Chunks staged before the engine's restart may be lost.
                 engine_started_ms = self._engine_started_ms
                 staged.clear()
-            held = {
-                index
-                for index in range(transfer.count)
-                if transfer.held >> index & 1
-            }
-            for index in sorted(held - staged):
+            held = transfer.held & ~self._chunks_kept(transfer)
+            for index in sorted(set(indices(held)) - staged):
                 if not await self._stage_one(goal.model, index, transfer):
                     return
                 staged.add(index)
             await asyncio.sleep(EARLY_STAGE_INTERVAL_S)
 
+    def _chunks_kept(self, transfer: Transfer) -> int:
+        """Return the chunks (bits) that the engine keeps of its version."""
+        layers = self._watch.layers
+        if not (self._watch.whole and layers):
+            return 0
+        return chunks_of_layers(
+            WITHDRAWN_LAYERS, layers=layers, chunks=transfer.count
+        )
+
     @property
     def _engine_started_ms(self) -> int:
         """The engine's start time, which identifies its incarnation."""
--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -402,3 +402,28 @@
             assert not engine.loads
 
         run(check())
+
+
+class TestEarlyStaging:
+    """Guards against layers of two versions in one engine.
+
+    An engine whose version is withdrawn takes the layer that it keeps again,
+    from what is staged then.
+    """
+
+    @pytest.mark.parametrize(('whole', 'first'), [(1, 1), (0, 0)])
+    def test_the_layer_that_an_engine_keeps_is_not_replaced(self, whole, first):
+        async def check():
+            layers = ALL if whole else LayerRange()
+            engine = FakeEngine(EngineReading(weights=whole, layers=layers))
+            loader = loader_of(engine, named(2))
+            staging = asyncio.ensure_future(
+                loader.stage_early(Goal('m', 2, clock_s(), 2), held())
+            )
+            await asyncio.sleep(0)
+            while len(engine.kept) < CHUNKS - first:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            assert min(engine.kept) == first
+            staging.cancel()
+
+        run(check())
