Agent: weights yield on a link that carries less than its nominal rate

Cause: chunks are paced by the nominal rate of a link, in both directions. A link that carries less gets a queue of seconds, in which all else waits. The check by received bytes noticed it after 0.5 s, and let all reads go again after 2 s.

Change: while a host receives or sends weights, its agent probes two entries and takes the least round trip as the delay of its link. While that is long, weights are sent and asked for at a rate that follows what the link carried; a source whose queue drains begins no chunk; a host whose link is slow leaves the origin to others, which would wait for it.

--- a/packages/core/src/crowrudder_core/transfer/_inbound_link.py
+++ b/packages/core/src/crowrudder_core/transfer/_inbound_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from attrs import define, field
@@ -29,10 +30,17 @@
     narrow_share
         The link is narrow if it delivers less than this share of its rate
         while several reads are in flight; 0 disables the check.
+
+    Attributes
+    ----------
+    limit
+        Rate to which reads are limited, in bytes per second. Below the narrow
+        share, several reads would only take turns.
     """
 
     link_bytes_per_s: float
     narrow_share: float
+    limit: float = field(default=math.inf, init=False)
     _received: deque[tuple[float, int]] = field(factory=deque, init=False)
     _concurrent_since: float | None = field(default=None, init=False)
     _narrow_until: float = field(default=0, init=False)
@@ -56,6 +64,8 @@
 
     def is_narrow(self, now: float) -> bool:
         """Return whether the link carries only one read at a time."""
+        if self.limit < self.narrow_share * self.link_bytes_per_s:
+            return True
         if now < self._narrow_until:
             return True
         if (
--- a/packages/core/src/crowrudder_core/transfer/_origin.py
+++ b/packages/core/src/crowrudder_core/transfer/_origin.py
@@ -86,6 +86,14 @@
     Invariant: ``spent`` never exceeds this host's share of the cap, except by
     unassigned reads. ``reasons`` counts the started reads by reason, over all
     windows.
+
+    Attributes
+    ----------
+    is_slow
+        Whether this host's link is slow: it leaves all chunks to others, which
+        would wait for each of them.
+    yields
+        Whether another host reads them, so that this one doesn't.
     """
 
     version: str
@@ -98,6 +106,8 @@
     spent: int = 0
     failed: int = 0
     reading: int = 0
+    is_slow: bool = False
+    yields: bool = False
     reasons: Counter[str] = field(factory=Counter)
     _seed_regions: dict[str, str] = field(factory=dict)
     _reader_orders: list[list[str]] = field(factory=list)
@@ -124,10 +134,10 @@
         """The chunks (bits) that this host leaves to the next reader in order.
 
         These are the chunks that it failed to read, and all of them once its
-        share is spent; the other hosts would otherwise wait for it until the
-        window ends.
+        share is spent or while its link is slow; the other hosts would
+        otherwise wait for it until the window ends.
         """
-        if self.spent >= self.share:
+        if self.is_slow or self.spent >= self.share:
             return full(self.count) & ~self.reading
         return self.failed
 
@@ -290,7 +300,7 @@
         The seeds start one after the other. If all started at once, their
         chunks would share the origin's link and all would arrive late.
         """
-        if not self.is_seed:
+        if not self.is_seed or self.yields:
             return False
         if self._started_at is None:
             self._started_at = self._window_start = now
--- a/packages/core/src/crowrudder_core/transfer/_peers.py
+++ b/packages/core/src/crowrudder_core/transfer/_peers.py
@@ -244,6 +244,15 @@
         peer = self.peers.get(host)
         return peer is not None and peer.passes.bit_count() >= count
 
+    def has_reader(self, count: int) -> bool:
+        """Return whether another host reads chunks from the origin."""
+        return any(
+            peer.has_answered
+            and not peer.is_skipped
+            and peer.passes.bit_count() < count / 2
+            for peer in self.peers.values()
+        )
+
     @property
     def assigned_reason(self) -> OriginReason:
         """Reason for reads that this host is assigned at the origin."""
--- a/packages/core/src/crowrudder_core/transfer/_transfer.py
+++ b/packages/core/src/crowrudder_core/transfer/_transfer.py
@@ -200,6 +200,9 @@
     def next_reads(self, *, now: float) -> list[Read]:
         """Return the reads to start now; they count as started."""
         self.inbound_link.on_reads(len(self.in_flight), now=now)
+        self.origin.yields = self.origin.is_slow and self.peers.has_reader(
+            self.count
+        )
         max_reads = _reads_at_once(self.pace, self.yields_to)
         if self.inbound_link.is_narrow(now):
             # Silent reads may be due to their sources: another one may run.
--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -87,6 +87,7 @@
             self._cancel_stalled(read)
         for host in self._transfer.peers_to_query(now=now):
             self._spawn(self._query_inventory(host))
+        self._transfer.inbound_link.limit = self._downlink.weights_rate
         for read in self._transfer.next_reads(now=now):
             self._reads[read] = self._spawn(self._read(read))
         self._check_link(now)
@@ -172,6 +173,7 @@
             manifest=self._version_ref.manifest,
             index=read.index,
             stock=self._own_inventory(),
+            bytes_per_s=self._max_read_rate(),
         )
 
         async def on_piece(size: int) -> None:
@@ -181,6 +183,13 @@
 
         return await self._peers.chunk(address, request, on_piece)
 
+    def _max_read_rate(self) -> int:
+        """Return the rate of one read in bytes per second; 0 for no limit."""
+        if not self._downlink.is_limited:
+            return 0
+        reads = max(len(self._transfer.in_flight), 1)
+        return max(int(self._downlink.weights_rate / reads), 1)
+
     async def _from_origin(self, read: FromOrigin) -> None:
         self._watch.asked_origin(read)
         try:
@@ -207,6 +216,7 @@
     def _reserve_link(self, read: Read, size: int) -> float:
         """Record received bytes; return how long the link is busy, in seconds."""
         self._transfer.on_bytes_received(read, now=self._now(), size=size)
+        self._downlink.on_carried(size, now=self._now())
         return self._downlink.reserve(size, now=self._now())
 
     def _accept(self, read: Read, payload: bytes) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/chunks/_uploads.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_uploads.py
@@ -92,11 +92,13 @@
         if payload is None:
             yield ChunkPiece(absent=True, stock=inventory)
             return
-        if not self._slots.take():
+        if self._uplink.is_draining or not self._slots.take():
             yield ChunkPiece(busy=True, stock=inventory)
             return
         try:
-            async for piece in self._paced(payload, inventory):
+            async for piece in self._paced(
+                payload, inventory, request.bytes_per_s
+            ):
                 yield piece
         finally:
             self._slots.release()
@@ -105,8 +107,9 @@
         self,
         payload: bytes,
         inventory: InventoryReply,
+        max_rate: int,
     ) -> AsyncIterator[ChunkPiece]:
-        """Yield a chunk in pieces, at the rate that the uplink allows.
+        """Yield a chunk in pieces, at the rate that both hosts' links allow.
 
         The link is reserved for the complete chunk at once, so a slow reader
         does not delay the chunks behind it.
@@ -115,13 +118,18 @@
         loop = asyncio.get_running_loop()
         rate = self._uplink.weights_rate
         wait_s = self._uplink.reserve(len(payload), now=loop.time())
-        starts_at = loop.time() + wait_s - len(payload) / rate
-        size = _piece_bytes(self._uplink.rate)
-        for start in range(0, len(payload), size):
-            piece = payload[start : start + size]
-            due_at = starts_at + (start + len(piece)) / rate
+        due_at = loop.time() + wait_s - len(payload) / rate
+        start = 0
+        while start < len(payload):
+            # The rate may change while the chunk is sent.
+            rate = self._uplink.weights_rate
+            rate = min(rate, max_rate) if max_rate > 0 else rate
+            piece = payload[start : start + _piece_bytes(rate)]
+            start += len(piece)
+            due_at += len(piece) / rate
             await asyncio.sleep(max(due_at - loop.time(), 0))
             yield ChunkPiece(payload=piece)
+            self._uplink.on_carried(len(piece), now=loop.time())
         self._on_sent(len(payload))
 
     def stock(self, version: str, transfer: Transfer | None) -> InventoryReply:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -219,7 +219,7 @@
         heartbeat = self._heartbeat(isolated=isolated)
         if not self._is_entry:
             self._send(
-                {*self._contacts(), *(self._seeds if isolated else ())},
+                {*self.contacts(), *(self._seeds if isolated else ())},
                 heartbeat,
             )
             return
@@ -248,7 +248,7 @@
     def send_to_some(self) -> None:
         """Send a heartbeat to some processes, which forward what is new to them."""
         if not self._is_entry:
-            self._send(set(self._contacts()), self._heartbeat())
+            self._send(set(self.contacts()), self._heartbeat())
             return
         near, far = self._other_entries()
         targets = {
@@ -275,6 +275,10 @@
         near, far = split_by_region(self.entries(), self._node.place.region)
         return (near, far) if near or far else (list(self._seeds), far)
 
+    def contacts(self) -> list[str]:
+        """List the entries to which this agent sends heartbeats."""
+        return contacts(self._node.ip, self.entries(), self._node.place.region)
+
     def add_contacts(self, ips: Iterable[str]) -> None:
         """Contact hosts that may know entries, if no other entry is known."""
         if not self.roster.known(now=clock_s()):
@@ -333,10 +337,6 @@
         known = self.roster.known(now=clock_s())
         return split_by_region(known, self._node.place.region)
 
-    def _contacts(self) -> list[str]:
-        """List the entries to which this agent sends heartbeats."""
-        return contacts(self._node.ip, self.entries(), self._node.place.region)
-
     def _live_agents(self) -> list[str]:
         now = clock_s()
         self._agents = {
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records_service.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records_service.py
@@ -1,4 +1,4 @@
-"""The service that sends published records to other processes."""
+"""The service that answers other processes: published records and probes."""
 
 from __future__ import annotations
 
@@ -8,8 +8,15 @@
 
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet._records import inflate_changes
-from crowrudder_model.messages import Ages, AgesRequest, Changes, ChangesRequest
-from crowrudder_model.rpc import AGES, CHANGES
+from crowrudder_model.messages import (
+    Ages,
+    AgesRequest,
+    Changes,
+    ChangesRequest,
+    ProbeReply,
+    ProbeRequest,
+)
+from crowrudder_model.rpc import AGES, CHANGES, PROBE
 
 if TYPE_CHECKING:
     from crowrudder_core.catalog import Catalog, StoreReadPolicy
@@ -24,9 +31,10 @@
     _reading: StoreReadPolicy
 
     def serve(self, server: PeerServer) -> None:
-        """Register the handlers of requests for changes, and for ages alone."""
+        """Register the handlers of requests for changes, ages and probes."""
         server.add(CHANGES, self._on_changes_request)
         server.add(AGES, self._on_ages_request)
+        server.add(PROBE, self._on_probe_request)
 
     async def _on_changes_request(
         self, request: ChangesRequest, _context: object
@@ -43,3 +51,8 @@
         self, _request: AgesRequest, _context: object
     ) -> Ages:
         return Ages(self._catalog.ages(now=clock_s()))
+
+    async def _on_probe_request(
+        self, _request: ProbeRequest, _context: object
+    ) -> ProbeReply:
+        return ProbeReply()
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_engine_watch.py
@@ -32,6 +32,12 @@
 RESEND_INTERVAL_S = 0.4
 """Interval at which an unchanged report is sent again, as datagrams get lost."""
 
+DELAY_STEP_S = 0.1
+"""Resolution of the reported delay of the link: each change is sent."""
+
+URGENT_DELAY_S = 0.3
+"""Step of the reported delay that all entries are sent at once."""
+
 MAX_READ_FAILURES = 2
 """Consecutive failed reads after which the engine counts as unreachable."""
 
@@ -75,8 +81,8 @@
         load.reachable,
         (load.is_changing, load.is_leaving),
         load.weights,
-        load.partial_version,
-        load.end_layer,
+        (load.partial_version, load.end_layer),
+        int(load.link_delay_s / URGENT_DELAY_S),
     )
 
 
@@ -89,6 +95,8 @@
         Returns the number of layers of the engine's model; 0 while unknown.
     is_newest
         Returns whether no version after one of the engine's model is published.
+    link_delay_s
+        Returns the queueing delay of the host's link, in seconds.
     on_running
         Called after each read with the number of running requests.
 
@@ -107,8 +115,10 @@
         layers: Callable[[], int],
         *,
         is_newest: Callable[[int], bool],
+        link_delay_s: Callable[[], float],
         on_running: Callable[[int], None],
     ) -> None:
+        self._link_delay_s = link_delay_s
         self._layers = layers
         self._is_newest = is_newest
         self.offered_at = -math.inf
@@ -227,7 +237,11 @@
         """Return the load report on the last reading."""
         reading = self.reading
         if reading is None:
-            return EngineLoad(address=self._node.upstream, reachable=False)
+            return EngineLoad(
+                address=self._node.upstream,
+                reachable=False,
+                link_delay_s=self._rounded_delay_s(),
+            )
         loaded_version = self.whole
         # Entries build pipelines of the newest version only.
         is_offered = not loaded_version and self._is_newest(reading.weights)
@@ -247,8 +261,14 @@
             partial_version=reading.weights if partial_layers else 0,
             first_layer=partial_layers.first,
             end_layer=partial_layers.end,
+            link_delay_s=self._rounded_delay_s(),
         )
 
+    def _rounded_delay_s(self) -> float:
+        """Return the delay of the link in whole steps, rounded down."""
+        steps = int(self._link_delay_s() / DELAY_STEP_S)
+        return round(steps * DELAY_STEP_S, 1)
+
 
 def _held_layers(reading: EngineReading) -> tuple[int, LayerRange]:
     return reading.weights, reading.layers
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -172,10 +172,39 @@
             if not transfer.complete:
                 transfer.preferred = self.part(name, transfer).chunks
 
-    def on_live_traffic(self, running: int) -> None:
-        """Make the uplink yield to answers that are being streamed."""
+    def on_live_traffic(self, running: int, *, link_delay_s: float = 0) -> None:
+        """Make weights yield to streamed answers, and on a slow link to all.
+
+        Parameters
+        ----------
+        running
+            Number of running requests.
+        link_delay_s
+            Queueing delay of the host's link, in seconds.
+        """
         now = asyncio.get_running_loop().time()
         self._uplink.on_live_traffic(0, running, now=now)
+        links = (self._uplink, self._downlink)
+        is_full = any(each.is_fully_used(now) for each in links)
+        for link in links:
+            link.on_delay(link_delay_s, now=now, is_full=is_full)
+        self._leave_origin_to_others(
+            is_slow=any(each.is_limited for each in links)
+        )
+
+    def _leave_origin_to_others(self, *, is_slow: bool) -> None:
+        for transfer in self.versions.transfers.values():
+            if transfer.origin.is_slow != is_slow:
+                transfer.origin.is_slow = is_slow
+                self._changed.set()
+
+    def uses_link(self) -> bool:
+        """Return whether chunks are fetched, or were sent of late."""
+        now = asyncio.get_running_loop().time()
+        return self._uplink.is_in_use(now) or any(
+            not (transfer.complete or transfer.dropped)
+            for transfer in self.versions.transfers.values()
+        )
 
     async def manifest(
         self, goal: Goal, *, is_urgent: bool = False
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_role.py
@@ -10,6 +10,7 @@
 from crowrudder_daemon.fleet_agent._goal import figures_of, model_of
 from crowrudder_daemon.fleet_agent._keeper import WeightsKeeper
 from crowrudder_daemon.fleet_agent._library import Library
+from crowrudder_daemon.fleet_agent._link_probe import LinkProbe
 from crowrudder_daemon.fleet_agent._loader import Loader
 
 if TYPE_CHECKING:
@@ -63,6 +64,13 @@
             peers=self.peers,
             client=self.client,
         )
+        self.link_probe = LinkProbe(
+            runtime,
+            node,
+            peers=self.peers,
+            client=self.client,
+            is_active=self.library.uses_link,
+        )
         self.watch = EngineWatch(
             runtime,
             node,
@@ -70,7 +78,8 @@
             self.peers,
             self._layers,
             is_newest=self._is_newest,
-            on_running=self.library.on_live_traffic,
+            link_delay_s=self.link_probe.delay_s,
+            on_running=self._on_running,
         )
         loader = Loader(
             runtime, node, view=view, engine=engine, watch=self.watch
@@ -98,6 +107,12 @@
         figures = figures_of(self.catalog.view, self.node)
         return figures.layers if figures else 0
 
+    def _on_running(self, running: int) -> None:
+        """Make weights yield to answers, and to what waits for the link."""
+        self.library.on_live_traffic(
+            running, link_delay_s=self.link_probe.delay_s()
+        )
+
     def _is_newest(self, version: int) -> bool:
         """Return whether no later version of the engine's model is published."""
         view = self.catalog.view
@@ -111,6 +126,7 @@
         self.runtime.spawn(self.keeper.keep(), step='keep the version')
         self.runtime.spawn(self.end_guard.guard(), step='guard the end')
         self.runtime.spawn(self.library.send_inventories(), step='tell news')
+        self.runtime.spawn(self.link_probe.run(), step='probe the link')
 
     async def drain(self) -> None:
         """Leave immediately: no caller waits for an agent."""
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -84,6 +84,7 @@
     ``first_layer`` up to but not including ``end_layer``. ``is_close`` is set
     for the few entries to which the agent sends load reports most often.
     ``is_leaving`` is set if the engine states in its answers that it leaves.
+    ``link_delay_s`` is the queueing delay on the link of the agent's host.
     """
 
     address: str
@@ -100,6 +101,7 @@
     end_layer: int = 0
     is_close: bool = False
     is_leaving: bool = False
+    link_delay_s: float = 0
 
 
 class LoadBatch(
@@ -233,6 +235,16 @@
     age_s: float
 
 
+@frozen
+class ProbeRequest:
+    """Request an answer at once, to measure the time that it takes."""
+
+
+@frozen
+class ProbeReply:
+    """The answer to a `ProbeRequest`."""
+
+
 @frozen
 class AgesRequest:
     """Request the ages of the current records."""
--- a/packages/model/src/crowrudder_model/messages/_weights.py
+++ b/packages/model/src/crowrudder_model/messages/_weights.py
@@ -53,13 +53,17 @@
 
 @frozen(kw_only=True)
 class ChunkRequest:
-    """Request one chunk; ``stock`` is the inventory of the requesting agent."""
+    """Request one chunk; ``stock`` is the inventory of the requesting agent.
+
+    ``bytes_per_s`` limits the rate at which it is sent; 0 for no limit.
+    """
 
     host: str
     version: str
     manifest: str
     index: int
     stock: InventoryReply | None = None
+    bytes_per_s: int = 0
 
 
 @frozen(kw_only=True)
