Entry: one estimate of a host's link delay, asked at the choice and before each send

What callers saw: requests that waited for 0.9 s in the queue of a narrow link and were then sent into the next one; runs that went on after their callers had left (GONE).

Cause: nothing of what an entry sees of a link was kept where a choice is made. Load reports are datagrams and stay fresh while connections wait for seconds.

Change: TransitDelay, one for each host, is fed by the delay that its agent reports and by unacknowledged bytes and lost handshakes of all connections to it. It counts as time to the first event; from 0.3 s on a host is avoided. It is asked again right before each send, for the caller's deadline and for the end of the version; a second send that can't begin before the deadline isn't made; an upstream gets the time that is left when the request arrives. An engine doesn't count as slow for its host's link, and late checks or slow answers don't count as a slow link.

--- a/packages/core/src/crowrudder_core/dispatch/_dispatch.py
+++ b/packages/core/src/crowrudder_core/dispatch/_dispatch.py
@@ -116,13 +116,16 @@
         """Whether the request may have run at an upstream."""
         return self.unresolved_sends > 0
 
-    def may_send(self, now: float) -> bool:
-        """Return whether the request may be sent to one more upstream."""
+    def may_send(self, now: float, *, transit_s: float = 0) -> bool:
+        """Return whether the request may be sent to one more upstream.
+
+        ``transit_s`` is how long it takes to get there.
+        """
         if self.sends >= self.max_sends:
             return False
         if self.may_have_run and not self.repeatable:
             return False
-        return now + MIN_TIME_LEFT_S < self.deadline_at
+        return now + transit_s + MIN_TIME_LEFT_S < self.deadline_at
 
     def on_sent(self, upstream_id: str, *, now: float) -> None:
         """Record that the request is sent now.
--- a/packages/core/src/crowrudder_core/forecast/_choice.py
+++ b/packages/core/src/crowrudder_core/forecast/_choice.py
@@ -60,10 +60,15 @@
 
 @frozen(kw_only=True)
 class Choice:
-    """A chosen upstream and its forecast."""
+    """A chosen upstream and its forecast.
+
+    ``transit_s`` is the part of ``first_s`` that the request and its answer
+    spend in the queues of the host's link.
+    """
 
     forecast: UpstreamForecast
     first_s: float
+    transit_s: float = 0
     weights: int = 0
     path: Pipeline | None = None
 
@@ -167,9 +172,11 @@
     candidates: list[Candidate], prompt: int, now: float, random: Random
 ) -> Choice:
     best = min(candidates, key=lambda each: _cost(each, prompt, now, random))
+    transit_s = best.forecast.transit.delay_s(now)
     return Choice(
         forecast=best.forecast,
-        first_s=best.forecast.admitted_first_s(prompt, now),
+        first_s=transit_s + best.forecast.admitted_first_s(prompt, now),
+        transit_s=transit_s,
         weights=best.weights,
         path=best.path,
     )
@@ -187,6 +194,7 @@
     )
     return (
         forecast.first_s(prompt, now)
+        + forecast.transit.delay_s(now)
         + OCCUPANCY_PENALTY_S * excess
         + FAILURE_PENALTY_S * forecast.failure_share
         + OTHER_REGION_PENALTY_S * candidate.other_region
--- a/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
+++ b/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
@@ -9,6 +9,7 @@
 
 from crowrudder_core.forecast._engine import EngineModel
 from crowrudder_core.forecast._incarnation import IncarnationTracker
+from crowrudder_core.transit import TransitDelay
 from crowrudder_model.fleet import LayerRange
 
 if TYPE_CHECKING:
@@ -49,6 +50,10 @@
 """Time constant by which measured slowness decays to a third for admission: a
 queue that delayed first events is worked off in about that time."""
 
+SLOW_TRANSIT_S = 0.3
+"""Delay on the link to a host and back from which on its upstreams are avoided.
+Callers want the first event within a few tenths of a second."""
+
 MAX_SLOWNESS = 8.0
 DEFAULT_PLAIN_RUN_S = 0.05
 """Assumed response time of a plain service before any was measured."""
@@ -68,10 +73,12 @@
     """The state of one upstream as seen by an entry.
 
     Own requests are known as of now. Those of other entries come from the
-    agent's load report and are as old as it is.
+    agent's load report and are as old as it is. ``transit`` is shared by all
+    upstreams of a host.
     """
 
     upstream: Upstream
+    transit: TransitDelay = field(factory=TransitDelay)
     model: EngineModel | None = None
     load: EngineLoad | None = None
     avoid_until: float = 0
@@ -123,6 +130,7 @@
             self._reset(now)
         self.load = load
         self._load_as_of = now
+        self.transit.on_report(load.link_delay_s, as_of=now)
         counted = [
             request
             for request in self._in_flight.values()
@@ -148,13 +156,25 @@
         """Count a request that is sent."""
         self._in_flight[ticket] = request
 
-    def on_begun(self, ticket: int, *, forecast_s: float, now: float) -> None:
-        """Record the first event and compare it with the forecast."""
+    def on_begun(
+        self,
+        ticket: int,
+        *,
+        forecast_s: float,
+        now: float,
+        transit_s: float = 0,
+    ) -> None:
+        """Record the first event and compare it with the forecast.
+
+        ``forecast_s`` and the measured time are without ``transit_s``, which
+        the request spent on its way. Otherwise an engine would count as slow,
+        and be avoided, because its host's link was.
+        """
         request = self._in_flight.get(ticket)
         if request is None or request.has_begun:
             return
         request.has_begun = True
-        took_s = now - request.sent_at
+        took_s = now - request.sent_at - transit_s
         slowness = self._slowness_at(request.sent_at)
         ratio = took_s / max(forecast_s / slowness, 0.001)
         self.slowness = _running_mean(
@@ -192,10 +212,12 @@
         self.failure_share = _running_mean(self.failure_share, 1)
 
     def is_avoided(self, now: float) -> bool:
-        """Return whether the upstream is unreachable or failed recently."""
+        """Return whether it is unreachable, failed recently or is slow to reach."""
         load = self.fresh_load(now)
         if load is not None and not load.reachable:
             return True
+        if self.transit.delay_s(now) >= SLOW_TRANSIT_S:
+            return True
         return now < self.avoid_until
 
     def is_changing(self, now: float) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -153,6 +153,10 @@
         except NotConnectedError as exc:
             self.connect_s = clock_s() - began_at
             self.is_refused = exc.is_refused
+            if exc.is_timeout:
+                self.choice.forecast.transit.on_unacknowledged(
+                    sent_at=began_at, now=clock_s()
+                )
             self.choice.forecast.on_failure(now=clock_s(), avoid=True)
             return NotSent(str(exc))
         self.connect_s = clock_s() - began_at
@@ -168,14 +172,17 @@
     async def _run_on(self, conn: HttpConnection) -> AttemptOutcome:
         upstream = self.choice.forecast.upstream
         now = clock_s()
-        if not self.dispatch.may_send(now):
+        transit = self.choice.forecast.transit
+        transit_s = transit.delay_s(now)
+        if not self.dispatch.may_send(now, transit_s=transit_s):
             conn.close()
             return NotSent('no time left')
         # A newer version may have been announced since the choice.
         begin_by = self._upstreams.begin_by(self.choice, self.call.model)
         self.begin_by = min(self.begin_by, begin_by)
-        if self.begin_by - now < MIN_START_WINDOW_S:
-            # The wait for the connection used up the time to begin.
+        if self.begin_by - now - transit_s < MIN_START_WINDOW_S:
+            # The wait for the connection used up the time to begin, or the
+            # host's link became slow meanwhile.
             conn.close()
             return NotSent('no time left to begin in')
         refusal = self._upstreams.take_send(self.choice)
@@ -183,7 +190,7 @@
             self._upstreams.pool.put_back(conn)
             return NotSent(refusal)
         request = self._dialect.upstream_request(
-            self.call, self.body, self._terms(now)
+            self.call, self.body, self._terms(now + transit_s)
         )
         try:
             conn.send(request)
@@ -192,7 +199,9 @@
         self.dispatch.on_sent(upstream.id, now=now)
         self._reader.on_sent(conn, upstream)
         self.sent_at = now
-        self.delivery = self._upstreams.deliveries.start(conn, sent_at=now)
+        self.delivery = self._upstreams.deliveries.start(
+            conn, transit, sent_at=now
+        )
         begin_left_s = self.begin_by - now
         if math.isfinite(begin_left_s):
             self.begin_left_s = begin_left_s
@@ -255,11 +264,12 @@
         if not forecast.is_changing(now):
             forecast.on_failure(now=now, avoid=True)
 
-    def _terms(self, now: float) -> SendTerms:
+    def _terms(self, arrives_at: float) -> SendTerms:
+        """Return the terms; the upstream counts the time left from arrival."""
         forecast = self.choice.forecast
         return SendTerms(
             upstream_id=forecast.upstream.id,
-            left_s=self.dispatch.deadline_at - now,
+            left_s=self.dispatch.deadline_at - arrives_at,
             customer=self.customer,
             weights=self.choice.weights,
             urgency=self.urgency,
@@ -436,8 +446,12 @@
             return
         now = clock_s()
         self.time_to_first_event_s = now - self.sent_at
+        delivery = self.delivery
         self.choice.forecast.on_begun(
-            self._ticket, forecast_s=self.choice.first_s, now=now
+            self._ticket,
+            forecast_s=self.choice.first_s - self.choice.transit_s,
+            now=now,
+            transit_s=delivery.unacknowledged_s if delivery else 0,
         )
 
     def _record_pause(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -12,7 +12,7 @@
 """The logged ending of an attempt that was running when its request ended."""
 
 MIN_LOGGED_S = 0.05
-"""Waits for a connection that are shorter than this aren't logged."""
+"""Shorter waits for a connection and delays of links aren't logged."""
 
 
 def log_fields(
@@ -36,6 +36,8 @@
         'ending': type(ending).__name__ if ending else IN_PROGRESS,
         'why': getattr(ending, 'reason', ''),
     }
+    if attempt.choice.transit_s >= MIN_LOGGED_S:
+        line['transit_s'] = round(attempt.choice.transit_s, 3)
     if attempt.connect_s >= MIN_LOGGED_S:
         line['connect_s'] = round(attempt.connect_s, 3)
     delivery = attempt.delivery
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_choosing.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_choosing.py
@@ -249,8 +249,11 @@
         if not candidate.weights or forecast.is_changing(now):
             return False
         left_s = self.begin_by(candidate, required.model) - now
-        left_s -= overdue_s(
-            forecast.load_report_age_s(now), is_far=candidate.other_region
+        left_s -= max(
+            forecast.transit.delay_s(now),
+            overdue_s(
+                forecast.load_report_age_s(now), is_far=candidate.other_region
+            ),
         )
         if left_s > NOT_RETRYABLE_MARGIN_S - CANCEL_MARGIN_S:
             return True
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from attrs import define
 
 from crowrudder_daemon._clock import clock_s
 
+if TYPE_CHECKING:
+    from crowrudder_core.transit import TransitDelay
+
 POLL_INTERVAL_S = 0.05
 """Interval of checks while a request is unacknowledged. A check costs one system
 call for each of them, and most are acknowledged before the first one."""
@@ -39,6 +42,7 @@
     unacknowledged_s: float = 0
     unacknowledged_bytes: int = 0
     _queue: SendQueue
+    _transit: TransitDelay
 
     def check(self, now: float) -> bool:
         """Record what is unacknowledged; return whether to check again."""
@@ -48,6 +52,9 @@
         self.unacknowledged_bytes = size
         if size:
             self.unacknowledged_s = now - self.sent_at
+            self._transit.on_unacknowledged(sent_at=self.sent_at, now=now)
+        elif not self.unacknowledged_s:
+            self._transit.on_acknowledged(sent_at=self.sent_at)
         return bool(size)
 
 
@@ -58,9 +65,11 @@
         self._in_transit: set[Delivery] = set()
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, queue: SendQueue, *, sent_at: float) -> Delivery:
-        """Watch a request that was just sent."""
-        delivery = Delivery(queue=queue, sent_at=sent_at)
+    def start(
+        self, queue: SendQueue, transit: TransitDelay, *, sent_at: float
+    ) -> Delivery:
+        """Watch a request that was just sent, and tell the host's estimate."""
+        delivery = Delivery(queue=queue, transit=transit, sent_at=sent_at)
         self._in_transit.add(delivery)
         if self._timer is None:
             self._schedule()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -238,8 +238,19 @@
         }
 
     def _forecast_refusal(self, choice: Choice | None) -> Decision | None:
-        """Return a refusal if the first attempt is forecast to be too late."""
-        if choice is None or self.dispatch.sends or self.side.has_begun:
+        """Return a refusal if the attempt is forecast to be too late.
+
+        A first attempt must begin by the request's goal, any other one before
+        the caller's deadline: it would only take a slot from another request.
+        """
+        if choice is None:
+            return None
+        if clock_s() + choice.first_s >= self.dispatch.deadline_at:
+            return self.dispatch.refuse(
+                f'first event forecast in {choice.first_s:.2f} s, '
+                'after the deadline'
+            )
+        if self.dispatch.sends or self.side.has_begun:
             return None
         goal_s = self.admitted.route.goal_s
         passed_s = clock_s() - self.arrived_at
@@ -293,6 +304,7 @@
                     choice, self.call.model
                 ),
                 is_retryable=is_retryable,
+                transit_s=choice.transit_s,
             ),
             dispatch=self.dispatch,
             events=self.events,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_timeouts.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_timeouts.py
@@ -46,7 +46,12 @@
 
 
 def timeouts_for(
-    route: Route, *, first_s: float, begin_by: float, is_retryable: bool
+    route: Route,
+    *,
+    first_s: float,
+    begin_by: float,
+    is_retryable: bool,
+    transit_s: float = 0,
 ) -> AttemptTimeouts:
     """Return the timeouts of an attempt.
 
@@ -56,6 +61,8 @@
     ----------
     first_s
         Forecast of the time to the first event, in seconds.
+    transit_s
+        The part of it that is spent on the way.
     begin_by
         Time by which the answer must begin, on the own clock.
     """
@@ -69,15 +76,15 @@
             begin_by=begin_by,
             late_pause_s=late_pause_s,
         )
-    forecast_s = TIMEOUT_FORECASTS * first_s
+    forecast_s = TIMEOUT_FORECASTS * (first_s - transit_s)
     if route.kind is RouteKind.STREAM:
         return AttemptTimeouts(
-            first_s=max(FIRST_EVENT_TIMEOUT_S, forecast_s),
+            first_s=transit_s + max(FIRST_EVENT_TIMEOUT_S, forecast_s),
             pause_s=max(PAUSE_TIMEOUT_S, 2 * route.pause_goal_s),
             begin_by=begin_by,
             late_pause_s=late_pause_s,
         )
-    timeout_s = max(SHORT_ANSWER_TIMEOUT_S, forecast_s)
+    timeout_s = transit_s + max(SHORT_ANSWER_TIMEOUT_S, forecast_s)
     return AttemptTimeouts(
         first_s=timeout_s, pause_s=timeout_s, begin_by=begin_by
     )
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -9,6 +9,7 @@
 from crowrudder_core.forecast._upstream_forecast import LOAD_REPORT_TTL_S
 from crowrudder_core.limits import SharedRetryBudget
 from crowrudder_core.statements import Accepting
+from crowrudder_core.transit import TransitDelay
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._choosing import UpstreamChooser
 from crowrudder_daemon.fleet_entry._delivery import DeliveryWatch
@@ -58,6 +59,7 @@
             statements=self.statements,
             random=self._random,
         )
+        self._transits: dict[str, TransitDelay] = {}
         self._ticket = 0
         self._pending: dict[int, PendingAttempt] = {}
         bounds = node.bounds
@@ -99,6 +101,9 @@
             if not is_same or known is None or known.upstream is not upstream:
                 self._refresh_one(upstream)
         self._table.index()
+        hosts = {each.host_ip for each in listed.values()}
+        for host in self._transits.keys() - hosts:
+            self._transits.pop(host)
         for attempt in self._pending.values():
             attempt.update_begin_by()
         self.pool.close_expired()
@@ -211,6 +216,7 @@
                     forecast.upstream.id
                 ).reason,
                 'slowness': round(forecast.slowness, 2),
+                'transit_s': round(forecast.transit.delay_s(now), 3),
             }
             for forecast in self._table.by_id.values()
         ]
@@ -218,7 +224,10 @@
     def _refresh_one(self, upstream: Upstream) -> None:
         forecast = self._table.by_id.get(upstream.id)
         if forecast is None:
-            forecast = UpstreamForecast(upstream)
+            transit = self._transits.setdefault(
+                upstream.host_ip, TransitDelay()
+            )
+            forecast = UpstreamForecast(upstream, transit)
             self._table.by_id[upstream.id] = forecast
             self.statements.on_listed(upstream.id, upstream.started_ms)
         if forecast.on_record(upstream, now=clock_s()):
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -45,6 +45,11 @@
         """Return whether the peer refused the connection: nothing listens."""
         return isinstance(self.__cause__, ConnectionRefusedError)
 
+    @property
+    def is_timeout(self) -> bool:
+        """Return whether the peer didn't answer the attempt to connect."""
+        return isinstance(self.__cause__, TimeoutError)
+
 
 class BrokenAnswerError(UpstreamError):
     """The response was truncated or invalid; the request may have run."""
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -37,6 +37,7 @@
 EVENTS = 6
 SEAL = 'X-Replica-Seal'
 REQUEST_ID = 'X-Attempt-Id'
+DEADLINE = 'X-Deadline-Ms'
 LIMIT = 'Server-Limit'
 LEAVING = 'Server-Leaving'
 PAUSE = 'Retry-After'
@@ -55,6 +56,7 @@
     weights: int
     ended: str = ''
     began_at: float = field(factory=time.monotonic)
+    left_ms: int = 0
 
 
 @define
@@ -325,6 +327,7 @@
             customer=request.headers.get('X-Tenant', ''),
             resumed_after=int(request.headers.get('Last-Event-Id') or 0),
             weights=self.weights,
+            left_ms=int(request.headers.get(DEADLINE) or 0),
         )
         self.runs.append(run_record)
         self.append_journal({'replica': self.id, 'run': run_record.request_id})
--- a/tests/fleet/test_delivery.py
+++ b/tests/fleet/test_delivery.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from crowrudder_core.transit import TransitDelay
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._delivery import (
     POLL_INTERVAL_S,
@@ -25,7 +26,7 @@
 class TestDelivery:
     def test_records_how_long_bytes_were_unacknowledged(self):
         queue = Queue(617)
-        delivery = Delivery(queue=queue, sent_at=10)
+        delivery = Delivery(queue=queue, transit=TransitDelay(), sent_at=10)
         assert delivery.check(10.3)
         queue.unsent_bytes = 0
         assert not delivery.check(10.5)
@@ -34,13 +35,13 @@
 
     def test_a_late_check_of_acknowledged_bytes_shows_no_delay(self):
         """Guards against a busy event loop that looks like a slow link."""
-        delivery = Delivery(queue=Queue(0), sent_at=10)
+        delivery = Delivery(queue=Queue(0), transit=TransitDelay(), sent_at=10)
         assert not delivery.check(12)
         assert delivery.unacknowledged_s == 0
 
     def test_a_closed_connection_keeps_what_was_recorded(self):
         queue = Queue(617)
-        delivery = Delivery(queue=queue, sent_at=10)
+        delivery = Delivery(queue=queue, transit=TransitDelay(), sent_at=10)
         delivery.check(10.3)
         queue.unsent_bytes = -1
         assert not delivery.check(11)
@@ -52,7 +53,7 @@
         async def check():
             watch = DeliveryWatch()
             queue = Queue(617)
-            delivery = watch.start(queue, sent_at=clock_s())
+            delivery = watch.start(queue, TransitDelay(), sent_at=clock_s())
             await asyncio.sleep(3 * POLL_INTERVAL_S)
             assert delivery.unacknowledged_s >= POLL_INTERVAL_S
             queue.unsent_bytes = 0
@@ -66,7 +67,9 @@
     def test_a_request_that_ends_is_checked_once_more(self):
         async def check():
             watch = DeliveryWatch()
-            delivery = watch.start(Queue(617), sent_at=clock_s() - 0.01)
+            delivery = watch.start(
+                Queue(617), TransitDelay(), sent_at=clock_s() - 0.01
+            )
             watch.finish(delivery)
             assert delivery.unacknowledged_s >= 0.01
             assert not watch._in_transit
