--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -15,6 +15,7 @@
 from crowrudder_core.dispatch import Dispatch, EventStream
 from crowrudder_core.forecast import _upstream_forecast
 from crowrudder_core.statements import IncarnationKey
+from crowrudder_core.transit import TransitDelay
 from crowrudder_daemon.fleet.ports import ResponseMetadata
 from crowrudder_daemon.fleet_entry import _attempt
 from crowrudder_daemon.fleet_entry._attempt import Attempt
@@ -45,6 +46,7 @@
     """An outlook that accepts every update on its upstream."""
 
     upstream = SimpleNamespace(id='e0', address='a')
+    transit = TransitDelay()
 
     def load_report_age_s(self, now):
         return 0.1
@@ -115,6 +117,7 @@
             forecasts=(forecast,),
             weights=2,
             first_s=0.1,
+            transit_s=0,
             path=None,
         ),
         'side': SimpleNamespace(has_begun=False),
