Platform soak: links whose queues delay requests, answers or both

One engine's link at a time has a queue of 0.5 to 2 s, into the host, out of it, then both, while versions end. A queue excuses no violation: nothing may begin on a version after its end, however late bytes arrive.

--- a/scripts/_relay.py
+++ b/scripts/_relay.py
@@ -89,9 +89,13 @@
 
 @define(eq=False)
 class Link:
-    """One direction between two processes, whichever opened the connection."""
+    """One direction between two processes, whichever opened the connection.
+
+    ``delay_s`` is its latency; ``queue_s`` is the further delay by a queue.
+    """
 
     delay_s: float = 0
+    queue_s: float = 0
     unpaused: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -253,7 +257,7 @@
     """Copy one direction until end of file."""
     while data := await reader.read(_READ_BYTES):
         await link.unpaused.wait()
-        await asyncio.sleep(link.delay_s)
+        await asyncio.sleep(link.delay_s + link.queue_s)
         writer.write(data)
         await writer.drain()
     await link.unpaused.wait()
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -31,6 +31,7 @@
 from _platform_ends import VersionEnds
 from _platform_fatals_limits import FatalsAndLimits, check_fatals_and_limits
 from _platform_fleet import VERSION_S, Plan, PlatformFleet
+from _platform_links import NarrowLinks
 from _platform_load import Caller
 from _platform_seeds import REGRESSION_SEEDS
 from _platform_statements import StatingReplicas, check_statements
@@ -62,6 +63,7 @@
     version_ends_rng: random.Random
     fatals_rng: random.Random
     statements_rng: random.Random
+    links_rng: random.Random
     duration_s: float
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
@@ -81,6 +83,7 @@
         stating = StatingReplicas(
             self.fleet, self.statements_rng, chaos, self.log_line
         )
+        narrow_links = NarrowLinks(self.fleet, self.links_rng, self.log_line)
         problems = await self._settle('start', START_TIMEOUT_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
@@ -92,6 +95,7 @@
                 ).run(ends_at),
                 fatals_and_limits.run(ends_at),
                 stating.run(ends_at),
+                narrow_links.run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -114,6 +118,7 @@
         for problem in problems:
             verdict.add_violation('state', problem)
         self.log_line(f'faults: {dict(chaos.fault_counts)}')
+        self.log_line(f'queues: {dict(narrow_links.counts)}')
         return verdict
 
     def log_line(self, line: str) -> None:
@@ -196,12 +201,14 @@
         fleet = PlatformFleet(plan, Path(name), rng, queue_rng)
         fatals_rng = random.Random(f'needs of {seed}')
         statements_rng = random.Random(f'statements of {seed}')
+        links_rng = random.Random(f'links of {seed}')
         soak = PlatformSoak(
             fleet,
             rng,
             version_ends_rng,
             fatals_rng,
             statements_rng,
+            links_rng,
             float(options['--duration']),
         )
         soak.log_line(f'seed {seed}: {plan}')
