--- a/packages/core/src/crowrudder_core/transit/_round_trips.py
+++ b/packages/core/src/crowrudder_core/transit/_round_trips.py
@@ -32,14 +32,20 @@
 
     def on_answered(self, peer: str, *, now: float) -> None:
         """Record the answer to a probe."""
-        sent_at = self._sent_at.pop(peer, now)
-        self._answers[peer] = _Answer(now - sent_at, now)
+        sent_at = self._sent_at.pop(peer, None)
+        if sent_at is not None:
+            self._answers[peer] = _Answer(now - sent_at, now)
 
     def on_failed(self, peer: str) -> None:
         """Record a probe that a lost peer will not answer."""
         self._sent_at.pop(peer, None)
         self._answers.pop(peer, None)
 
+    def forget(self) -> None:
+        """Forget all probes: this process may have been late, not the link."""
+        self._sent_at.clear()
+        self._answers.clear()
+
     def is_waiting(self, peer: str) -> bool:
         """Return whether a probe to a peer is under way."""
         return peer in self._sent_at
--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -185,7 +185,7 @@
 
     def _max_read_rate(self) -> int:
         """Return the rate of one read in bytes per second; 0 for no limit."""
-        if not self._downlink.is_limited:
+        if not self._downlink.adaptive.is_limited:
             return 0
         reads = max(len(self._transfer.in_flight), 1)
         return max(int(self._downlink.weights_rate / reads), 1)
@@ -216,7 +216,7 @@
     def _reserve_link(self, read: Read, size: int) -> float:
         """Record received bytes; return how long the link is busy, in seconds."""
         self._transfer.on_bytes_received(read, now=self._now(), size=size)
-        self._downlink.on_carried(size, now=self._now())
+        self._downlink.adaptive.on_carried(size, now=self._now())
         return self._downlink.reserve(size, now=self._now())
 
     def _accept(self, read: Read, payload: bytes) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/chunks/_uploads.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_uploads.py
@@ -92,7 +92,7 @@
         if payload is None:
             yield ChunkPiece(absent=True, stock=inventory)
             return
-        if self._uplink.is_draining or not self._slots.take():
+        if self._uplink.adaptive.is_draining or not self._slots.take():
             yield ChunkPiece(busy=True, stock=inventory)
             return
         try:
@@ -129,7 +129,7 @@
             due_at += len(piece) / rate
             await asyncio.sleep(max(due_at - loop.time(), 0))
             yield ChunkPiece(payload=piece)
-            self._uplink.on_carried(len(piece), now=loop.time())
+            self._uplink.adaptive.on_carried(len(piece), now=loop.time())
         self._on_sent(len(payload))
 
     def stock(self, version: str, transfer: Transfer | None) -> InventoryReply:
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_end_guard.py
@@ -86,6 +86,7 @@
         self._watch = watch
         self._library = library
         self._loader = loader
+        self._warned_version = 0
         self._changed = asyncio.Event()
 
     def on_change(self) -> None:
@@ -134,6 +135,9 @@
 
     async def _close(self, figures: EngineFigures) -> None:
         closing = self._choose_closing_load(figures)
+        if closing is None and figures.layers <= WITHDRAWN_LAYERS.count:
+            self._warn_not_closable()
+            return
         version = closing.load.version if closing else self._watch.whole
         layers = closing.layers if closing else WITHDRAWN_LAYERS
         reading = self._watch.reading
@@ -246,3 +250,14 @@
             for name in names
             if name in transfers
         }
+
+    def _warn_not_closable(self) -> None:
+        """Log once per version that a model of one layer can't be withdrawn."""
+        loaded_version = self._watch.whole
+        if self._warned_version == loaded_version:
+            return
+        self._warned_version = loaded_version
+        self._runtime.log.warning(
+            'nothing at hand of a newer version',
+            extra={'step': 'end', 'weights': loaded_version},
+        )
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -184,15 +184,16 @@
         """
         now = asyncio.get_running_loop().time()
         self._uplink.on_live_traffic(0, running, now=now)
-        links = (self._uplink, self._downlink)
-        is_full = any(each.is_fully_used(now) for each in links)
-        for link in links:
-            link.on_delay(link_delay_s, now=now, is_full=is_full)
+        rates = (self._uplink.adaptive, self._downlink.adaptive)
+        is_full = any(each.is_fully_used(now) for each in rates)
+        for rate in rates:
+            rate.on_delay(link_delay_s, now=now, is_full=is_full)
         self._leave_origin_to_others(
-            is_slow=any(each.is_limited for each in links)
+            is_slow=any(each.is_limited for each in rates)
         )
 
     def _leave_origin_to_others(self, *, is_slow: bool) -> None:
+        """Set whether other hosts are to read all chunks from the origin."""
         for transfer in self.versions.transfers.values():
             if transfer.origin.is_slow != is_slow:
                 transfer.origin.is_slow = is_slow
@@ -201,7 +202,7 @@
     def uses_link(self) -> bool:
         """Return whether chunks are fetched, or were sent of late."""
         now = asyncio.get_running_loop().time()
-        return self._uplink.is_in_use(now) or any(
+        return self._uplink.adaptive.is_in_use(now) or any(
             not (transfer.complete or transfer.dropped)
             for transfer in self.versions.transfers.values()
         )
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_link_probe.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_link_probe.py
@@ -28,6 +28,10 @@
 """Number of entries that are probed. With one, its own link would count as this
 host's."""
 
+MAX_LATE_S = 0.2
+"""If this task wakes later, the process was suspended or busy, and what it
+measured meanwhile doesn't count."""
+
 LOGGED_DELAY_S = 0.3
 """Delay of which the start and the end are logged."""
 
@@ -74,8 +78,12 @@
 
     async def run(self) -> None:
         """Probe periodically while weights use the link."""
+        woke_at = clock_s()
         while True:
             await sleep_to_tick(PROBE_INTERVAL_S)
+            before, woke_at = woke_at, clock_s()
+            if woke_at - before > PROBE_INTERVAL_S + MAX_LATE_S:
+                self._round_trips.forget()
             self._log_change()
             if not (self._is_active() or self._is_slow):
                 continue
--- a/tests/fleet/test_end_guard.py
+++ b/tests/fleet/test_end_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,6 +14,7 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_agent._end_guard import EndGuard
 from crowrudder_model.fleet import LayerRange
+from support.aio import run
 
 FIGURES: Any = SimpleNamespace(model='m', layers=16)
 CHUNKS = 48
@@ -89,3 +91,15 @@
         versions = {'m@2': Version(full(CHUNKS))}
         found = loads(versions, named_ago_s={2: 7.6})
         assert found == (2, LayerRange(0, 16))
+
+
+class TestSingleLayer:
+    def test_a_model_of_one_layer_is_not_withdrawn(self, caplog):
+        """Guards against an order that is sent again and again in vain."""
+        guarded = guard({}, named_ago_s={2: 7.6})
+        log = logging.getLogger('crowrudder.test')
+        guarded._runtime = SimpleNamespace(log=log)
+        figures: Any = SimpleNamespace(model='m', layers=1)
+        for _ in range(2):
+            run(guarded._close(figures))
+        assert len(caplog.records) == 1
--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -341,7 +341,7 @@
             (agent,) = world.agents
             agent.link_probe.delay_s = lambda: SLOW_S
             library = agent.library
-            await world.until(lambda: library._uplink.is_limited)
-            assert library._downlink.is_limited
+            await world.until(lambda: library._uplink.adaptive.is_limited)
+            assert library._downlink.adaptive.is_limited
 
         checked(check, plain=0, engines=0)
--- a/tests/support/narrow_link.py
+++ b/tests/support/narrow_link.py
@@ -63,14 +63,14 @@
         carried = min(self.queue_bytes, self.rate * STEP_S)
         self.queue_bytes -= carried
         self.carried += carried
-        self.share.on_carried(round(carried), now=self.now)
+        self.share.adaptive.on_carried(round(carried), now=self.now)
         self._send_pieces()
         self._probe()
         if self.adapts and self._is_due(MEASURE_S):
-            self.share.on_delay(
+            self.share.adaptive.on_delay(
                 self.probes.delay_s(self.now),
                 now=self.now,
-                is_full=self.share.is_fully_used(self.now),
+                is_full=self.share.adaptive.is_fully_used(self.now),
             )
         self.delays_s.append((self.now, self.delay_s))
 
@@ -78,7 +78,7 @@
         return self.now % interval_s < STEP_S
 
     def _send_pieces(self):
-        if self.share.is_draining:
+        if self.share.adaptive.is_draining:
             self._piece_at = self.now
             return
         rate = self.share.weights_rate
--- a/tests/transit/test_round_trips.py
+++ b/tests/transit/test_round_trips.py
@@ -46,3 +46,11 @@
         trips.on_failed('dead')
         assert not trips.delay_s(15)
         assert not trips.is_waiting('dead')
+
+    def test_a_late_process_does_not_look_like_a_slow_link(self):
+        """Guards against a suspended agent whose link then counts as slow."""
+        trips = answered(near=0.004)
+        trips.on_sent('near', now=10.2)
+        trips.forget()
+        trips.on_answered('near', now=15)
+        assert not trips.delay_s(15)
--- a/tests/weights/test_narrow_links.py
+++ b/tests/weights/test_narrow_links.py
@@ -83,12 +83,12 @@
     def test_a_wide_link_is_used_at_its_full_rate(self):
         link = NarrowLink(rate=NOMINAL)
         link.play(10)
-        assert not link.share.is_limited
+        assert not link.share.adaptive.is_limited
 
     def test_the_full_rate_returns_once_the_link_is_wide(self):
         link = narrowed(0.106)
         link.play(4.5, rate=NOMINAL)
-        assert not link.share.is_limited
+        assert not link.share.adaptive.is_limited
 
 
 class TestUploads:
@@ -117,10 +117,10 @@
 
         async def check():
             uplink = LinkShare(rate=1e6, burst=0)
-            uplink.on_delay(1.0, now=0)
+            uplink.adaptive.on_delay(1.0, now=0)
             pieces = [piece async for piece in self.served(uplink=uplink)]
             assert [piece.busy for piece in pieces] == [True]
-            uplink.on_delay(0, now=1)
+            uplink.adaptive.on_delay(0, now=1)
             pieces = [piece async for piece in self.served(uplink=uplink)]
             assert not any(piece.busy for piece in pieces)
 
