Tests: each place that asks for the delay of a link fails a test without the question

Mutations that take the question out of one place: the admission, the choice near a version's end, the second send's forecast and the reset by acknowledged bytes left all tests green; each has a test that fails now.

--- a/tests/fleet/test_delivery.py
+++ b/tests/fleet/test_delivery.py
@@ -39,6 +39,13 @@
         assert not delivery.check(12)
         assert delivery.unacknowledged_s == 0
 
+    def test_acknowledged_bytes_end_an_earlier_delay(self):
+        transit = TransitDelay()
+        transit.on_unacknowledged(sent_at=9, now=9.9)
+        assert transit.delay_s(10)
+        Delivery(queue=Queue(0), transit=transit, sent_at=10).check(10.05)
+        assert not transit.delay_s(10.05)
+
     def test_a_closed_connection_keeps_what_was_recorded(self):
         queue = Queue(617)
         delivery = Delivery(queue=queue, transit=TransitDelay(), sent_at=10)
--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -12,10 +12,11 @@
 
 import pytest
 
-from crowrudder_core.forecast import _upstream_forecast
+from crowrudder_core.forecast import UpstreamForecast, _upstream_forecast
 from crowrudder_core.forecast._upstream_forecast import SLOW_TRANSIT_S
 from crowrudder_core.transit import _transit_delay
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._choosing import UpstreamRequirements
 from crowrudder_model.messages import EngineLoad
 from support.fleet_checks import checked, fault
 
@@ -108,11 +109,12 @@
     ):
         async def check(world):
             await add_engines(world, 'e0')
-            report(world, 'e0', transit_s=SLOW_S)
-            route = world.entries[0].catalog.view.config.routes
-            goal_s = max(each.goal_s for each in route)
-            monkeypatch.setattr(_transit_delay, 'MAX_TRANSIT_S', 2 * goal_s)
-            report(world, 'e0', transit_s=2 * goal_s)
+            routes = world.entries[0].catalog.view.config.routes
+            (goal_s,) = {route.goal_s for route in routes}
+            delay_s = goal_s + SLOW_S
+            assert delay_s < min(route.timeout_s for route in routes)
+            monkeypatch.setattr(_transit_delay, 'MAX_TRANSIT_S', delay_s)
+            report(world, 'e0', transit_s=delay_s)
             asked_at = clock_s()
             answer = await draft(world, X_Deadline_Ms='20000')
             assert answer.status == 503
@@ -122,17 +124,21 @@
 
         checked(check, plain=0, engines=0)
 
-    def test_nothing_is_sent_near_the_end_of_a_version(self):
+    def test_no_upstream_is_chosen_near_the_end_of_its_version(self):
         """Guards against bytes that reach an engine after its version's end."""
 
         async def check(world):
             await add_engines(world, 'e0')
             world.name_version(2)
+            upstreams = world.entries[0].upstreams
             world.entries[0].catalog.view.releases.window_s = 1.9
             await world.ready()
+            required = UpstreamRequirements(
+                service='llm', model='m', is_retryable=True
+            )
+            assert upstreams.choose(required) is not None
             report(world, 'e0', transit_s=SLOW_S)
-            assert (await draft(world)).status == 503
-            assert not world.replicas['e0'].runs
+            assert upstreams.choose(required) is None
 
         checked(check, plain=0, engines=0)
 
@@ -200,6 +206,19 @@
 
         checked(check, plain=0, engines=0)
 
+    @pytest.mark.default_timeouts
+    def test_nothing_is_sent_again_to_a_queue_that_is_too_long(self):
+        async def check(world):
+            await add_engines(world, 'e0', 'e1')
+            report(world, 'e1', running=8, queued=2000)
+            world.replicas['e0'].faults.switch_on(fault('hang', None))
+            answer = await draft(world, X_Deadline_Ms='1500')
+            assert answer.status in {502, 504}
+            assert len(world.replicas['e0'].runs) == 1
+            assert not world.replicas['e1'].runs
+
+        checked(check, plain=0, engines=0)
+
     @pytest.mark.default_timeouts
     def test_it_is_sent_again_where_it_can_begin_in_time(self):
         async def check(world):
@@ -227,17 +246,28 @@
 
         checked(check, plain=0, engines=0)
 
-    def test_unacknowledged_bytes_show_a_slow_link(self):
+    def test_time_on_the_link_is_not_time_at_work(self, monkeypatch):
+        """Guards against an engine that is avoided though its link is wide again."""
+
         async def check(world):
             await add_engines(world, 'e0')
-            world.replicas['e0'].faults.switch_on(fault('hang', None))
-            pool = world.entries[0].upstreams.pool
-            acquire = pool.acquire
+            world.replicas['e0'].faults.switch_on(fault('slow', 1, 0.4))
+            hold_back(world)
+            assert (await draft(world)).status == 200
+            (begun,) = told
+            assert begun['transit_s'] >= 0.3
 
-            async def acquire_held(address, **more):
-                return HeldBack(await acquire(address, **more))
+        told = []
+        monkeypatch.setattr(
+            UpstreamForecast, 'on_begun', lambda *_, **more: told.append(more)
+        )
+        checked(check, plain=0, engines=0)
 
-            pool.acquire = acquire_held
+    def test_unacknowledged_bytes_show_a_slow_link(self):
+        async def check(world):
+            await add_engines(world, 'e0')
+            world.replicas['e0'].faults.switch_on(fault('hang', None))
+            hold_back(world)
             asked = asyncio.ensure_future(draft(world))
             transit = transit_of(world, 'e0')
             await world.until(
@@ -272,6 +302,17 @@
         checked(check, plain=0, engines=0)
 
 
+def hold_back(world):
+    """Make an entry see the bytes that it sends as unacknowledged."""
+    pool = world.entries[0].upstreams.pool
+    acquire = pool.acquire
+
+    async def acquire_held(address, **more):
+        return HeldBack(await acquire(address, **more))
+
+    pool.acquire = acquire_held
+
+
 class HeldBack:
     """A connection whose bytes the peer never acknowledges."""
 
--- a/tests/forecast/test_forecast.py
+++ b/tests/forecast/test_forecast.py
@@ -104,6 +104,14 @@
             one.on_ended(ticket)
         assert one.first_s(100, 0) > 2 * usual_s
 
+    def test_time_on_a_slow_link_is_no_slowness(self):
+        """Guards against an engine that is avoided though its link is wide again."""
+        one = make_outlook(running=0)
+        usual_s = one.first_s(100, 0)
+        one.on_sent(1, InFlightRequest(100, 0))
+        one.on_begun(1, forecast_s=usual_s, now=usual_s + 1.5, transit_s=1.5)
+        assert one.slowness == pytest.approx(1)
+
     def test_slowness_decays_for_admission_after_a_burst(self):
         """Requests must be admitted again once a burst is over.
 
