Entry: a host whose load reports are lost isn't preferred

An upstream whose last report is overdue by 0.3 s is avoided while there are others. It isn't counted as a delay: an agent that has stopped must not make its engine refused. overdue_s, until now used before a version's end alone, is the same for both.

Tests: forecast/test_forecast.py::TestOverdueReports, fleet/test_slow_links.py.

--- a/packages/core/src/crowrudder_core/forecast/__init__.py
+++ b/packages/core/src/crowrudder_core/forecast/__init__.py
@@ -13,6 +13,12 @@
     Pipeline,
     build_pipeline,
 )
+from crowrudder_core.forecast._reach import (
+    LOCAL_REPORT_AGE_S,
+    REMOTE_REPORT_AGE_S,
+    is_slow_to_reach,
+    overdue_s,
+)
 from crowrudder_core.forecast._upstream_forecast import (
     InFlightRequest,
     UpstreamForecast,
@@ -24,10 +30,14 @@
     'EngineModel',
     'LayerHolder',
     'IncarnationTracker',
+    'LOCAL_REPORT_AGE_S',
+    'REMOTE_REPORT_AGE_S',
     'UpstreamForecast',
     'Pipeline',
     'InFlightRequest',
     'choose',
     'choose_eligible',
+    'is_slow_to_reach',
+    'overdue_s',
     'build_pipeline',
 )
--- a/packages/core/src/crowrudder_core/forecast/_choice.py
+++ b/packages/core/src/crowrudder_core/forecast/_choice.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from crowrudder_core.forecast._reach import is_slow_to_reach
 from crowrudder_core.forecast._upstream_forecast import (
     CROWDED_OCCUPANCY,
     FAILURE_PENALTY_S,
@@ -146,7 +147,10 @@
             candidate = next(eligible, None)
             if candidate is None:
                 break
-            is_avoided = candidate.forecast.is_avoided(now)
+            forecast = candidate.forecast
+            is_avoided = forecast.is_avoided(now) or is_slow_to_reach(
+                forecast, now
+            )
             (avoided_here if is_avoided else healthy).append(candidate)
         avoided += avoided_here[: target_count - len(avoided)]
     sampled = healthy or avoided
--- a/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
+++ b/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
@@ -9,6 +9,7 @@
 
 from crowrudder_core.forecast._engine import EngineModel
 from crowrudder_core.forecast._incarnation import IncarnationTracker
+from crowrudder_core.forecast._reach import LOCAL_REPORT_AGE_S
 from crowrudder_core.transit import TransitDelay
 from crowrudder_model.fleet import LayerRange
 
@@ -50,10 +51,6 @@
 """Time constant by which measured slowness decays to a third for admission: a
 queue that delayed first events is worked off in about that time."""
 
-SLOW_TRANSIT_S = 0.3
-"""Delay on the link to a host and back from which on its upstreams are avoided.
-Callers want the first event within a few tenths of a second."""
-
 MAX_SLOWNESS = 8.0
 DEFAULT_PLAIN_RUN_S = 0.05
 """Assumed response time of a plain service before any was measured."""
@@ -74,11 +71,13 @@
 
     Own requests are known as of now. Those of other entries come from the
     agent's load report and are as old as it is. ``transit`` is shared by all
-    upstreams of a host.
+    upstreams of a host. The last report is at most ``usual_report_age_s`` old
+    unless one was lost or delayed.
     """
 
     upstream: Upstream
     transit: TransitDelay = field(factory=TransitDelay)
+    usual_report_age_s: float = LOCAL_REPORT_AGE_S
     model: EngineModel | None = None
     load: EngineLoad | None = None
     avoid_until: float = 0
@@ -212,12 +211,10 @@
         self.failure_share = _running_mean(self.failure_share, 1)
 
     def is_avoided(self, now: float) -> bool:
-        """Return whether it is unreachable, failed recently or is slow to reach."""
+        """Return whether the upstream is unreachable or failed recently."""
         load = self.fresh_load(now)
         if load is not None and not load.reachable:
             return True
-        if self.transit.delay_s(now) >= SLOW_TRANSIT_S:
-            return True
         return now < self.avoid_until
 
     def is_changing(self, now: float) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_choosing.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_choosing.py
@@ -14,6 +14,8 @@
     UpstreamForecast,
     build_pipeline,
     choose_eligible,
+    is_slow_to_reach,
+    overdue_s,
 )
 from crowrudder_core.forecast._choice import SAMPLE_SIZE
 from crowrudder_core.forecast._upstream_forecast import STAGE_REPORT_TTL_S
@@ -23,7 +25,6 @@
     MIN_START_WINDOW_S,
     NOT_RETRYABLE_MARGIN_S,
     START_WINDOW_FORECASTS,
-    overdue_s,
 )
 
 if TYPE_CHECKING:
@@ -218,7 +219,9 @@
         partial_holders = [
             (forecast, part)
             for forecast in self._usable(required, now)
-            if (part := forecast.part(now)) and not forecast.is_avoided(now)
+            if (part := forecast.part(now))
+            and not forecast.is_avoided(now)
+            and not is_slow_to_reach(forecast, now)
         ]
         models = {
             forecast.model.figures.model
@@ -249,12 +252,7 @@
         if not candidate.weights or forecast.is_changing(now):
             return False
         left_s = self.begin_by(candidate, required.model) - now
-        left_s -= max(
-            forecast.transit.delay_s(now),
-            overdue_s(
-                forecast.load_report_age_s(now), is_far=candidate.other_region
-            ),
-        )
+        left_s -= max(forecast.transit.delay_s(now), overdue_s(forecast, now))
         if left_s > NOT_RETRYABLE_MARGIN_S - CANCEL_MARGIN_S:
             return True
         if not required.is_retryable:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -5,7 +5,12 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from crowrudder_core.forecast import UpstreamForecast
+from crowrudder_core.forecast import (
+    LOCAL_REPORT_AGE_S,
+    REMOTE_REPORT_AGE_S,
+    UpstreamForecast,
+    is_slow_to_reach,
+)
 from crowrudder_core.forecast._upstream_forecast import LOAD_REPORT_TTL_S
 from crowrudder_core.limits import SharedRetryBudget
 from crowrudder_core.statements import Accepting
@@ -212,6 +217,7 @@
                 'own': forecast.own,
                 'others': forecast.others(now),
                 'avoided': forecast.is_avoided(now),
+                'slow_to_reach': is_slow_to_reach(forecast, now),
                 'states': self.statements.acceptance(
                     forecast.upstream.id
                 ).reason,
@@ -224,10 +230,12 @@
     def _refresh_one(self, upstream: Upstream) -> None:
         forecast = self._table.by_id.get(upstream.id)
         if forecast is None:
-            transit = self._transits.setdefault(
-                upstream.host_ip, TransitDelay()
+            is_far = self._table.is_far(upstream)
+            forecast = UpstreamForecast(
+                upstream,
+                self._transits.setdefault(upstream.host_ip, TransitDelay()),
+                REMOTE_REPORT_AGE_S if is_far else LOCAL_REPORT_AGE_S,
             )
-            forecast = UpstreamForecast(upstream, transit)
             self._table.by_id[upstream.id] = forecast
             self.statements.on_listed(upstream.id, upstream.started_ms)
         if forecast.on_record(upstream, now=clock_s()):
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_version_end.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_version_end.py
@@ -30,30 +30,6 @@
 although its connection had been closed for 0.35 s. More heavily loaded links
 take up to 1.7 s, which the engine's agent has to handle."""
 
-LOCAL_REPORT_AGE_S = 0.5
-"""Usual age of a load report from the own region: agents repeat it every
-0.4 s."""
-
-REMOTE_REPORT_AGE_S = 1.2
-"""The same for a report that relays forward from another region."""
-
-MAX_OVERDUE_S = 2.0
-"""Upper bound of the delay, so that an agent that has stopped doesn't keep
-requests away from its engine for longer."""
-
-
-def overdue_s(age_s: float, *, is_far: bool) -> float:
-    """Return by how much an upstream's last load report is overdue.
-
-    A link that delays the reports also delays requests and the connection
-    close that cancels them.
-
-    >>> overdue_s(0.3, is_far=False), overdue_s(0.9, is_far=False)
-    (0.0, 0.4)
-    """
-    usual_s = REMOTE_REPORT_AGE_S if is_far else LOCAL_REPORT_AGE_S
-    return min(max(age_s - usual_s, 0.0), MAX_OVERDUE_S)
-
 
 class PendingAttempt(Protocol):
     """An attempt that was sent and may not have begun."""
--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -12,8 +12,12 @@
 
 import pytest
 
-from crowrudder_core.forecast import UpstreamForecast, _upstream_forecast
-from crowrudder_core.forecast._upstream_forecast import SLOW_TRANSIT_S
+from crowrudder_core.forecast import (
+    UpstreamForecast,
+    _upstream_forecast,
+    is_slow_to_reach,
+)
+from crowrudder_core.forecast._reach import SLOW_TRANSIT_S
 from crowrudder_core.transit import _transit_delay
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._choosing import UpstreamRequirements
@@ -57,6 +61,10 @@
     return world.entries[0].upstreams._transits[HOST_IPS[name]]
 
 
+def forecast_of(world, name):
+    return world.entries[0].upstreams._table.by_id[name]
+
+
 async def draft(world, *, path='/draft/x', **headers):
     return await world.ask(path, method='POST', X_Model='m', **headers)
 
@@ -95,6 +103,27 @@
 
         checked(check, plain=0, engines=0)
 
+    def test_an_upstream_whose_reports_are_lost_is_avoided(self):
+        async def check(world):
+            await add_engines(world, 'e0', 'e1')
+            forecast = forecast_of(world, 'e0')
+            forecast.usual_report_age_s = -SLOW_TRANSIT_S
+            for _ in range(8):
+                assert (await draft(world)).status == 200
+            assert not world.replicas['e0'].runs
+
+        checked(check, plain=0, engines=0)
+
+    def test_all_are_used_if_all_reports_are_lost(self):
+        """Guards against refusals while agents restart and engines serve."""
+
+        async def check(world):
+            await add_engines(world, 'e0')
+            forecast_of(world, 'e0').usual_report_age_s = -60
+            assert (await draft(world)).status == 200
+
+        checked(check, plain=0, engines=0)
+
     def test_it_is_used_again_once_the_link_is_wide(self):
         async def check(world):
             await add_engines(world, 'e0')
@@ -296,8 +325,7 @@
             world.add_replica('p0', 'plain', ip=ip)
             await world.ready()
             report(world, 'e0', transit_s=SLOW_S)
-            table = world.entries[0].upstreams._table
-            assert table.by_id['p0'].is_avoided(clock_s())
+            assert is_slow_to_reach(forecast_of(world, 'p0'), clock_s())
 
         checked(check, plain=0, engines=0)
 
--- a/tests/forecast/test_forecast.py
+++ b/tests/forecast/test_forecast.py
@@ -6,11 +6,15 @@
 import pytest
 
 from crowrudder_core.forecast import (
+    LOCAL_REPORT_AGE_S,
     Candidate,
     InFlightRequest,
     UpstreamForecast,
     choose,
+    is_slow_to_reach,
+    overdue_s,
 )
+from crowrudder_core.forecast._reach import MAX_OVERDUE_S
 from crowrudder_core.forecast._upstream_forecast import SLOWNESS_DECAY_S
 from crowrudder_model.fleet import EngineFigures, Upstream
 from crowrudder_model.messages import EngineLoad
@@ -241,3 +245,38 @@
             )
             assert chosen is not None
             assert chosen.forecast is sound
+
+
+class TestOverdueReports:
+    """Guards against a host that looks idle as its load reports are lost.
+
+    The link out of a host was full, and its reports were lost for seconds.
+    Without a report its engine counted as not very busy, so that 150 of 280
+    connections that timed out in a play were to this host.
+    """
+
+    def test_a_report_is_overdue_after_its_usual_age(self):
+        one = make_outlook(running=0)
+        assert not overdue_s(one, LOCAL_REPORT_AGE_S)
+        assert not is_slow_to_reach(one, LOCAL_REPORT_AGE_S)
+        assert overdue_s(one, LOCAL_REPORT_AGE_S + 1) == 1
+        assert is_slow_to_reach(one, LOCAL_REPORT_AGE_S + 1)
+
+    def test_the_time_is_bounded(self):
+        assert overdue_s(make_outlook(running=0), 100) == MAX_OVERDUE_S
+
+    def test_an_upstream_without_reports_is_not_overdue(self):
+        assert not is_slow_to_reach(make_outlook(), 100)
+
+    def test_an_engine_with_reports_is_preferred(self):
+        lost, fresh = make_outlook('a', running=0), make_outlook('b')
+        report = EngineLoad(address='b:1', reachable=True, running=2)
+        fresh.on_load(report, now=2)
+        assert choose_best(lost, fresh, now=2).forecast is fresh
+
+    def test_a_lost_report_is_no_delay(self):
+        """Guards against refusals while agents restart and engines serve."""
+        one = make_outlook(running=0)
+        chosen = choose_best(one, now=3)
+        assert chosen.forecast is one
+        assert not chosen.transit_s
