--- a/tests/weights/test_narrow_links.py
+++ b/tests/weights/test_narrow_links.py
@@ -123,6 +123,8 @@
             uplink.adaptive.on_delay(0, now=1)
             pieces = [piece async for piece in self.served(uplink=uplink)]
             assert not any(piece.busy for piece in pieces)
+            carried = sum(size for _, size in uplink.adaptive._carried)
+            assert carried == len(OLD[0])
 
         run(check())
 
--- a/tests/weights/test_service.py
+++ b/tests/weights/test_service.py
@@ -125,6 +125,7 @@
         self.losses = losses
         self.stalls = stalls
         self.refused = 0
+        self.asked = []
 
     def stock_now(self):
         return build_inventory(
@@ -139,6 +140,7 @@
         return self.stock_now()
 
     async def chunk(self, _address, asked, on_piece):
+        self.asked.append(asked)
         if self.stalls:
             await asyncio.Event().wait()
         if self.losses:
@@ -226,6 +228,42 @@
 
         run(check())
 
+    def test_a_slow_link_limits_the_rate_of_reads(self):
+        """Guards against sources that fill the queue of a narrow link."""
+
+        async def check():
+            peers = Peers()
+            downlink = LinkShare(rate=RATE, burst=0)
+            now = asyncio.get_running_loop().time()
+            downlink.adaptive.on_delay(1.0, now=now)
+            made, transfer = collector(peers, Origin(), downlink)
+            await made.run()
+            limit = downlink.adaptive.limit
+            assert {asked.bytes_per_s for asked in peers.asked} == {limit}
+            assert transfer.inbound_link.limit == limit
+
+        run(check())
+
+    def test_received_bytes_count_as_carried(self):
+        async def check():
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, transfer = collector(Peers(), Origin(), downlink)
+            await made.run()
+            carried = sum(size for _, size in downlink.adaptive._carried)
+            assert carried == transfer.manifest.size
+
+        run(check())
+
+    def test_a_wide_link_limits_no_read(self):
+        async def check():
+            peers = Peers()
+            downlink = LinkShare(rate=RATE, burst=0)
+            made, _ = collector(peers, Origin(), downlink)
+            await made.run()
+            assert {asked.bytes_per_s for asked in peers.asked} == {0}
+
+        run(check())
+
     def test_lost_reads_are_retried(self):
         async def check():
             peers = Peers(losses=2)
