Entry: what is known of a host's link outlives its upstreams' records

The host's record lapses as its renewals wait for the full link, and is listed again: its forecast was a new one, without a report that could be overdue and without the entry's own observations.

Test: test_slow_links.py::test_a_lapsed_record_hides_no_slow_link.

--- a/packages/core/src/crowrudder_core/forecast/__init__.py
+++ b/packages/core/src/crowrudder_core/forecast/__init__.py
@@ -17,7 +17,7 @@
     LOCAL_REPORT_AGE_S,
     REMOTE_REPORT_AGE_S,
     is_slow_to_reach,
-    overdue_s,
+    report_overdue_s,
 )
 from crowrudder_core.forecast._upstream_forecast import (
     InFlightRequest,
@@ -38,6 +38,6 @@
     'choose',
     'choose_eligible',
     'is_slow_to_reach',
-    'overdue_s',
+    'report_overdue_s',
     'build_pipeline',
 )
--- a/packages/core/src/crowrudder_core/forecast/_reach.py
+++ b/packages/core/src/crowrudder_core/forecast/_reach.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -25,17 +26,21 @@
 tenths of a second."""
 
 
-def overdue_s(forecast: UpstreamForecast, now: float) -> float:
+def report_overdue_s(forecast: UpstreamForecast, now: float) -> float:
     """Return by how much an upstream's last load report is overdue, in seconds.
 
     It may be lost in the queue of a full link, which delays requests as well,
     or the agent has stopped while the engine serves.
     """
-    age_s = forecast.load_report_age_s(now)
-    return min(max(age_s - forecast.usual_report_age_s, 0), MAX_OVERDUE_S)
+    if math.isinf(forecast.reported_at):
+        return 0
+    overdue_s = now - forecast.reported_at - forecast.usual_report_age_s
+    return min(max(overdue_s, 0), MAX_OVERDUE_S)
 
 
 def is_slow_to_reach(forecast: UpstreamForecast, now: float) -> bool:
     """Return whether the host's link delays requests, or may do so."""
-    delay_s = max(forecast.transit.delay_s(now), overdue_s(forecast, now))
+    delay_s = max(
+        forecast.transit.delay_s(now), report_overdue_s(forecast, now)
+    )
     return delay_s >= SLOW_TRANSIT_S
--- a/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
+++ b/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
@@ -71,13 +71,15 @@
 
     Own requests are known as of now. Those of other entries come from the
     agent's load report and are as old as it is. ``transit`` is shared by all
-    upstreams of a host. The last report is at most ``usual_report_age_s`` old
-    unless one was lost or delayed.
+    upstreams of a host. The last report, of ``reported_at``, is at most
+    ``usual_report_age_s`` old unless one was lost or delayed; it may be older
+    than the record.
     """
 
     upstream: Upstream
     transit: TransitDelay = field(factory=TransitDelay)
     usual_report_age_s: float = LOCAL_REPORT_AGE_S
+    reported_at: float = -math.inf
     model: EngineModel | None = None
     load: EngineLoad | None = None
     avoid_until: float = 0
@@ -128,8 +130,7 @@
         if is_new:
             self._reset(now)
         self.load = load
-        self._load_as_of = now
-        self.transit.on_report(load.link_delay_s, as_of=now)
+        self._load_as_of = self.reported_at = now
         counted = [
             request
             for request in self._in_flight.values()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_choosing.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_choosing.py
@@ -15,7 +15,7 @@
     build_pipeline,
     choose_eligible,
     is_slow_to_reach,
-    overdue_s,
+    report_overdue_s,
 )
 from crowrudder_core.forecast._choice import SAMPLE_SIZE
 from crowrudder_core.forecast._upstream_forecast import STAGE_REPORT_TTL_S
@@ -252,7 +252,9 @@
         if not candidate.weights or forecast.is_changing(now):
             return False
         left_s = self.begin_by(candidate, required.model) - now
-        left_s -= max(forecast.transit.delay_s(now), overdue_s(forecast, now))
+        left_s -= max(
+            forecast.transit.delay_s(now), report_overdue_s(forecast, now)
+        )
         if left_s > NOT_RETRYABLE_MARGIN_S - CANCEL_MARGIN_S:
             return True
         if not required.is_retryable:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -14,11 +14,11 @@
 from crowrudder_core.forecast._upstream_forecast import LOAD_REPORT_TTL_S
 from crowrudder_core.limits import SharedRetryBudget
 from crowrudder_core.statements import Accepting
-from crowrudder_core.transit import TransitDelay
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._choosing import UpstreamChooser
 from crowrudder_daemon.fleet_entry._delivery import DeliveryWatch
 from crowrudder_daemon.fleet_entry._forecast_table import ForecastTable
+from crowrudder_daemon.fleet_entry._host_links import HostLinks
 from crowrudder_daemon.fleet_entry._retry_after import retry_after_s
 from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
@@ -64,7 +64,7 @@
             statements=self.statements,
             random=self._random,
         )
-        self._transits: dict[str, TransitDelay] = {}
+        self.links = HostLinks()
         self._ticket = 0
         self._pending: dict[int, PendingAttempt] = {}
         bounds = node.bounds
@@ -106,9 +106,7 @@
             if not is_same or known is None or known.upstream is not upstream:
                 self._refresh_one(upstream)
         self._table.index()
-        hosts = {each.host_ip for each in listed.values()}
-        for host in self._transits.keys() - hosts:
-            self._transits.pop(host)
+        self.links.on_listed(listed.values(), now=clock_s())
         for attempt in self._pending.values():
             attempt.update_begin_by()
         self.pool.close_expired()
@@ -116,6 +114,7 @@
     def on_load(self, load: EngineLoad, *, age_s: float = 0) -> None:
         """Apply an agent's load report on the engine at an address."""
         now = clock_s()
+        self.links.on_load(load, as_of=now - age_s)
         if load.partial_version:
             self._table.partial_received_at = now
         for forecast in self._table.at(load.address):
@@ -233,8 +232,9 @@
             is_far = self._table.is_far(upstream)
             forecast = UpstreamForecast(
                 upstream,
-                self._transits.setdefault(upstream.host_ip, TransitDelay()),
+                self.links.transit(upstream.host_ip),
                 REMOTE_REPORT_AGE_S if is_far else LOCAL_REPORT_AGE_S,
+                self.links.reported_at(upstream.address),
             )
             self._table.by_id[upstream.id] = forecast
             self.statements.on_listed(upstream.id, upstream.started_ms)
--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -58,7 +58,7 @@
 
 
 def transit_of(world, name):
-    return world.entries[0].upstreams._transits[HOST_IPS[name]]
+    return world.entries[0].upstreams.links.transit(HOST_IPS[name])
 
 
 def forecast_of(world, name):
@@ -124,6 +124,28 @@
 
         checked(check, plain=0, engines=0)
 
+    def test_a_lapsed_record_hides_no_slow_link(self):
+        """Guards against an upstream that looks new as its record lapsed.
+
+        Renewals of a record wait for the same full link. In a play 89
+        connections timed out at a host that was listed again.
+        """
+
+        async def check(world):
+            await add_engines(world, 'e0')
+            transit = transit_of(world, 'e0')
+            transit.on_unacknowledged(sent_at=0, now=clock_s())
+            before = forecast_of(world, 'e0')
+            upstreams = world.entries[0].upstreams
+            upstreams._table.by_id.pop('e0')
+            upstreams.refresh()
+            again = forecast_of(world, 'e0')
+            assert again is not before
+            assert again.reported_at == before.reported_at
+            assert again.transit.delay_s(clock_s()) >= SLOW_TRANSIT_S
+
+        checked(check, plain=0, engines=0)
+
     def test_it_is_used_again_once_the_link_is_wide(self):
         async def check(world):
             await add_engines(world, 'e0')
@@ -394,13 +416,8 @@
             await world.add_agent(0, loaded=1)
             (agent,) = world.agents
             agent.watch._link_delay_s = lambda: SLOW_S + 0.05
-            transits = world.entries[0].upstreams._transits
-            await world.until(
-                lambda: any(
-                    transit.delay_s(clock_s()) == SLOW_S
-                    for transit in transits.values()
-                )
-            )
+            transit = world.entries[0].upstreams.links.transit(agent.node.ip)
+            await world.until(lambda: transit.delay_s(clock_s()) == SLOW_S)
 
         checked(check, plain=0, engines=0)
 
--- a/tests/forecast/test_forecast.py
+++ b/tests/forecast/test_forecast.py
@@ -12,7 +12,7 @@
     UpstreamForecast,
     choose,
     is_slow_to_reach,
-    overdue_s,
+    report_overdue_s,
 )
 from crowrudder_core.forecast._reach import MAX_OVERDUE_S
 from crowrudder_core.forecast._upstream_forecast import SLOWNESS_DECAY_S
@@ -257,13 +257,13 @@
 
     def test_a_report_is_overdue_after_its_usual_age(self):
         one = make_outlook(running=0)
-        assert not overdue_s(one, LOCAL_REPORT_AGE_S)
+        assert not report_overdue_s(one, LOCAL_REPORT_AGE_S)
         assert not is_slow_to_reach(one, LOCAL_REPORT_AGE_S)
-        assert overdue_s(one, LOCAL_REPORT_AGE_S + 1) == 1
+        assert report_overdue_s(one, LOCAL_REPORT_AGE_S + 1) == 1
         assert is_slow_to_reach(one, LOCAL_REPORT_AGE_S + 1)
 
     def test_the_time_is_bounded(self):
-        assert overdue_s(make_outlook(running=0), 100) == MAX_OVERDUE_S
+        assert report_overdue_s(make_outlook(running=0), 100) == MAX_OVERDUE_S
 
     def test_an_upstream_without_reports_is_not_overdue(self):
         assert not is_slow_to_reach(make_outlook(), 100)
