--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -427,7 +427,10 @@
             (agent,) = world.agents
             agent.link_probe.delay_s = lambda: SLOW_S
             library = agent.library
-            await world.until(lambda: library._uplink.adaptive.is_limited)
+            transfers = library.versions.transfers
+            await world.until(lambda: 'm@1' in transfers)
+            await world.until(lambda: transfers['m@1'].origin.is_slow)
+            assert library._uplink.adaptive.is_limited
             assert library._downlink.adaptive.is_limited
 
         checked(check, plain=0, engines=0)
