--- a/packages/core/src/crowrudder_core/forecast/__init__.py
+++ b/packages/core/src/crowrudder_core/forecast/__init__.py
@@ -13,13 +13,10 @@
     Pipeline,
     build_pipeline,
 )
-from crowrudder_core.forecast._reach import (
+from crowrudder_core.forecast._reach import is_slow_to_reach, report_overdue_s
+from crowrudder_core.forecast._upstream_forecast import (
     LOCAL_REPORT_AGE_S,
     REMOTE_REPORT_AGE_S,
-    is_slow_to_reach,
-    report_overdue_s,
-)
-from crowrudder_core.forecast._upstream_forecast import (
     InFlightRequest,
     UpstreamForecast,
 )
--- a/packages/core/src/crowrudder_core/forecast/_reach.py
+++ b/packages/core/src/crowrudder_core/forecast/_reach.py
@@ -8,13 +8,6 @@
 if TYPE_CHECKING:
     from crowrudder_core.forecast._upstream_forecast import UpstreamForecast
 
-LOCAL_REPORT_AGE_S = 0.5
-"""Usual age of a load report from the own region: agents repeat it every
-0.4 s."""
-
-REMOTE_REPORT_AGE_S = 1.2
-"""The same for a report that relays forward from another region."""
-
 MAX_OVERDUE_S = 2.0
 """Upper bound of the time for which a report is overdue, so that an agent that has
 stopped doesn't keep requests away from its engine for longer before the end of
--- a/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
+++ b/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
@@ -9,7 +9,6 @@
 
 from crowrudder_core.forecast._engine import EngineModel
 from crowrudder_core.forecast._incarnation import IncarnationTracker
-from crowrudder_core.forecast._reach import LOCAL_REPORT_AGE_S
 from crowrudder_core.transit import TransitDelay
 from crowrudder_model.fleet import LayerRange
 
@@ -32,6 +31,13 @@
 An agent announces one second ahead that it drops a partial version, see
 `Loader`."""
 
+LOCAL_REPORT_AGE_S = 0.5
+"""Usual age of a load report from the own region: agents repeat it every
+0.4 s."""
+
+REMOTE_REPORT_AGE_S = 1.2
+"""The same for a report that relays forward from another region."""
+
 IN_TRANSIT_S = 0.004
 """A request sent less than this before a load report may not be counted in
 it."""
