Entry: a connection's timeout that is noticed late shows no longer delay

Found in reading: an entry that was suspended while it connected counted its own lateness, up to 4 s, as the delay of the host's link. Test: test_slow_links.py::test_a_timeout_that_is_noticed_late_shows_no_longer_delay (failed before).

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -154,8 +154,9 @@
             self.connect_s = clock_s() - began_at
             self.is_refused = exc.is_refused
             if exc.is_timeout:
+                # This process may have noticed the timeout late.
                 self.choice.forecast.transit.on_unacknowledged(
-                    sent_at=began_at, now=clock_s()
+                    sent_at=began_at, now=began_at + CONNECT_S
                 )
             self.choice.forecast.on_failure(now=clock_s(), avoid=True)
             return NotSent(str(exc))
--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -20,6 +20,8 @@
 from crowrudder_core.forecast._reach import SLOW_TRANSIT_S
 from crowrudder_core.transit import _transit_delay
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry import _attempt
+from crowrudder_daemon.fleet_entry._attempt import CONNECT_S
 from crowrudder_daemon.fleet_entry._choosing import UpstreamRequirements
 from crowrudder_model.messages import EngineLoad
 from support.fleet_checks import checked, fault
@@ -335,6 +337,26 @@
 
         checked(check, plain=0, engines=0)
 
+    @pytest.mark.default_timeouts
+    def test_a_timeout_that_is_noticed_late_shows_no_longer_delay(
+        self, monkeypatch
+    ):
+        """Guards against a suspended entry that takes all links for slow."""
+
+        async def check(world):
+            await add_engines(world, 'e0')
+            pool = world.entries[0].upstreams.pool
+            pool._open = never_connected
+            transit = transit_of(world, 'e0')
+            clock = _attempt.clock_s
+            asked = asyncio.ensure_future(draft(world))
+            await asyncio.sleep(CONNECT_S / 2)
+            monkeypatch.setattr(_attempt, 'clock_s', lambda: clock() + 5)
+            await asked
+            assert transit._unacknowledged_s <= 2 * CONNECT_S
+
+        checked(check, plain=0, engines=0)
+
     def test_all_upstreams_of_a_host_share_what_is_known(self):
         async def check(world):
             await add_engines(world, 'e0')
