--- a/tests/fleet/test_slow_links.py
+++ b/tests/fleet/test_slow_links.py
@@ -348,10 +348,9 @@
             pool = world.entries[0].upstreams.pool
             pool._open = never_connected
             transit = transit_of(world, 'e0')
-            clock = _attempt.clock_s
             asked = asyncio.ensure_future(draft(world))
             await asyncio.sleep(CONNECT_S / 2)
-            monkeypatch.setattr(_attempt, 'clock_s', lambda: clock() + 5)
+            monkeypatch.setattr(_attempt, 'clock_s', lambda: clock_s() + 5)
             await asked
             assert transit._unacknowledged_s <= 2 * CONNECT_S
 
