Stand-in: the store comes back from a copy in the next era, and watches that hear nothing

The users' new term: away for a moment, back from a copy, revisions given out again, 410 to a watch from a revision that it doesn't have, Store-Era in every answer.

--- a/packages/standins/src/crowrudder_standins/fleet_store.py
+++ b/packages/standins/src/crowrudder_standins/fleet_store.py
@@ -1,4 +1,4 @@
-"""Stand-in of the users' store of published records: list, watch, forget.
+"""Stand-in of the users' store: list, watch, forget, come back from a copy.
 
 Usage:
   fleet_store --port=PORT [--address=IP]
@@ -14,13 +14,15 @@
 import base64
 from collections import Counter
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Any
 
-from attrs import define
+from attrs import define, frozen
 
 from crowrudder_standins._faults import DropError, RefusedError
 from crowrudder_standins._serving import Answer, Call, Standin, route, run
 
+ERA_HEADER = 'Store-Era'
 PAGE_ITEMS = 50
 _MS_PER_S = 1000.0
 _MAX_HISTORY = 1000
@@ -51,23 +53,40 @@
         }
 
 
+@frozen
+class StoreCopy:
+    """The records and the history as they were at a revision."""
+
+    revision: int
+    records: dict[str, Record]
+    history: tuple[Record, ...]
+    compacted_to: int
+
+
 class FleetStore(Standin):
     """Records, one revision counter, and a bounded history of changes.
 
+    `restore` brings it back from a copy, in the next era: all that was written
+    since the copy is lost, and its revisions are given out again. ``era`` is
+    in the header of every answer; a store of era 0 sends no such header.
+
     Faults: ``down`` drops calls, ``busy`` refuses them, ``slow`` delays them
     by ``amount`` seconds, ``silent`` never answers, ``garbage`` answers
-    malformed JSON.
+    malformed JSON, ``deaf`` returns no change to a watch until it is switched
+    off, which cuts the watch.
     """
 
-    fault_names = ('down', 'busy', 'slow', 'silent', 'garbage')
+    fault_names = ('down', 'busy', 'slow', 'silent', 'garbage', 'deaf')
 
     def __init__(self, options: Mapping[str, Any] | None = None) -> None:
         super().__init__(options or {})
+        self.era = 1
         self.revision = 1
         self.records: dict[str, Record] = {}
         self.history: list[Record] = []
         self.compacted_to = 0
         self.calls: Counter[str] = Counter()
+        self.refusals: Counter[int] = Counter()
         self._changed = asyncio.Event()
 
     def put(self, key: str, value: bytes) -> int:
@@ -92,8 +111,36 @@
         self.compacted_to = self.revision
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store has now."""
+        return StoreCopy(
+            self.revision,
+            dict(self.records),
+            tuple(self.history),
+            self.compacted_to,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy, in the next era; waiting watches are cut."""
+        self.era += 1
+        self.revision = copy.revision
+        self.records = dict(copy.records)
+        self.history = list(copy.history)
+        self.compacted_to = copy.compacted_to
+        self._notify()
+
+    def prepare(self, call: Call) -> None:
+        """Set the era, which every answer has."""
+        if self.era:
+            call.set_header(ERA_HEADER, str(self.era))
+
     def request_log(self) -> dict[str, Any]:
-        return {'revision': self.revision, 'calls': self.calls}
+        return {
+            'era': self.era,
+            'revision': self.revision,
+            'calls': self.calls,
+            'refusals': self.refusals,
+        }
 
     @route('GET', '/-/kv-range')
     async def on_range(self, call: Call) -> Answer:
@@ -117,10 +164,10 @@
         await self._apply_faults(call, 'watch')
         prefix = call.get_query_argument('prefix', '')
         after = int(call.number('after'))
+        events: list[Record] = []
         try:
             async with asyncio.timeout(call.number('wait_ms') / _MS_PER_S):
-                while not (events := self._events(prefix, after)):
-                    await self._changed.wait()
+                events = await self._next_events(prefix, after)
         except TimeoutError:
             events = []
         return {
@@ -142,6 +189,21 @@
         self.compact()
         return {'revision': self.revision}
 
+    async def _next_events(self, prefix: str, after: int) -> list[Record]:
+        """Wait for changes; a watch is cut if the store is restored meanwhile."""
+        era = self.era
+        is_deaf = False
+        while True:
+            if era != self.era or (is_deaf and not self.faults.peek('deaf')):
+                raise DropError
+            is_deaf = self.faults.peek('deaf') is not None
+            if is_deaf:
+                await self.faults.wait_cleared('deaf')
+                continue
+            if events := self._events(prefix, after):
+                return events
+            await self._changed.wait()
+
     async def _apply_faults(self, call: Call, kind: str) -> None:
         """Count the call and apply the active faults to it."""
         self.calls[kind] += 1
@@ -157,8 +219,9 @@
             await call.finish(b'{"events": [')
 
     def _events(self, prefix: str, after: int) -> list[Record]:
-        if after < self.compacted_to:
-            raise RefusedError(410, 'history is gone')
+        if after < self.compacted_to or after > self.revision:
+            self.refusals[HTTPStatus.GONE] += 1
+            raise RefusedError(HTTPStatus.GONE, 'history is gone')
         return [
             record
             for record in self.history
@@ -174,9 +237,12 @@
         self.history.append(record)
         if len(self.history) > _MAX_HISTORY:
             self.compacted_to = self.history.pop(0).rev
+        self._notify()
+        return record.rev
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return record.rev
 
 
 if __name__ == '__main__':
