--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -31,6 +31,7 @@
     platform_records,
 )
 from crowrudder_daemon.fleet._records_service import RecordsService
+from crowrudder_daemon.fleet._store_calls import StoreCalls
 from crowrudder_daemon.fleet._version_ends import VersionEnds
 from crowrudder_daemon.fleet._watch_times import Heard, WatchTimes
 from crowrudder_daemon.fleet.ports import (
@@ -47,7 +48,7 @@
     from collections.abc import Callable
 
     from crowrudder_daemon.fleet._peers_task import PeersTask
-    from crowrudder_daemon.fleet.ports import PublishedSource
+    from crowrudder_daemon.fleet.ports import Listing, PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
     from crowrudder_model.fleet import Node
@@ -115,11 +116,7 @@
         is_entry = node.role == 'entry'
         self.reading = StoreReadPolicy(own=node.ip, is_reader=is_entry)
         self.reading.on_start(clock_s(), lists_at_once=is_entry)
-        self._calls = runtime.metrics.counter(
-            'platform_calls',
-            'Calls to the platform by their outcome.',
-            labels=('call', 'outcome'),
-        )
+        self._calls = StoreCalls(runtime, self.reading)
         self._record_age = runtime.metrics.histogram(
             'record_age_seconds',
             'Age of a record from a peer when it was taken.',
@@ -236,12 +233,36 @@
                 address, CHANGES, request, timeout_s=self._pull_timeout.seconds
             )
         except PeerLostError as exc:
-            self._pull_timeout.on_failure(clock_s() - asked_at)
-            self._log.info('changes not read: %s', exc)
+            took_s = clock_s() - asked_at
+            self._pull_timeout.on_failure(took_s)
+            self._log.info(
+                'changes not read: %s',
+                exc,
+                extra={
+                    'step': 'fetch',
+                    'peer': address,
+                    'after': request.after,
+                    'duration_s': round(took_s, 3),
+                },
+            )
             return
         finally:
             self._pulling = False
-        self._pull_timeout.on_answer(clock_s() - asked_at)
+        took_s = clock_s() - asked_at
+        self._pull_timeout.on_answer(took_s)
+        self._log.info(
+            'changes read',
+            extra={
+                'step': 'fetch',
+                'peer': address,
+                'after': request.after,
+                'revision': changes.through,
+                'changes': len(changes.items),
+                'is_whole': changes.is_whole,
+                'confirmed_s': round(changes.confirmed_s, 3),
+                'duration_s': round(took_s, 3),
+            },
+        )
         self.reading.on_peer_report(changes.confirmed_s, asked_at)
         for item in changes.items:
             if item.age_s >= 0:
@@ -258,7 +279,7 @@
                 await self._step(source, step)
             except HistoryGoneError as exc:
                 self.reading.on_history_lost()
-                self._record_failed_call(step, 'history_gone', exc)
+                self._calls.on_failure(step, 'history_gone', exc)
             except PlatformError as exc:
                 self._on_failure(step, exc)
                 await asyncio.sleep(self.reading.pause_s(self._random))
@@ -272,10 +293,10 @@
                 await asyncio.sleep(min(rest_s, until_due_s + DUE_MARGIN_S))
             case StoreStep.LIST:
                 is_informed = bool(self.catalog.revision)
-                asked_at = clock_s()
+                self._calls.on_begun()
                 listing = await source.list_all()
-                self._watch_times.on_listed(asked_at)
-                self._on_answer(step)
+                self._watch_times.on_listed(self._calls.began_at)
+                self._on_answer(step, listing)
                 self.reading.on_listed()
                 self.post(platform_records(listing, is_whole=True))
                 # Let the list be applied: the watch continues from its revision.
@@ -287,10 +308,11 @@
 
     async def _watch(self, source: PublishedSource) -> None:
         after = self.catalog.revision
-        asked_at = clock_s()
+        self._calls.on_begun()
+        asked_at = self._calls.began_at
         listing = await source.watch(after, wait_s=WATCH_WAIT_S)
         confirmed_at = self.reading.confirmed_at
-        self._on_answer(StoreStep.WATCH)
+        self._on_answer(StoreStep.WATCH, listing)
         since = self._watch_times.published_since(
             asked_at,
             Heard(confirmed_at, self.reading.returned_at),
@@ -302,37 +324,20 @@
         self.post(platform_records(listing, is_whole=False, as_of=since))
         await asyncio.sleep(self.reading.batch_pause_s)
 
-    def _on_answer(self, step: StoreStep) -> None:
+    def _on_answer(self, step: StoreStep, listing: Listing) -> None:
         if self.reading.failures:
             self._last_outage_at = clock_s()
             self._log.info(
                 'platform answers again',
                 extra={'step': step.value, 'failures': self.reading.failures},
             )
+        self._calls.on_answer(step, listing)
         self.reading.on_answer(clock_s())
-        self._calls.add(call=step.value, outcome='ok')
 
     def _on_failure(self, step: StoreStep, exc: PlatformError) -> None:
         self.reading.on_failed()
         self._last_outage_at = clock_s()
-        self._record_failed_call(step, 'failed', exc)
-
-    def _record_failed_call(
-        self,
-        step: StoreStep,
-        outcome: str,
-        exc: PlatformError,
-    ) -> None:
-        self._calls.add(call=step.value, outcome=outcome)
-        self._log.warning(
-            'platform call failed',
-            extra={
-                'step': step.value,
-                'reason': str(exc),
-                'failures': self.reading.failures,
-                'confirmed_s': round(self.reading.confirmed_s(clock_s()), 3),
-            },
-        )
+        self._calls.on_failure(step, 'failed', exc)
 
     def _refresh_view(
         self,
--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -22,7 +22,24 @@
 
 
 class PlatformError(UpstreamError):
-    """The store of published records gave no valid answer."""
+    """The store of published records gave no valid answer.
+
+    Parameters
+    ----------
+    era
+        The store's era according to its answer; None if there was none.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str = '',
+        era: int | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.era = era
 
 
 class HistoryGoneError(PlatformError):
@@ -47,10 +64,11 @@
 
 @frozen(kw_only=True)
 class Listing:
-    """Records, or changes, up to the revision ``through``."""
+    """Records, or changes, up to the revision ``through`` of an era."""
 
     items: tuple[PublishedItem, ...]
     through: int
+    era: int = 0
 
 
 class PublishedSource(Protocol):
