--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -150,6 +150,7 @@
     addresses: dict[str, str] = field(factory=dict)
     origin: FleetOrigin = field(factory=lambda: FleetOrigin({'--model': 'm'}))
     entries: list[Any] = field(factory=list)
+    copy: Any = None
     agents: list[Any] = field(factory=list)
     nodes: list[Node] = field(factory=list)
     store_address: str = ''
