--- a/packages/core/src/crowrudder_core/catalog/_catalog.py
+++ b/packages/core/src/crowrudder_core/catalog/_catalog.py
@@ -1,4 +1,4 @@
-"""The aggregate that stores published records by increasing revision."""
+"""The aggregate that stores published records in the order of the store."""
 
 from __future__ import annotations
 
@@ -6,6 +6,12 @@
 
 from attrs import define, evolve, field
 
+from crowrudder_core.catalog._eras import (
+    enter_era,
+    has_older_version,
+    is_same_record,
+)
+from crowrudder_model import NO_POSITION, StorePosition
 from crowrudder_model.messages import Changes, PublishedItem, RecordAge
 
 if TYPE_CHECKING:
@@ -17,26 +23,36 @@
 
 @define
 class Catalog:
-    """Records by key, each at the highest revision received.
+    """Records by key, each at the highest revision received in one era.
 
     Records come from the platform, which may be read late, and from other
-    processes, which may be behind. Without an order by revision, an older copy
-    from a peer would replace a newer record, and a withdrawn key or a removed
-    upstream would be used again. Invariant: the revision of a key never
-    decreases.
+    processes, which may be behind. Without an order, an older copy from a peer
+    would replace a newer record, and a withdrawn key or a removed upstream
+    would be used again. Invariants: the position never goes back; within an era
+    the revision of a key doesn't either, nor does an operator's version ever.
+
+    Changes are taken only within the era. A complete list of a later era, from
+    the platform or a peer, leads into it, see `enter_era`.
 
     Parameters
     ----------
-    revision
-        The catalog is complete up to this revision.
+    position
+        The catalog is complete up to this position.
     floor
-        Removals up to this revision may have been forgotten.
+        Removals up to this revision of the era may be unknown.
     """
 
-    revision: int = 0
+    position: StorePosition = NO_POSITION
     floor: int = 0
     _items: dict[str, PublishedItem] = field(factory=dict)
     _seen_at: dict[str, float] = field(factory=dict)
+    _last_written: dict[str, int] = field(factory=dict)
+    _kept: set[str] = field(factory=set)
+
+    @property
+    def revision(self) -> int:
+        """The revision of the position."""
+        return self.position.revision
 
     def items(self) -> list[PublishedItem]:
         """Return the current records without removals, in no order."""
@@ -44,20 +60,29 @@
             item for item in self._items.values() if item.payload is not None
         ]
 
+    def kept(self, *, now: float) -> tuple[PublishedItem, ...]:
+        """Return the records whose version is higher than in the store."""
+        return tuple(
+            self._aged(self._items[key], now) for key in sorted(self._kept)
+        )
+
     def apply(
         self,
         items: Iterable[PublishedItem],
         *,
-        through: int,
+        through: StorePosition,
         now: float,
     ) -> list[PublishedItem]:
         """Apply changes and return those that had an effect.
 
-        The caller requested all changes after a revision that this catalog had
+        The caller requested all changes after a position that this catalog had
         reached, so the catalog is complete up to ``through`` afterwards.
+        Changes of another era have no effect.
         """
+        if through.era != self.position.era:
+            return []
         applied = [item for item in items if self._apply_item(item, now)]
-        self.revision = max(self.revision, through)
+        self.position = max(self.position, through)
         self._prune_removals()
         return applied
 
@@ -65,46 +90,71 @@
         self,
         items: Iterable[PublishedItem],
         *,
-        through: int,
+        through: StorePosition,
         now: float,
     ) -> list[PublishedItem]:
         """Apply a complete list as of ``through`` and return the changes.
 
         A record that isn't listed is removed, unless it was published after
-        the list.
+        the list. A list of an earlier era has no effect.
         """
-        listed = list(items)
-        present = {item.key for item in listed}
+        listed = {item.key: item for item in items}
+        if through.era > self.position.era:
+            return self._enter_era(listed, through, now)
         gone = [
-            PublishedItem(key=item.key, revision=through, payload=None, age_s=0)
+            PublishedItem(
+                key=item.key, revision=through.revision, payload=None, age_s=0
+            )
             for item in self.items()
-            if item.key not in present and item.revision <= through
+            if item.key not in listed and item.revision <= through.revision
         ]
-        return self.apply([*listed, *gone], through=through, now=now)
+        return self.apply([*listed.values(), *gone], through=through, now=now)
+
+    def keep(
+        self, items: Iterable[PublishedItem], *, era: int, now: float
+    ) -> list[PublishedItem]:
+        """Apply a peer's `kept` records and return those that had an effect."""
+        if era != self.position.era:
+            return []
+        kept = [item for item in items if self._apply_item(item, now)]
+        self._kept.update(item.key for item in kept)
+        return kept
+
+    def is_known(self, item: PublishedItem, through: StorePosition) -> bool:
+        """Return whether a record of a list is no change to this catalog."""
+        known = self._items.get(item.key)
+        if known is not None and is_same_record(item, known):
+            return True
+        return StorePosition(through.era, item.revision) <= self.position
 
     def changes_after(
         self,
-        revision: int,
+        position: StorePosition,
         *,
         now: float,
         confirmed_s: float,
     ) -> Changes:
-        """Return the changes that a peer at a revision is missing."""
-        is_whole = revision < self.floor or not revision
+        """Return the changes that a peer at a position is missing."""
+        is_whole = (
+            position.era != self.position.era
+            or position.revision < self.floor
+            or not position.revision
+        )
         chosen = (
             self.items()
             if is_whole
             else [
                 item
                 for item in self._items.values()
-                if item.revision > revision
+                if item.revision > position.revision
             ]
         )
         return Changes(
-            through=self.revision,
+            through=self.position.revision,
             items=tuple(self._aged(item, now) for item in chosen),
             is_whole=is_whole,
             confirmed_s=confirmed_s,
+            era=self.position.era,
         )
 
     def ages(self, *, now: float) -> tuple[RecordAge, ...]:
@@ -116,12 +166,14 @@
         )
 
     def apply_ages(
-        self, ages: Iterable[RecordAge], *, now: float
+        self, ages: Iterable[RecordAge], *, era: int, now: float
     ) -> list[PublishedItem]:
         """Apply ages to records without one and return these records.
 
-        Records, removals and the catalog's revision aren't changed.
+        Records, removals and the catalog's position aren't changed.
         """
+        if era != self.position.era:
+            return []
         aged = []
         for reported in ages:
             known = self._items.get(reported.key)
@@ -138,15 +190,70 @@
         age_s = self.age_s(item.key, now=now)
         return evolve(item, age_s=-1 if age_s is None else age_s)
 
+    def _enter_era(
+        self,
+        listed: dict[str, PublishedItem],
+        through: StorePosition,
+        now: float,
+    ) -> list[PublishedItem]:
+        before = self._items
+        self._items = enter_era(
+            listed, before, self._last_written, through=through.revision
+        )
+        self.position = through
+        self.floor = through.revision
+        changed = []
+        for key, item in self._items.items():
+            known = before.get(key)
+            self._set_kept(key, kept=item is not listed.get(key))
+            if self._record_times(item, known, now):
+                changed.append(item)
+        self._prune_removals()
+        return changed
+
     def _apply_item(self, item: PublishedItem, now: float) -> bool:
         known = self._items.get(item.key)
-        if known is not None and item.revision <= known.revision:
+        if known is not None and has_older_version(item, known):
+            newest = max(item.revision, known.revision)
+            self._items[item.key] = evolve(known, revision=newest)
+            self._set_kept(item.key, kept=True)
+            return False
+        if known is not None and has_older_version(known, item):
+            newest = max(item.revision, known.revision)
+            item = evolve(item, revision=newest)
+        elif known is not None and item.revision <= known.revision:
             return self._apply_age(item, known, now)
         self._items[item.key] = item
-        self._seen_at.pop(item.key, None)
-        if item.age_s >= 0:
+        self._set_kept(item.key, kept=False)
+        return self._record_times(item, known, now)
+
+    def _set_kept(self, key: str, *, kept: bool) -> None:
+        if kept and self._items[key].version:
+            self._kept.add(key)
+        else:
+            self._kept.discard(key)
+
+    def _record_times(
+        self,
+        item: PublishedItem,
+        known: PublishedItem | None,
+        now: float,
+    ) -> bool:
+        """Record a taken record's age; return whether it says anything new.
+
+        A record that is written again as it was keeps the age from its first
+        writing.
+        """
+        if known is None or not is_same_record(item, known):
+            self._seen_at.pop(item.key, None)
+            if item.payload is not None:
+                self._last_written.pop(item.key, None)
+            elif known is not None:
+                self._last_written[item.key] = known.revision
+        if item.age_s >= 0 and item.key not in self._seen_at:
             self._seen_at[item.key] = now - item.age_s
-        return True
+            return True
+        return known is None or item.payload != known.payload
 
     def _apply_age(
         self,
@@ -171,3 +278,5 @@
         for item in removed[: len(removed) - MAX_REMOVALS // 2]:
             self.floor = max(self.floor, item.revision)
             del self._items[item.key]
+            self._last_written.pop(item.key, None)
+            self._seen_at.pop(item.key, None)
--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -115,6 +115,7 @@
     others: int = 0
     needs_list: bool = True
     failures: int = 0
+    history_losses: int = 0
     confirmed_at: float = -math.inf
     returned_at: float = -math.inf
     lists_at: float = math.inf
@@ -168,8 +169,13 @@
         self.failures += 1
 
     def on_history_lost(self) -> None:
-        """Record that the platform no longer has the requested changes."""
+        """Record that the platform doesn't have the requested changes."""
         self.needs_list = True
+        self.history_losses += 1
+
+    def on_watched(self) -> None:
+        """Record that the platform's changes continue the known records."""
+        self.history_losses = 0
 
     def on_listed(self) -> None:
         """Record a complete list."""
@@ -231,6 +237,15 @@
             return StoreStep.LIST if self.needs_list else StoreStep.WATCH
         return StoreStep.IDLE
 
+    @property
+    def watch_wait_s(self) -> float:
+        """How long the next watch waits for changes.
+
+        After a failure it doesn't wait: the store may be back from a copy, and
+        only its answer tells the era.
+        """
+        return 0 if self.failures else WATCH_WAIT_S
+
     @property
     def batch_pause_s(self) -> float:
         """Pause between an answer with changes and the next watch."""
@@ -263,10 +278,14 @@
         """Return the time until the next try after a failure.
 
         A process that isn't a watcher always waits long: it tries only after
-        the watchers have failed.
+        the watchers have failed. A lost history is listed at once the first
+        time. If it is lost again, the platform's lists and changes don't fit
+        together, and it would be asked without a pause.
         """
+        if not self.failures and self.history_losses == 1:
+            return 0
         longest = MAX_RETRY_PAUSE_S
-        if self.rank < WATCHERS:
+        if self.rank < WATCHERS and self.history_losses <= 1:
             longest = min(
                 MIN_RETRY_PAUSE_S * 2 ** min(self.failures, 6), longest
             )
--- a/packages/core/src/crowrudder_core/catalog/_view.py
+++ b/packages/core/src/crowrudder_core/catalog/_view.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from crowrudder_core.catalog._releases import Releases
 from crowrudder_core.catalog._routes import RouteTable
@@ -78,8 +78,7 @@
             case FleetConfig():
                 self._on_config(record)
             case Upstream():
-                self._ids[key] = record.id
-                self._listed[record.id] = ListedUpstream(record)
+                self._on_upstream(key, record)
             case TargetVersion(model=model, version=version):
                 self.releases.on_named(model, version, age_s=age_s, now=now)
 
@@ -150,6 +149,18 @@
             if upstream.service == service.name
         }
 
+    def _on_upstream(self, key: str, upstream: Upstream) -> None:
+        """Apply an upstream's record; one that leaves never takes requests again.
+
+        An incarnation doesn't return from leaving, but a store that comes back
+        from a copy has its record from before.
+        """
+        listed = self._listed.get(upstream.id)
+        if listed and listed.upstream.state is UpstreamState.LEAVING:
+            upstream = evolve(upstream, state=UpstreamState.LEAVING)
+        self._ids[key] = upstream.id
+        self._listed[upstream.id] = ListedUpstream(upstream)
+
     def _on_config(self, config: FleetConfig) -> None:
         if self.config is not None and config.version <= self.config.version:
             return
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -11,7 +11,6 @@
 
 from crowrudder_core.catalog import (
     RECOVERY_WINDOW_S,
-    WATCH_WAIT_S,
     AnswerTimeout,
     Catalog,
     FleetView,
@@ -39,7 +38,7 @@
     HistoryGoneError,
     PlatformError,
 )
-from crowrudder_model import PeerLostError
+from crowrudder_model import NO_POSITION, PeerLostError
 from crowrudder_model.fleet import TargetVersion
 from crowrudder_model.messages import AgesRequest, ChangesRequest
 from crowrudder_model.rpc import AGES, CHANGES
@@ -51,6 +50,7 @@
     from crowrudder_daemon.fleet.ports import Listing, PublishedSource
     from crowrudder_daemon.process import Runtime
     from crowrudder_daemon.rpc import PeerClient, PeerServer
+    from crowrudder_model import StorePosition
     from crowrudder_model.fleet import Node
     from crowrudder_model.messages import PublishedItem
 
@@ -137,16 +137,16 @@
         return self.reading.is_current(clock_s(), self._node.bounds.config_s)
 
     def peer_report_received(
-        self, ip: str, revision: int, confirmed_s: float
+        self, ip: str, position: StorePosition, confirmed_s: float
     ) -> None:
-        """Receive a peer's revision and confirmation age from a heartbeat."""
+        """Receive a peer's position and confirmation age from a heartbeat."""
         self.reading.on_peer_report(confirmed_s, clock_s())
-        if revision > self.catalog.revision:
-            self.post(PeerAhead(f'{ip}:{self._node.rpc_port}', revision))
+        if position > self.catalog.position:
+            self.post(PeerAhead(f'{ip}:{self._node.rpc_port}', position))
 
     def on_peer_ahead(self, message: PeerAhead) -> None:
         """Request the missing changes, from one peer at a time."""
-        if self._pulling or message.revision <= self.catalog.revision:
+        if self._pulling or message.position <= self.catalog.position:
             return
         self._pulling = True
         self.spawn(self._pull(message.address))
@@ -154,51 +154,73 @@
     def on_records_received(self, message: RecordsReceived) -> None:
         """Apply records and refresh the view."""
         now = clock_s()
-        before = self.catalog.revision
+        before = self.catalog.position
         apply_items = (
             self.catalog.replace if message.is_whole else self.catalog.apply
         )
         items = message.add_elapsed_time(
-            self._with_assumed_ages(message.items, now), now
+            self._with_assumed_ages(message, now), now
         )
         changed = apply_items(items, through=message.through, now=now)
         self.reading.on_informed()
+        if before != NO_POSITION and self.catalog.position.era != before.era:
+            self._on_new_era(before, message, now)
         for item in changed:
             self._refresh_view(item, message, now)
         self._peers.set_knowledge(
-            self.catalog.revision,
+            self.catalog.position,
             self.reading.confirmed_at,
         )
-        if changed or before != self.catalog.revision:
+        if changed or before != self.catalog.position:
             self._on_change()
 
+    def _on_new_era(
+        self, before: StorePosition, message: RecordsReceived, now: float
+    ) -> None:
+        """Let upstreams that the store's copy lacks register again."""
+        self._last_outage_at = now
+        self._log.warning(
+            'platform in a new era',
+            extra={
+                'step': 'era',
+                'era': self.catalog.position.era,
+                'revision': self.catalog.position.revision,
+                'before': str(before),
+                'teller': message.teller,
+                'kept': [item.key for item in self.catalog.kept(now=now)],
+            },
+        )
+
     def on_ages_received(self, message: AgesReceived) -> None:
         """Apply ages and refresh the view of the records that had none."""
         now = clock_s()
-        aged = self.catalog.apply_ages(message.add_elapsed_time(now), now=now)
-        for item in aged:
+        changed = self.catalog.keep(message.kept, era=message.era, now=now)
+        changed += self.catalog.apply_ages(
+            message.add_elapsed_time(now), era=message.era, now=now
+        )
+        for item in changed:
             self._refresh_view(item, message, now)
-        if aged:
+        if changed:
             self._on_change()
 
     def _with_assumed_ages(
-        self, items: tuple[PublishedItem, ...], now: float
+        self, message: RecordsReceived, now: float
     ) -> list[PublishedItem]:
         """Set the age of changes of unknown age to the highest possible one.
 
-        Only a record that is newer than the catalog's revision is a change. A
-        record that was known without its age keeps its unknown age.
+        A record that was known without its age keeps its unknown age.
         """
         age_s = self.reading.unknown_age_s(
-            now, is_informed=bool(self.catalog.revision)
+            now, is_informed=self.catalog.position != NO_POSITION
         )
         if age_s is None:
-            return list(items)
+            return list(message.items)
         return [
             evolve(item, age_s=age_s)
-            if item.age_s < 0 and item.revision > self.catalog.revision
+            if item.age_s < 0
+            and not self.catalog.is_known(item, message.through)
             else item
-            for item in items
+            for item in message.items
         ]
 
     def _request_ages(self) -> None:
@@ -223,10 +245,15 @@
         except PeerLostError as exc:
             self._log.info('ages not read: %s', exc)
             return
-        self.post(AgesReceived(reply.ages, address, asked_at))
+        self.post(
+            AgesReceived(reply.ages, address, reply.era, reply.kept, asked_at)
+        )
 
     async def _pull(self, address: str) -> None:
-        request = ChangesRequest(self.catalog.revision, takes_deflated=True)
+        position = self.catalog.position
+        request = ChangesRequest(
+            position.revision, takes_deflated=True, era=position.era
+        )
         asked_at = clock_s()
         try:
             changes = await self._client.call(
@@ -241,7 +268,7 @@
                 extra={
                     'step': 'fetch',
                     'peer': address,
-                    'after': request.after,
+                    'after': str(position),
                     'duration_s': round(took_s, 3),
                 },
             )
@@ -255,7 +282,8 @@
             extra={
                 'step': 'fetch',
                 'peer': address,
-                'after': request.after,
+                'after': str(position),
+                'era': changes.era,
                 'revision': changes.through,
                 'changes': len(changes.items),
                 'is_whole': changes.is_whole,
@@ -280,6 +308,7 @@
             except HistoryGoneError as exc:
                 self.reading.on_history_lost()
                 self._calls.on_failure(step, 'history_gone', exc)
+                await asyncio.sleep(self.reading.pause_s(self._random))
             except PlatformError as exc:
                 self._on_failure(step, exc)
                 await asyncio.sleep(self.reading.pause_s(self._random))
@@ -292,38 +321,67 @@
                 rest_s = until_tick_s(IDLE_CHECK_INTERVAL_S)
                 await asyncio.sleep(min(rest_s, until_due_s + DUE_MARGIN_S))
             case StoreStep.LIST:
-                is_informed = bool(self.catalog.revision)
-                self._calls.on_begun()
-                listing = await source.list_all()
-                self._watch_times.on_listed(self._calls.began_at)
-                self._on_answer(step, listing)
-                self.reading.on_listed()
-                self.post(platform_records(listing, is_whole=True))
-                # Let the list be applied: the watch continues from its revision.
-                await asyncio.sleep(0)
-                if not is_informed:
-                    self._request_ages()
+                await self._list(source)
             case StoreStep.WATCH:
                 await self._watch(source)
 
+    async def _list(self, source: PublishedSource) -> None:
+        before = self.catalog.position
+        self._calls.on_begun()
+        listing = await source.list_all()
+        self._check_era(listing)
+        self._watch_times.on_listed(self._calls.began_at)
+        self._on_answer(StoreStep.LIST, listing)
+        self.reading.on_listed()
+        self.handle_immediately(platform_records(listing, is_whole=True))
+        if before.era != self.catalog.position.era or before == NO_POSITION:
+            self._request_ages()
+
     async def _watch(self, source: PublishedSource) -> None:
-        after = self.catalog.revision
+        after = self.catalog.position
         self._calls.on_begun()
         asked_at = self._calls.began_at
-        listing = await source.watch(after, wait_s=WATCH_WAIT_S)
+        wait_s = self.reading.watch_wait_s
+        listing = await source.watch(after, wait_s=wait_s)
+        self._check_era(listing)
         confirmed_at = self.reading.confirmed_at
         self._on_answer(StoreStep.WATCH, listing)
+        if listing.through.era != after.era:
+            # The revision belongs to another history: what is between isn't
+            # in the answer.
+            self.reading.on_history_lost()
+            return
+        self.reading.on_watched()
         since = self._watch_times.published_since(
             asked_at,
             Heard(confirmed_at, self.reading.returned_at),
             has_changes=bool(listing.items),
+            wait_s=wait_s,
         )
         if not listing.items:
-            self._peers.set_knowledge(after, self.reading.confirmed_at)
+            self._peers.set_knowledge(
+                self.catalog.position, self.reading.confirmed_at
+            )
             return
-        self.post(platform_records(listing, is_whole=False, as_of=since))
+        self.handle_immediately(
+            platform_records(listing, is_whole=False, as_of=since)
+        )
         await asyncio.sleep(self.reading.batch_pause_s)
 
+    def _check_era(self, listing: Listing) -> None:
+        """Refuse an answer of a store that is behind what it was before.
+
+        Raises
+        ------
+        PlatformError
+            If the answer is of an earlier era than the known records.
+        """
+        era, known = listing.through.era, self.catalog.position.era
+        if era < known:
+            raise PlatformError(
+                f'answers of era {era}, known is {known}', step='era', era=era
+            )
+
     def _on_answer(self, step: StoreStep, listing: Listing) -> None:
         if self.reading.failures:
             self._last_outage_at = clock_s()
@@ -336,6 +394,8 @@
 
     def _on_failure(self, step: StoreStep, exc: PlatformError) -> None:
         self.reading.on_failed()
+        if (exc.era or 0) > self.catalog.position.era:
+            self.reading.on_history_lost()
         self._last_outage_at = clock_s()
         self._calls.on_failure(step, 'failed', exc)
 
@@ -383,6 +443,7 @@
                 'step': 'record',
                 'record': what,
                 'key': item.key,
+                'era': self.catalog.position.era,
                 'revision': item.revision,
                 'teller': teller,
                 'age_s': round(item.age_s, 3),
@@ -401,7 +462,8 @@
         """Return the state of the records for the status page."""
         config = self.view.config
         return {
-            'revision': self.catalog.revision,
+            'era': self.catalog.position.era,
+            'revision': self.catalog.position.revision,
             'config_version': config.version if config else 0,
             'platform_confirmed_s': round(
                 self.reading.confirmed_s(clock_s()), 3
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -21,6 +21,7 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
 from crowrudder_model import (
+    NO_POSITION,
     MalformedMessageError,
     decode_datagram,
     encode_message,
@@ -39,6 +40,7 @@
     from collections.abc import Iterable
 
     from crowrudder_daemon.process import Runtime
+    from crowrudder_model import StorePosition
     from crowrudder_model.fleet import Node
     from crowrudder_model.messages import Datagram
 
@@ -62,9 +64,9 @@
     """Receives the contents of other processes' datagrams."""
 
     def peer_report_received(
-        self, ip: str, revision: int, confirmed_s: float
+        self, ip: str, position: StorePosition, confirmed_s: float
     ) -> None:
-        """Receive the revision and confirmation age of a process's records."""
+        """Receive the position and confirmation age of a process's records."""
 
     def load_received(self, load: EngineLoad) -> None:
         """Receive an agent's load report on its engine."""
@@ -128,7 +130,7 @@
         self._agents: dict[str, float] = {}
         self._heartbeats_sent = 0
         self._status_requests_left = MAX_STATUS_REQUESTS
-        self._revision = 0
+        self._position = NO_POSITION
         self._confirmed_at = -1.0e9
         self._seeds = node.seeds
         self.roster = Roster(_own_status(runtime, node))
@@ -180,11 +182,13 @@
         """Replace the hosts to contact while no other entry is known."""
         self._seeds = seeds
 
-    def set_knowledge(self, revision: int, confirmed_at: float) -> None:
-        """Set the revision of this process; a higher one is sent at once."""
+    def set_knowledge(
+        self, position: StorePosition, confirmed_at: float
+    ) -> None:
+        """Set the position of this process; a newer one is sent at once."""
         self._confirmed_at = confirmed_at
-        if revision > self._revision:
-            self._revision = revision
+        if position > self._position:
+            self._position = position
             self.send_to_some()
 
     def on_datagram_received(self, message: DatagramReceived) -> None:
@@ -291,9 +295,11 @@
             self._on_agent(heartbeat, ip, now)
         if heartbeat.asks_for_reply or is_new:
             self._send({ip}, self._reply(to_isolated=heartbeat.is_alone))
-        self._listener.peer_report_received(
-            ip, heartbeat.revision, heartbeat.confirmed_s
-        )
+        # A release that knows no eras can't say which history it has.
+        if heartbeat.position is not None:
+            self._listener.peer_report_received(
+                ip, heartbeat.position, heartbeat.confirmed_s
+            )
 
     def _on_agent(self, heartbeat: Heartbeat, ip: str, now: float) -> None:
         """Record an agent that has chosen this entry, or remove a leaving one.
@@ -361,7 +367,8 @@
     ) -> Heartbeat:
         return Heartbeat(
             status=self.roster.own,
-            revision=self._revision,
+            revision=self._position.revision,
+            era=self._position.era,
             confirmed_s=min(clock_s() - self._confirmed_at, 1.0e9),
             asks_for_reply=asks_for_reply or isolated,
             is_alone=isolated,
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records.py
@@ -14,16 +14,17 @@
 
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet.ports import Listing, PublishedSource
+    from crowrudder_model import StorePosition
     from crowrudder_model.fleet import PublishedRecord
     from crowrudder_model.messages import Changes, PublishedItem, RecordAge
 
 
 @frozen
 class PeerAhead:
-    """A peer has a higher revision of the records than this process."""
+    """A peer's records are newer than those of this process."""
 
     address: str
-    revision: int
+    position: StorePosition
 
 
 @frozen
@@ -39,7 +40,7 @@
     """
 
     items: tuple[PublishedItem, ...]
-    through: int
+    through: StorePosition
     is_whole: bool
     teller: str
     as_of: float = math.inf
@@ -68,10 +69,15 @@
 
 @frozen
 class AgesReceived:
-    """Ages of records from a peer; ``as_of`` as for `RecordsReceived`."""
+    """Ages of records from a peer, and those that the store lost.
+
+    ``era`` and ``kept`` as in `Ages`, ``as_of`` as in `RecordsReceived`.
+    """
 
     ages: tuple[RecordAge, ...]
     teller: str
+    era: int
+    kept: tuple[PublishedItem, ...] = ()
     as_of: float = math.inf
 
     def add_elapsed_time(self, now: float) -> list[RecordAge]:
@@ -99,7 +105,7 @@
 ) -> RecordsReceived:
     """Return records of another process, unchanged."""
     return RecordsReceived(
-        changes.items, changes.through, changes.is_whole, teller, as_of
+        changes.items, changes.position, changes.is_whole, teller, as_of
     )
 
 
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records_service.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records_service.py
@@ -8,6 +8,7 @@
 
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet._records import inflate_changes
+from crowrudder_model import StorePosition
 from crowrudder_model.messages import (
     Ages,
     AgesRequest,
@@ -40,8 +41,10 @@
         self, request: ChangesRequest, _context: object
     ) -> Changes:
         now = clock_s()
+        # A release that knows no eras compares revisions alone.
+        era = self._catalog.position.era if request.era is None else request.era
         changes = self._catalog.changes_after(
-            request.after,
+            StorePosition(era, request.after),
             now=now,
             confirmed_s=self._reading.confirmed_s(now),
         )
@@ -50,7 +53,12 @@
     async def _on_ages_request(
         self, _request: AgesRequest, _context: object
     ) -> Ages:
-        return Ages(self._catalog.ages(now=clock_s()))
+        now = clock_s()
+        return Ages(
+            self._catalog.ages(now=now),
+            era=self._catalog.position.era,
+            kept=self._catalog.kept(now=now),
+        )
 
     async def _on_probe_request(
         self, _request: ProbeRequest, _context: object
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -13,7 +13,7 @@
     from crowrudder_daemon.fleet._settings_watch import SettingsSource
     from crowrudder_daemon.fleet.ports import PublishedSource
     from crowrudder_daemon.process import Runtime
-    from crowrudder_model import Member
+    from crowrudder_model import Member, StorePosition
     from crowrudder_model.fleet import Node
     from crowrudder_model.messages import (
         ChunkInventory,
@@ -94,10 +94,10 @@
         raise NotImplementedError
 
     def peer_report_received(
-        self, ip: str, revision: int, confirmed_s: float
+        self, ip: str, position: StorePosition, confirmed_s: float
     ) -> None:
-        """Forward a peer's revision and confirmation age to the catalog."""
-        self.catalog.peer_report_received(ip, revision, confirmed_s)
+        """Forward a peer's position and confirmation age to the catalog."""
+        self.catalog.peer_report_received(ip, position, confirmed_s)
 
     def load_received(self, load: EngineLoad) -> None:
         """Ignore load reports on engines."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_store_calls.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_store_calls.py
@@ -45,8 +45,8 @@
         self._log.info(
             'platform call',
             extra={
-                'era': listing.era,
-                'revision': listing.through,
+                'era': listing.through.era,
+                'revision': listing.through.revision,
                 'changes': len(listing.items),
                 **self._fields(step, 'ok'),
             },
--- a/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from crowrudder_core.catalog import WATCH_WAIT_S, TickMonitor, WatchAges
+from crowrudder_core.catalog import TickMonitor, WatchAges
 from crowrudder_daemon._clock import clock_s
 
 
@@ -42,9 +42,17 @@
         self._ages.on_listed(asked_at)
 
     def published_since(
-        self, asked_at: float, heard: Heard, *, has_changes: bool
+        self,
+        asked_at: float,
+        heard: Heard,
+        *,
+        has_changes: bool,
+        wait_s: float,
     ) -> float:
-        """Record a watch's answer; return the earliest time of its changes."""
+        """Record a watch's answer; return the earliest time of its changes.
+
+        ``wait_s`` is how long the watch waited for changes at most.
+        """
         now = clock_s()
         is_punctual = self._tick_monitor.is_on_time(now)
         since = self._ages.published_since(
@@ -57,7 +65,7 @@
         self._ages.on_answer(
             asked_at,
             now,
-            wait_s=WATCH_WAIT_S,
+            wait_s=wait_s,
             has_changes=has_changes,
             is_punctual=is_punctual,
         )
--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -7,7 +7,7 @@
 
 from attrs import field, frozen
 
-from crowrudder_model import CrowrudderError, UpstreamError
+from crowrudder_model import CrowrudderError, StorePosition, UpstreamError
 from crowrudder_model.fleet import (
     NO_LAYERS,
     NO_STATEMENTS,
@@ -64,11 +64,10 @@
 
 @frozen(kw_only=True)
 class Listing:
-    """Records, or changes, up to the revision ``through`` of an era."""
+    """Records, or changes, up to the position ``through``."""
 
     items: tuple[PublishedItem, ...]
-    through: int
-    era: int = 0
+    through: StorePosition
 
 
 class PublishedSource(Protocol):
@@ -83,8 +82,10 @@
             If no complete list was received.
         """
 
-    async def watch(self, after: int, *, wait_s: float) -> Listing:
-        """Wait for changes after a revision; return an empty listing for none.
+    async def watch(self, after: StorePosition, *, wait_s: float) -> Listing:
+        """Wait for changes after a position; return an empty listing for none.
+
+        The listing may be of another era; it's no continuation then.
 
         Raises
         ------
--- a/packages/model/src/crowrudder_model/__init__.py
+++ b/packages/model/src/crowrudder_model/__init__.py
@@ -18,6 +18,7 @@
 from crowrudder_model._inflate import inflate
 from crowrudder_model._member import Member, MembersError, decode_members
 from crowrudder_model._outcome import Outcome
+from crowrudder_model._position import NO_POSITION, StorePosition
 from crowrudder_model._rendezvous import ranked, score
 
 __all__ = (
@@ -26,8 +27,10 @@
     'MalformedMessageError',
     'Member',
     'MembersError',
+    'NO_POSITION',
     'Outcome',
     'PeerLostError',
+    'StorePosition',
     'UpstreamError',
     'decode_datagram',
     'decode_members',
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -13,6 +13,7 @@
 import msgspec
 from attrs import frozen
 
+from crowrudder_model._position import StorePosition
 from crowrudder_model.messages._suspects import SuspicionUpdate
 from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
@@ -153,9 +154,10 @@
 ):
     """The sender's status and what it knows of others.
 
-    ``revision`` is the revision of the published records that the sender has.
-    ``confirmed_s`` is how long ago the platform last answered any process
-    that the sender knows of. ``asks_for_reply`` requests the receiver's
+    ``revision`` is the revision of the published records that the sender has,
+    in the store's ``era``; releases that know no eras send none.
+    ``confirmed_s`` is the age of the last confirmation that these records are
+    all that the platform has. ``asks_for_reply`` requests the receiver's
     status. ``is_alone`` is set by a sender that knows no other process: the
     reply has ``others``, the status of some entries known to the replier.
     ``last_seen_entries`` tells when some entries were last seen.
@@ -168,6 +170,14 @@
     is_alone: bool = False
     others: tuple[ForwardedStatus, ...] = ()
     last_seen_entries: tuple[LastSeen, ...] = ()
+    era: int | None = None
+
+    @property
+    def position(self) -> StorePosition | None:
+        """Return the position of the sender's records; None if unknown."""
+        if self.era is None:
+            return None
+        return StorePosition(self.era, self.revision)
 
 
 Datagram = (
@@ -187,9 +197,14 @@
 
     ``payload`` is None if the record was removed at ``revision``. If
     ``is_deflated`` is set, the payload is compressed: one process compresses
-    it for all others. The revision alone identifies the record. ``age_s`` is
-    how long ago the sender saw it published, negative if it was already
-    published when the sender first read it.
+    it for all others. The revision identifies the record within the era of the
+    list or of the changes that it is part of. ``age_s`` is how long ago the
+    sender saw it published, negative if it was already published when the
+    sender first read it.
+
+    ``version`` is the number that the operator gave the record, 0 for one
+    without. It never decreases, also if the store comes back from a copy with
+    an older one.
     """
 
     key: str
@@ -197,17 +212,20 @@
     payload: bytes | None
     age_s: float = -1
     is_deflated: bool = False
+    version: int = 0
 
 
 @frozen
 class ChangesRequest:
     """Request all records published after a revision.
 
-    ``takes_deflated`` isn't set by releases that can't decompress a payload.
+    ``takes_deflated`` isn't set by releases that can't decompress a payload,
+    ``era`` not by releases that know no eras.
     """
 
     after: int
     takes_deflated: bool = False
+    era: int | None = None
 
 
 @frozen(kw_only=True)
@@ -215,13 +233,20 @@
     """All records published after the requested revision.
 
     ``is_whole`` is set if the list is complete, whichever revision was
-    requested: records that aren't listed were removed.
+    requested: records that aren't listed were removed. ``confirmed_s`` as in
+    `Heartbeat`.
     """
 
     through: int
     items: tuple[PublishedItem, ...] = ()
     is_whole: bool = False
     confirmed_s: float = 1.0e9
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position up to which the changes are complete."""
+        return StorePosition(self.era, self.through)
 
 
 class RecordAge(msgspec.Struct, frozen=True, array_like=True):
@@ -254,7 +279,11 @@
 class Ages:
     """Ages of the current records, as far as the sender knows them.
 
-    A record that isn't listed is of unknown age, but may be current.
+    A record that isn't listed is of unknown age, but may be current. The
+    revisions are of ``era``. ``kept`` are records whose version in the store
+    went back, so that a process that lists it finds an older one.
     """
 
     ages: tuple[RecordAge, ...] = ()
+    era: int = 0
+    kept: tuple[PublishedItem, ...] = ()
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -4,9 +4,14 @@
 from hypothesis import strategies as st
 
 from crowrudder_core.catalog import Catalog
+from crowrudder_model import StorePosition
 from crowrudder_model.messages import PublishedItem, RecordAge
 
 
+def at(revision):
+    return StorePosition(0, revision)
+
+
 def item(key, revision, payload=b'x', age_s=-1):
     return PublishedItem(
         key=key, revision=revision, payload=payload, age_s=age_s
@@ -43,22 +48,22 @@
         would be accepted again for a moment.
         """
         catalog = Catalog()
-        catalog.apply([item('a', 9, b'new')], through=9, now=0)
-        assert not catalog.apply([item('a', 5, b'old')], through=5, now=1)
+        catalog.apply([item('a', 9, b'new')], through=at(9), now=0)
+        assert not catalog.apply([item('a', 5, b'old')], through=at(5), now=1)
         assert payloads_by_key(catalog) == {'a': b'new'}
         assert catalog.revision == 9
 
     def test_a_removal_is_not_undone_by_an_older_list(self):
         catalog = Catalog()
-        catalog.apply([item('a', 3)], through=3, now=0)
-        catalog.apply([item('a', 7, None)], through=7, now=0)
-        catalog.replace([item('a', 3)], through=5, now=1)
+        catalog.apply([item('a', 3)], through=at(3), now=0)
+        catalog.apply([item('a', 7, None)], through=at(7), now=0)
+        catalog.replace([item('a', 3)], through=at(5), now=1)
         assert not payloads_by_key(catalog)
 
     def test_a_record_missing_from_a_list_is_removed(self):
         catalog = Catalog()
-        catalog.apply([item('a', 1), item('b', 2)], through=2, now=0)
-        changed = catalog.replace([item('b', 2)], through=6, now=1)
+        catalog.apply([item('a', 1), item('b', 2)], through=at(2), now=0)
+        changed = catalog.replace([item('b', 2)], through=at(6), now=1)
         assert [each.payload for each in changed] == [None]
         assert payloads_by_key(catalog) == {'b': b'x'}
 
@@ -69,8 +74,8 @@
         the list counted as current, the upstream would disappear.
         """
         catalog = Catalog()
-        catalog.apply([item('new', 9)], through=9, now=0)
-        catalog.replace([item('b', 2)], through=6, now=1)
+        catalog.apply([item('new', 9)], through=at(9), now=0)
+        catalog.replace([item('b', 2)], through=at(6), now=1)
         assert payloads_by_key(catalog) == {'b': b'x', 'new': b'x'}
 
 
@@ -90,10 +95,10 @@
         catalog, peer = Catalog(), Catalog()
         for through, by_list in steps:
             self.advance(peer, changes, min(through, len(changes)), by_list)
-            reply = peer.changes_after(catalog.revision, now=0, confirmed_s=0)
+            reply = peer.changes_after(catalog.position, now=0, confirmed_s=0)
             before = dict(catalog._items)
             take = catalog.replace if reply.is_whole else catalog.apply
-            take(reply.items, through=reply.through, now=0)
+            take(reply.items, through=reply.position, now=0)
             for key, known in before.items():
                 assert catalog._items[key].revision >= known.revision
         expected = current_records(changes, catalog.revision)
@@ -106,20 +111,20 @@
             return
         if by_list:
             listed = current_records(changes, through).values()
-            peer.replace(listed, through=through, now=0)
+            peer.replace(listed, through=at(through), now=0)
             return
         missing = [
             change
             for change in changes
             if peer.revision < change.revision <= through
         ]
-        peer.apply(missing, through=through, now=0)
+        peer.apply(missing, through=at(through), now=0)
 
     def test_a_peer_older_than_the_pruned_removals_gets_a_complete_list(self):
         catalog = Catalog()
         removals = [item(f'k{n}', n, None) for n in range(1, 6000)]
-        catalog.apply([*removals, item('a', 6000)], through=6000, now=0)
-        reply = catalog.changes_after(5, now=0, confirmed_s=0)
+        catalog.apply([*removals, item('a', 6000)], through=at(6000), now=0)
+        reply = catalog.changes_after(at(5), now=0, confirmed_s=0)
         assert reply.is_whole
         assert [each.key for each in reply.items] == ['a']
 
@@ -127,46 +132,48 @@
 class TestAges:
     def test_ages_add_up_over_peers(self):
         first, second = Catalog(), Catalog()
-        first.apply([item('a', 1, age_s=0)], through=1, now=10)
-        reply = first.changes_after(0, now=13, confirmed_s=0)
-        second.apply(reply.items, through=1, now=50)
+        first.apply([item('a', 1, age_s=0)], through=at(1), now=10)
+        reply = first.changes_after(at(0), now=13, confirmed_s=0)
+        second.apply(reply.items, through=at(1), now=50)
         assert second.age_s('a', now=52) == 5
 
     def test_the_age_of_a_listed_record_is_unknown(self):
         catalog = Catalog()
-        catalog.replace([item('a', 1)], through=1, now=10)
+        catalog.replace([item('a', 1)], through=at(1), now=10)
         assert catalog.age_s('a', now=12) is None
 
     def test_an_age_is_applied_to_a_record_without_one(self):
         first, second = Catalog(), Catalog()
-        first.apply([item('a', 1, age_s=0), item('b', 2)], through=2, now=10)
-        second.replace([item('a', 1), item('b', 2)], through=2, now=50)
+        first.apply(
+            [item('a', 1, age_s=0), item('b', 2)], through=at(2), now=10
+        )
+        second.replace([item('a', 1), item('b', 2)], through=at(2), now=50)
         reported = first.ages(now=13)
         assert reported == (RecordAge('a', 1, 3),)
-        aged = second.apply_ages(reported, now=50)
+        aged = second.apply_ages(reported, era=0, now=50)
         assert aged == [item('a', 1, age_s=3)]
         assert second.age_s('a', now=52) == 5
-        assert not second.apply_ages(reported, now=60)
+        assert not second.apply_ages(reported, era=0, now=60)
         assert second.age_s('a', now=62) == 15
 
     def test_ages_alone_change_no_record(self):
         """The sender of ages may be ahead, be behind, or know more keys."""
         catalog = Catalog()
-        catalog.replace([item('a', 5), item('b', 6)], through=6, now=50)
+        catalog.replace([item('a', 5), item('b', 6)], through=at(6), now=50)
         reported = [
             RecordAge('a', 4, 1),
             RecordAge('b', 7, 1),
             RecordAge('c', 8, 1),
             RecordAge('a', 5, -1),
         ]
-        assert not catalog.apply_ages(reported, now=50)
+        assert not catalog.apply_ages(reported, era=0, now=50)
         assert payloads_by_key(catalog) == {'a': b'x', 'b': b'x'}
         assert catalog.revision == 6
         assert not catalog.ages(now=50)
-        reply = catalog.changes_after(5, now=50, confirmed_s=0)
+        reply = catalog.changes_after(at(5), now=50, confirmed_s=0)
         assert reply.items == (item('b', 6),)
 
     def test_a_removed_record_has_no_reported_age(self):
         catalog = Catalog()
-        catalog.apply([item('a', 1, None, age_s=0)], through=1, now=0)
+        catalog.apply([item('a', 1, None, age_s=0)], through=at(1), now=0)
         assert not catalog.ages(now=1)
--- a/tests/catalog/test_packing.py
+++ b/tests/catalog/test_packing.py
@@ -18,6 +18,7 @@
 )
 from crowrudder_model import (
     MalformedMessageError,
+    StorePosition,
     decode_message,
     encode_message,
 )
@@ -119,8 +120,8 @@
     def test_plain_and_deflated_forms_are_the_same_record(self, first, then):
         """A record comes plain from the platform and deflated from a peer."""
         catalog = Catalog()
-        assert catalog.apply([first], through=7, now=0)
-        assert not catalog.replace([then], through=7, now=1)
+        assert catalog.apply([first], through=StorePosition(0, 7), now=0)
+        assert not catalog.replace([then], through=StorePosition(0, 7), now=1)
         assert catalog.items() == [first]
 
     @pytest.mark.parametrize(
@@ -128,13 +129,15 @@
     )
     def test_the_age_is_applied_from_either_form(self, then):
         catalog = Catalog()
-        catalog.apply([item()], through=7, now=0)
-        assert catalog.apply([then], through=7, now=10)
+        catalog.apply([item()], through=StorePosition(0, 7), now=0)
+        assert catalog.apply([then], through=StorePosition(0, 7), now=10)
         assert catalog.age_s('k', now=10) == 2
 
     def test_a_deflated_record_is_forwarded_unchanged(self):
         catalog = Catalog()
         sent = deflate_record(item(age_s=0))
-        catalog.apply([sent], through=7, now=10)
-        reply = catalog.changes_after(1, now=13, confirmed_s=0)
+        catalog.apply([sent], through=StorePosition(0, 7), now=10)
+        reply = catalog.changes_after(
+            StorePosition(0, 1), now=13, confirmed_s=0
+        )
         assert reply.items == (evolve(sent, age_s=3),)
--- a/tests/catalog/test_view.py
+++ b/tests/catalog/test_view.py
@@ -103,6 +103,15 @@
         assert not view.upstreams('s', now=1)
         assert view.listed()
 
+    def test_a_leaving_upstream_is_never_ready_again(self):
+        """Guards against an older record from a copy of the store."""
+        view = FleetView(8)
+        leaving = upstream(state=UpstreamState.LEAVING)
+        view.on_record('k', leaving, age_s=0, now=0)
+        view.on_record('k', upstream(slots=3), age_s=0, now=1)
+        assert not view.upstreams('s', now=1)
+        assert required(view.upstream('i-1')).slots == 3
+
     def test_a_removed_upstream_gets_no_requests(self):
         view = FleetView(8)
         view.on_record('k', upstream(), age_s=0, now=0)
--- a/tests/fleet/test_ages.py
+++ b/tests/fleet/test_ages.py
@@ -7,9 +7,8 @@
 
 import pytest
 
-from crowrudder_core.catalog import _punctuality, _watch_ages
+from crowrudder_core.catalog import _punctuality, _reading, _watch_ages
 from crowrudder_daemon._clock import clock_s
-from crowrudder_daemon.fleet import _catalog_task
 from crowrudder_daemon.fleet.ports import PlatformError
 from support.fleet_checks import checked
 
@@ -58,7 +57,7 @@
 class TestAgesFromWatches:
     @pytest.fixture(autouse=True)
     def short_wait(self, monkeypatch):
-        monkeypatch.setattr(_catalog_task, 'WATCH_WAIT_S', WAIT_S)
+        monkeypatch.setattr(_reading, 'WATCH_WAIT_S', WAIT_S)
 
     def test_change_during_a_hung_watch_is_not_new(self, monkeypatch):
         """A change announced during a hung watch must not count as new.
--- a/tests/fleet/test_entry_versions.py
+++ b/tests/fleet/test_entry_versions.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+from attrs import evolve
+
 from crowrudder_core.forecast import _upstream_forecast
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet._records import RecordsReceived
@@ -247,7 +249,10 @@
             )
             task.on_records_received(
                 RecordsReceived(
-                    (announced,), announced.revision, False, 'a peer'
+                    (announced,),
+                    evolve(task.catalog.position, revision=announced.revision),
+                    False,
+                    'a peer',
                 )
             )
             assert (await ask_model(world)).status == 200
@@ -271,7 +276,7 @@
             task.on_records_received(
                 RecordsReceived(
                     tuple(task.catalog.items()),
-                    task.catalog.revision,
+                    task.catalog.position,
                     True,
                     'a peer',
                 )
--- a/tests/fleet/test_messages_by_size.py
+++ b/tests/fleet/test_messages_by_size.py
@@ -17,7 +17,7 @@
     HeartbeatDue,
     PeersTask,
 )
-from crowrudder_model import decode_datagram
+from crowrudder_model import StorePosition, decode_datagram
 from crowrudder_model.fleet import Node, NodeLocation
 from crowrudder_model.messages import Heartbeat
 
@@ -32,7 +32,7 @@
 class IgnoringListener:
     """Ignores heartbeats."""
 
-    def peer_report_received(self, ip, revision, confirmed_s):
+    def peer_report_received(self, ip, position, confirmed_s):
         pass
 
 
@@ -151,7 +151,7 @@
         net = make_network(size)
         for revision in range(1, HEARTBEATS + 1):
             for task in net.tasks.values():
-                task.set_knowledge(revision, net.now)
+                task.set_knowledge(StorePosition(1, revision), net.now)
             net.deliver()
             net.heartbeat()
         # Each contact sends one periodic heartbeat, and one for the change.
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -8,7 +8,7 @@
 
 from crowrudder_daemon.fleet._peers_task import HeartbeatDue, PeersTask
 from crowrudder_daemon.metrics import Metrics
-from crowrudder_model import decode_datagram
+from crowrudder_model import StorePosition, decode_datagram
 from crowrudder_model.fleet import Node, NodeLocation
 from crowrudder_model.messages import Heartbeat, MemberStatus
 
@@ -35,7 +35,7 @@
     def __init__(self):
         self.loads = []
 
-    def peer_report_received(self, ip, revision, confirmed_s):
+    def peer_report_received(self, ip, position, confirmed_s):
         pass
 
     def load_received(self, load):
@@ -107,9 +107,9 @@
     @pytest.mark.parametrize('entries', [20, 43, 240])
     def test_new_revision_of_the_platform(self, entries):
         task, transport = make_task('entry', entries)
-        task.set_knowledge(7, 0.0)
+        task.set_knowledge(StorePosition(1, 7), 0.0)
         assert 0 < len(transport.sent) <= MAX_DATAGRAMS
-        assert transport.sent[0][1].revision == 7
+        assert transport.sent[0][1].position == StorePosition(1, 7)
 
     @pytest.mark.parametrize('entries', [20, 43, 240])
     def test_heartbeat_of_an_agent(self, entries):
--- a/tests/fleet/test_record_bytes.py
+++ b/tests/fleet/test_record_bytes.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
+from attrs import evolve
 from crowrudder_platform._records import CONFIG_KEY, VERSION_PREFIX
 from crowrudder_platform.adapter import PlatformStore
 
@@ -99,8 +100,8 @@
         """Request the other process's changes; return the bytes received."""
         await world.ready()
         before = self.link.down_bytes
-        self.on_peer_ahead(PeerAhead(self.link.address, world.store.revision))
-        await world.until(lambda: self.catalog.revision >= world.store.revision)
+        self.on_peer_ahead(PeerAhead(self.link.address, world.store_position))
+        await world.until(lambda: self.catalog.position >= world.store_position)
         return self.link.down_bytes - before
 
 
@@ -180,7 +181,12 @@
                 )
                 caplog.clear()
                 task.on_records_received(
-                    RecordsReceived((corrupt, named), revision, False, 'a peer')
+                    RecordsReceived(
+                        (corrupt, named),
+                        evolve(task.catalog.position, revision=revision),
+                        False,
+                        'a peer',
+                    )
                 )
                 refused = [
                     line for line in caplog.records if line.levelname == 'ERROR'
@@ -270,7 +276,7 @@
             async with run_receiving_catalog(world) as task:
                 await task.list_platform(world)
                 known = task.catalog.items()
-                revision = task.catalog.revision
+                position = task.catalog.position
                 assert task.catalog.age_s(VERSION_KEY, now=clock_s()) is None
                 task._request_ages()
                 await world.until(
@@ -282,7 +288,7 @@
                 max_bytes = MAX_AGE_BYTES * len(known) + FRAMING_BYTES
                 assert task.link.down_bytes <= max_bytes
                 assert task.catalog.items() == known
-                assert task.catalog.revision == revision
+                assert task.catalog.position == position
                 assert task.view.releases.ends_at('m', 1) > clock_s()
 
         checked(check)
--- a/tests/fleet/test_store_eras.py
+++ b/tests/fleet/test_store_eras.py
@@ -4,6 +4,9 @@
 
 import asyncio
 
+import pytest
+from attrs import evolve
+
 from crowrudder_daemon._clock import clock_s
 from support.fleet_checks import checked
 
@@ -31,7 +34,8 @@
 
 
 def config_versions(world):
-    return [entry.catalog.view.config.version for entry in world.entries]
+    configs = [entry.catalog.view.config for entry in world.entries]
+    return [config.version if config else 0 for config in configs]
 
 
 class TestRevisionsGivenOutAgain:
@@ -64,6 +68,95 @@
 
         checked(check, entries=3)
 
+    def test_a_second_return_is_followed_as_well(self):
+        async def check(world):
+            for version in (5, 9):
+                await lose_changes(world)
+                restore_older_copy(world)
+                world.publish(version=version, routes=[])
+                expected = [version] * 3
+                async with asyncio.timeout(BOUND_S):
+                    while config_versions(world) != expected:  # noqa: ASYNC110
+                        await asyncio.sleep(0.005)
+
+        checked(check, entries=3)
+
+    def test_a_store_without_eras_is_not_flooded_either(self):
+        """Guards against a loop where no order helps: one era goes back."""
+
+        async def check(world):
+            await lose_changes(world)
+            restore_older_copy(world)
+            world.store.era = 0
+            before = world.store.calls.total()
+            await asyncio.sleep(1)
+            assert world.store.calls.total() - before <= MAX_CALLS
+
+        checked(check, entries=3, era=0)
+
+    @pytest.mark.parametrize('beyond', [1, 9])
+    def test_the_counter_that_reaches_a_watch_hides_nothing(self, beyond):
+        """Guards against a watch that is answered 200 in another history."""
+
+        async def check(world):
+            await lose_changes(world)
+            known = world.store.revision
+            restore_older_copy(world)
+            world.publish(version=5, routes=[])
+            while world.store.revision < known + beyond:
+                world.store.put('other/again', b'{}')
+            async with asyncio.timeout(BOUND_S):
+                await world.until(lambda: config_versions(world) == [5, 5, 5])
+
+        checked(check, entries=3)
+
+
+class TestLostRecords:
+    def test_an_upstream_that_left_gets_no_request(self):
+        """Guards against an upstream that is ready again in the copy."""
+
+        async def check(world):
+            await lose_changes(world)
+            world.list_replica('p0', 'plain', state='draining')
+            await world.ready()
+            restore_older_copy(world)
+            await world.ready()
+            for number in range(6):
+                answer = await world.ask('/read/x', request_id=f'a{number}')
+                assert answer.status == 200
+            assert not world.replicas['p0'].runs
+
+        checked(check)
+
+    def test_an_upstream_that_the_copy_lacks_is_used_on(self):
+        """Guards against refusals until all upstreams have registered again."""
+
+        async def check(world):
+            world.copy = world.store.copy()
+            world.add_replica('p9', 'plain')
+            for name in ('p0', 'p1'):
+                world.list_replica(name, 'plain', state='draining')
+            await world.ready()
+            restore_older_copy(world)
+            await world.ready()
+            assert (await world.ask('/read/x', request_id='a')).status == 200
+            assert world.replicas['p9'].runs
+
+        checked(check)
+
+    def test_a_started_entry_has_the_version_that_the_copy_lacks(self):
+        """Guards against an accepted configuration that a restart takes back."""
+
+        async def check(world):
+            await lose_changes(world)
+            restore_older_copy(world)
+            await world.ready()
+            await world.add_entry(2)
+            async with asyncio.timeout(BOUND_S):
+                await world.until(lambda: config_versions(world) == [4, 4])
+
+        checked(check, entries=1)
+
 
 class TestConfirmations:
     def test_a_peer_that_is_ahead_confirms_nothing(self):
@@ -76,7 +169,8 @@
         async def check(world):
             task = world.entries[0].catalog
             task.reading.confirmed_at = clock_s() - 10
-            ahead = task.catalog.revision + 1
+            known = task.catalog.position
+            ahead = evolve(known, revision=known.revision + 1)
             task.peer_report_received('127.0.0.99', ahead, 0)
             assert not task.is_current()
 
--- a/tests/fleet/test_version_ends.py
+++ b/tests/fleet/test_version_ends.py
@@ -4,6 +4,8 @@
 
 import logging
 
+from attrs import evolve
+
 from crowrudder_core.catalog import Releases
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet._records import RecordsReceived
@@ -129,5 +131,10 @@
         age_s=age_s,
     )
     task.on_records_received(
-        RecordsReceived((item,), revision, False, 'a peer')
+        RecordsReceived(
+            (item,),
+            evolve(task.catalog.position, revision=revision),
+            False,
+            'a peer',
+        )
     )
--- a/tests/platform/test_adapter_calls.py
+++ b/tests/platform/test_adapter_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from crowrudder_platform.adapter import (
     PlatformEngine,
@@ -14,7 +16,7 @@
     PlatformError,
 )
 from crowrudder_daemon.http import ConnectionPool
-from crowrudder_model import UpstreamError
+from crowrudder_model import StorePosition, UpstreamError
 from crowrudder_standins._faults import Fault
 from crowrudder_standins.fleet_origin import FleetOrigin
 from crowrudder_standins.fleet_replica import FleetReplica
@@ -28,7 +30,7 @@
         async def check(address, pool):
             listing = await PlatformStore(address, pool).list_all()
             assert len(listing.items) == 2 * PAGE_ITEMS + 3
-            assert listing.through == store.revision
+            assert listing.through == StorePosition(store.era, store.revision)
             assert listing.items[0].payload == b'\x00\xff'
 
         store = FleetStore()
@@ -39,7 +41,7 @@
     def test_watches_changes_and_removals(self):
         async def check(address, pool):
             source = PlatformStore(address, pool)
-            begin = store.revision
+            begin = StorePosition(store.era, store.revision)
             store.put('a', b'1')
             store.remove('a')
             listing = await source.watch(begin, wait_s=1)
@@ -56,7 +58,9 @@
             store.put('a', b'1')
             store.compact()
             with pytest.raises(HistoryGoneError):
-                await PlatformStore(address, pool).watch(1, wait_s=0.01)
+                await PlatformStore(address, pool).watch(
+                    StorePosition(1, 1), wait_s=0.01
+                )
 
         store = FleetStore()
         run(served(store, check))
@@ -66,7 +70,9 @@
         async def check(address, pool):
             store.faults.switch_on(Fault(name))
             with pytest.raises(PlatformError) as caught:
-                await PlatformStore(address, pool).watch(1, wait_s=0.01)
+                await PlatformStore(address, pool).watch(
+                    StorePosition(1, 1), wait_s=0.01
+                )
             assert caught.value.peer == address
             assert caught.value.step
 
@@ -74,6 +80,94 @@
         run(served(store, check))
 
 
+class TestEras:
+    def test_answers_state_the_era(self):
+        async def check(address, pool):
+            source = PlatformStore(address, pool)
+            begin = (await source.list_all()).through
+            assert begin == StorePosition(2, store.revision)
+            store.put('a', b'1')
+            listing = await source.watch(begin, wait_s=1)
+            assert listing.through == StorePosition(2, store.revision)
+
+        store = FleetStore()
+        store.restore(store.copy())
+        run(served(store, check))
+
+    def test_a_store_without_the_header_has_one_era(self):
+        async def check(address, pool):
+            listing = await PlatformStore(address, pool).list_all()
+            assert listing.through == StorePosition(0, store.revision)
+
+        store = FleetStore()
+        store.era = 0
+        run(served(store, check))
+
+    @pytest.mark.parametrize('name', ['busy', 'lost'])
+    def test_refusals_state_the_era(self, name):
+        async def check(address, pool):
+            with pytest.raises(PlatformError) as caught:
+                await PlatformStore(address, pool).watch(
+                    StorePosition(1, 9), wait_s=0.01
+                )
+            assert caught.value.era == 2
+
+        store = FleetStore()
+        store.restore(store.copy())
+        if name == 'busy':
+            store.faults.switch_on(Fault(name))
+        run(served(store, check))
+
+    def test_pages_of_two_eras_are_no_list(self):
+        """Guards against a list of records that never were there together."""
+
+        async def check(address, pool):
+            asking = asyncio.ensure_future(
+                PlatformStore(address, pool).list_all()
+            )
+            while not store.calls['range']:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            store.restore(store.copy())
+            with pytest.raises(PlatformError, match='two eras'):
+                await asking
+
+        store = FleetStore()
+        for number in range(PAGE_ITEMS + 1):
+            store.put(f'servers/{number:04}', b'{}')
+        run(served(store, check))
+
+    @pytest.mark.parametrize('text', ['x', '-1', '1e3', '9' * 40])
+    def test_an_invalid_era_is_a_platform_error(self, text):
+        async def check(address, pool):
+            with pytest.raises(PlatformError, match='no era'):
+                await PlatformStore(address, pool).list_all()
+
+        store = FleetStore()
+        store.era = text
+        run(served(store, check))
+
+    @pytest.mark.parametrize(
+        ('key', 'value', 'version'),
+        [
+            ('op/config', b'{"version": 7, "routes": 3}', 7),
+            ('op/version/m', b'{"model": "m", "version": 2}', 2),
+            ('op/config', b'not json', 0),
+            ('op/config', b'{"version": -1}', 0),
+            ('servers/i', b'{"version": "1.2"}', 0),
+        ],
+    )
+    def test_operators_records_have_their_own_version(
+        self, key, value, version
+    ):
+        async def check(address, pool):
+            (item,) = (await PlatformStore(address, pool).list_all()).items
+            assert item.version == version
+
+        store = FleetStore()
+        store.put(key, value)
+        run(served(store, check))
+
+
 class TestEngine:
     def options(self):
         return {'--id': 'i', '--model': 'm', '--loaded': '1'}
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -27,6 +27,7 @@
     WireRequest,
 )
 from crowrudder_daemon.process import Runtime
+from crowrudder_model import StorePosition
 from crowrudder_model.fleet import Bounds, Node, NodeLocation
 from crowrudder_standins._serving import application
 from crowrudder_standins.fleet_origin import FleetOrigin
@@ -309,11 +310,16 @@
         while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
 
+    @property
+    def store_position(self):
+        """The position of the store's last change."""
+        return StorePosition(self.store.era, self.store.revision)
+
     async def ready(self):
         """Wait until every entry has read the last revision of the store."""
         await self.until(
             lambda: all(
-                entry.catalog.catalog.revision >= self.store.revision
+                entry.catalog.catalog.position >= self.store_position
                 for entry in self.entries
             ),
         )
@@ -373,9 +379,12 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(*, entries=1, plain=2, engines=2, bounds=None, **published):
+async def fleet(
+    *, entries=1, plain=2, engines=2, bounds=None, era=1, **published
+):
     """Run a fleet during a test."""
     world = FleetWorld()
+    world.store.era = era
     world.store_address = world.serve(world.store)
     world.origin_address = world.serve(world.origin)
     world.publish(**published)
