Records: a confirmation holds only for who has the records that were confirmed

Cause: a heartbeat's confirmation counted at once, while the records that it was about were fetched afterwards, for 1 to 4 s. A process told its confirmation before the list or the changes were applied, and with the time of the answer's arrival.

Change: a confirmation comes with a position. It counts for a process that has it or a newer one of the same era, and otherwise together with the fetched records. An answer confirms as of its request, an empty watch as of its end. What is confirmed is passed on in heartbeats, also by processes that don't watch.

--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -96,9 +96,10 @@
 
     The platform may refuse a few hosts and serve the rest. If the refused
     hosts were the only readers, a change would come into force nowhere, while
-    every process looks healthy. Each heartbeat therefore carries the time
-    since any process, to its sender's knowledge, last had an answer from the
-    platform.
+    every process looks healthy. Each heartbeat therefore carries a
+    confirmation: the time at which the platform had nothing newer than the
+    sender's records. It holds only for a process that has these records, or
+    newer ones.
 
     Times are seconds of one clock.
 
@@ -158,11 +159,20 @@
     def on_answer(self, now: float) -> None:
         """Record that the platform answered this process."""
         self.failures = 0
-        self._confirm(now, now)
+        self._note_return(now, now)
 
-    def on_peer_report(self, confirmed_s: float, now: float) -> None:
-        """Record a peer's report of the last answer from the platform."""
-        self._confirm(now - max(confirmed_s, 0), now)
+    def on_confirmed(self, at: float, now: float) -> None:
+        """Record that the platform had nothing newer at a time.
+
+        Called only for a process that has the records that were confirmed.
+        """
+        at = min(at, now)
+        self._note_return(at, now)
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def _note_return(self, at: float, now: float) -> None:
+        if at - self.confirmed_at > MAX_CONFIRMATION_GAP_S:
+            self.returned_at = now
 
     def on_failed(self) -> None:
         """Record that the platform gave no valid answer."""
@@ -205,16 +215,8 @@
             else MAX_CONFIRMATION_GAP_S
         )
 
-    def _confirm(self, at: float, now: float) -> None:
-        if at - self.confirmed_at > MAX_CONFIRMATION_GAP_S:
-            self.returned_at = now
-        self.confirmed_at = max(self.confirmed_at, at)
-
     def confirmed_s(self, now: float) -> float:
-        """Return the time since the platform last answered any process.
-
-        A large value means never.
-        """
+        """Return the age of the last confirmation; a large value for none."""
         return min(now - self.confirmed_at, 1.0e9)
 
     def is_current(self, now: float, within_s: float) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -139,10 +139,17 @@
     def peer_report_received(
         self, ip: str, position: StorePosition, confirmed_s: float
     ) -> None:
-        """Receive a peer's position and confirmation age from a heartbeat."""
-        self.reading.on_peer_report(confirmed_s, clock_s())
-        if position > self.catalog.position:
+        """Receive a peer's position and confirmation age from a heartbeat.
+
+        A peer that is ahead confirms nothing here. Its records are fetched,
+        and come with its confirmation.
+        """
+        known = self.catalog.position
+        if position > known:
             self.post(PeerAhead(f'{ip}:{self._node.rpc_port}', position))
+        elif position.era == known.era:
+            now = clock_s()
+            self._on_confirmed(now - max(confirmed_s, 0), now)
 
     def on_peer_ahead(self, message: PeerAhead) -> None:
         """Request the missing changes, from one peer at a time."""
@@ -155,6 +162,9 @@
         """Apply records and refresh the view."""
         now = clock_s()
         before = self.catalog.position
+        if message.through.era >= before.era:
+            # Before the ages are assumed, which depend on the last outage.
+            self.reading.on_confirmed(message.confirmed_at, now)
         apply_items = (
             self.catalog.replace if message.is_whole else self.catalog.apply
         )
@@ -174,6 +184,13 @@
         if changed or before != self.catalog.position:
             self._on_change()
 
+    def _on_confirmed(self, at: float, now: float) -> None:
+        """Record a confirmation of the known records, and pass it on."""
+        self.reading.on_confirmed(at, now)
+        self._peers.set_knowledge(
+            self.catalog.position, self.reading.confirmed_at
+        )
+
     def _on_new_era(
         self, before: StorePosition, message: RecordsReceived, now: float
     ) -> None:
@@ -291,7 +308,6 @@
                 'duration_s': round(took_s, 3),
             },
         )
-        self.reading.on_peer_report(changes.confirmed_s, asked_at)
         for item in changes.items:
             if item.age_s >= 0:
                 self._record_age.record(item.age_s)
@@ -333,7 +349,11 @@
         self._watch_times.on_listed(self._calls.began_at)
         self._on_answer(StoreStep.LIST, listing)
         self.reading.on_listed()
-        self.handle_immediately(platform_records(listing, is_whole=True))
+        self.handle_immediately(
+            platform_records(
+                listing, is_whole=True, confirmed_at=self._calls.began_at
+            )
+        )
         if before.era != self.catalog.position.era or before == NO_POSITION:
             self._request_ages()
 
@@ -344,7 +364,6 @@
         wait_s = self.reading.watch_wait_s
         listing = await source.watch(after, wait_s=wait_s)
         self._check_era(listing)
-        confirmed_at = self.reading.confirmed_at
         self._on_answer(StoreStep.WATCH, listing)
         if listing.through.era != after.era:
             # The revision belongs to another history: what is between isn't
@@ -354,17 +373,21 @@
         self.reading.on_watched()
         since = self._watch_times.published_since(
             asked_at,
-            Heard(confirmed_at, self.reading.returned_at),
+            Heard(self.reading.confirmed_at, self.reading.returned_at),
             has_changes=bool(listing.items),
             wait_s=wait_s,
         )
+        confirmed_at = self._watch_times.known_until
         if not listing.items:
-            self._peers.set_knowledge(
-                self.catalog.position, self.reading.confirmed_at
-            )
+            self._on_confirmed(confirmed_at, clock_s())
             return
         self.handle_immediately(
-            platform_records(listing, is_whole=False, as_of=since)
+            platform_records(
+                listing,
+                is_whole=False,
+                as_of=since,
+                confirmed_at=confirmed_at,
+            )
         )
         await asyncio.sleep(self.reading.batch_pause_s)
 
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records.py
@@ -37,6 +37,9 @@
     transit time of the answer, or its wait in this process, would make a
     version appear younger than it is, and the previous version would be used
     for that much longer than allowed.
+
+    ``confirmed_at`` is the time on the own clock at which the platform had
+    nothing newer.
     """
 
     items: tuple[PublishedItem, ...]
@@ -44,6 +47,7 @@
     is_whole: bool
     teller: str
     as_of: float = math.inf
+    confirmed_at: float = -math.inf
 
     def add_elapsed_time(
         self, items: list[PublishedItem], now: float
@@ -93,19 +97,34 @@
 
 
 def platform_records(
-    listing: Listing, *, is_whole: bool, as_of: float = math.inf
+    listing: Listing,
+    *,
+    is_whole: bool,
+    as_of: float = math.inf,
+    confirmed_at: float = -math.inf,
 ) -> RecordsReceived:
     """Return records of the platform, deflated for all other processes."""
     items = tuple(deflate_record(item) for item in listing.items)
-    return RecordsReceived(items, listing.through, is_whole, 'platform', as_of)
+    return RecordsReceived(
+        items, listing.through, is_whole, 'platform', as_of, confirmed_at
+    )
 
 
 def peer_records(
-    changes: Changes, teller: str, *, as_of: float = math.inf
+    changes: Changes, teller: str, *, as_of: float
 ) -> RecordsReceived:
-    """Return records of another process, unchanged."""
+    """Return records of another process, unchanged.
+
+    ``as_of`` is when they were requested: their ages and their confirmation
+    are at least as old as if they were right then.
+    """
     return RecordsReceived(
-        changes.items, changes.position, changes.is_whole, teller, as_of
+        changes.items,
+        changes.position,
+        changes.is_whole,
+        teller,
+        as_of,
+        as_of - max(changes.confirmed_s, 0),
     )
 
 
--- a/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import frozen
 
 from crowrudder_core.catalog import TickMonitor, WatchAges
@@ -29,6 +31,12 @@
         self._tick_monitor = TickMonitor(interval_s)
         self._ages = WatchAges()
 
+    @property
+    def known_until(self) -> float:
+        """Time up to which all published changes are known."""
+        known_until = self._ages.known_until
+        return -math.inf if known_until is None else known_until
+
     def tick(self) -> None:
         """Record that the event loop runs its timers."""
         self._tick_monitor.on_tick(clock_s())
--- a/tests/catalog/test_calls_by_size.py
+++ b/tests/catalog/test_calls_by_size.py
@@ -62,7 +62,7 @@
     def _act(self, reading, now):
         """Run one process once; return the time until its next step."""
         if now - self.answered_at >= PROPAGATION_S:
-            reading.on_peer_report(now - self.answered_at, now)
+            reading.on_confirmed(self.answered_at, now)
             reading.on_informed()
         step = reading.step(now)
         if step is StoreStep.IDLE:
@@ -72,6 +72,7 @@
             reading.on_failed()
             return reading.pause_s(self._random)
         reading.on_answer(now)
+        reading.on_confirmed(now, now)
         reading.on_listed()
         reading.on_informed()
         self.answered_at = now
--- a/tests/catalog/test_reading.py
+++ b/tests/catalog/test_reading.py
@@ -44,9 +44,9 @@
         reading.on_start(100)
         assert reading.confirmed_s(100) > 1.0e6
         other = StoreReadPolicy(own='b')
-        other.on_answer(90)
-        other.on_peer_report(reading.confirmed_s(100), 100)
-        other.on_answer(101)
+        other.on_confirmed(90, 90)
+        other.on_confirmed(100 - reading.confirmed_s(100), 100)
+        other.on_confirmed(101, 101)
         assert other.unknown_age_s(101, is_informed=True) == 0
 
     def test_it_takes_over_only_after_the_silence_timeout(self):
@@ -68,33 +68,33 @@
         new version, all requests to the model would be refused.
         """
         reading = StoreReadPolicy(own='a')
-        reading.on_answer(100)
+        reading.on_confirmed(100, 100)
         reading.on_failed()
-        reading.on_answer(108)
+        reading.on_confirmed(108, 108)
         assert reading.unknown_age_s(108, is_informed=True) == 0
 
     def test_a_peer_report_also_marks_the_end_of_an_outage(self):
         reading = StoreReadPolicy(own='a')
-        reading.on_peer_report(0, 100)
-        reading.on_peer_report(0.5, 108)
+        reading.on_confirmed(100, 100)
+        reading.on_confirmed(107.5, 108)
         assert reading.unknown_age_s(108, is_informed=True) == 0
 
     def test_without_an_outage_the_age_is_that_of_the_last_confirmation(self):
         reading = StoreReadPolicy(own='a')
         for now in range(100, 120, 2):
-            reading.on_answer(now)
+            reading.on_confirmed(now, now)
         found = reading.unknown_age_s(118, is_informed=True)
         assert found is not None
         assert 2 <= found < 8
 
     def test_the_recovery_window_ends(self):
         reading = StoreReadPolicy(own='a')
-        reading.on_answer(100)
-        reading.on_answer(108)
-        reading.on_answer(110)
+        reading.on_confirmed(100, 100)
+        reading.on_confirmed(108, 108)
+        reading.on_confirmed(110, 110)
         assert reading.unknown_age_s(108 + RECOVERY_WINDOW_S, is_informed=True)
 
     def test_a_new_process_reports_an_unknown_age(self):
         reading = StoreReadPolicy(own='a')
-        reading.on_answer(100)
+        reading.on_confirmed(100, 100)
         assert reading.unknown_age_s(100, is_informed=False) is None
--- a/tests/catalog/test_view.py
+++ b/tests/catalog/test_view.py
@@ -185,7 +185,7 @@
 
     def test_other_ranks_rest_while_the_platform_is_confirmed(self):
         reading = self.reading(WATCHERS)
-        reading.on_peer_report(0.1, now=100)
+        reading.on_confirmed(99.9, now=100)
         assert reading.step(100) is StoreStep.IDLE
 
     def test_other_ranks_read_when_no_process_reaches_the_platform(self):
@@ -196,7 +196,7 @@
         nowhere, and a withdrawn key would be accepted for minutes.
         """
         reading = self.reading(WATCHERS + 3)
-        reading.on_peer_report(0, now=100)
+        reading.on_confirmed(100, now=100)
         assert reading.step(104) is not StoreStep.IDLE
 
     def test_compacted_history_requires_a_complete_list(self):
@@ -207,7 +207,7 @@
 
     def test_stale_records_are_not_current(self):
         reading = self.reading(0)
-        reading.on_answer(100)
+        reading.on_confirmed(100, now=100)
         assert reading.is_current(101, within_s=2)
         assert not reading.is_current(105, within_s=2)
 
--- a/tests/fleet/test_entry_versions.py
+++ b/tests/fleet/test_entry_versions.py
@@ -241,7 +241,7 @@
         async def check(world):
             task = world.entries[0].catalog
             task.reading.confirmed_at -= 10
-            task.reading.on_answer(clock_s())
+            task.reading.on_confirmed(clock_s(), clock_s())
             announced = PublishedItem(
                 key='op/version/m',
                 revision=task.catalog.revision + 1,
--- a/tests/fleet/test_store_eras.py
+++ b/tests/fleet/test_store_eras.py
@@ -173,5 +173,29 @@
             ahead = evolve(known, revision=known.revision + 1)
             task.peer_report_received('127.0.0.99', ahead, 0)
             assert not task.is_current()
+            task.peer_report_received('127.0.0.99', known, 0)
+            assert task.is_current()
+
+        checked(check, entries=1)
+
+    def test_a_peer_of_an_earlier_era_confirms_nothing(self):
+        async def check(world):
+            task = world.entries[0].catalog
+            task.reading.confirmed_at = clock_s() - 10
+            earlier = evolve(task.catalog.position, era=0, revision=1)
+            task.peer_report_received('127.0.0.99', earlier, 0)
+            assert not task.is_current()
+
+        checked(check, entries=1)
+
+    def test_a_confirmation_is_passed_on(self):
+        """Guards against entries that only the watchers' partners inform."""
+
+        async def check(world):
+            entry = world.entries[0]
+            position = entry.catalog.catalog.position
+            entry.peers.set_knowledge(position, clock_s() - 10)
+            entry.catalog.peer_report_received('127.0.0.99', position, 0)
+            assert entry.peers._heartbeat().confirmed_s < 1
 
         checked(check, entries=1)
