Records: a second peer is asked if the first fetch is slow

Cause: fetches went one at a time, with a timeout of 1 to 4 s, and reports of other peers that were ahead meanwhile were dropped: a peer that doesn't answer delays a change by more than the bound of 2 s.

Change: reports are kept while a fetch runs.

--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -2,6 +2,7 @@
 
 from crowrudder_core.catalog._answer_timeout import AnswerTimeout
 from crowrudder_core.catalog._catalog import Catalog
+from crowrudder_core.catalog._fetches import FetchPolicy
 from crowrudder_core.catalog._packing import (
     MAX_RECORD_BYTES,
     MIN_DEFLATED_BYTES,
@@ -27,6 +28,7 @@
     'MIN_DEFLATED_BYTES',
     'AnswerTimeout',
     'Catalog',
+    'FetchPolicy',
     'FleetView',
     'ListedUpstream',
     'TickMonitor',
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -11,8 +11,8 @@
 
 from crowrudder_core.catalog import (
     RECOVERY_WINDOW_S,
-    AnswerTimeout,
     Catalog,
+    FetchPolicy,
     FleetView,
     StoreReadPolicy,
     StoreStep,
@@ -52,7 +52,7 @@
     from crowrudder_daemon.rpc import PeerClient, PeerServer
     from crowrudder_model import StorePosition
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import PublishedItem
+    from crowrudder_model.messages import Changes, PublishedItem
 
 IDLE_CHECK_INTERVAL_S = 0.2
 """Interval in seconds at which a process that doesn't watch the platform
@@ -103,8 +103,7 @@
         self._client = client
         self._on_change = on_change
         self._random = random.Random(runtime.incarnation)
-        self._pulling = False
-        self._pull_timeout = AnswerTimeout()
+        self._fetches = FetchPolicy()
         self._last_outage_at = -1.0e9
         self._watch_times = WatchTimes(SWEEP_INTERVAL_S)
         self.catalog = Catalog()
@@ -152,11 +151,9 @@
             self._on_confirmed(now - max(confirmed_s, 0), now)
 
     def on_peer_ahead(self, message: PeerAhead) -> None:
-        """Request the missing changes, from one peer at a time."""
-        if self._pulling or message.position <= self.catalog.position:
-            return
-        self._pulling = True
-        self.spawn(self._pull(message.address))
+        """Fetch the missing changes from a peer."""
+        self._fetches.on_ahead(message.address, message.position)
+        self._fetch_if_due()
 
     def on_records_received(self, message: RecordsReceived) -> None:
         """Apply records and refresh the view."""
@@ -266,52 +263,74 @@
             AgesReceived(reply.ages, address, reply.era, reply.kept, asked_at)
         )
 
-    async def _pull(self, address: str) -> None:
-        position = self.catalog.position
+    def _fetch_if_due(self) -> None:
+        now = clock_s()
+        address = self._fetches.next_peer(self.catalog.position, now=now)
+        if address is None:
+            return
+        self._fetches.on_begun(address, now=now)
+        self.spawn(self._fetch(address, now))
+        self.spawn(self._hedge(self._fetches.hedge_s + DUE_MARGIN_S))
+
+    async def _hedge(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        self._fetch_if_due()
+
+    async def _fetch(self, address: str, asked_at: float) -> None:
+        after = self.catalog.position
         request = ChangesRequest(
-            position.revision, takes_deflated=True, era=position.era
+            after.revision, takes_deflated=True, era=after.era
         )
-        asked_at = clock_s()
+        timeout_s = self._fetches.timeout.seconds
         try:
             changes = await self._client.call(
-                address, CHANGES, request, timeout_s=self._pull_timeout.seconds
+                address, CHANGES, request, timeout_s=timeout_s
             )
         except PeerLostError as exc:
-            took_s = clock_s() - asked_at
-            self._pull_timeout.on_failure(took_s)
+            now = clock_s()
+            self._fetches.on_failure(address, now=now)
             self._log.info(
                 'changes not read: %s',
                 exc,
                 extra={
                     'step': 'fetch',
                     'peer': address,
-                    'after': str(position),
-                    'duration_s': round(took_s, 3),
+                    'after': str(after),
+                    'duration_s': round(now - asked_at, 3),
                 },
             )
-            return
-        finally:
-            self._pulling = False
-        took_s = clock_s() - asked_at
-        self._pull_timeout.on_answer(took_s)
+        else:
+            self._fetches.on_answer(address, now=clock_s())
+            self._log_fetch(changes, address, after, asked_at)
+            self.handle_immediately(
+                peer_records(changes, address, as_of=asked_at)
+            )
+        self._fetch_if_due()
+
+    def _log_fetch(
+        self,
+        changes: Changes,
+        address: str,
+        after: StorePosition,
+        asked_at: float,
+    ) -> None:
         self._log.info(
             'changes read',
             extra={
                 'step': 'fetch',
                 'peer': address,
-                'after': str(position),
+                'after': str(after),
                 'era': changes.era,
                 'revision': changes.through,
                 'changes': len(changes.items),
                 'is_whole': changes.is_whole,
                 'confirmed_s': round(changes.confirmed_s, 3),
-                'duration_s': round(took_s, 3),
+                'duration_s': round(clock_s() - asked_at, 3),
             },
         )
         for item in changes.items:
             if item.age_s >= 0:
                 self._record_age.record(item.age_s)
-        self.post(peer_records(changes, address, as_of=asked_at))
 
     async def _read_forever(self, source: PublishedSource) -> None:
         """List once, then watch; list again if changes were missed."""
