Records: the parts of the delay are derived from the bound

Cause: an overdue answer was noticed 2.8 s after the last confirmation, others tried in rounds of 0.8 s, and a final denial was allowed up to 4 s after it, where the bound is 2 s. Each part was chosen alone.

Change: other entries try when a confirmation is older than 0.7 of the bound, in rounds of 0.2 of it; the pause after changes is at most a quarter. Who takes over asks without waiting. After changes, which end all watches at once, the watchers wait for different times, so that their confirmations are spread evenly, at no more calls. A final 401, 403 or 404 needs a confirmation within the bound, not twice of it.

The tests of calls have the bound of 2 s now and the same limits of calls (at rest 20 in 10 s, 20 a second in an outage).

--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -23,14 +23,17 @@
 """
 
 BATCH_PAUSES_S = (0.15, 0.3, 0.6, 1.0)
-"""Pause by rank between an answer with changes and the next watch.
+"""Longest pause by rank between an answer with changes and the next watch.
 
 Changes come in bursts, and one answer returns all changes within the pause.
 The first watcher fetches most of them; the others take over when it is dead,
-paused or refused. The delay is then at most half of the two seconds within
-which a change has to be in force.
+paused or refused.
 """
 
+BATCH_PAUSE_SHARE = 0.25
+"""Longest pause as a share of the bound: the only watcher that hears changes
+may be the last one."""
+
 MEAN_FALLBACK_READERS = 4
 """Mean number of entries that try in each round while no process reaches the
 platform.
@@ -39,20 +42,23 @@
 although one entry that reaches the platform can inform all others.
 """
 
-FALLBACK_ROUND_S = 0.8
-"""Time until another sample of entries tries: the platform may refuse exactly
-the hosts of the current sample."""
+MAX_FALLBACK_ROUND_S = 0.8
+FALLBACK_ROUND_SHARE = 0.2
+"""Time until another sample of entries tries, as a share of the bound: the
+platform may refuse exactly the hosts of the current sample."""
 
 SILENCE_TIMEOUT_S = 0.8
-"""Time after an overdue answer of the platform until other entries try too.
+"""Longest time after an overdue answer of the platform until other entries try
+too."""
 
-It is less than half of the shortest time (2 s) within which operators want a
-change in force, so that a second reader is still in time.
-"""
+OVERDUE_SHARE = 0.7
+"""Age of a confirmation as a share of the bound from which other entries try.
+What is left of the bound is for two rounds of tries, a lost heartbeat and a
+fetch."""
 
 WATCH_WAIT_S = 2.0
-"""How long a watch waits for changes. An empty answer confirms that the
-platform works."""
+"""Longest time that a watch waits for changes. An empty answer confirms that
+the platform works."""
 
 MAX_CONFIRMATION_GAP_S = 2.9
 """Longest time between two confirmations from a working platform: the wait of
@@ -108,15 +114,19 @@
     is_reader
         Whether this process may be a watcher; a process that may not reads
         only if it knows no process that may.
+    bound_s
+        Time within which a change must be in force everywhere.
     """
 
     own: str
     is_reader: bool = True
+    bound_s: float = math.inf
     rank: int = 0
     others: int = 0
     needs_list: bool = True
     failures: int = 0
     history_losses: int = 0
+    staggers: bool = True
     confirmed_at: float = -math.inf
     returned_at: float = -math.inf
     lists_at: float = math.inf
@@ -183,9 +193,13 @@
         self.needs_list = True
         self.history_losses += 1
 
-    def on_watched(self) -> None:
-        """Record that the platform's changes continue the known records."""
+    def on_watched(self, *, has_changes: bool) -> None:
+        """Record that the platform's answer continues the known records.
+
+        Changes end all watches at the same time.
+        """
         self.history_losses = 0
+        self.staggers = has_changes
 
     def on_listed(self) -> None:
         """Record a complete list."""
@@ -225,7 +239,12 @@
         A process that was disconnected for longer must not reject requests
         because of missing keys or routes that may have been added since.
         """
-        return self.confirmed_s(now) <= within_s + WATCH_WAIT_S
+        return self.confirmed_s(now) <= within_s
+
+    def due_in_s(self, now: float) -> float:
+        """Return the time until an idle process may have to read."""
+        overdue_at = self._last_sign_at + self._overdue_s
+        return max(min(self.lists_at, overdue_at) - now, 0)
 
     def step(self, now: float) -> StoreStep:
         """Return the action to take now."""
@@ -239,26 +258,43 @@
             return StoreStep.LIST if self.needs_list else StoreStep.WATCH
         return StoreStep.IDLE
 
-    @property
-    def watch_wait_s(self) -> float:
-        """How long the next watch waits for changes.
+    def watch_wait_s(self, now: float) -> float:
+        """Return how long the next watch waits for changes.
 
         After a failure it doesn't wait: the store may be back from a copy, and
-        only its answer tells the era.
+        only its answer tells the era. A process that takes over doesn't
+        either: nothing has been confirmed for too long.
+
+        After changes the watchers wait for different times, so that their next
+        confirmations are spread evenly.
         """
-        return 0 if self.failures else WATCH_WAIT_S
+        if self.failures or self.rank >= WATCHERS or self._takes_over(now):
+            return 0
+        wait_s = min(WATCH_WAIT_S, self.bound_s)
+        return wait_s * (self.rank + 1) / WATCHERS if self.staggers else wait_s
 
     @property
     def batch_pause_s(self) -> float:
         """Pause between an answer with changes and the next watch."""
-        return BATCH_PAUSES_S[min(self.rank, WATCHERS - 1)]
+        longest = BATCH_PAUSE_SHARE * self.bound_s
+        return min(BATCH_PAUSES_S[min(self.rank, WATCHERS - 1)], longest)
 
-    def _takes_over(self, now: float) -> bool:
-        """Return whether to read in place of watchers that get no answer."""
+    @property
+    def _last_sign_at(self) -> float:
         # A start delays taking over, but it is no confirmation from the
         # platform and isn't reported to others as one.
-        silent_s = now - max(self.confirmed_at, self.started_at)
-        if silent_s < WATCH_WAIT_S + SILENCE_TIMEOUT_S:
+        return max(self.confirmed_at, self.started_at)
+
+    @property
+    def _overdue_s(self) -> float:
+        """Age of a confirmation from which other entries try."""
+        return min(
+            WATCH_WAIT_S + SILENCE_TIMEOUT_S, OVERDUE_SHARE * self.bound_s
+        )
+
+    def _takes_over(self, now: float) -> bool:
+        """Return whether to read in place of watchers that get no answer."""
+        if now - self._last_sign_at < self._overdue_s:
             return False
         if not self.is_reader:
             return not self.others
@@ -270,10 +306,8 @@
         Each process computes its own sample, so that the mean number of tries
         is bounded whatever the processes know of each other.
         """
-        sample = (
-            score(f'watch|{int(now / FALLBACK_ROUND_S)}', self.own)
-            / _SCORE_RANGE
-        )
+        round_s = min(MAX_FALLBACK_ROUND_S, FALLBACK_ROUND_SHARE * self.bound_s)
+        sample = score(f'watch|{int(now / round_s)}', self.own) / _SCORE_RANGE
         return sample * (self.others + 1) < MEAN_FALLBACK_READERS
 
     def pause_s(self, random: Random) -> float:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -113,7 +113,9 @@
         # Agents receive records from entries; they read the platform themselves
         # only if no entry has reported anything for a while.
         is_entry = node.role == 'entry'
-        self.reading = StoreReadPolicy(own=node.ip, is_reader=is_entry)
+        self.reading = StoreReadPolicy(
+            own=node.ip, is_reader=is_entry, bound_s=node.bounds.config_s
+        )
         self.reading.on_start(clock_s(), lists_at_once=is_entry)
         self._calls = StoreCalls(runtime, self.reading)
         self._record_age = runtime.metrics.histogram(
@@ -352,9 +354,11 @@
         match step:
             case StoreStep.IDLE:
                 self._watch_times.on_idle()
-                until_due_s = max(self.reading.lists_at - clock_s(), 0)
+                until_due_s = self.reading.due_in_s(clock_s())
                 rest_s = until_tick_s(IDLE_CHECK_INTERVAL_S)
-                await asyncio.sleep(min(rest_s, until_due_s + DUE_MARGIN_S))
+                if until_due_s:
+                    rest_s = min(rest_s, until_due_s + DUE_MARGIN_S)
+                await asyncio.sleep(rest_s)
             case StoreStep.LIST:
                 await self._list(source)
             case StoreStep.WATCH:
@@ -380,7 +384,7 @@
         after = self.catalog.position
         self._calls.on_begun()
         asked_at = self._calls.began_at
-        wait_s = self.reading.watch_wait_s
+        wait_s = self.reading.watch_wait_s(asked_at)
         listing = await source.watch(after, wait_s=wait_s)
         self._check_era(listing)
         self._on_answer(StoreStep.WATCH, listing)
@@ -389,7 +393,7 @@
             # in the answer.
             self.reading.on_history_lost()
             return
-        self.reading.on_watched()
+        self.reading.on_watched(has_changes=bool(listing.items))
         since = self._watch_times.published_since(
             asked_at,
             Heard(self.reading.confirmed_at, self.reading.returned_at),
--- a/tests/catalog/test_calls_by_size.py
+++ b/tests/catalog/test_calls_by_size.py
@@ -10,7 +10,6 @@
 import pytest
 
 from crowrudder_core.catalog import (
-    WATCH_WAIT_S,
     WATCHERS,
     StoreReadPolicy,
     StoreStep,
@@ -38,7 +37,11 @@
         names = [f'10.0.{each // 250}.{each % 250}' for each in range(size)]
         entries = names[: max(size // 5, 5)]
         self.readings = [
-            StoreReadPolicy(own=name, is_reader=name in set(entries))
+            StoreReadPolicy(
+                own=name,
+                is_reader=name in set(entries),
+                bound_s=MIN_CHANGE_BOUND_S,
+            )
             for name in names
         ]
         self.calls: Counter[int] = Counter()
@@ -71,12 +74,16 @@
         if self._refuses(reading.own, now):
             reading.on_failed()
             return reading.pause_s(self._random)
+        wait_s = reading.watch_wait_s(now)
         reading.on_answer(now)
         reading.on_confirmed(now, now)
         reading.on_listed()
         reading.on_informed()
         self.answered_at = now
-        return WATCH_WAIT_S if step is StoreStep.WATCH else 0.005
+        if step is StoreStep.LIST:
+            return 0.005
+        reading.on_watched(has_changes=False)
+        return wait_s + 0.005
 
 
 class TestCallsDoNotGrow:
--- a/tests/fleet/test_store_eras.py
+++ b/tests/fleet/test_store_eras.py
@@ -94,7 +94,7 @@
 
         checked(check, entries=3, era=0)
 
-    @pytest.mark.parametrize('beyond', [1, 9])
+    @pytest.mark.parametrize('beyond', [0, 1, 9])
     def test_the_counter_that_reaches_a_watch_hides_nothing(self, beyond):
         """Guards against a watch that is answered 200 in another history."""
 
