Records: a removed record in the store's copy is held back for a while, not for ever

An upstream that lapsed before the copy was lost and is alive finds its record in the copy as it wrote it, and may never write it again. One that is gone lapses there.

--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -1,7 +1,7 @@
 """Published records: replication, ordering and the fleet state they form."""
 
 from crowrudder_core.catalog._answer_timeout import AnswerTimeout
-from crowrudder_core.catalog._catalog import Catalog
+from crowrudder_core.catalog._catalog import HOLD_S, Catalog
 from crowrudder_core.catalog._fetches import FetchPolicy
 from crowrudder_core.catalog._packing import (
     MAX_RECORD_BYTES,
@@ -23,6 +23,7 @@
 from crowrudder_core.catalog._watch_ages import WatchAges
 
 __all__ = (
+    'HOLD_S',
     'MAX_RECORD_BYTES',
     'RECOVERY_WINDOW_S',
     'MIN_DEFLATED_BYTES',
--- a/packages/core/src/crowrudder_core/catalog/_catalog.py
+++ b/packages/core/src/crowrudder_core/catalog/_catalog.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from crowrudder_core.catalog._eras import (
     enter_era,
@@ -20,6 +20,19 @@
 MAX_REMOVALS = 4096
 """Removals kept, so that a peer can be sent only the changes."""
 
+HOLD_S = 10.0
+"""How long a record that was removed before the store's copy brought it back
+stays removed. Without a writer it lapses long before; one that is still there
+has a writer that found its record unchanged."""
+
+
+@frozen
+class _HeldRecord:
+    """A record in the store's copy that was removed since the copy was made."""
+
+    item: PublishedItem
+    until: float
+
 
 @define
 class Catalog:
@@ -48,6 +61,7 @@
     _seen_at: dict[str, float] = field(factory=dict)
     _last_written: dict[str, int] = field(factory=dict)
     _kept: set[str] = field(factory=set)
+    _held: dict[str, _HeldRecord] = field(factory=dict)
 
     @property
     def revision(self) -> int:
@@ -120,6 +134,21 @@
         self._kept.update(item.key for item in kept)
         return kept
 
+    def release_held(self, *, now: float) -> list[PublishedItem]:
+        """Return removed records that the store's copy still has.
+
+        They are in use again, as their writers are alive.
+        """
+        released = []
+        due = [each for each in self._held.values() if now >= each.until]
+        for held in due:
+            del self._held[held.item.key]
+            known = self._items.get(held.item.key)
+            if known == evolve(held.item, payload=None):
+                released.append(held.item)
+        self._items.update({item.key: item for item in released})
+        return released
+
     def is_known(self, item: PublishedItem, through: StorePosition) -> bool:
         """Return whether a record of a list is no change to this catalog."""
         known = self._items.get(item.key)
@@ -202,6 +231,11 @@
         )
         self.position = through
         self.floor = through.revision
+        self._held = {}
+        for key, item in listed.items():
+            if self._items[key].payload is None:
+                self._items[key] = evolve(item, payload=None)
+                self._held[key] = _HeldRecord(item, now + HOLD_S)
         changed = []
         for key, item in self._items.items():
             known = before.get(key)
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -501,8 +501,18 @@
         while True:
             await sleep_to_tick(SWEEP_INTERVAL_S)
             self._watch_times.tick()
-            if self.view.remove_expired(now=clock_s()):
-                self._on_change()
+            self._sweep(clock_s())
+
+    def _sweep(self, now: float) -> None:
+        expired = self.view.remove_expired(now=now)
+        released = self.catalog.release_held(now=now)
+        message = RecordsReceived(
+            tuple(released), self.catalog.position, False, 'hold'
+        )
+        for item in released:
+            self._refresh_view(item, message, now)
+        if expired or released:
+            self._on_change()
 
     def status(self) -> dict[str, Any]:
         """Return the state of the records for the status page."""
--- a/tests/catalog/test_eras.py
+++ b/tests/catalog/test_eras.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from crowrudder_core.catalog import Catalog
+from crowrudder_core.catalog import HOLD_S, Catalog
 from crowrudder_model import StorePosition
 from crowrudder_model.messages import PublishedItem, RecordAge
 
@@ -156,6 +156,29 @@
         assert change(catalog, item(UPSTREAM, 26), era=2)
         assert payloads(catalog) == {UPSTREAM: b'x'}
 
+    def test_one_that_the_copy_still_has_after_a_while_is_back(self):
+        """Guards against an upstream that is lost because its record is unchanged.
+
+        It lapsed before the copy was lost, is alive, and finds its record as it
+        wrote it. One that is gone lapses again within the hold.
+        """
+        catalog = Catalog()
+        listing(catalog, item(UPSTREAM, 20), era=1, through=20)
+        change(catalog, item(UPSTREAM, 30, None), era=1)
+        listing(catalog, item(UPSTREAM, 20), era=2, through=25, now=100)
+        assert not catalog.release_held(now=100 + HOLD_S - 1)
+        assert catalog.release_held(now=100 + HOLD_S)
+        assert payloads(catalog) == {UPSTREAM: b'x'}
+
+    def test_one_that_lapses_within_the_hold_is_not_back(self):
+        catalog = Catalog()
+        listing(catalog, item(UPSTREAM, 20), era=1, through=20)
+        change(catalog, item(UPSTREAM, 30, None), era=1)
+        listing(catalog, item(UPSTREAM, 20), era=2, through=25, now=100)
+        change(catalog, item(UPSTREAM, 26, None), era=2)
+        assert not catalog.release_held(now=100 + HOLD_S)
+        assert not payloads(catalog)
+
     def test_one_that_was_written_again_before_the_list_is_back(self):
         """Guards against an upstream that stays lost though it registered."""
         catalog = Catalog()
