Records: a process that lists the store sends complete lists to peers that are behind it

Cause: what came and went between two answers isn't in a list, so that the process had no removal to tell. A peer that knew such a record kept it, though it was gone: a lapsed upstream outlives a newer one at its address. Likewise a held record whose removal was missed was released.

--- a/packages/core/src/crowrudder_core/catalog/_catalog.py
+++ b/packages/core/src/crowrudder_core/catalog/_catalog.py
@@ -115,6 +115,12 @@
         listed = {item.key: item for item in items}
         if through.era > self.position.era:
             return self._enter_era(listed, through, now)
+        if through.era == self.position.era:
+            # Records may have come and gone since the last answer.
+            self.floor = max(self.floor, through.revision)
+            self._held = {
+                key: held for key, held in self._held.items() if key in listed
+            }
         gone = [
             PublishedItem(
                 key=item.key, revision=through.revision, payload=None, age_s=0
