Records: an upstream that the store's copy lacks is used until it can have registered

Cause: the grace of a lapsed record is 1.5 s, and upstreams write again within two seconds of the store's return: in between they were refused, their connections dropped, and their incarnations counted as ended under the requests that ran there.

Change: 3 s for what a copy lacks; nobody has said that it ended.

--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -19,11 +19,18 @@
 )
 from crowrudder_core.catalog._releases import Release, Releases
 from crowrudder_core.catalog._routes import RouteTable
-from crowrudder_core.catalog._view import FleetView, ListedUpstream
+from crowrudder_core.catalog._view import (
+    LAPSE_GRACE_S,
+    RETURN_GRACE_S,
+    FleetView,
+    ListedUpstream,
+)
 from crowrudder_core.catalog._watch_ages import WatchAges
 
 __all__ = (
     'HOLD_S',
+    'LAPSE_GRACE_S',
+    'RETURN_GRACE_S',
     'MAX_RECORD_BYTES',
     'RECOVERY_WINDOW_S',
     'MIN_DEFLATED_BYTES',
--- a/packages/core/src/crowrudder_core/catalog/_view.py
+++ b/packages/core/src/crowrudder_core/catalog/_view.py
@@ -28,6 +28,13 @@
 upstream that has ended.
 """
 
+RETURN_GRACE_S = 3.0
+"""How long an upstream may still be used that the store's copy doesn't have.
+
+Nobody has said that it ended, and within two seconds of the store's return a
+live upstream has written its record again.
+"""
+
 
 @define
 class ListedUpstream:
@@ -82,17 +89,18 @@
             case TargetVersion(model=model, version=version):
                 self.releases.on_named(model, version, age_s=age_s, now=now)
 
-    def on_removed(self, key: str, *, now: float, may_return: bool) -> None:
+    def on_removed(self, key: str, *, now: float, grace_s: float = 0) -> None:
         """Apply the removal of a record.
 
-        ``may_return`` is set shortly after an outage of the platform, when a
-        lapsed record may be written again.
+        Parameters
+        ----------
+        grace_s
+            How long its upstream may still be used, since it may be written
+            again: after an outage, or if the store came back from a copy.
         """
         listed = self._listed.get(self._ids.pop(key, ''))
-        if listed is None:
-            return
-        grace_s = LAPSE_GRACE_S if may_return else 0
-        listed.usable_until = now + grace_s
+        if listed is not None:
+            listed.usable_until = now + grace_s
 
     def on_unreadable(self, key: str, *, now: float) -> None:
         """Apply a record that can't be decoded.
@@ -103,7 +111,7 @@
         then. Configuration and versions stay in force, since no request can be
         served without them.
         """
-        self.on_removed(key, now=now, may_return=False)
+        self.on_removed(key, now=now)
 
     def remove_expired(self, *, now: float) -> list[Upstream]:
         """Drop upstreams whose grace period has ended and return them."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -10,7 +10,9 @@
 from attrs import evolve
 
 from crowrudder_core.catalog import (
+    LAPSE_GRACE_S,
     RECOVERY_WINDOW_S,
+    RETURN_GRACE_S,
     Catalog,
     FetchPolicy,
     FleetView,
@@ -172,10 +174,13 @@
         )
         changed = apply_items(items, through=message.through, now=now)
         self.reading.on_informed()
+        is_recent = now - self._last_outage_at < RECOVERY_WINDOW_S
+        grace_s = LAPSE_GRACE_S if is_recent else 0.0
         if before != NO_POSITION and self.catalog.position.era != before.era:
             self._on_new_era(before, message, now)
+            grace_s = RETURN_GRACE_S
         for item in changed:
-            self._refresh_view(item, message, now)
+            self._refresh_view(item, message, now, grace_s=grace_s)
         self._peers.set_knowledge(
             self.catalog.position,
             self.reading.confirmed_at,
@@ -450,11 +455,12 @@
         item: PublishedItem,
         message: RecordsReceived | AgesReceived,
         now: float,
+        *,
+        grace_s: float = 0,
     ) -> None:
         teller = message.teller
         if item.payload is None:
-            may_return = now - self._last_outage_at < RECOVERY_WINDOW_S
-            self.view.on_removed(item.key, now=now, may_return=may_return)
+            self.view.on_removed(item.key, now=now, grace_s=grace_s)
             self._log_record(item, 'removed', teller)
             return
         try:
--- a/tests/catalog/test_view.py
+++ b/tests/catalog/test_view.py
@@ -6,6 +6,7 @@
 import pytest
 
 from crowrudder_core.catalog import (
+    LAPSE_GRACE_S,
     WATCHERS,
     FleetView,
     Releases,
@@ -115,7 +116,7 @@
     def test_a_removed_upstream_gets_no_requests(self):
         view = FleetView(8)
         view.on_record('k', upstream(), age_s=0, now=0)
-        view.on_removed('k', now=1, may_return=False)
+        view.on_removed('k', now=1)
         assert not view.upstreams('s', now=1)
 
     def test_a_lapsed_upstream_is_used_during_the_grace_period(self):
@@ -127,7 +128,7 @@
         """
         view = FleetView(8)
         view.on_record('k', upstream(), age_s=0, now=0)
-        view.on_removed('k', now=10, may_return=True)
+        view.on_removed('k', now=10, grace_s=LAPSE_GRACE_S)
         assert view.upstreams('s', now=11)
         assert not view.upstreams('s', now=12)
         assert [each.id for each in view.remove_expired(now=12)] == ['i-1']
@@ -155,7 +156,7 @@
     def test_a_returned_upstream_is_used_again(self):
         view = FleetView(8)
         view.on_record('k', upstream(), age_s=0, now=0)
-        view.on_removed('k', now=10, may_return=True)
+        view.on_removed('k', now=10, grace_s=LAPSE_GRACE_S)
         view.on_record('k', upstream(), age_s=0, now=11)
         assert view.upstreams('s', now=30)
 
--- a/tests/fleet/test_send_checks.py
+++ b/tests/fleet/test_send_checks.py
@@ -53,9 +53,7 @@
         async def check(world):
             entry = world.entries[0]
             assert not refusal(entry.upstreams, 'e0', 'e1')
-            entry.catalog.view.on_removed(
-                f'servers/{name}', now=clock_s(), may_return=False
-            )
+            entry.catalog.view.on_removed(f'servers/{name}', now=clock_s())
             assert refusal(entry.upstreams, 'e0', 'e1')
 
         checked(check)
--- a/tests/fleet/test_statements.py
+++ b/tests/fleet/test_statements.py
@@ -236,9 +236,7 @@
                 world,
                 monkeypatch,
                 'p0',
-                lambda: view.on_removed(
-                    'servers/p0', now=clock_s(), may_return=False
-                ),
+                lambda: view.on_removed('servers/p0', now=clock_s()),
             )
             answers = await ask_for(world, 0.3)
             assert {answer.status for answer in answers} == {200}
--- a/tests/fleet/test_store_eras.py
+++ b/tests/fleet/test_store_eras.py
@@ -139,6 +139,8 @@
             await world.ready()
             restore_older_copy(world)
             await world.ready()
+            # Replicas write again within two seconds of the store's return.
+            await asyncio.sleep(2)
             assert (await world.ask('/read/x', request_id='a')).status == 200
             assert world.replicas['p9'].runs
 
