--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -108,6 +108,9 @@
     past_incarnations: list[ReplicaIncarnation] = field(factory=list)
     replicas: dict[str, ReplicaIncarnation] = field(factory=dict)
     keys: list[str] = field(factory=lambda: ['key-0'])
+    extra_keys: list[str] = field(factory=list)
+    """Keys that are published besides, and withdrawn again."""
+
     announced_at: dict[int, float] = field(factory=dict)
     version: int = 1
     config_version: int = 0
@@ -159,10 +162,14 @@
     def publish(self) -> None:
         """Publish the next configuration with the current keys."""
         self.config_version += 1
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Write the latest configuration, as it is."""
         body = configuration(
             self.config_version,
             self._addresses['origin'],
-            self.keys,
+            [*self.keys, *self.extra_keys],
             is_large=self.is_large,
         )
         self.store.put('op/config', json.dumps(body).encode())
@@ -172,19 +179,43 @@
         self.version += 1
         self.origin.newest = self.version
         self.announced_at[self.version] = time.monotonic()
+        self.announce_again()
+
+    def announce_again(self) -> None:
+        """Write the latest version of the weights, if one was announced."""
+        if not self.announced_at:
+            return
         named = {'model': 'm', 'version': self.version}
         self.store.put('op/version/m', json.dumps(named).encode())
 
+    def list_again(self, name: str) -> None:
+        """Write a replica's record as the replica would after a return."""
+        incarnation = self.replicas[name]
+        if incarnation.is_listed:
+            is_leaving = incarnation.draining_since is not None
+            self._put_record(incarnation, 'draining' if is_leaving else 'ready')
+
+    def lapse_ended(self) -> None:
+        """Remove the records of replicas that don't write any more."""
+        listed = [each for each in self.replicas.values() if each.is_listed]
+        alive = {f'servers/{each.replica.id}' for each in listed}
+        for key in set(self.store.records) - alive:
+            if key.startswith('servers/'):
+                self.store.remove(key)
+
     def list_replica(self, name: str, state: str = 'ready') -> None:
         """Write a replica's record."""
         incarnation = self.replicas[name]
+        self._put_record(incarnation, state)
+        if state != 'ready':
+            incarnation.draining_since = time.monotonic()
+
+    def _put_record(self, incarnation: ReplicaIncarnation, state: str) -> None:
         replica = incarnation.replica
         entry = replica.entry(
             incarnation.service, incarnation.address, incarnation.zone, state
         )
         self.store.put(f'servers/{replica.id}', json.dumps(entry).encode())
-        if state != 'ready':
-            incarnation.draining_since = time.monotonic()
 
     def unlist(self, name: str) -> None:
         """Remove a replica's record."""
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -35,6 +35,7 @@
 from _platform_load import Caller
 from _platform_seeds import REGRESSION_SEEDS
 from _platform_statements import StatingReplicas, check_statements
+from _platform_store import StoreReturns, check_store_returns, unused
 from _process import end_on_signal
 from attrs import define, field
 from docopt import docopt
@@ -44,6 +45,12 @@
 SETTLE_TIMEOUT_S = 20.0
 PROBE_REQUESTS = 40
 STOP_TIMEOUT_S = 9.0
+BURST = 24
+"""Requests at the same time: more than the entries give to the best replicas."""
+
+UNUSED_TIMEOUT_S = 12.0
+"""Longer than a process holds back a record that may be gone."""
+
 POLL_S = 0.1
 
 
@@ -64,6 +71,7 @@
     fatals_rng: random.Random
     statements_rng: random.Random
     links_rng: random.Random
+    store_rng: random.Random
     duration_s: float
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
@@ -84,6 +92,9 @@
             self.fleet, self.statements_rng, chaos, self.log_line
         )
         narrow_links = NarrowLinks(self.fleet, self.links_rng, self.log_line)
+        store_returns = StoreReturns(
+            self.fleet, self.store_rng, chaos, self.log_line
+        )
         problems = await self._settle('start', START_TIMEOUT_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
@@ -96,12 +107,14 @@
                 fatals_and_limits.run(ends_at),
                 stating.run(ends_at),
                 narrow_links.run(ends_at),
+                store_returns.run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
                 ),
             )
             problems = await self._settle('after the faults', SETTLE_TIMEOUT_S)
+            problems += await self._find_unused()
             problems += await self._stop()
         results = [each for caller in self.callers for each in caller.results]
         verdict = check_run(results, self.fleet, chaos)
@@ -114,11 +127,14 @@
             for each in caller.results
         )
         check_statements(stating, [*results, *fatal_results], verdict)
+        check_store_returns(store_returns, chaos, verdict)
         problems += chaos.problems
         for problem in problems:
             verdict.add_violation('state', problem)
         self.log_line(f'faults: {dict(chaos.fault_counts)}')
         self.log_line(f'queues: {dict(narrow_links.counts)}')
+        calls = [each.calls for each in store_returns.returns]
+        self.log_line(f'store: {dict(store_returns.counts)}, {calls=}')
         return verdict
 
     def log_line(self, line: str) -> None:
@@ -162,6 +178,31 @@
             if each.status != 200 and not each.caller_left
         ]
 
+    async def _find_unused(self) -> list[str]:
+        """Send requests until each replica has run one; return those that didn't."""
+        since = time.monotonic()
+        callers = [
+            Caller(self._child_rng(), self.fleet.entries, self._key)
+            for _ in range(BURST)
+        ]
+        self.callers += callers
+        incarnations = self.fleet.replicas.values()
+        rounds = 0
+        while time.monotonic() < since + UNUSED_TIMEOUT_S:
+            rounds += 1
+            await asyncio.gather(
+                *(
+                    caller.send_request(f'use-{rounds}-{number}')
+                    for number, caller in enumerate(callers)
+                )
+            )
+            if not unused(incarnations, since):
+                break
+        for caller in callers:
+            caller.close()
+        names = unused(incarnations, since)
+        return [f'upstream lost: {name}' for name in names]
+
     def _unsettled(self) -> str:
         behind = [
             f'{incarnation.replica.id} has {incarnation.replica.weights}'
@@ -202,6 +243,7 @@
         fatals_rng = random.Random(f'needs of {seed}')
         statements_rng = random.Random(f'statements of {seed}')
         links_rng = random.Random(f'links of {seed}')
+        store_rng = random.Random(f'returns of {seed}')
         soak = PlatformSoak(
             fleet,
             rng,
@@ -209,6 +251,7 @@
             fatals_rng,
             statements_rng,
             links_rng,
+            store_rng,
             float(options['--duration']),
         )
         soak.log_line(f'seed {seed}: {plan}')
