--- a/scripts/_platform_seeds.py
+++ b/scripts/_platform_seeds.py
@@ -23,4 +23,18 @@
         'SIGHUP arrived while a restarted process still imported its modules, '
         'and ended it'
     ),
+    301: (
+        'requests that waited in the queue into a replica reached it after '
+        'its entry had been told that it leaves'
+    ),
+    302: 'a replica got requests in a pause that it had asked for',
+    303: (
+        'an engine took an order with pieces wrong or missing as its '
+        'predecessor crashed'
+    ),
+    304: (
+        'the check took the refusal of a key that was not in force yet for one '
+        'of the withdrawn key'
+    ),
+    316: 'a replica got requests in a pause that it had asked for',
 }
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -6,7 +6,8 @@
 test itself is tolerated: errors in set-up or tear-down still fail the run.
 
 A line whose test is ``deploy/days/NAME.toml COMMAND`` names a simulated day,
-which this suite cannot run. It is only printed, and its file must exist.
+one of ``scripts/platform_soak.py OPTIONS`` a soak run. This suite can't run
+them. They are only printed, and their file must exist.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 FILE_NAME = 'KNOWN-RED.txt'
 MAX_ENTRIES = 3
 FIELDS = 3
-DAYS = 'deploy/days/'
+PLAYS = ('deploy/days/', 'scripts/platform_soak.py')
 
 
 @attrs.frozen
@@ -35,9 +36,9 @@
     issue: str
 
     @property
-    def day(self) -> str:
-        """The file of the simulated day; empty for a test."""
-        return self.test.split()[0] if self.test.startswith(DAYS) else ''
+    def play(self) -> str:
+        """The file of the simulated day or of the soak; empty for a test."""
+        return self.test.split()[0] if self.test.startswith(PLAYS) else ''
 
     def __str__(self) -> str:
         return f'{self.test} | {self.cause} | {self.issue}'
@@ -55,14 +56,14 @@
         return {}
     lines = [line for line in path.read_text().splitlines() if line.strip()]
     entries = [_parse(path.name, line) for line in lines]
-    tests = [entry for entry in entries if not entry.day]
+    tests = [entry for entry in entries if not entry.play]
     if len(tests) > MAX_ENTRIES:
         raise pytest.UsageError(
             f'{path.name}: {len(tests)} lines, at most {MAX_ENTRIES} allowed',
         )
     for entry in entries:
-        if entry.day and not (path.parent / entry.day).is_file():
-            raise pytest.UsageError(f'{path.name}: no such day: {entry.day}')
+        if entry.play and not (path.parent / entry.play).is_file():
+            raise pytest.UsageError(f'{path.name}: no such file: {entry.play}')
     if len({entry.test for entry in entries}) < len(entries):
         raise pytest.UsageError(f'{path.name}: a test is named twice')
     return {entry.test: entry for entry in entries}
@@ -82,9 +83,9 @@
 
     def __init__(self, entries: dict[str, KnownRed]) -> None:
         self._entries = {
-            test: entry for test, entry in entries.items() if not entry.day
+            test: entry for test, entry in entries.items() if not entry.play
         }
-        self._passed_over = [entry for entry in entries.values() if entry.day]
+        self._passed_over = [entry for entry in entries.values() if entry.play]
 
     @pytest.hookimpl(tryfirst=True)
     def pytest_collection_modifyitems(
--- a/tests/workspace/test_known_red.py
+++ b/tests/workspace/test_known_red.py
@@ -96,4 +96,12 @@
     def test_simulated_day_without_its_file_stops_the_run(self, suite):
         outcome = self._run(suite, 'deploy/days/gone.toml --seed 2 | c | #2\n')
         assert outcome.ret == pytest.ExitCode.USAGE_ERROR
-        outcome.stderr.fnmatch_lines(['*no such day: deploy/days/gone.toml'])
+        outcome.stderr.fnmatch_lines(['*no such file: deploy/days/gone.toml'])
+
+    def test_soak_is_printed_and_tolerates_no_test(self, suite):
+        suite.path.joinpath('scripts').mkdir()
+        (suite.path / 'scripts/platform_soak.py').touch()
+        line = 'scripts/platform_soak.py --seed 2 | c | #2'
+        outcome = self._run(suite, f'{line}\n')
+        outcome.assert_outcomes(failed=2, errors=1, passed=1, skipped=1)
+        outcome.stdout.fnmatch_lines([f'KNOWN RED: {line}'])
