Records: changes that can't be applied confirm nothing

Changes of a later era have no effect without a complete list; their confirmation had. No process sends such changes; found by reading the diff. The test fails without it.

--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -163,7 +163,7 @@
         """Apply records and refresh the view."""
         now = clock_s()
         before = self.catalog.position
-        if message.through.era >= before.era:
+        if message.applies_after(before):
             # Before the ages are assumed, which depend on the last outage.
             self.reading.on_confirmed(message.confirmed_at, now)
         apply_items = (
--- a/packages/daemon/src/crowrudder_daemon/fleet/_records.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_records.py
@@ -61,6 +61,12 @@
             for item in items
         ]
 
+    def applies_after(self, position: StorePosition) -> bool:
+        """Return whether a process at a position can apply the records."""
+        if self.is_whole:
+            return self.through.era >= position.era
+        return self.through.era == position.era
+
     def age_by(self, key: str, age_s: float | None) -> str:
         """Return the source of a record's age; see `VersionEnds`."""
         if age_s is None:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_store_calls.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_store_calls.py
@@ -48,7 +48,7 @@
                 'era': listing.through.era,
                 'revision': listing.through.revision,
                 'changes': len(listing.items),
-                **self._fields(step, 'ok'),
+                **self._finished(step, 'ok'),
             },
         )
 
@@ -63,11 +63,12 @@
                 'reason': str(exc),
                 'era': exc.era,
                 'failures': self._reading.failures,
-                **self._fields(step, outcome),
+                **self._finished(step, outcome),
             },
         )
 
-    def _fields(self, step: StoreStep, outcome: str) -> dict[str, Any]:
+    def _finished(self, step: StoreStep, outcome: str) -> dict[str, Any]:
+        """Record the end of the call; return the fields of its log line."""
         now = clock_s()
         pause_s = self._began_at - self._ended_at
         self._ended_at = now
--- a/tests/fleet/test_store_eras.py
+++ b/tests/fleet/test_store_eras.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet._records import RecordsReceived
 from support.fleet_checks import checked
 
 BOUND_S = 2.0
@@ -190,6 +191,23 @@
 
         checked(check, entries=1)
 
+    def test_changes_of_a_later_era_confirm_nothing(self):
+        """Guards against a confirmation of records that aren't applied."""
+
+        async def check(world):
+            task = world.entries[0].catalog
+            task.reading.confirmed_at = clock_s() - 10
+            later = evolve(task.catalog.position, era=9)
+            changes = RecordsReceived(
+                (), later, False, 'a peer', confirmed_at=clock_s()
+            )
+            task.on_records_received(changes)
+            assert not task.is_current()
+            task.on_records_received(evolve(changes, is_whole=True))
+            assert task.is_current()
+
+        checked(check, entries=1)
+
     def test_a_confirmation_is_passed_on(self):
         """Guards against entries that only the watchers' partners inform."""
 
