--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -45,8 +45,8 @@
 SETTLE_TIMEOUT_S = 20.0
 PROBE_REQUESTS = 40
 STOP_TIMEOUT_S = 9.0
-BURST = 24
-"""Requests at the same time: more than the entries give to the best replicas."""
+BURST = 120
+"""Requests at the same time: more than all replicas but one take."""
 
 UNUSED_TIMEOUT_S = 12.0
 """Longer than a process holds back a record that may be gone."""
