--- a/scripts/_platform_seeds.py
+++ b/scripts/_platform_seeds.py
@@ -37,6 +37,8 @@
         'of the withdrawn key'
     ),
     316: 'a replica got requests in a pause that it had asked for',
+    321: 'as 301',
+    324: 'as 323',
     323: (
         'a request without harm ran on three engines that another one ended, '
         'and was refused as the one that ends them'
