--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -14,7 +14,6 @@
     RECOVERY_WINDOW_S,
     RETURN_GRACE_S,
     Catalog,
-    FetchPolicy,
     FleetView,
     StoreReadPolicy,
     StoreStep,
@@ -23,12 +22,12 @@
 from crowrudder_daemon._task import Task
 from crowrudder_daemon._ticks import sleep_to_tick, until_tick_s
 from crowrudder_daemon.fleet._describe import describe_record
+from crowrudder_daemon.fleet._record_fetches import RecordFetches
 from crowrudder_daemon.fleet._records import (
     AgesReceived,
     PeerAhead,
     RecordsReceived,
     decode_item,
-    peer_records,
     platform_records,
 )
 from crowrudder_daemon.fleet._records_service import RecordsService
@@ -42,8 +41,8 @@
 )
 from crowrudder_model import NO_POSITION, PeerLostError
 from crowrudder_model.fleet import TargetVersion
-from crowrudder_model.messages import AgesRequest, ChangesRequest
-from crowrudder_model.rpc import AGES, CHANGES
+from crowrudder_model.messages import AgesRequest
+from crowrudder_model.rpc import AGES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,7 +53,7 @@
     from crowrudder_daemon.rpc import PeerClient, PeerServer
     from crowrudder_model import StorePosition
     from crowrudder_model.fleet import Node
-    from crowrudder_model.messages import Changes, PublishedItem
+    from crowrudder_model.messages import PublishedItem
 
 IDLE_CHECK_INTERVAL_S = 0.2
 """Interval in seconds at which a process that doesn't watch the platform
@@ -105,10 +104,16 @@
         self._client = client
         self._on_change = on_change
         self._random = random.Random(runtime.incarnation)
-        self._fetches = FetchPolicy()
         self._last_outage_at = -1.0e9
         self._watch_times = WatchTimes(SWEEP_INTERVAL_S)
         self.catalog = Catalog()
+        self._fetches = RecordFetches(
+            runtime,
+            self.catalog,
+            client,
+            spawn=self.spawn,
+            on_records=self.handle_immediately,
+        )
         settling_s = node.bounds.settle_s - STARTUP_ALLOWANCE_S
         self.view = FleetView(node.bounds.version_s, clock_s() + settling_s)
         self._ends = VersionEnds(runtime.log, self.view.releases)
@@ -120,10 +125,6 @@
         )
         self.reading.on_start(clock_s(), lists_at_once=is_entry)
         self._calls = StoreCalls(runtime, self.reading)
-        self._record_age = runtime.metrics.histogram(
-            'record_age_seconds',
-            'Age of a record from a peer when it was taken.',
-        )
 
     def serve(self, server: PeerServer) -> None:
         """Serve the calls of other processes for changes and ages."""
@@ -156,8 +157,7 @@
 
     def on_peer_ahead(self, message: PeerAhead) -> None:
         """Fetch the missing changes from a peer."""
-        self._fetches.on_ahead(message.address, message.position)
-        self._fetch_if_due()
+        self._fetches.on_peer_ahead(message)
 
     def on_records_received(self, message: RecordsReceived) -> None:
         """Apply records and refresh the view."""
@@ -270,75 +270,6 @@
             AgesReceived(reply.ages, address, reply.era, reply.kept, asked_at)
         )
 
-    def _fetch_if_due(self) -> None:
-        now = clock_s()
-        address = self._fetches.next_peer(self.catalog.position, now=now)
-        if address is None:
-            return
-        self._fetches.on_begun(address, now=now)
-        self.spawn(self._fetch(address, now))
-        self.spawn(self._hedge(self._fetches.hedge_s + DUE_MARGIN_S))
-
-    async def _hedge(self, after_s: float) -> None:
-        await asyncio.sleep(after_s)
-        self._fetch_if_due()
-
-    async def _fetch(self, address: str, asked_at: float) -> None:
-        after = self.catalog.position
-        request = ChangesRequest(
-            after.revision, takes_deflated=True, era=after.era
-        )
-        timeout_s = self._fetches.timeout.seconds
-        try:
-            changes = await self._client.call(
-                address, CHANGES, request, timeout_s=timeout_s
-            )
-        except PeerLostError as exc:
-            now = clock_s()
-            self._fetches.on_failure(address, now=now)
-            self._log.info(
-                'changes not read: %s',
-                exc,
-                extra={
-                    'step': 'fetch',
-                    'peer': address,
-                    'after': str(after),
-                    'duration_s': round(now - asked_at, 3),
-                },
-            )
-        else:
-            self._fetches.on_answer(address, now=clock_s())
-            self._log_fetch(changes, address, after, asked_at)
-            self.handle_immediately(
-                peer_records(changes, address, as_of=asked_at)
-            )
-        self._fetch_if_due()
-
-    def _log_fetch(
-        self,
-        changes: Changes,
-        address: str,
-        after: StorePosition,
-        asked_at: float,
-    ) -> None:
-        self._log.info(
-            'changes read',
-            extra={
-                'step': 'fetch',
-                'peer': address,
-                'after': str(after),
-                'era': changes.era,
-                'revision': changes.through,
-                'changes': len(changes.items),
-                'is_whole': changes.is_whole,
-                'confirmed_s': round(changes.confirmed_s, 3),
-                'duration_s': round(clock_s() - asked_at, 3),
-            },
-        )
-        for item in changes.items:
-            if item.age_s >= 0:
-                self._record_age.record(item.age_s)
-
     async def _read_forever(self, source: PublishedSource) -> None:
         """List once, then watch; list again if changes were missed."""
         while True:
