Logs: how an answer was delimited, how it ended, and what its caller was told

An attempt's line has framing, body_end, events and rest_bytes, a request's line has told, and fleet_body_ends counts the ends by framing. The stand-in replica learns answers without framing, streams with a length, ends within the first event and after the head, and resets in place of orderly ends. No decision changes.

--- a/packages/core/src/crowrudder_core/dispatch/__init__.py
+++ b/packages/core/src/crowrudder_core/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Requests that an entry sends straight to an upstream, and their outcomes."""
 
+from crowrudder_core.dispatch._body_end import BodyEnd, Framing
 from crowrudder_core.dispatch._dispatch import (
     Answered,
     AttemptOutcome,
@@ -18,12 +19,14 @@
 
 __all__ = (
     'Answered',
+    'BodyEnd',
     'Broken',
     'Dispatch',
     'AttemptOutcome',
     'EventSplitter',
     'EventStream',
     'Fail',
+    'Framing',
     'Decision',
     'NotRun',
     'NotSent',
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -54,12 +54,16 @@
     last_id: str = ''
     events: int = 0
     longest_pause_s: float = 0
+    attempt_events: int = 0
+    """The events of the current attempt."""
+
     _forwarded_at: float | None = None
     _splitter: EventSplitter = field(factory=EventSplitter)
 
     def begin_attempt(self) -> None:
         """Drop the partial event of the previous attempt."""
         self._splitter = EventSplitter()
+        self.attempt_events = 0
 
     def take(self, piece: bytes) -> bytes:
         """Append an upstream's bytes; return what may be forwarded."""
@@ -68,6 +72,7 @@
         if ids:
             self.last_id = ids[-1].decode('ascii', errors='replace')
             self.events += len(ids)
+            self.attempt_events += len(ids)
         return complete
 
     def on_forwarded(self, now: float) -> float:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -11,6 +11,7 @@
 
 from crowrudder_core.dispatch import (
     Answered,
+    BodyEnd,
     Broken,
     EventStream,
     NotRun,
@@ -30,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from crowrudder_core.dispatch import AttemptOutcome, Dispatch
+    from crowrudder_core.dispatch import AttemptOutcome, Dispatch, Framing
     from crowrudder_core.forecast import Choice, UpstreamForecast
     from crowrudder_daemon.fleet.ports import (
         Call,
@@ -124,6 +125,14 @@
     is_cut_off: bool = field(default=False, init=False)
     """Whether the upstream closed the connection before its answer ended."""
 
+    framing: Framing | None = field(default=None, init=False)
+    """What delimits the body of the answer; None without a head."""
+
+    body_end: BodyEnd = field(default=BodyEnd.OPEN, init=False)
+    stream_events: int = field(default=0, init=False)
+    rest_bytes: int = field(default=0, init=False)
+    """Bytes of a stream after its last complete event."""
+
     is_refused: bool = field(default=False, init=False)
     """Whether the upstream's address refused the connection."""
 
@@ -199,6 +208,7 @@
             return NotSent(str(exc))
         self.dispatch.on_sent(upstream.id, now=now)
         self._reader.on_sent(conn, upstream)
+        self.events.begin_attempt()
         self.sent_at = now
         self.delivery = self._upstreams.deliveries.start(
             conn, transit, sent_at=now
@@ -283,6 +293,7 @@
         try:
             return await self._read(conn)
         finally:
+            self._record_body_end(conn)
             if self.delivery is not None:
                 self._upstreams.deliveries.finish(self.delivery)
 
@@ -368,7 +379,6 @@
         self, conn: HttpConnection, head: WireHead
     ) -> AttemptOutcome:
         """Forward complete events as they arrive."""
-        self.events.begin_attempt()
         while not self._has_begun:
             part = await self._read_part(conn, has_begun=False)
             if part is None:
@@ -468,6 +478,13 @@
             self.choice.forecast.on_stream_stall()
         self._last_event_at = now
 
+    def _record_body_end(self, conn: HttpConnection) -> None:
+        self.framing = conn.body.framing
+        self.body_end = conn.body_end
+        if self.is_stream and self.framing is not None:
+            self.stream_events = self.events.attempt_events
+            self.rest_bytes = len(self.events.rest())
+
     def _record_completion(self, *, is_good: bool) -> None:
         now = clock_s()
         if is_good:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -35,6 +35,7 @@
         'word_age_s': round(attempt.load_report_age_s, 2),
         'ending': type(ending).__name__ if ending else IN_PROGRESS,
         'why': getattr(ending, 'reason', ''),
+        **_body_fields(attempt),
     }
     if attempt.choice.transit_s >= MIN_LOGGED_S:
         line['transit_s'] = round(attempt.choice.transit_s, 3)
@@ -57,3 +58,18 @@
         line['head_s'] = round(attempt.time_to_head_s, 3)
         line['unsent_bytes'] = cancellation.unsent_bytes
     return line
+
+
+def _body_fields(attempt: Attempt) -> dict[str, Any]:
+    """Return how the answer's body was delimited and ended, if one began."""
+    if attempt.framing is None:
+        return {}
+    line: dict[str, Any] = {
+        'framing': attempt.framing.value,
+        'body_end': attempt.body_end.value,
+    }
+    if attempt.is_stream:
+        line['events'] = attempt.stream_events
+    if attempt.rest_bytes:
+        line['rest_bytes'] = attempt.rest_bytes
+    return line
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -36,11 +37,25 @@
     body: bytes
 
 
+class AnswerTold(enum.Enum):
+    """What an answer claims to its caller."""
+
+    NOTHING = 'nothing'
+    """Nothing was sent."""
+
+    PART = 'part'
+    """It has not ended."""
+
+    WHOLE = 'whole'
+    TRUNCATED = 'truncated'
+
+
 class CallerSide:
     """Writes the answer of one request to its caller."""
 
     def __init__(self, conn: HTTP1Connection) -> None:
         self._conn = conn
+        self.told = AnswerTold.NOTHING
         self.has_begun = False
         self.is_gone = False
         self._on_gone: Callable[[], object] | None = None
@@ -65,6 +80,7 @@
     ) -> None:
         """Send status and headers; without a length the body is chunked."""
         self.has_begun = True
+        self.told = AnswerTold.PART
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
@@ -101,11 +117,13 @@
         """Mark the answer as complete."""
         self._on_gone = None
         if not self.is_gone:
+            self.told = AnswerTold.WHOLE
             self._conn.finish()
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees a truncated answer."""
         self._on_gone = None
+        self.told = AnswerTold.TRUNCATED
         self._conn.close()
 
     async def answer(
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_context.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_context.py
@@ -33,6 +33,7 @@
     _duration: Any = field(init=False)
     _first_event: Any = field(init=False)
     _first_send: Any = field(init=False)
+    _body_ends: Any = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Declare the metrics of requests."""
@@ -60,6 +61,12 @@
             bounds=SEND_BOUNDS_S,
         )
 
+        self._body_ends = metrics.counter(
+            'fleet_body_ends',
+            'Answers of upstreams by what delimited them and how they ended.',
+            labels=('framing', 'body_end'),
+        )
+
     def record_end(
         self,
         _execution: object,
@@ -70,6 +77,12 @@
         """Log and count how a request ended."""
         self._runtime.log.info('request ended', extra=extra)
         self._outcomes.add(outcome=outcome, service=extra['service'])
+        for attempt in extra['attempts']:
+            framing = attempt.get('framing')
+            if framing is not None:
+                self._body_ends.add(
+                    framing=framing, body_end=attempt['body_end']
+                )
         self._duration.record(extra['took_s'], outcome=outcome)
         if extra['first_s'] >= 0:
             self._first_event.record(extra['first_s'])
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -414,6 +414,7 @@
                 'outcome': outcome,
                 'status': int(status),
                 'reason': reason,
+                'told': self.side.told.value,
                 'route': self.admitted.route.name,
                 'service': self.admitted.service,
                 'customer': self.admitted.customer,
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -16,7 +16,13 @@
 import h11
 from attrs import frozen
 
+from crowrudder_core.dispatch import BodyEnd, Framing
 from crowrudder_daemon.http._body_relay import BodyRelay
+from crowrudder_daemon.http._response_body import (
+    ConnectionEnd,
+    ResponseBody,
+    framing_of,
+)
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
@@ -102,6 +108,8 @@
     ----------
     context
         Set by the user of the connection: for what it was used last.
+    body
+        The body of the current response.
     """
 
     def __init__(self, peer: str) -> None:
@@ -109,6 +117,7 @@
         self.context: object = None
         self.usable_until = 0.0
         self.requests = 0
+        self.body = ResponseBody()
         self._wire = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEAD_BYTES,
@@ -117,8 +126,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._unread_bytes = 0
         self._is_busy = False
-        self._close_reason = ''
-        self._was_ended_by_peer = False
+        self._end = ConnectionEnd()
         self._request: WireRequest | None = None
         self._relay: BodyRelay | None = None
 
@@ -137,7 +145,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is open."""
         if not self._is_busy:
-            self._close_reason = 'bytes that no request asked for'
+            self._end.record(BodyEnd.LOCAL, 'bytes that no request asked for')
             self.close()
             return
         self._wire.receive_data(data)
@@ -151,17 +159,16 @@
 
     def eof_received(self) -> None:
         """Record that the peer closed its side in an orderly way."""
-        self._was_ended_by_peer |= not self._close_reason
-        self._close_reason = self._close_reason or 'closed by the other side'
+        self._end.record(BodyEnd.FIN, 'closed by the other side')
         if self._is_busy:
             self._wire.receive_data(b'')
         self._wake()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed."""
-        self._was_ended_by_peer |= not self._close_reason
-        if exc is not None or not self._close_reason:
-            self._close_reason = f'connection lost: {exc or "closed"}'
+        self._end.record(BodyEnd.RESET, 'connection lost: closed')
+        if exc is not None:
+            self._end.reason = f'connection lost: {exc}'
         self._wake()
 
     # Methods for users of the connection.
@@ -169,12 +176,20 @@
     @property
     def is_open(self) -> bool:
         """Return whether a request may be sent: open, and none in progress."""
-        return not self._close_reason and not self._is_busy
+        return not self._end.reason and not self._is_busy
 
     @property
     def was_ended_by_peer(self) -> bool:
         """Return whether the peer has closed or reset the connection."""
-        return self._was_ended_by_peer
+        return self._end.is_by_peer
+
+    @property
+    def body_end(self) -> BodyEnd:
+        """Return how the body of the current response ended."""
+        is_framed = self.body.framing is not Framing.CONNECTION
+        if self.body.is_read and is_framed:
+            return BodyEnd.FRAMING
+        return self._end.how
 
     @property
     def is_sent(self) -> bool:
@@ -204,11 +219,12 @@
         """Send a complete request."""
         if self._transport is None or not self.is_open:
             raise NotConnectedError(
-                self._close_reason or 'busy', step='send', peer=self.peer
+                self._end.reason or 'busy', step='send', peer=self.peer
             )
         self._is_busy = True
         self.requests += 1
         self._request = request
+        self.body = ResponseBody()
         self._transport.write(_encode(self._wire, request))
 
     async def head(self) -> WireHead:
@@ -222,7 +238,7 @@
         while True:
             match await self._event():
                 case h11.Response() as event:
-                    return _wire_head(event)
+                    return self._begin_body(event)
                 case h11.InformationalResponse():
                     continue
                 case _:
@@ -237,7 +253,9 @@
             event = self._buffered_event()
         except BrokenAnswerError:
             return None
-        return _wire_head(event) if isinstance(event, h11.Response) else None
+        if not isinstance(event, h11.Response):
+            return None
+        return self._begin_body(event)
 
     async def part(self) -> bytes | None:
         """Wait for the next part of the body; None at its orderly end.
@@ -277,7 +295,7 @@
 
     async def closed(self) -> None:
         """Wait until the connection is closed."""
-        while not self._close_reason:
+        while not self._end.reason:
             await self._wait_for_bytes()
 
     async def drain(self) -> None:
@@ -322,13 +340,14 @@
             When the connection is closed.
         """
         left, is_closed = self._wire.trailing_data
-        if self._close_reason or self._request is None:
-            raise self._answer_error(self._close_reason or 'no request')
+        if self._end.reason or self._request is None:
+            raise self._answer_error(self._end.reason or 'no request')
         self._wire = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=MAX_HEAD_BYTES,
         )
         _encode(self._wire, self._request)
+        self.body = ResponseBody()
         if left:
             self._wire.receive_data(left)
         if is_closed:
@@ -343,7 +362,7 @@
         left, _ = self._wire.trailing_data
         states = (self._wire.our_state, self._wire.their_state)
         is_done = states == (h11.DONE, h11.DONE)
-        if self._close_reason or left or not is_done or not self.is_sent:
+        if self._end.reason or left or not is_done or not self.is_sent:
             self.close()
             return False
         self._wire.start_next_cycle()
@@ -353,15 +372,21 @@
 
     def close(self) -> None:
         """Abort the connection at once; the upstream sees it close."""
-        self._close_reason = self._close_reason or 'closed here'
+        self._end.record(BodyEnd.LOCAL, 'closed here')
         if self._transport is not None:
             self._transport.abort()
 
+    def _begin_body(self, response: h11.Response) -> WireHead:
+        method = '' if self._request is None else self._request.method
+        self.body.framing = framing_of(method, response)
+        return _wire_head(response)
+
     def _body_part(self, event: object) -> bytes | None:
         match event:
             case h11.Data(data=data):
                 return bytes(data)
             case h11.EndOfMessage():
+                self.body.is_read = True
                 return None
             case _:
                 raise self._answer_error('broke off within the body')
@@ -394,9 +419,9 @@
         try:
             event = self._wire.next_event()
         except h11.RemoteProtocolError as exc:
-            raise self._answer_error(self._close_reason or str(exc)) from exc
-        if event is h11.NEED_DATA and self._close_reason:
-            raise self._answer_error(self._close_reason)
+            raise self._answer_error(self._end.reason or str(exc)) from exc
+        if event is h11.NEED_DATA and self._end.reason:
+            raise self._answer_error(self._end.reason)
         return event
 
     async def _wait_for_bytes(self) -> None:
--- a/packages/standins/src/crowrudder_standins/_faults.py
+++ b/packages/standins/src/crowrudder_standins/_faults.py
@@ -18,7 +18,11 @@
 
 
 class DropError(Exception):
-    """Closes the connection before the answer is complete."""
+    """Closes the connection: with a reset, or else in an orderly way."""
+
+    def __init__(self, *, is_reset: bool = False) -> None:
+        super().__init__()
+        self.is_reset = is_reset
 
 
 @define
--- a/packages/standins/src/crowrudder_standins/_serving.py
+++ b/packages/standins/src/crowrudder_standins/_serving.py
@@ -7,6 +7,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -21,6 +23,8 @@
     RefusedError,
 )
 
+_NO_LINGER = struct.pack('ii', 1, 0)
+_FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 _MAX_BODY_BYTES = 1 << 30
 _APPEND_FLAGS = os.O_WRONLY | os.O_APPEND | os.O_CREAT
 Answer = dict[str, Any] | None
@@ -96,6 +100,7 @@
         self._standin = standin
         self._routes = routes
         self.on_disconnect: Callable[[], object] = str
+        self._has_unframed_head = False
 
     def on_connection_close(self) -> None:
         self.on_disconnect()
@@ -110,19 +115,48 @@
         self.write(chunk)
         await self.flush()
 
+    async def send_unframed(self, chunk: bytes) -> None:
+        """Send a part of an answer that ends with its connection."""
+        conn: Any = self.request.connection
+        if not self._has_unframed_head:
+            self._has_unframed_head = True
+            chunk = self._unframed_head() + chunk
+        await conn.stream.write(chunk)
+
     async def on_any(self, *path_args: str) -> None:
         try:
             answer = await self._answer(path_args)
         except RefusedError as exc:
             self.set_status(exc.status)
             answer = exc.answer
-        except (DropError, StreamClosedError):
-            self.detach().close()
+        except DropError as exc:
+            self._drop(is_reset=exc.is_reset)
+            return
+        except StreamClosedError:
+            self._drop(is_reset=False)
             return
         if not self._finished:
             with contextlib.suppress(StreamClosedError):
                 await self.finish(answer)
 
+    def _unframed_head(self) -> bytes:
+        self.set_header('Connection', 'close')
+        lines = [
+            f'{name}: {text}'
+            for name, text in self._headers.get_all()
+            if name.lower() not in _FRAMING_HEADERS
+        ]
+        status = f'HTTP/1.1 {self.get_status()} {self._reason}'
+        return '\r\n'.join((status, *lines, '', '')).encode()
+
+    def _drop(self, *, is_reset: bool) -> None:
+        stream: Any = self.detach()
+        if is_reset and not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+        stream.close()
+
     async def _answer(self, args: tuple[str, ...]) -> Answer:
         endpoint = self._routes.get(str(self.request.method))
         endpoint = endpoint or self._routes.get('*')
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -21,7 +21,7 @@
 import hashlib
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from typing import Any
 
@@ -41,6 +41,7 @@
 LIMIT = 'Server-Limit'
 LEAVING = 'Server-Leaving'
 PAUSE = 'Retry-After'
+_Send = Callable[[bytes], Awaitable[None]]
 
 
 @define
@@ -87,9 +88,14 @@
     closes without an answer, ``hang`` runs and never answers, ``extra``
     answers twice, ``crossed`` first sends the answer to another request,
     ``unvouched`` omits the seal, ``half_event`` drops the connection within an
-    event, ``slow`` waits for ``amount`` seconds before it answers,
-    ``head_alone`` sends nothing after the headers. ``rot`` corrupts a staged
-    piece.
+    event, ``half_first`` within the first one, ``head_only`` after the headers,
+    ``slow`` waits for ``amount`` seconds before it answers, ``head_alone``
+    sends nothing after the headers. ``rot`` corrupts a staged piece.
+
+    Three faults change the form of answers and are combined with others:
+    ``unframed`` answers without length and chunks, so that the connection's end
+    delimits the body, ``sized`` sends a stream with its length, and ``reset``
+    turns each drop into a reset.
 
     A non-empty ``limit_per_s`` is sent with each answer, unchanged;
     ``arrivals`` holds the time and id of every request. For ``stated`` see
@@ -112,6 +118,11 @@
         'crossed',
         'unvouched',
         'half_event',
+        'half_first',
+        'head_only',
+        'unframed',
+        'sized',
+        'reset',
         'slow',
         'head_alone',
         'rot',
@@ -335,16 +346,14 @@
 
     async def _answer(self, call: Call, run_record: Run) -> None:
         if self.on_fatal is not None and self.fatal_marker in run_record.body:
-            run_record.ended = 'crashed'
-            self.on_fatal()
-            raise DropError
+            await self._crash(call, run_record)
         if delay_fault := self.faults.take('slow'):
             await asyncio.sleep(delay_fault.amount)
         if self.faults.take('lost'):
-            raise DropError
+            raise self._drop_error()
         if self.faults.take('hang'):
             await self.faults.wait_cleared('hang')
-            raise DropError
+            raise self._drop_error()
         if self.faults.take('crossed'):
             await self._write_raw(call, self._mismatched_answer())
         call.set_header(REQUEST_ID, run_record.request_id)
@@ -362,31 +371,73 @@
         if self.faults.take('extra'):
             await self._write_raw(call, self._mismatched_answer())
 
+    async def _crash(self, call: Call, run_record: Run) -> None:
+        """Send what the crash leaves of the answer, and end."""
+        run_record.ended = 'crashed'
+        if self.faults.take('unframed'):
+            call.set_header(REQUEST_ID, run_record.request_id)
+            call.set_header(SEAL, seal_of(self.id, run_record.request_id))
+            event = event_of(run_record.request_id, 1)
+            await call.send_unframed(event[: len(event) // 2])
+        error = self._drop_error()
+        if self.on_fatal is not None:
+            self.on_fatal()
+        raise error
+
     async def _plain(self, call: Call, run_record: Run) -> None:
         body = body_of(run_record.request_id)
+        if self.faults.take('unframed'):
+            await call.send_unframed(b'')
+            if not self.faults.take('head_only'):
+                await call.send_unframed(body)
+            raise self._drop_error(run_record)
         if self.faults.take('cut'):
             call.set_header('Content-Length', str(len(body) + 9))
             await call.send(body)
-            raise DropError
+            raise self._drop_error()
         await call.finish(body)
 
     async def _stream(self, call: Call, run_record: Run) -> None:
         call.set_header('Content-Type', 'text/event-stream')
+        numbers = range(run_record.resumed_after + 1, EVENTS + 1)
+        events = [event_of(run_record.request_id, each) for each in numbers]
+        is_unframed = self.faults.take('unframed') is not None
+        send: _Send = call.send_unframed if is_unframed else call.send
+        if not is_unframed and self.faults.take('sized'):
+            call.set_header('Content-Length', str(len(b''.join(events))))
         if self.faults.take('head_alone'):
-            await call.flush()
+            await send(b'')
             await self.faults.wait_cleared('head_alone')
-            raise DropError
-        for number in range(run_record.resumed_after + 1, EVENTS + 1):
-            if number > 2 and self.faults.take('cut'):
-                raise DropError
-            event = event_of(run_record.request_id, number)
-            if number > 2 and self.faults.take('half_event'):
-                await call.send(event[: len(event) // 2])
-                raise DropError
-            await call.send(event)
+            raise self._drop_error()
+        if self.faults.take('head_only'):
+            await send(b'')
+            raise self._drop_error()
+        for number, event in zip(numbers, events, strict=True):
+            await self._check_cut(send, number, event)
+            await send(event)
             await asyncio.sleep(EVENT_INTERVAL_S)
+        if is_unframed:
+            await send(b'')
+            raise self._drop_error(run_record)
         await call.finish()
 
+    async def _check_cut(self, send: _Send, number: int, event: bytes) -> None:
+        """Drop the connection before or within an event, if a fault says so."""
+        fault_name = 'half_event' if number > 2 else 'half_first'
+        is_possible = number > 2 or number == 1
+        is_half = is_possible and self.faults.take(fault_name) is not None
+        if is_half:
+            await send(event[: len(event) // 2])
+        if is_half or (number > 2 and self.faults.take('cut')):
+            raise self._drop_error()
+
+    def _drop_error(self, whole_run: Run | None = None) -> DropError:
+        """Return the end of a connection; a whole answer's is never a reset."""
+        if whole_run is not None:
+            whole_run.ended = 'whole'
+            return DropError()
+        return DropError(is_reset=self.faults.take('reset') is not None)
+
     def _mismatched_answer(self) -> bytes:
         return (
             'HTTP/1.1 200 OK\r\nX-Attempt-Id: somebody-elses\r\n'
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -12,7 +12,7 @@
 import pytest
 from attrs import define, field
 
-from crowrudder_core.dispatch import Dispatch, EventStream
+from crowrudder_core.dispatch import BodyEnd, Dispatch, EventStream
 from crowrudder_core.forecast import _upstream_forecast
 from crowrudder_core.statements import IncarnationKey
 from crowrudder_core.transit import TransitDelay
@@ -22,15 +22,18 @@
 from crowrudder_daemon.fleet_entry._attempt_log import log_fields
 from crowrudder_daemon.fleet_entry._timeouts import AttemptTimeouts
 from crowrudder_daemon.http import WireHead
+from crowrudder_standins.fleet_replica import event_of
 from support.aio import run
 from support.fleet_checks import (
     announce_second_version,
     ask_model,
     checked,
     fault,
+    inject_fault_all,
     refuse_requests,
 )
 
+HALF_EVENT_BYTES = len(event_of('a', 1)) // 2
 HEAD = WireHead(status=200, headers=())
 
 
@@ -68,6 +71,8 @@
     unsent_bytes: int = 0
     is_closed: bool = False
     was_ended_by_peer: bool = False
+    body_end: BodyEnd = BodyEnd.OPEN
+    body: Any = field(factory=lambda: SimpleNamespace(framing=None))
     context: Any = None
 
     def send(self, request):
@@ -272,3 +277,58 @@
         assert 0.6 < line['begin_left_s'] <= 1.3
         assert line['late_s'] >= 0
         assert line['unsent_bytes'] == 0
+
+
+class TestBodyFields:
+    """Guards against a log that doesn't show how an answer ended."""
+
+    @pytest.mark.parametrize(
+        ('faults', 'expected'),
+        [
+            ((), ('chunks', 'framing', 6, 0)),
+            (('sized',), ('length', 'framing', 6, 0)),
+            (('unframed',), ('connection', 'fin', 6, 0)),
+            (
+                ('unframed', 'half_event'),
+                ('connection', 'fin', 2, HALF_EVENT_BYTES),
+            ),
+            (('unframed', 'cut', 'reset'), ('connection', 'reset', 2, 0)),
+            (('cut',), ('chunks', 'fin', 2, 0)),
+            (('half_first',), ('chunks', 'fin', 0, HALF_EVENT_BYTES)),
+        ],
+    )
+    def test_an_attempt_has_its_framing_and_end(self, faults, expected, caplog):
+        async def check(world):
+            for name in faults:
+                inject_fault_all(world, 'e', name, None)
+            await world.ask('/once/x', method='POST', request_id='a')
+
+        with caplog.at_level('INFO'):
+            checked(check, engines=1)
+        (line,) = (
+            record.attempts[0]
+            for record in caplog.records
+            if record.getMessage() == 'request ended'
+        )
+        names = ('framing', 'body_end', 'events')
+        found = (*(line[name] for name in names), line.get('rest_bytes', 0))
+        assert found == expected
+
+    @pytest.mark.parametrize(
+        ('fault_name', 'told'), [('slow', 'whole'), ('cut', 'truncated')]
+    )
+    def test_a_request_has_what_its_caller_was_told(
+        self, fault_name, told, caplog
+    ):
+        async def check(world):
+            inject_fault_all(world, 'e', fault_name)
+            await world.ask('/once/x', method='POST', request_id='a')
+
+        with caplog.at_level('INFO'):
+            checked(check, engines=1)
+        (line,) = (
+            record
+            for record in caplog.records
+            if record.getMessage() == 'request ended'
+        )
+        assert line.told == told
