Streams: an orderly end within an event is a truncation

An answer without length and chunks ends with its connection; the parser reports that as an orderly end, and the attempt forwarded what was left over and called the answer complete. stream_completeness now says how a body ended: complete by its framing, assumed where only the connection ended between two events, truncated within one. A truncated stream is an attempt that broke off: resumed after its last complete event, or cut for the caller.

--- a/packages/core/src/crowrudder_core/dispatch/__init__.py
+++ b/packages/core/src/crowrudder_core/dispatch/__init__.py
@@ -1,6 +1,11 @@
 """Requests that an entry sends straight to an upstream, and their outcomes."""
 
-from crowrudder_core.dispatch._body_end import BodyEnd, Framing
+from crowrudder_core.dispatch._body_end import (
+    BodyEnd,
+    Completeness,
+    Framing,
+    answer_completeness,
+)
 from crowrudder_core.dispatch._dispatch import (
     Answered,
     AttemptOutcome,
@@ -21,6 +26,7 @@
     'Answered',
     'BodyEnd',
     'Broken',
+    'Completeness',
     'Dispatch',
     'AttemptOutcome',
     'EventSplitter',
@@ -34,4 +40,5 @@
     'Reject',
     'Relay',
     'SendAgain',
+    'answer_completeness',
 )
--- a/packages/core/src/crowrudder_core/dispatch/_body_end.py
+++ b/packages/core/src/crowrudder_core/dispatch/_body_end.py
@@ -1,4 +1,4 @@
-"""How the body of an answer was delimited, and how it ended."""
+"""How the body of an answer was delimited, how it ended, and if it is whole."""
 
 from __future__ import annotations
 
@@ -31,3 +31,53 @@
 
     LOCAL = 'local'
     """This process closed the connection."""
+
+
+class Completeness(enum.Enum):
+    """Whether the body of an answer that has ended is whole."""
+
+    COMPLETE = 'complete'
+    """Its framing says so."""
+
+    ASSUMED = 'assumed'
+    """Only its connection has ended, and nothing shows that a part is missing.
+
+    A process that crashes ends its connections in the same way."""
+
+    TRUNCATED = 'truncated'
+
+
+def answer_completeness(end: BodyEnd) -> Completeness:
+    """Return whether an answer that is no stream is whole."""
+    match end:
+        case BodyEnd.FRAMING:
+            return Completeness.COMPLETE
+        case BodyEnd.FIN:
+            return Completeness.ASSUMED
+        case _:
+            return Completeness.TRUNCATED
+
+
+def stream_completeness(end: BodyEnd, *, rest: bytes) -> Completeness:
+    """Return whether a stream of events is whole.
+
+    Parameters
+    ----------
+    end
+        How its body ended.
+    rest
+        What followed its last complete event.
+    """
+    if _ends_within_event(rest):
+        return Completeness.TRUNCATED
+    return answer_completeness(end)
+
+
+def _ends_within_event(rest: bytes) -> bool:
+    """Return whether bytes end within an event or a line.
+
+    A comment may follow the last event: it belongs to none.
+    """
+    if rest and not rest.endswith((b'\n', b'\r')):
+        return True
+    return any(line and not line.startswith(b':') for line in rest.splitlines())
--- a/packages/core/src/crowrudder_core/dispatch/_dispatch.py
+++ b/packages/core/src/crowrudder_core/dispatch/_dispatch.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 
+from crowrudder_core.dispatch._body_end import Completeness
 from crowrudder_model import InvariantError
 
 if TYPE_CHECKING:
@@ -41,9 +42,10 @@
 
 @frozen
 class Answered:
-    """A complete answer that the upstream vouches for."""
+    """An answer that the upstream vouches for; never a truncated one."""
 
     status: int
+    completeness: Completeness = Completeness.COMPLETE
 
 
 AttemptOutcome = NotSent | NotRun | Broken | Answered
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+from crowrudder_core.dispatch._body_end import stream_completeness
+
+if TYPE_CHECKING:
+    from crowrudder_core.dispatch._body_end import BodyEnd, Completeness
+
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _ID_LINE = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
@@ -89,3 +95,7 @@
     def rest(self) -> bytes:
         """Return what follows the last complete event of an ended stream."""
         return self._splitter.rest
+
+    def completeness(self, end: BodyEnd) -> Completeness:
+        """Return whether the current attempt's stream is whole at its end."""
+        return stream_completeness(end, rest=self._splitter.rest)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -13,9 +13,11 @@
     Answered,
     BodyEnd,
     Broken,
+    Completeness,
     EventStream,
     NotRun,
     NotSent,
+    answer_completeness,
 )
 from crowrudder_core.forecast import InFlightRequest
 from crowrudder_daemon._clock import clock_s
@@ -368,12 +370,14 @@
                 step='answer',
                 peer=conn.peer,
             )
+        completeness = answer_completeness(conn.body_end)
+        self._check_whole(conn, completeness)
         self._upstreams.pool.keep(conn, head)
         self.answer = WireAnswer(head=head, body=b''.join(parts))
         self._record_completion(
             is_good=head.status < FIRST_NON_SUCCESS_STATUS + 200
         )
-        return Answered(head.status)
+        return Answered(head.status, completeness)
 
     async def _stream(
         self, conn: HttpConnection, head: WireHead
@@ -390,11 +394,22 @@
                 await self._forward(head, complete_events)
         else:
             await conn.relay(self._push, pause_s=self.timeouts.pause_s)
+        completeness = self.events.completeness(conn.body_end)
+        self._check_whole(conn, completeness)
         await self._forward(head, self.events.rest())
         self._upstreams.pool.keep(conn, head)
         self.is_complete = True
         self._record_completion(is_good=True)
-        return Answered(head.status)
+        return Answered(head.status, completeness)
+
+    def _check_whole(
+        self, conn: HttpConnection, completeness: Completeness
+    ) -> None:
+        """Raise an error for a body that has ended and isn't whole."""
+        if completeness is Completeness.TRUNCATED:
+            raise BrokenAnswerError(
+                'ended before it was whole', step='answer', peer=conn.peer
+            )
 
     def _push(self, part: bytes) -> asyncio.Future[None] | None:
         """Forward the events that a part of the body completes."""
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -388,8 +388,9 @@
         body = body_of(run_record.request_id)
         if self.faults.take('unframed'):
             await call.send_unframed(b'')
-            if not self.faults.take('head_only'):
-                await call.send_unframed(body)
+            if self.faults.take('head_only'):
+                raise self._drop_error()
+            await call.send_unframed(body)
             raise self._drop_error(run_record)
         if self.faults.take('cut'):
             call.set_header('Content-Length', str(len(body) + 9))
