Answers: nothing after the head is a truncation, not an empty answer

An upstream that crashed after the head of an answer without length and chunks gave its callers a whole, empty answer: 200 with nothing in it, for plain requests and for streams. Only an upstream's own framing says that an answer is empty; an orderly end of the connection doesn't. Such an attempt is broken off now: repeated where the route allows it, else 502.

--- a/packages/core/src/crowrudder_core/dispatch/_body_end.py
+++ b/packages/core/src/crowrudder_core/dispatch/_body_end.py
@@ -47,18 +47,30 @@
     TRUNCATED = 'truncated'
 
 
-def answer_completeness(end: BodyEnd) -> Completeness:
-    """Return whether an answer that is no stream is whole."""
+def answer_completeness(end: BodyEnd, *, is_empty: bool) -> Completeness:
+    """Return whether an answer is whole.
+
+    Parameters
+    ----------
+    end
+        How its body ended.
+    is_empty
+        Whether it promises content and has none: a success without a byte, a
+        stream without an event. An upstream that means it sends a length of 0
+        or a last chunk; one that crashes after the head does not.
+    """
     match end:
         case BodyEnd.FRAMING:
             return Completeness.COMPLETE
-        case BodyEnd.FIN:
+        case BodyEnd.FIN if not is_empty:
             return Completeness.ASSUMED
         case _:
             return Completeness.TRUNCATED
 
 
-def stream_completeness(end: BodyEnd, *, rest: bytes) -> Completeness:
+def stream_completeness(
+    end: BodyEnd, *, rest: bytes, has_events: bool
+) -> Completeness:
     """Return whether a stream of events is whole.
 
     Parameters
@@ -67,10 +79,19 @@
         How its body ended.
     rest
         What followed its last complete event.
+    has_events
+        Whether it had a complete event.
     """
     if _ends_within_event(rest):
         return Completeness.TRUNCATED
-    return answer_completeness(end)
+    return answer_completeness(end, is_empty=not has_events)
+
+
+def has_field(lines: bytes) -> bool:
+    """Return whether lines of a stream have a field, not only comments."""
+    return any(
+        line and not line.startswith(b':') for line in lines.splitlines()
+    )
 
 
 def _ends_within_event(rest: bytes) -> bool:
@@ -80,4 +101,4 @@
     """
     if rest and not rest.endswith((b'\n', b'\r')):
         return True
-    return any(line and not line.startswith(b':') for line in rest.splitlines())
+    return has_field(rest)
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -7,7 +7,10 @@
 
 from attrs import define, field
 
-from crowrudder_core.dispatch._body_end import stream_completeness
+from crowrudder_core.dispatch._body_end import (
+    has_field,
+    stream_completeness,
+)
 
 if TYPE_CHECKING:
     from crowrudder_core.dispatch._body_end import BodyEnd, Completeness
@@ -63,6 +66,7 @@
     attempt_events: int = 0
     """The events of the current attempt."""
 
+    _has_attempt_event: bool = False
     _forwarded_at: float | None = None
     _splitter: EventSplitter = field(factory=EventSplitter)
 
@@ -70,10 +74,13 @@
         """Drop the partial event of the previous attempt."""
         self._splitter = EventSplitter()
         self.attempt_events = 0
+        self._has_attempt_event = False
 
     def take(self, piece: bytes) -> bytes:
         """Append an upstream's bytes; return what may be forwarded."""
         complete = self._splitter.feed(piece)
+        if complete and not self._has_attempt_event:
+            self._has_attempt_event = has_field(complete)
         ids = _ID_LINE.findall(complete)
         if ids:
             self.last_id = ids[-1].decode('ascii', errors='replace')
@@ -98,4 +105,8 @@
 
     def completeness(self, end: BodyEnd) -> Completeness:
         """Return whether the current attempt's stream is whole at its end."""
-        return stream_completeness(end, rest=self._splitter.rest)
+        return stream_completeness(
+            end,
+            rest=self._splitter.rest,
+            has_events=self._has_attempt_event,
+        )
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -370,7 +370,10 @@
                 step='answer',
                 peer=conn.peer,
             )
-        completeness = answer_completeness(conn.body_end)
+        is_success = head.status < FIRST_NON_SUCCESS_STATUS
+        completeness = answer_completeness(
+            conn.body_end, is_empty=is_success and not size
+        )
         self._check_whole(conn, completeness)
         self._upstreams.pool.keep(conn, head)
         self.answer = WireAnswer(head=head, body=b''.join(parts))
--- a/tests/dispatch/test_body_end.py
+++ b/tests/dispatch/test_body_end.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -35,7 +37,16 @@
         ],
     )
     def test_only_its_own_framing_proves_it_complete(self, end, expected):
-        assert answer_completeness(end) is expected
+        assert answer_completeness(end, is_empty=False) is expected
+
+    def test_an_orderly_end_after_the_head_is_no_answer(self):
+        """Guards against a crash after the head that is taken for an answer."""
+        completeness = answer_completeness(BodyEnd.FIN, is_empty=True)
+        assert completeness is Completeness.TRUNCATED
+
+    def test_an_answer_may_say_itself_that_it_is_empty(self):
+        completeness = answer_completeness(BodyEnd.FRAMING, is_empty=True)
+        assert completeness is Completeness.COMPLETE
 
 
 class TestStream:
@@ -65,6 +76,17 @@
         assert stream.completeness(BodyEnd.FRAMING) is Completeness.COMPLETE
         assert stream.completeness(BodyEnd.FIN) is Completeness.ASSUMED
 
+    @pytest.mark.parametrize('text', [b'', b': ping\n\n', b'\n\n'])
+    def test_an_orderly_end_before_the_first_event_truncates(self, text):
+        stream, _ = stream_after(text)
+        assert stream.completeness(BodyEnd.FIN) is Completeness.TRUNCATED
+        assert stream.completeness(BodyEnd.FRAMING) is Completeness.COMPLETE
+
+    def test_events_of_an_earlier_attempt_do_not_count(self):
+        stream, _ = stream_after(b'id: 1\ndata: a\n\n')
+        stream.begin_attempt()
+        assert stream.completeness(BodyEnd.FIN) is Completeness.TRUNCATED
+
     @given(
         events=st.lists(
             st.tuples(
@@ -94,10 +116,7 @@
         ]
         body = b''.join(blocks)[:length]
         bounds = sorted({0, len(body), *(cut for cut in cuts if cut < length)})
-        pieces = [
-            body[first:end]
-            for first, end in zip(bounds, bounds[1:], strict=False)
-        ]
+        pieces = [body[first:end] for first, end in itertools.pairwise(bounds)]
         stream, forwarded = stream_after(*pieces)
         ends = {
             len(b''.join(blocks[:count])) for count in range(len(blocks) + 1)
@@ -109,7 +128,7 @@
             for end in ends
             if body[end:].startswith(b': ping' + terminator)
         }
-        is_between = len(body) in ends | comment_ends
+        is_between = len(body) in ends | comment_ends and bool(forwarded)
         assert completeness is (
             Completeness.ASSUMED if is_between else Completeness.TRUNCATED
         )
--- a/tests/fleet/test_body_ends.py
+++ b/tests/fleet/test_body_ends.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from crowrudder_standins.fleet_replica import stream_of
-from support.fleet_checks import checked, inject_fault_all
+import pytest
+
+from crowrudder_standins.fleet_replica import body_of, stream_of
+from support.fleet_checks import all_runs, checked, fault, inject_fault_all
 from support.raw_caller import ask_raw
 
 
@@ -13,6 +15,76 @@
         inject_fault_all(world, 'e', name, None)
 
 
+def break_once(world, service, names):
+    """Let one answer of a service be framed and end as the faults say."""
+    replicas = [
+        replica
+        for name, replica in world.replicas.items()
+        if name.startswith(service)
+    ]
+    shared = replicas[0].faults
+    for replica in replicas:
+        replica.faults = shared
+    shared.switch_off('')
+    for name in names:
+        shared.switch_on(fault(name))
+
+
+class TestPlainAnswersByFramingAndEnd:
+    """Guards against the head of an answer that is taken for all of it."""
+
+    @pytest.mark.parametrize(
+        'faults',
+        [
+            (),
+            ('unframed',),
+            ('unframed', 'head_only'),
+            ('unframed', 'head_only', 'reset'),
+            ('cut',),
+            ('cut', 'reset'),
+        ],
+    )
+    @pytest.mark.parametrize(
+        ('path', 'method'), [('/read/x', 'GET'), ('/notice/x', 'POST')]
+    )
+    @pytest.mark.parametrize('version', ['1.1', '1.0'])
+    def test_an_answer_is_whole_or_replaced(
+        self, faults, path, method, version
+    ):
+        async def check(world):
+            break_once(world, 'p', faults)
+            answer = await ask_raw(
+                world.nodes[0].callers, path, method=method, version=version
+            )
+            is_broken = bool({'head_only', 'cut'} & set(faults))
+            is_repeated = is_broken and method == 'GET'
+            assert len(all_runs(world, 'a')) == 1 + is_repeated
+            assert answer.looks_complete
+            if is_broken and not is_repeated:
+                assert answer.status == 502
+            else:
+                assert (answer.status, answer.body) == (200, body_of('a'))
+
+        checked(check)
+
+
+class TestStreamWithoutAnEvent:
+    """Guards against an empty stream, told as whole, of an upstream that crashed."""
+
+    @pytest.mark.parametrize('end', ['head_only', 'half_first'])
+    @pytest.mark.parametrize(
+        ('path', 'status'), [('/draft/x', 200), ('/once/x', 502)]
+    )
+    def test_it_is_an_attempt_like_any_other(self, end, path, status):
+        async def check(world):
+            break_once(world, 'e', ('unframed', end))
+            answer = await world.ask(path, method='POST', request_id='a')
+            assert answer.status == status
+            assert status == 502 or answer.body == stream_of('a')
+
+        checked(check)
+
+
 class TestStreamWithoutFraming:
     """Guards against a FIN within an event that is taken for the end."""
 
