Callers without chunks: an answer that isn't finished ends with a reset

To a caller that speaks HTTP/1.0 the orderly end of the connection is the end of the answer. An entry that gave up an answer closed in an orderly way, so that every truncation looked complete to such callers, whatever the upstream's framing. While such an answer is under way the socket is set to reset on close, which also holds if the process crashes; finish() takes that back.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import socket
+import struct
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
@@ -23,6 +25,10 @@
     from tornado.http1connection import HTTP1Connection
 
 
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_ORDERLY_CLOSE = struct.pack('ii', 0, 0)
+
+
 class CallerGoneError(Exception):
     """Raised when the caller has closed its connection."""
 
@@ -57,6 +63,8 @@
         self._conn = conn
         self.told = AnswerTold.NOTHING
         self.has_begun = False
+        self.accepts_chunks = True
+        self._resets_on_close = False
         self.is_gone = False
         self._on_gone: Callable[[], object] | None = None
 
@@ -84,6 +92,8 @@
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
+        if not self.accepts_chunks and 'Content-Length' not in fields:
+            self._set_reset_on_close(is_set=True)
         line = ResponseStartLine('HTTP/1.1', status, _reason_phrase(status))
         await self._send(self._conn.write_headers, line, fields, body)
 
@@ -118,6 +128,8 @@
         self._on_gone = None
         if not self.is_gone:
             self.told = AnswerTold.WHOLE
+            if self._resets_on_close:
+                self._set_reset_on_close(is_set=False)
             self._conn.finish()
 
     def abort(self) -> None:
@@ -137,6 +149,20 @@
         await self.begin(status, sized, body)
         self.finish()
 
+    def _set_reset_on_close(self, *, is_set: bool) -> None:
+        """Let any close of the connection reset it, or no longer.
+
+        To a caller that accepts no chunks, the orderly end of the connection
+        is the end of the answer, also if this process crashes.
+        """
+        stream = self._conn.stream
+        if not stream.closed():
+            linger = _RESET_ON_CLOSE if is_set else _ORDERLY_CLOSE
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+        self._resets_on_close = is_set
+
     async def _send(self, write: Callable[..., Any], *args: object) -> None:
         if self.is_gone:
             raise CallerGoneError
@@ -195,6 +221,7 @@
     ) -> None:
         if isinstance(start_line, RequestStartLine):
             self._line = start_line
+            self._side.accepts_chunks = start_line.version != 'HTTP/1.0'
         self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
--- a/tests/fleet/test_body_ends.py
+++ b/tests/fleet/test_body_ends.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from crowrudder_standins import fleet_replica
 from crowrudder_standins.fleet_replica import body_of, stream_of
 from support.fleet_checks import all_runs, checked, fault, inject_fault_all
 from support.raw_caller import ask_raw
@@ -30,6 +33,78 @@
         shared.switch_on(fault(name))
 
 
+FRAMINGS = {'chunks': (), 'length': ('sized',), 'connection': ('unframed',)}
+ENDS = {
+    'whole': (),
+    'within an event': ('half_event',),
+    'within the first event': ('half_first',),
+    'after the head': ('head_only',),
+    'between events': ('cut',),
+    'within an event, reset': ('half_event', 'reset'),
+    'between events, reset': ('cut', 'reset'),
+}
+INDISTINGUISHABLE = ('connection', 'between events')
+"""An orderly end between two events looks like the end of the stream."""
+
+BEFORE_AN_EVENT = frozenset(('within the first event', 'after the head'))
+
+
+class TestStreamsByFramingAndEnd:
+    """Guards against a stream that is broken off and reaches callers as whole.
+
+    Whatever delimits it, and whatever version of HTTP its caller speaks.
+    """
+
+    @pytest.mark.parametrize('framing', FRAMINGS)
+    @pytest.mark.parametrize('end', ENDS)
+    @pytest.mark.parametrize('version', ['1.1', '1.0'])
+    def test_a_stream_that_may_be_resumed_is_whole(self, framing, end, version):
+        async def check(world):
+            break_once(world, 'e', (*FRAMINGS[framing], *ENDS[end]))
+            answer = await ask_raw(
+                world.nodes[0].callers, '/draft/x', version=version
+            )
+            assert answer.status == 200
+            assert answer.looks_complete
+            runs = sorted(run.resumed_after for run in all_runs(world, 'a'))
+            if (framing, end) == INDISTINGUISHABLE:
+                assert (len(answer.body), runs) == (
+                    len(stream_of('a')) / 3,
+                    [0],
+                )
+                return
+            assert answer.body == stream_of('a')
+            resumed_after = 0 if end in BEFORE_AN_EVENT else 2
+            assert runs == ([0] if end == 'whole' else [0, resumed_after])
+
+        checked(check)
+
+    @pytest.mark.parametrize('framing', FRAMINGS)
+    @pytest.mark.parametrize('end', ENDS)
+    @pytest.mark.parametrize('version', ['1.1', '1.0'])
+    def test_any_other_stream_is_whole_or_looks_truncated(
+        self, framing, end, version
+    ):
+        async def check(world):
+            break_once(world, 'e', (*FRAMINGS[framing], *ENDS[end]))
+            answer = await ask_raw(
+                world.nodes[0].callers, '/once/x', version=version
+            )
+            assert len(all_runs(world, 'a')) == 1
+            if end in BEFORE_AN_EVENT:
+                assert answer.status == 502
+                return
+            assert stream_of('a').startswith(answer.body)
+            assert not answer.body or answer.body.endswith(b'\n\n')
+            is_whole = answer.body == stream_of('a')
+            is_expected_whole = end == 'whole'
+            assert is_whole == is_expected_whole
+            if (framing, end) != INDISTINGUISHABLE:
+                assert answer.looks_complete == is_expected_whole
+
+        checked(check)
+
+
 class TestPlainAnswersByFramingAndEnd:
     """Guards against the head of an answer that is taken for all of it."""
 
@@ -111,3 +186,18 @@
             assert not answer.looks_complete
 
         checked(check)
+
+    def test_an_entry_that_ends_resets_an_unfinished_answer(self, monkeypatch):
+        async def check(world):
+            monkeypatch.setattr(fleet_replica, 'EVENT_INTERVAL_S', 0.2)
+            asking = asyncio.ensure_future(
+                ask_raw(world.nodes[0].callers, '/once/x', version='1.0')
+            )
+            await world.until(lambda: all_runs(world, 'a'))
+            await asyncio.sleep(0.3)
+            await world.entries[0]._http.close_all_connections()
+            answer = await asking
+            assert answer.status == 200
+            assert not answer.looks_complete
+
+        checked(check)
