Callers without chunks: the connection of a stream is closed at its end

A caller that speaks HTTP/1.0 and asks to keep its connection waited forever for the end of a stream: the answer had neither length nor chunks, said keep-alive, and the connection stayed open. Such an answer no longer says keep-alive, and its connection is closed once all of it is written. Plain answers have a length and keep the connection, as before. The test fails without the change.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -63,11 +63,19 @@
         self._conn = conn
         self.told = AnswerTold.NOTHING
         self.has_begun = False
-        self.accepts_chunks = True
+        self._accepts_chunks = True
+        self._request_headers = HTTPHeaders()
         self._resets_on_close = False
         self.is_gone = False
         self._on_gone: Callable[[], object] | None = None
 
+    def on_request_head(
+        self, line: RequestStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Record what the caller accepts; ``headers`` are Tornado's own."""
+        self._accepts_chunks = line.version != 'HTTP/1.0'
+        self._request_headers = headers
+
     def watch(self, on_gone: Callable[[], object]) -> None:
         """Register a callback for the close of the caller's connection."""
         self._on_gone = on_gone
@@ -92,8 +100,10 @@
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
-        if not self.accepts_chunks and 'Content-Length' not in fields:
+        if not self._accepts_chunks and 'Content-Length' not in fields:
             self._set_reset_on_close(is_set=True)
+            # Tornado would answer that it keeps the connection.
+            self._request_headers.pop('Connection', None)
         line = ResponseStartLine('HTTP/1.1', status, _reason_phrase(status))
         await self._send(self._conn.write_headers, line, fields, body)
 
@@ -126,11 +136,15 @@
     def finish(self) -> None:
         """Mark the answer as complete."""
         self._on_gone = None
-        if not self.is_gone:
-            self.told = AnswerTold.WHOLE
-            if self._resets_on_close:
-                self._set_reset_on_close(is_set=False)
-            self._conn.finish()
+        if self.is_gone:
+            return
+        self.told = AnswerTold.WHOLE
+        is_delimited = not self._resets_on_close
+        if not is_delimited:
+            self._set_reset_on_close(is_set=False)
+        self._conn.finish()
+        if not is_delimited:
+            self._close_when_written()
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees a truncated answer."""
@@ -163,6 +177,11 @@
             )
         self._resets_on_close = is_set
 
+    def _close_when_written(self) -> None:
+        stream = self._conn.stream
+        if not stream.closed():
+            stream.write(b'').add_done_callback(lambda _: stream.close())
+
     async def _send(self, write: Callable[..., Any], *args: object) -> None:
         if self.is_gone:
             raise CallerGoneError
@@ -221,7 +240,7 @@
     ) -> None:
         if isinstance(start_line, RequestStartLine):
             self._line = start_line
-            self._side.accepts_chunks = start_line.version != 'HTTP/1.0'
+            self._side.on_request_head(start_line, headers)
         self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
--- a/tests/fleet/test_body_ends.py
+++ b/tests/fleet/test_body_ends.py
@@ -201,3 +201,23 @@
             assert not answer.looks_complete
 
         checked(check)
+
+    @pytest.mark.parametrize('path', ['/draft/x', '/read/x'])
+    def test_a_kept_connection_is_closed_only_after_a_stream(self, path):
+        """Guards against a stream whose caller waits forever for its end."""
+
+        async def check(world):
+            answer = await ask_raw(
+                world.nodes[0].callers,
+                path,
+                version='1.0',
+                headers='Connection: keep-alive\r\n',
+                timeout_s=1,
+            )
+            is_stream = path == '/draft/x'
+            assert answer.body == (stream_of if is_stream else body_of)('a')
+            assert answer.was_ended == is_stream
+            kept = None if is_stream else b'keep-alive'
+            assert answer.header(b'connection') == kept
+
+        checked(check)
--- a/tests/support/raw_caller.py
+++ b/tests/support/raw_caller.py
@@ -18,6 +18,7 @@
     head: bytes = b''
     rest: bytes = b''
     was_reset: bool = False
+    was_ended: bool = True
 
     @property
     def status(self):
@@ -35,7 +36,7 @@
     @property
     def looks_complete(self):
         """Whether a caller takes the answer for a whole one."""
-        if self.was_reset or not self.head:
+        if self.was_reset or not self.was_ended or not self.head:
             return False
         if self.is_chunked:
             return dechunked(self.rest)[1]
@@ -66,9 +67,16 @@
 
 
 async def ask_raw(
-    address, path, *, version='1.1', method='POST', request_id='a', headers=''
+    address,
+    path,
+    *,
+    version='1.1',
+    method='POST',
+    request_id='a',
+    headers='',
+    timeout_s=TIMEOUT_S,
 ):
-    """Send a request and read until the connection ends."""
+    """Send a request and read until the connection ends, or for a time."""
     ip, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(ip, int(port))
     connection = 'Connection: close\r\n' if version == '1.1' else ''
@@ -80,14 +88,17 @@
         f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
     )
     received = b''
-    was_reset = False
+    was_reset = was_ended = False
     try:
-        async with asyncio.timeout(TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             while piece := await reader.read(65536):
                 received += piece
+        was_ended = True
     except ConnectionResetError:
-        was_reset = True
+        was_reset = was_ended = True
+    except TimeoutError:
+        was_ended = False
     finally:
         writer.close()
     head, _, rest = received.partition(b'\r\n\r\n')
-    return RawAnswer(head, rest, was_reset)
+    return RawAnswer(head, rest, was_reset, was_ended)
