Quarantine, forecast: an answer that isn't proven whole is no completed run

An answer that only its connection delimits ends in the same way if its upstream crashes between two events. Told as complete, it cleared the request that ended the upstream and lifted the upstream's avoidance. It is now kept as a closed connection of unknown cause: it counts against the request if the upstream ends, and as a completed run once the upstream has outlived it. Closes are confirmed one by one, as under constant load the latest is always recent; an upstream without an agent is alive as of the head of each answer. Such closes hold back no retry.

The test of crashes that leave a whole event fails without the change: the request was never quarantined.

--- a/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
+++ b/packages/core/src/crowrudder_core/forecast/_upstream_forecast.py
@@ -197,10 +197,15 @@
         """Remove and return a request that is no longer at the upstream."""
         return self._in_flight.pop(ticket, None)
 
-    def on_success(self, took_s: float) -> None:
-        """Record a complete answer."""
+    def on_success(self, took_s: float, *, is_proven: bool = True) -> None:
+        """Record a complete answer.
+
+        One that only its connection delimits may be the last one before a
+        crash. Without proof that it is whole, the upstream stays avoided.
+        """
         self.failures = 0
-        self.avoid_until = 0
+        if is_proven:
+            self.avoid_until = 0
         self.failure_share = _running_mean(self.failure_share, 0)
         self.run_s = _running_mean(self.run_s, took_s)
 
--- a/packages/core/src/crowrudder_core/quarantine/_ledger.py
+++ b/packages/core/src/crowrudder_core/quarantine/_ledger.py
@@ -47,7 +47,9 @@
 
     def on_run_completed(self, digest: int, *, now: float) -> Suspect | None:
         """Record a completed run; return the suspect that it clears, if any."""
-        self._completed_at[digest] = now
+        self._completed_at[digest] = max(
+            now, self._completed_at.get(digest, now)
+        )
         self._completed_at.move_to_end(digest)
         if len(self._completed_at) > MAX_COMPLETED_RUNS:
             self._completed_at.popitem(last=False)
--- a/packages/core/src/crowrudder_core/quarantine/_quarantine.py
+++ b/packages/core/src/crowrudder_core/quarantine/_quarantine.py
@@ -102,9 +102,35 @@
                 digest, incarnation, ran_s=ran_s, now=now
             )
 
-    def on_upstream_alive(self, incarnation: str, *, as_of: float) -> None:
+    def on_unproven_end(
+        self,
+        digest: int,
+        incarnations: Iterable[str],
+        *,
+        ran_s: float,
+        now: float,
+    ) -> None:
+        """Record an answer of which only its connection's end is known.
+
+        It counts as a completed run once its upstream has outlived it.
+        """
+        for incarnation in incarnations:
+            self._unconfirmed.on_connection_closed(
+                digest, incarnation, ran_s=ran_s, now=now, is_answered=True
+            )
+
+    def on_upstream_alive(
+        self, incarnation: str, *, as_of: float
+    ) -> list[Effect]:
         """Record that an upstream incarnation is alive."""
-        self._unconfirmed.on_upstream_alive(incarnation, as_of=as_of)
+        completed = self._unconfirmed.on_upstream_alive(
+            incarnation, as_of=as_of
+        )
+        return [
+            effect
+            for digest in completed
+            for effect in self.on_run_completed(digest, now=as_of)
+        ]
 
     def on_ended(self, incarnation: str, *, now: float) -> list[Effect]:
         """Record that an upstream incarnation ended."""
--- a/packages/core/src/crowrudder_core/quarantine/_unconfirmed.py
+++ b/packages/core/src/crowrudder_core/quarantine/_unconfirmed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from attrs import define, field, frozen
 
 from crowrudder_core.quarantine._suspect import FRESH_RUN_S, End
@@ -20,26 +22,38 @@
 class _ClosedRun:
     digest: int
     end: End
+    is_answered: bool
 
 
 @define
 class UnconfirmedEnds:
-    """Interrupted runs by upstream incarnation.
+    """Runs that ended with their connection, by upstream incarnation.
 
-    A reset, a truncated answer and a crash look alike to an entry. Only the
-    end of the upstream itself counts against the requests that it ran.
+    A reset, a truncated answer and a crash look alike to an entry, and so do a
+    crash and the end of an answer that only its connection delimits. Only the
+    end of the upstream itself counts against the requests that it ran; only an
+    upstream that outlives it proves that a run was completed.
     """
 
-    _closed_runs: dict[str, list[_ClosedRun]] = field(factory=dict)
+    _closed_runs: dict[str, deque[_ClosedRun]] = field(factory=dict)
 
     def on_connection_closed(
-        self, digest: int, incarnation: str, *, ran_s: float, now: float
+        self,
+        digest: int,
+        incarnation: str,
+        *,
+        ran_s: float,
+        now: float,
+        is_answered: bool = False,
     ) -> None:
-        """Record a run whose connection the upstream closed."""
+        """Record a run whose connection the upstream closed.
+
+        ``is_answered`` is set if its answer may be whole.
+        """
         self._forget(now)
         end = End(now, is_fresh=ran_s <= FRESH_RUN_S)
-        self._closed_runs.setdefault(incarnation, []).append(
-            _ClosedRun(digest, end)
+        self._closed_runs.setdefault(incarnation, deque()).append(
+            _ClosedRun(digest, end, is_answered)
         )
 
     def on_ended(
@@ -47,17 +61,21 @@
     ) -> list[tuple[int, End]]:
         """Remove an ended incarnation; return the requests that it ran."""
         self._forget(now)
-        closed_runs = self._closed_runs.pop(incarnation, [])
+        closed_runs = self._closed_runs.pop(incarnation, deque())
         return [(each.digest, each.end) for each in closed_runs]
 
-    def on_upstream_alive(self, incarnation: str, *, as_of: float) -> None:
-        """Record that an upstream incarnation is alive, and clear its runs."""
+    def on_upstream_alive(self, incarnation: str, *, as_of: float) -> set[int]:
+        """Record that an upstream incarnation is alive, and clear its runs.
+
+        Return the answered requests among those that it has outlived.
+        """
         closed_runs = self._closed_runs.get(incarnation)
         if not closed_runs:
-            return
-        latest = max(each.end.at for each in closed_runs)
-        if as_of - latest > ALIVE_AFTER_S:
+            return set()
+        cleared = _pop_before(closed_runs, as_of - ALIVE_AFTER_S)
+        if not closed_runs:
             self._closed_runs.pop(incarnation)
+        return {each.digest for each in cleared if each.is_answered}
 
     def ended_incarnations(self, digest: int, *, now: float) -> set[str]:
         """Return the incarnations that may have ended under a request."""
@@ -67,20 +85,22 @@
         return {
             incarnation
             for incarnation, closed_runs in self._closed_runs.items()
-            if any(each.digest == digest for each in closed_runs)
+            if any(
+                each.digest == digest and not each.is_answered
+                for each in closed_runs
+            )
         }
 
     def _forget(self, now: float) -> None:
-        remaining = {
-            incarnation: [
-                each
-                for each in closed_runs
-                if now - each.end.at < UNCONFIRMED_END_S
-            ]
-            for incarnation, closed_runs in self._closed_runs.items()
-        }
-        self._closed_runs = {
-            incarnation: closed_runs
-            for incarnation, closed_runs in remaining.items()
-            if closed_runs
-        }
+        for incarnation, closed_runs in list(self._closed_runs.items()):
+            _pop_before(closed_runs, now - UNCONFIRMED_END_S)
+            if not closed_runs:
+                self._closed_runs.pop(incarnation)
+
+
+def _pop_before(closed_runs: deque[_ClosedRun], at: float) -> list[_ClosedRun]:
+    """Remove and return the runs that closed before a time."""
+    popped: list[_ClosedRun] = []
+    while closed_runs and closed_runs[0].end.at < at:
+        popped.append(closed_runs.popleft())
+    return popped
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -378,7 +378,7 @@
         self._upstreams.pool.keep(conn, head)
         self.answer = WireAnswer(head=head, body=b''.join(parts))
         self._record_completion(
-            is_good=head.status < FIRST_NON_SUCCESS_STATUS + 200
+            completeness, is_good=head.status < FIRST_NON_SUCCESS_STATUS + 200
         )
         return Answered(head.status, completeness)
 
@@ -402,7 +402,7 @@
         await self._forward(head, self.events.rest())
         self._upstreams.pool.keep(conn, head)
         self.is_complete = True
-        self._record_completion(is_good=True)
+        self._record_completion(completeness, is_good=True)
         return Answered(head.status, completeness)
 
     def _check_whole(
@@ -503,9 +503,14 @@
             self.stream_events = self.events.attempt_events
             self.rest_bytes = len(self.events.rest())
 
-    def _record_completion(self, *, is_good: bool) -> None:
+    def _record_completion(
+        self, completeness: Completeness, *, is_good: bool
+    ) -> None:
         now = clock_s()
         if is_good:
-            self.choice.forecast.on_success(now - self.sent_at)
+            self.choice.forecast.on_success(
+                now - self.sent_at,
+                is_proven=completeness is Completeness.COMPLETE,
+            )
         else:
             self.choice.forecast.on_failure(now=now, avoid=False)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from crowrudder_core.dispatch import Answered
+
 if TYPE_CHECKING:
     from crowrudder_core.dispatch import AttemptOutcome
     from crowrudder_daemon.fleet_entry._attempt import Attempt
@@ -37,6 +39,8 @@
         'why': getattr(ending, 'reason', ''),
         **_body_fields(attempt),
     }
+    if isinstance(ending, Answered):
+        line['completeness'] = ending.completeness.value
     if attempt.choice.transit_s >= MIN_LOGGED_S:
         line['transit_s'] = round(attempt.choice.transit_s, 3)
     if attempt.connect_s >= MIN_LOGGED_S:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -11,6 +11,7 @@
 from crowrudder_core.dispatch import (
     Answered,
     Broken,
+    Completeness,
     Dispatch,
     EventStream,
     Fail,
@@ -184,8 +185,14 @@
             each.upstream.id for each in attempt.choice.forecasts
         ]
         match ending:
-            case Answered():
+            case Answered(completeness=Completeness.COMPLETE):
                 quarantine.on_run_completed(self.digest)
+                self._report_alive(attempt)
+            case Answered():
+                self._report_alive(attempt)
+                quarantine.on_unproven_end(
+                    self.digest, incarnation_ids, ran_s=attempt.ran_s
+                )
             case Broken() if attempt.is_cut_off:
                 quarantine.on_connection_closed(
                     self.digest, incarnation_ids, ran_s=attempt.ran_s
@@ -194,6 +201,20 @@
             case NotSent() if attempt.is_refused:
                 quarantine.on_incarnation_ended(incarnation_ids[0])
 
+    def _report_alive(self, attempt: Attempt) -> None:
+        """Report an upstream without an agent as alive as of its answer's head.
+
+        The rest of the answer may have been buffered while its caller read
+        slowly.
+        """
+        now = clock_s()
+        forecast = attempt.choice.forecast
+        if forecast.fresh_load(now) is None:
+            head_at = attempt.sent_at + attempt.time_to_head_s
+            self.context.quarantine.on_incarnation_alive(
+                forecast.upstream.id, age_s=now - head_at
+            )
+
     def _reject_quarantined(self) -> Reject | Fail:
         reason = self.context.quarantine.refuse(self.digest)
         return Fail(reason) if self.side.has_begun else Reject(reason)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_quarantine.py
@@ -104,7 +104,19 @@
         self, incarnation_id: str, *, age_s: float
     ) -> None:
         """Record that an incarnation was running ``age_s`` ago."""
-        self._core.on_upstream_alive(incarnation_id, as_of=clock_s() - age_s)
+        self._apply(
+            self._core.on_upstream_alive(
+                incarnation_id, as_of=clock_s() - age_s
+            )
+        )
+
+    def on_unproven_end(
+        self, digest: int, incarnation_ids: Iterable[str], *, ran_s: float
+    ) -> None:
+        """Record an answer that ended with its connection and looks whole."""
+        self._core.on_unproven_end(
+            digest, incarnation_ids, ran_s=ran_s, now=clock_s()
+        )
 
     def on_incarnation_ended(self, incarnation_id: str) -> None:
         """Record that an upstream's incarnation has ended."""
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -94,7 +94,8 @@
 
     Three faults change the form of answers and are combined with others:
     ``unframed`` answers without length and chunks, so that the connection's end
-    delimits the body, ``sized`` sends a stream with its length, and ``reset``
+    delimits the body (a crash then leaves half an event, with an ``amount`` a
+    whole one), ``sized`` sends a stream with its length, and ``reset``
     turns each drop into a reset.
 
     A non-empty ``limit_per_s`` is sent with each answer, unchanged;
@@ -374,11 +375,13 @@
     async def _crash(self, call: Call, run_record: Run) -> None:
         """Send what the crash leaves of the answer, and end."""
         run_record.ended = 'crashed'
-        if self.faults.take('unframed'):
+        form = self.faults.take('unframed')
+        if form is not None:
             call.set_header(REQUEST_ID, run_record.request_id)
             call.set_header(SEAL, seal_of(self.id, run_record.request_id))
             event = event_of(run_record.request_id, 1)
-            await call.send_unframed(event[: len(event) // 2])
+            size = len(event) if form.amount else len(event) // 2
+            await call.send_unframed(event[:size])
         error = self._drop_error()
         if self.on_fatal is not None:
             self.on_fatal()
--- a/tests/fleet/test_crashing_request.py
+++ b/tests/fleet/test_crashing_request.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from crowrudder_core.quarantine import request_digest
 from crowrudder_model.messages import (
     IncarnationEnd,
@@ -144,3 +146,20 @@
 
 def knows_peer(world, ip):
     return ip in [member.ip for member in world.entries[0].peers.entries()]
+
+
+class TestCrashWithoutFraming:
+    """Guards against a crash that counts as a completed run of its request."""
+
+    @pytest.mark.parametrize('whole_events', [0, 1])
+    def test_a_request_whose_crashes_end_answers_in_order_is_quarantined(
+        self, whole_events
+    ):
+        async def check(world):
+            inject_fault_all(world, 'e', 'unframed', None, amount=whole_events)
+            crashes = Crashes(world).arm()
+            answers = await send_fatal(world, path='/once/x')
+            assert len(crashes.ended) <= MAX_ENDED
+            assert [answer.status for answer in answers[-4:]] == [400] * 4
+
+        checked(check, entries=3, engines=8)
--- a/tests/forecast/test_forecast.py
+++ b/tests/forecast/test_forecast.py
@@ -164,6 +164,14 @@
         bad.on_success(0.1)
         assert not bad.is_avoided(first)
 
+    def test_an_answer_that_is_not_proven_whole_ends_no_avoidance(self):
+        """Guards against a crash that counts as a sign of a good upstream."""
+        bad = make_outlook()
+        bad.on_failure(now=0, avoid=True)
+        bad.on_success(0.1, is_proven=False)
+        assert bad.is_avoided(0)
+        assert not bad.is_avoided(bad.avoid_until)
+
     def test_failing_upstream_is_less_preferred(self):
         """An upstream that fails immediately must not look the least loaded.
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -78,6 +78,46 @@
         core.on_upstream_alive('a', as_of=NOW + 0.1)
         assert core.on_ended('a', now=NOW + 0.3)
 
+    def test_an_end_that_is_not_proven_whole_counts_if_its_upstream_ends(self):
+        """Guards against a crash that clears the request that caused it.
+
+        The connection of an answer that nothing else delimits ends in the same
+        way if its upstream crashes.
+        """
+        core = Quarantine()
+        for incarnation in ('a', 'b', 'c'):
+            core.on_unproven_end(DIGEST, [incarnation], ran_s=0, now=NOW)
+            assert core.on_ended(incarnation, now=NOW + 0.1)
+        assert core.is_quarantined(DIGEST, now=NOW + 1)
+
+    def test_an_upstream_that_outlives_an_answer_completes_its_run(self):
+        """Guards against harmless requests that nothing ever clears."""
+        core = Quarantine()
+        close_and_end(core, DIGEST, 'a', now=NOW)
+        close_and_end(core, DIGEST, 'b', now=NOW)
+        core.on_unproven_end(DIGEST, ['d'], ran_s=0, now=NOW)
+        assert not core.on_upstream_alive('d', as_of=NOW + 0.1)
+        assert core.on_upstream_alive('d', as_of=NOW + 2 * ALIVE_AFTER_S)
+        assert not core.on_ended('d', now=NOW + 2)
+        close_and_end(core, DIGEST, 'c', now=NOW + 2)
+        assert not core.is_quarantined(DIGEST, now=NOW + 2)
+
+    def test_answers_that_are_not_proven_whole_prevent_no_retry(self):
+        core = Quarantine()
+        for incarnation in ('a', 'b', 'c'):
+            core.on_unproven_end(DIGEST, [incarnation], ran_s=0, now=NOW)
+        assert core.may_retry(DIGEST, now=NOW)
+
+    def test_a_later_close_keeps_no_earlier_one_unconfirmed(self):
+        """Guards against closes that are never cleared under constant load."""
+        core = Quarantine()
+        later = NOW + 2 * ALIVE_AFTER_S
+        core.on_connection_closed(DIGEST, ['a'], ran_s=0, now=NOW)
+        core.on_connection_closed(DIGEST + 1, ['a'], ran_s=0, now=later)
+        core.on_upstream_alive('a', as_of=later)
+        (report,) = reports_of(core.on_ended('a', now=later + 0.1))
+        assert report.digest == DIGEST + 1
+
     def test_ends_of_longer_runs_count_half(self):
         core = Quarantine()
         for incarnation in ('a', 'b', 'c', 'd', 'e'):
