Platform soak: answers by framing and end, crashes by FIN and by reset

Draws answers without framing or with a length, ends within events, after the head and between events, as resets or in order, with a generator of its own. A stream is excused only where its last run had no framing and an orderly end between two events; a truncated stream must have each event once. The relay passes resets on as resets: it turned them into orderly ends.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -46,7 +46,10 @@
 
 @define
 class Run:
-    """A request that this replica started to run."""
+    """A request that this replica started to run.
+
+    ``cut_by`` says how its connection was dropped: ``fin`` or ``reset``.
+    """
 
     request_id: str
     method: str
@@ -58,6 +61,8 @@
     ended: str = ''
     began_at: float = field(factory=time.monotonic)
     left_ms: int = 0
+    is_unframed: bool = False
+    cut_by: str = ''
 
 
 @define
@@ -148,6 +153,7 @@
         self.limit_per_s = ''
         self.stated = Statements()
         self.arrivals: list[tuple[float, str]] = []
+        self.crashed_by = ''
         self.on_fatal: Callable[[], object] | None = None
         self._load_tasks: set[asyncio.Task[None]] = set()
 
@@ -351,10 +357,10 @@
         if delay_fault := self.faults.take('slow'):
             await asyncio.sleep(delay_fault.amount)
         if self.faults.take('lost'):
-            raise self._drop_error()
+            raise self._drop_error(run_record)
         if self.faults.take('hang'):
             await self.faults.wait_cleared('hang')
-            raise self._drop_error()
+            raise self._drop_error(run_record)
         if self.faults.take('crossed'):
             await self._write_raw(call, self._mismatched_answer())
         call.set_header(REQUEST_ID, run_record.request_id)
@@ -377,12 +383,13 @@
         run_record.ended = 'crashed'
         form = self.faults.take('unframed')
         if form is not None:
+            run_record.is_unframed = True
             call.set_header(REQUEST_ID, run_record.request_id)
             call.set_header(SEAL, seal_of(self.id, run_record.request_id))
             event = event_of(run_record.request_id, 1)
             size = len(event) if form.amount else len(event) // 2
             await call.send_unframed(event[:size])
-        error = self._drop_error()
+        error = self._drop_error(run_record)
         if self.on_fatal is not None:
             self.on_fatal()
         raise error
@@ -390,15 +397,16 @@
     async def _plain(self, call: Call, run_record: Run) -> None:
         body = body_of(run_record.request_id)
         if self.faults.take('unframed'):
+            run_record.is_unframed = True
             await call.send_unframed(b'')
             if self.faults.take('head_only'):
-                raise self._drop_error()
+                raise self._drop_error(run_record)
             await call.send_unframed(body)
-            raise self._drop_error(run_record)
+            raise self._drop_error(run_record, is_whole=True)
         if self.faults.take('cut'):
             call.set_header('Content-Length', str(len(body) + 9))
             await call.send(body)
-            raise self._drop_error()
+            raise self._drop_error(run_record)
         await call.finish(body)
 
     async def _stream(self, call: Call, run_record: Run) -> None:
@@ -406,41 +414,49 @@
         numbers = range(run_record.resumed_after + 1, EVENTS + 1)
         events = [event_of(run_record.request_id, each) for each in numbers]
         is_unframed = self.faults.take('unframed') is not None
+        run_record.is_unframed = is_unframed
         send: _Send = call.send_unframed if is_unframed else call.send
         if not is_unframed and self.faults.take('sized'):
             call.set_header('Content-Length', str(len(b''.join(events))))
         if self.faults.take('head_alone'):
             await send(b'')
             await self.faults.wait_cleared('head_alone')
-            raise self._drop_error()
+            raise self._drop_error(run_record)
         if self.faults.take('head_only'):
             await send(b'')
-            raise self._drop_error()
+            raise self._drop_error(run_record)
         for number, event in zip(numbers, events, strict=True):
-            await self._check_cut(send, number, event)
+            await self._check_cut(send, run_record, number)
             await send(event)
             await asyncio.sleep(EVENT_INTERVAL_S)
         if is_unframed:
             await send(b'')
-            raise self._drop_error(run_record)
+            raise self._drop_error(run_record, is_whole=True)
         await call.finish()
 
-    async def _check_cut(self, send: _Send, number: int, event: bytes) -> None:
+    async def _check_cut(
+        self, send: _Send, run_record: Run, number: int
+    ) -> None:
         """Drop the connection before or within an event, if a fault says so."""
         fault_name = 'half_event' if number > 2 else 'half_first'
         is_possible = number > 2 or number == 1
         is_half = is_possible and self.faults.take(fault_name) is not None
         if is_half:
+            event = event_of(run_record.request_id, number)
             await send(event[: len(event) // 2])
         if is_half or (number > 2 and self.faults.take('cut')):
-            raise self._drop_error()
+            raise self._drop_error(run_record)
 
-    def _drop_error(self, whole_run: Run | None = None) -> DropError:
+    def _drop_error(
+        self, run_record: Run, *, is_whole: bool = False
+    ) -> DropError:
         """Return the end of a connection; a whole answer's is never a reset."""
-        if whole_run is not None:
-            whole_run.ended = 'whole'
+        if is_whole:
+            run_record.ended = 'whole'
             return DropError()
-        return DropError(is_reset=self.faults.take('reset') is not None)
+        is_reset = self.faults.take('reset') is not None
+        run_record.cut_by = 'reset' if is_reset else 'fin'
+        return DropError(is_reset=is_reset)
 
     def _mismatched_answer(self) -> bytes:
         return (
--- a/scripts/_platform_checks.py
+++ b/scripts/_platform_checks.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Any
 
+from _platform_body_ends import looks_ended
 from _platform_fleet import CONFIG_S, DRAIN_S, STAND_INS, VERSION_S
 from _platform_load import (
     CALLER_ERROR_STATUSES,
@@ -70,8 +71,9 @@
     entries = {each.request_id: each.entry for each in results}
     for each in results:
         verdict.outcomes[_outcome(each)] += 1
-        _check_answer(each, verdict, chaos)
-        _check_runs(each, len(runs[each.request_id]), verdict)
+        ran = runs[each.request_id]
+        _check_answer(each, ran, verdict, chaos)
+        _check_runs(each, len(ran), verdict)
     for incarnation in fleet.all_incarnations():
         _check_incarnation(incarnation, fleet, chaos, verdict)
         for run in incarnation.replica.runs:
@@ -84,11 +86,13 @@
     return verdict
 
 
-def _runs(fleet: PlatformFleet) -> dict[str, list[FleetReplica]]:
-    found: dict[str, list[FleetReplica]] = defaultdict(list)
+def _runs(
+    fleet: PlatformFleet,
+) -> dict[str, list[tuple[FleetReplica, Run]]]:
+    found: dict[str, list[tuple[FleetReplica, Run]]] = defaultdict(list)
     for incarnation in fleet.all_incarnations():
         for run in incarnation.replica.runs:
-            found[run.request_id].append(incarnation.replica)
+            found[run.request_id].append((incarnation.replica, run))
     return found
 
 
@@ -103,7 +107,10 @@
 
 
 def _check_answer(
-    each: RequestResult, verdict: Verdict, chaos: PlatformChaos
+    each: RequestResult,
+    ran: Collection[tuple[FleetReplica, Run]],
+    verdict: Verdict,
+    chaos: PlatformChaos,
 ) -> None:
     text = f'{each.request_id} {each.kind.path} at {each.entry}: '
     if each.caller_left or each.connect_failed:
@@ -112,6 +119,8 @@
         each.entry, each.began_at - RECOVERY_S, each.ended_at
     )
     if not each.is_whole:
+        if each.kind.is_stream and each.status == 200:
+            _check_part(each, text, verdict)
         if not each.kind.is_stream and not chaos.was_killed(
             each.entry, each.began_at - 1, each.ended_at
         ):
@@ -120,7 +129,7 @@
             )
         return
     if each.status == 200:
-        _check_body(each, text, verdict)
+        _check_body(each, ran, text, verdict)
     if each.status in CALLER_ERROR_STATUSES:
         verdict.add_violation('blamed', f'{text}{each.status} {each.body!r}')
     if each.status in NOT_RUN_STATUSES and not each.retry_after:
@@ -130,9 +139,17 @@
         verdict.add_violation('late', f'{text}{took_s:.2f} s')
 
 
-def _check_body(each: RequestResult, text: str, verdict: Verdict) -> None:
+def _check_body(
+    each: RequestResult,
+    ran: Collection[tuple[FleetReplica, Run]],
+    text: str,
+    verdict: Verdict,
+) -> None:
     expected_body = stream_of if each.kind.is_stream else body_of
-    if each.body != expected_body(each.request_id):
+    is_whole = each.body == expected_body(each.request_id)
+    if not is_whole and ran and looks_ended(each, ran):
+        verdict.ends['looks ended'] += 1
+    elif not is_whole:
         verdict.add_violation('not whole', f'{text}{each.body[:60]!r}')
     if not each.has_seal:
         verdict.add_violation('nobody vouches', text)
@@ -140,6 +157,12 @@
         verdict.add_violation('crossed', f'{text}{each.echoed}')
 
 
+def _check_part(each: RequestResult, text: str, verdict: Verdict) -> None:
+    """Check that a truncated stream has each event once, in order."""
+    if not stream_of(each.request_id).startswith(each.body):
+        verdict.add_violation('joined', f'{text}{each.body[:60]!r}')
+
+
 def _check_runs(each: RequestResult, runs: int, verdict: Verdict) -> None:
     text = f'{each.request_id} {each.kind.path} at {each.entry}: {runs} runs'
     if each.kind.is_once and runs > 1:
--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -116,6 +116,9 @@
     config_version: int = 0
     is_large: bool = False
     on_fatal: Callable[[str], object] = str
+    is_crash_reset: Callable[[], bool] = bool
+    """Draws whether a crash resets its connections; an orderly end otherwise."""
+
     relay: Relay = field(init=False)
     _ports: dict[str, tuple[int, int]] = field(factory=dict)
     _addresses: dict[str, str] = field(factory=dict)
@@ -232,7 +235,8 @@
         if before.is_listed:
             self.unlist(name)
         before.server.stop()
-        self.relay.reset(name)
+        before.replica.crashed_by = before.replica.crashed_by or 'fin'
+        self.relay.end(name)
         self.past_incarnations.append(before)
         ip = before.address.rpartition(':')[0]
         replica = self._replica(name, before.service)
@@ -245,8 +249,10 @@
 
     async def crash(self, name: str, away_s: float) -> None:
         """End a replica at once and start a new incarnation after a delay."""
+        is_reset = self.is_crash_reset()
+        self.replicas[name].replica.crashed_by = 'reset' if is_reset else 'fin'
         self.relay.close(name)
-        self.relay.reset(name)
+        self.relay.end(name, is_reset=is_reset)
         await asyncio.sleep(away_s)
         await self.replace(name)
         await self.relay.listen(name)
--- a/scripts/_relay.py
+++ b/scripts/_relay.py
@@ -10,6 +10,8 @@
 import asyncio
 import contextlib
 import os
+import socket
+import struct
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -21,6 +23,7 @@
 _READ_BYTES = 65_536
 # Some libraries connect to IPv4 addresses from IPv6 sockets.
 _TABLES = (Path('/proc/net/tcp'), Path('/proc/net/tcp6'))
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _LOCAL, _INODE = 1, 9
 
 
@@ -109,8 +112,14 @@
     pair: frozenset[str]
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
 
-    def abort(self) -> None:
+    def abort(self, *, is_reset: bool = False) -> None:
+        """Close both sockets at once, in an orderly way or with a reset."""
         for writer in self.writers:
+            sock = writer.get_extra_info('socket')
+            if is_reset and sock.fileno() >= 0:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
             writer.transport.abort()
 
 
@@ -178,11 +187,11 @@
             target.server.close()
             target.server = None
 
-    def reset(self, name: str) -> None:
-        """Abort all connections of a process, as its end would."""
+    def end(self, name: str, *, is_reset: bool = False) -> None:
+        """Close all connections of a process, as its end would."""
         for connection in list(self._connections):
             if name in connection.pair:
-                connection.abort()
+                connection.abort(is_reset=is_reset)
 
     def close_all(self) -> None:
         """Close all listeners and cancel all connections."""
@@ -204,12 +213,12 @@
         self.link(source, target).unpaused.set()
 
     def cut(self, pairs: Iterable[frozenset[str]]) -> None:
-        """Abort the connections of pairs, and each new one at once."""
+        """Reset the connections of pairs, and close each new one at once."""
         broken = list(pairs)
         self._cuts.extend(broken)
         for connection in list(self._connections):
             if connection.pair in broken:
-                connection.abort()
+                connection.abort(is_reset=True)
 
     def heal(self, pairs: Iterable[frozenset[str]]) -> None:
         """Undo one `cut` of the same pairs."""
@@ -245,7 +254,7 @@
             )
         except OSError:
             # A reset on one side must be passed on to the other.
-            pass
+            connection.abort(is_reset=True)
         finally:
             self._connections.discard(connection)
             connection.abort()
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -26,6 +26,7 @@
 import time
 from pathlib import Path
 
+from _platform_body_ends import BodyEnds
 from _platform_chaos import PlatformChaos
 from _platform_checks import Verdict, check_run, newest_known_key
 from _platform_ends import VersionEnds
@@ -72,6 +73,7 @@
     statements_rng: random.Random
     links_rng: random.Random
     store_rng: random.Random
+    body_ends_rng: random.Random
     duration_s: float
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
@@ -95,6 +97,7 @@
         store_returns = StoreReturns(
             self.fleet, self.store_rng, chaos, self.log_line
         )
+        body_ends = BodyEnds(self.fleet, self.body_ends_rng, self.log_line)
         problems = await self._settle('start', START_TIMEOUT_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
@@ -108,6 +111,7 @@
                 stating.run(ends_at),
                 narrow_links.run(ends_at),
                 store_returns.run(ends_at),
+                body_ends.run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -133,6 +137,7 @@
             verdict.add_violation('state', problem)
         self.log_line(f'faults: {dict(chaos.fault_counts)}')
         self.log_line(f'queues: {dict(narrow_links.counts)}')
+        self.log_line(f'answers: {dict(body_ends.counts)}')
         calls = [each.calls for each in store_returns.returns]
         self.log_line(f'store: {dict(store_returns.counts)}, {calls=}')
         return verdict
@@ -252,6 +257,7 @@
             statements_rng,
             links_rng,
             store_rng,
+            random.Random(f'body ends of {seed}'),
             float(options['--duration']),
         )
         soak.log_line(f'seed {seed}: {plan}')
