--- a/scripts/_platform_body_ends.py
+++ b/scripts/_platform_body_ends.py
@@ -31,8 +31,8 @@
 """Share of the drops, and of the crashes, that reset their connections."""
 
 DURATION_S = (0.5, 2.0)
-INTERVAL_S = (0.2, 0.8)
-MAX_DROPS = 3
+INTERVAL_S = (0.05, 0.3)
+MAX_DROPS = 6
 EVENT_END = b'\n\n'
 
 
--- a/tests/scripts/test_platform_body_ends.py
+++ b/tests/scripts/test_platform_body_ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from typing import Any, cast
 
 import pytest
 from _platform_body_ends import BodyEnds, looks_ended
@@ -79,7 +80,7 @@
     replica: FleetReplica = field(
         factory=lambda: FleetReplica({'--id': 'r.1', '--model': 'm'})
     )
-    is_crash_reset: object = bool
+    is_crash_reset: Any = bool
 
     @property
     def replicas(self):
@@ -91,7 +92,9 @@
         async def check():
             fleet = Fleet()
             loop = asyncio.get_running_loop()
-            body_ends = BodyEnds(fleet, random.Random(1), lambda _: None)
+            body_ends = BodyEnds(
+                cast('Any', fleet), random.Random(1), lambda _: None
+            )
             monkeypatch.setattr('_platform_body_ends.INTERVAL_S', (0, 0.01))
             monkeypatch.setattr('_platform_body_ends.DURATION_S', (0, 0.01))
             await body_ends.run(loop.time() + 0.5)
