Plain services: an answer that a reset shortens isn't whole

On the path of agents, Tornado's client reads an answer without length and chunks until its connection ends and takes a reset for that end: half an answer was passed on as whole, and nothing after the head as an empty one. Calls are now made over the same connection class as in a fleet, which tells a reset from a FIN, and the client of plain services asks the same rule for completeness. Streams end with their own last event and stay as they are.

--- a/packages/daemon/src/crowrudder_daemon/agent/_upstream.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/_upstream.py
@@ -8,6 +8,7 @@
 import msgspec
 from attrs import frozen
 
+from crowrudder_core.dispatch import Completeness
 from crowrudder_daemon.fetch import Fetcher, ServerEvent, stream_events
 from crowrudder_model import Outcome, UpstreamError
 from crowrudder_model.messages import Attempt, Final, Piece
@@ -267,6 +268,14 @@
                 is_unreached=_lost_outcome(exc) is Outcome.NOT_RUN,
             )
             return
+        if answer.completeness is Completeness.TRUNCATED:
+            yield Final(
+                request_id=request_id,
+                outcome=Outcome.UNKNOWN,
+                version=version,
+                message='the service ended its answer after the head',
+            )
+            return
         if answer.header('X-Request-Id') != request_id:
             raise CrossedAnswerError(
                 f'an answer to {answer.header("X-Request-Id")!r}',
--- a/packages/daemon/src/crowrudder_daemon/agent/weights/_origin_source.py
+++ b/packages/daemon/src/crowrudder_daemon/agent/weights/_origin_source.py
@@ -78,17 +78,9 @@
     path: str,
     on_piece: Callable[[int], None],
 ) -> bytes:
-    pieces: list[bytes] = []
-
-    def receive(piece: bytes) -> None:
-        pieces.append(piece)
-        on_piece(len(piece))
-
     try:
         answer = await source.fetch(
-            path,
-            timeout_s=SOURCE_TIMEOUT_S,
-            on_piece=receive,
+            path, timeout_s=SOURCE_TIMEOUT_S, on_bytes=on_piece
         )
     except UpstreamError as exc:
         if isinstance(exc.__cause__, ConnectionRefusedError):
@@ -96,7 +88,7 @@
         raise
     if answer.status != HTTP_OK:
         raise _no_source(source, path, f'answered {answer.status}')
-    return b''.join(pieces)
+    return answer.body
 
 
 def _no_source(source: Fetcher, path: str, reason: str) -> NoSourceError:
--- a/packages/daemon/src/crowrudder_daemon/fetch/_fetch.py
+++ b/packages/daemon/src/crowrudder_daemon/fetch/_fetch.py
@@ -1,15 +1,28 @@
-"""A thin wrapper of tornado's HTTP client with typed answers and errors."""
+"""HTTP client of one external address, with typed answers and errors.
+
+Answers are read over `HttpConnection`: Tornado's client takes the reset of an
+answer without length and chunks for its end. Streams are read by Tornado's,
+as their last event proves them complete.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from attrs import frozen
-from tornado.httpclient import HTTPError, HTTPRequest
+from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from crowrudder_core.dispatch import Completeness, answer_completeness
+from crowrudder_daemon.http import (
+    ConnectionPool,
+    HttpConnection,
+    WireAnswer,
+    WireRequest,
+)
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
@@ -22,11 +35,12 @@
 
 @frozen
 class Answer:
-    """Status, headers and body of an HTTP answer."""
+    """Status, headers and body of an HTTP answer that was read to its end."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    completeness: Completeness = Completeness.COMPLETE
 
     def header(self, name: str) -> str:
         """Return a header's value; empty if it is absent."""
@@ -60,6 +74,8 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self._pool = ConnectionPool()
+        self._open: set[HttpConnection] = set()
         self._client = SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CONNECTIONS,
@@ -74,31 +90,49 @@
         body: bytes | None = None,
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float = 10.0,
-        on_piece: Callable[[bytes], None] | None = None,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> Answer:
-        """Make one call without retries or redirects.
+        """Make one call without retries or redirects, on its own connection.
 
-        With ``on_piece`` the body is passed there as it arrives, and the
-        answer's body is empty.
+        ``on_bytes`` gets the size of each part of the body as it arrives.
 
         Raises
         ------
         UpstreamError
             When no complete HTTP answer arrived in time.
         """
-        req = self._request(path, method, body, headers, timeout_s)
-        req.streaming_callback = on_piece
+        req = WireRequest(
+            method=method,
+            target=path,
+            headers=(
+                ('Host', self.address),
+                ('Connection', 'close'),
+                *headers,
+            ),
+            body=body or b'',
+        )
+        conn: HttpConnection | None = None
         try:
-            reply = await self._client.fetch(req, raise_error=False)
-        except (HTTPError, OSError) as exc:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._pool.acquire(
+                    self.address,
+                    timeout_s=min(CONNECT_TIMEOUT_S, timeout_s),
+                    force_new=True,
+                )
+                self._open.add(conn)
+                conn.send(req)
+                return _answer(
+                    conn,
+                    await conn.answer(
+                        max_bytes=MAX_BODY_BYTES, on_bytes=on_bytes
+                    ),
+                )
+        except TimeoutError as exc:
             raise self._upstream_error(path, exc) from exc
-        if reply.code == _NO_RESPONSE_STATUS:
-            raise self._upstream_error(path, reply.error)
-        return Answer(
-            reply.code,
-            tuple(reply.headers.get_all()),
-            reply.body or b'',
-        )
+        finally:
+            if conn is not None:
+                self._open.discard(conn)
+                conn.close()
 
     def stream(
         self,
@@ -125,6 +159,8 @@
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
+        for conn in list(self._open):
+            conn.close()
 
     def _request(
         self,
@@ -152,7 +188,17 @@
         return UpstreamError(str(exc), step=path, peer=self.address)
 
 
-_NO_RESPONSE_STATUS = 599
+def _answer(conn: HttpConnection, wire_answer: WireAnswer) -> Answer:
+    status = wire_answer.head.status
+    is_success = status < HTTPStatus.MULTIPLE_CHOICES
+    return Answer(
+        status,
+        wire_answer.head.headers,
+        wire_answer.body,
+        answer_completeness(
+            conn.body_end, is_empty=is_success and not wire_answer.body
+        ),
+    )
 
 
 async def stream_events(
