Peer connections: one that went silent for good is noticed by a ping

A connection between two of our processes that stays open and answers nothing was used for a minute: grpcio 1.85 waits for the answer of a ping for ping_timeout_ms, 60 s by default, whatever keepalive_timeout_ms says. Each call on it timed out meanwhile: 19 of 19 calls of 1 s in 20 s, 5 of 5 of 4 s. Fetches of records hid it, as a second peer is asked.

--- a/packages/daemon/src/crowrudder_daemon/rpc/_options.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_options.py
@@ -9,6 +9,10 @@
 """A suspended peer sends no reset; only a missed keepalive detects it."""
 
 KEEPALIVE_TIMEOUT_MS = 2000
+"""Time without an acknowledgement of a ping after which a connection is closed.
+
+grpcio waits for a ping as long as ``ping_timeout_ms`` says, a minute by default,
+whatever the timeout of keepalive."""
 
 CHANNEL_OPTIONS: tuple[tuple[str, int], ...] = (
     ('grpc.enable_retries', 0),
@@ -19,6 +23,7 @@
     ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
     ('grpc.keepalive_time_ms', KEEPALIVE_MS),
     ('grpc.keepalive_timeout_ms', KEEPALIVE_TIMEOUT_MS),
+    ('grpc.http2.ping_timeout_ms', KEEPALIVE_TIMEOUT_MS),
     ('grpc.http2.max_pings_without_data', 0),
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 1000),
@@ -30,6 +35,7 @@
     ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
     ('grpc.keepalive_time_ms', KEEPALIVE_MS),
     ('grpc.keepalive_timeout_ms', KEEPALIVE_TIMEOUT_MS),
+    ('grpc.http2.ping_timeout_ms', KEEPALIVE_TIMEOUT_MS),
     ('grpc.http2.min_ping_interval_without_data_ms', 1000),
     ('grpc.http2.max_ping_strikes', 0),
     # Pings on idle connections would be half of an idle process's traffic.
