--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -48,7 +48,8 @@
 class Run:
     """A request that this replica started to run.
 
-    ``cut_by`` says how its connection was dropped: ``fin`` or ``reset``.
+    ``cut_by`` says how its connection was dropped: ``fin`` or ``reset``,
+    ``last_event`` is the number of the last event that was sent.
     """
 
     request_id: str
@@ -63,6 +64,7 @@
     left_ms: int = 0
     is_unframed: bool = False
     cut_by: str = ''
+    last_event: int = 0
 
 
 @define
@@ -428,6 +430,7 @@
         for number, event in zip(numbers, events, strict=True):
             await self._check_cut(send, run_record, number)
             await send(event)
+            run_record.last_event = number
             await asyncio.sleep(EVENT_INTERVAL_S)
         if is_unframed:
             await send(b'')
--- a/scripts/_platform_body_ends.py
+++ b/scripts/_platform_body_ends.py
@@ -81,12 +81,23 @@
 ) -> bool:
     """Return whether nothing told the end of a stream from its truncation.
 
-    The last run had neither a length nor chunks, and an orderly end of its
-    connection between two events.
+    The run that sent its last event had neither a length nor chunks, and an
+    orderly end of its connection between two events.
     """
     if not each.kind.is_stream or not each.body.endswith(EVENT_END):
         return False
-    replica, run = max(runs, key=lambda ran: ran[1].began_at)
-    ended_by = run.cut_by or ('' if run.ended else replica.crashed_by)
-    is_part = stream_of(each.request_id).startswith(each.body)
-    return is_part and run.is_unframed and ended_by == 'fin'
+    if not stream_of(each.request_id).startswith(each.body):
+        return False
+    events = each.body.count(EVENT_END)
+    return any(_has_ended_after(events, replica, run) for replica, run in runs)
+
+
+def _has_ended_after(events: int, replica: FleetReplica, run: Run) -> bool:
+    """Return whether a run ended after some events, without a trace of it."""
+    if not run.is_unframed:
+        return False
+    if run.cut_by:
+        return run.cut_by == 'fin' and run.last_event == events
+    # Events that a crashed replica sends after its end reach nobody.
+    has_crashed = not run.ended and replica.crashed_by == 'fin'
+    return has_crashed and run.last_event >= events
--- a/scripts/_relay.py
+++ b/scripts/_relay.py
@@ -107,13 +107,17 @@
 
 @define(eq=False)
 class _ConnectionPair:
-    """The two sockets of one relayed connection between two processes."""
+    """The two sockets of one relayed connection between two processes.
+
+    The second one is that of ``target``, which accepted the connection.
+    """
 
     pair: frozenset[str]
+    target: str
     writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
 
     def abort(self, *, is_reset: bool = False) -> None:
-        """Close both sockets at once, in an orderly way or with a reset."""
+        """Close both sockets at once, with a reset if asked for."""
         for writer in self.writers:
             sock = writer.get_extra_info('socket')
             if is_reset and sock.fileno() >= 0:
@@ -122,6 +126,10 @@
                 )
             writer.transport.abort()
 
+    def end_target(self) -> None:
+        """Close the target's socket: an orderly end, after its bytes."""
+        self.writers[1].transport.abort()
+
 
 @define(eq=False)
 class _Target:
@@ -188,10 +196,17 @@
             target.server = None
 
     def end(self, name: str, *, is_reset: bool = False) -> None:
-        """Close all connections of a process, as its end would."""
+        """Close all connections to a process, as its end would.
+
+        Without a reset, the bytes that it had sent arrive before the end.
+        """
         for connection in list(self._connections):
-            if name in connection.pair:
-                connection.abort(is_reset=is_reset)
+            if connection.target != name:
+                continue
+            if is_reset:
+                connection.abort(is_reset=True)
+            else:
+                connection.end_target()
 
     def close_all(self) -> None:
         """Close all listeners and cancel all connections."""
@@ -245,7 +260,7 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = _ConnectionPair(pair, (writer, target_writer))
+        connection = _ConnectionPair(pair, name, (writer, target_writer))
         self._connections.add(connection)
         try:
             await asyncio.gather(
