Quarantine: a completed run that another entry reports is remembered

A completed run of another entry was kept only in the suspect that it clears. A suspect without ends that count is dropped at once, and the next report of the same ends, on its way meanwhile, quarantined the request again; each verdict was sent to all, and each was answered with the completed run. The ledger of completed runs now takes those of other entries as well.

Two tests fail without it: one by itself, and three entries that exchange more than 200 messages about one disagreement, and now fewer than 20.

--- a/packages/core/src/crowrudder_core/quarantine/_ledger.py
+++ b/packages/core/src/crowrudder_core/quarantine/_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 
 from attrs import define, field
@@ -47,17 +48,25 @@
 
     def on_run_completed(self, digest: int, *, now: float) -> Suspect | None:
         """Record a completed run; return the suspect that it clears, if any."""
-        self._completed_at[digest] = max(
-            now, self._completed_at.get(digest, now)
-        )
-        self._completed_at.move_to_end(digest)
-        if len(self._completed_at) > MAX_COMPLETED_RUNS:
-            self._completed_at.popitem(last=False)
+        self.remember_completed(digest, now)
         suspect = self.get(digest, now=now)
         if suspect is not None:
             suspect.on_run_completed(now)
         return suspect
 
+    def remember_completed(self, digest: int, at: float) -> None:
+        """Record a completed run that this or another entry has seen.
+
+        It outlives the suspect that it clears: reports of the same ends may
+        still arrive.
+        """
+        if math.isinf(at):
+            return
+        self._completed_at[digest] = max(at, self._completed_at.get(digest, at))
+        self._completed_at.move_to_end(digest)
+        if len(self._completed_at) > MAX_COMPLETED_RUNS:
+            self._completed_at.popitem(last=False)
+
     def suspects(self, *, now: float) -> dict[int, Suspect]:
         """Return all suspects that have not expired."""
         expired = [
--- a/packages/core/src/crowrudder_core/quarantine/_quarantine.py
+++ b/packages/core/src/crowrudder_core/quarantine/_quarantine.py
@@ -164,6 +164,7 @@
             reported.on_report(report, now=now)
             before = suspect.weight
             has_changed = suspect.on_report(report, now=now)
+            self._ledger.remember_completed(report.digest, suspect.completed_at)
             if not has_changed and reported.weight > suspect.weight:
                 # The sender lacks a completed run that is known here.
                 before = reported.weight
--- a/tests/quarantine/test_fleet.py
+++ b/tests/quarantine/test_fleet.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from crowrudder_core.quarantine import Quarantine, SendSuspicion
+from crowrudder_model.messages import SuspicionUpdate
 from support.quarantine_world import FATAL, Fleet, QuarantineWorld
 
 SMALL = Fleet(entries=8, upstreams=9)
@@ -61,3 +63,32 @@
         for world in simulate(fleet, SEEDS):
             assert world.sent_after_third(CONTACT_S) <= MAX_LATE_SENDS
             assert world.rejected == {FATAL, FATAL + 1}, world.seed
+
+
+class TestMessagesOfOneDisagreement:
+    """Guards against entries that contradict each other without end."""
+
+    def test_a_completed_run_at_one_entry_settles_it(self):
+        """One entry saw a completed run, two others saw three ends."""
+        entries = [Quarantine() for _ in range(3)]
+        entries[0].on_run_completed(FATAL, now=0)
+        queue = []
+        for number, incarnation in ((1, 'a'), (2, 'b'), (1, 'c'), (2, 'd')):
+            core = entries[number]
+            core.on_connection_closed(FATAL, [incarnation], ran_s=0, now=5)
+            effects = core.on_ended(incarnation, now=5)
+            queue += [(number, effect) for effect in effects]
+        messages = 0
+        while queue and messages < 200:
+            sender, effect = queue.pop(0)
+            if not isinstance(effect, SendSuspicion):
+                continue
+            messages += 1
+            update = SuspicionUpdate((effect.report,))
+            now = 5 + messages / 1000
+            for number, core in enumerate(entries):
+                if number != sender:
+                    effects = core.on_update(update, now=now)
+                    queue += [(number, each) for each in effects]
+        assert messages < 20
+        assert not any(core.is_quarantined(FATAL, now=6) for core in entries)
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -102,6 +102,21 @@
         close_and_end(core, DIGEST, 'c', now=NOW + 2)
         assert not core.is_quarantined(DIGEST, now=NOW + 2)
 
+    def test_a_completed_run_of_another_entry_is_remembered(self):
+        """Guards against reports of ends that arrive after one that clears.
+
+        A cleared suspect was dropped with the completed run that another entry
+        had reported, so that the next report of the same ends quarantined it.
+        """
+        core = quarantined()
+        before = core.sample_reports(random.Random(1), now=NOW + 0.2)
+        clearing = SuspicionReport(DIGEST, completed_ms=1000)
+        core.on_update(SuspicionUpdate((clearing,)), now=NOW + 0.3)
+        assert not core.is_quarantined(DIGEST, now=NOW + 0.3)
+        effects = core.on_update(SuspicionUpdate(tuple(before)), now=NOW + 0.4)
+        assert not any(isinstance(each, Quarantined) for each in effects)
+        assert not core.is_quarantined(DIGEST, now=NOW + 0.4)
+
     def test_answers_that_are_not_proven_whole_prevent_no_retry(self):
         core = Quarantine()
         for incarnation in ('a', 'b', 'c'):
