Loads: an order is for the incarnation at which its chunks were staged

An order now names the number of orders that the engine had accepted before the staging; a restart forgets it and the engine refuses, and the load starts anew. The order that gives up layers names it as well.

The test in a real fleet fails without the change. An engine that hasn't taken an order yet can't be told from its successor; that stays open.

--- a/packages/daemon/src/crowrudder_daemon/fleet/ports.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/ports.py
@@ -222,7 +222,8 @@
     ``weights`` is the version of which it holds ``layers``, 0 for none;
     ``is_busy`` is set while an order is being executed, ``is_leaving`` if it
     states that it leaves. ``started_ms`` is its start time in Unix
-    milliseconds, 0 if it isn't reported.
+    milliseconds, 0 if it isn't reported. ``orders`` is the number of orders that
+    it has accepted since its start, None if it isn't reported.
     """
 
     model: str = ''
@@ -235,6 +236,7 @@
     pace: float = 1
     started_ms: int = 0
     layers: LayerRange = NO_LAYERS
+    orders: int | None = None
 
     def whole(self, layers: int) -> int:
         """Return the version if it holds all of its ``layers``, else 0."""
@@ -275,12 +277,15 @@
         *,
         may_cut_off: bool,
         layers: LayerRange | None = None,
+        expected_orders: int | None = None,
     ) -> bool:
         """Order the engine to load the staged version.
 
         With ``may_cut_off`` running requests are cancelled, else they end
-        first. ``layers`` are those to hold, None for all of them. Return whether
-        the order was accepted or is in effect already.
+        first. ``layers`` are those to hold, None for all of them. The engine
+        refuses if it has accepted another number than ``expected_orders``, as
+        after a restart. Return whether the order was accepted or is in effect
+        already.
         """
 
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_loader.py
@@ -206,11 +206,13 @@
         async with self._load_lock:
             if self._watch.whole != version:
                 return
+            reading = self._watch.reading
             async with self._staging_lock:
                 await self._send_order(
                     Load(model, version, 0),
                     may_cut_off=False,
                     layers=WITHDRAWN_LAYERS,
+                    expected_orders=reading.orders if reading else None,
                 )
             await self._until_idle()
 
@@ -257,10 +259,18 @@
         layers: LayerRange | None = None,
     ) -> None:
         async with self._staging_lock:
+            # An engine that restarts before the order has none of the chunks
+            # that were staged, and accepts an order all the same.
+            before = await self._engine.read()
             await self._stage(load, transfer)
             await self._check_staged(load)
             began_at = clock_s()
-            await self._send_order(load, may_cut_off=may_cut_off, layers=layers)
+            await self._send_order(
+                load,
+                may_cut_off=may_cut_off,
+                layers=layers,
+                expected_orders=before.orders,
+            )
         await self._until_loaded(load.version, began_at, layers)
 
     def _holds_part_of(
@@ -403,13 +413,19 @@
             )
 
     async def _send_order(
-        self, load: Load, *, may_cut_off: bool, layers: LayerRange | None
+        self,
+        load: Load,
+        *,
+        may_cut_off: bool,
+        layers: LayerRange | None,
+        expected_orders: int | None,
     ) -> None:
         is_accepted = await self._engine.load(
             load.model,
             load.version,
             may_cut_off=may_cut_off,
             layers=layers,
+            expected_orders=expected_orders,
         )
         self._orders.add(outcome='taken' if is_accepted else 'refused')
         if not is_accepted:
--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -257,6 +257,8 @@
             raise RefusedError(400, 'no such order')
         if self.is_busy:
             raise RefusedError(409, 'busy')
+        if order.get('expect', len(self.orders)) != len(self.orders):
+            raise RefusedError(409, 'seq differs')
         self.orders.append(order)
         self.taken.append(dict(self.staged))
         self.is_busy = True
--- a/tests/fleet/test_agent_chunks.py
+++ b/tests/fleet/test_agent_chunks.py
@@ -133,6 +133,38 @@
         checked(check)
 
 
+class TestReplacedEngine:
+    """Guards against an order that a new incarnation takes without its chunks.
+
+    The engine is replaced between the check of its staged chunks and the order,
+    which then goes out on a new connection.
+    """
+
+    def test_weights_are_staged_again_at_the_new_incarnation(self, monkeypatch):
+        check_staged = _loader.Loader._check_staged
+        replaced = []
+
+        async def check(world):
+            async def check_and_replace(loader, load):
+                await check_staged(loader, load)
+                if load.version == 2 and not replaced:
+                    replaced.append(load)
+                    await world.replace('a1', 'a1.2')
+
+            monkeypatch.setattr(
+                _loader.Loader, '_check_staged', check_and_replace
+            )
+            await world.add_agent(1)
+            await world.until(lambda: world.replicas['a1'].whole_weights == 1)
+            world.name_version(2)
+            await world.until(lambda: 'a1.2' in world.replicas)
+            renewed = world.replicas['a1.2']
+            await world.until(lambda: renewed.whole_weights == 2)
+            assert_complete(world, renewed, 2)
+
+        checked(check)
+
+
 class TestStagedEarly:
     """A restarted agent continues with the chunks it had.
 
--- a/tests/fleet/test_end_races.py
+++ b/tests/fleet/test_end_races.py
@@ -8,6 +8,7 @@
 from typing import Any
 from unittest.mock import AsyncMock, Mock
 
+import attrs
 import pytest
 
 from crowrudder_core.catalog import Releases
@@ -166,6 +167,36 @@
         run(check())
 
 
+class TestRestartBeforeAnOrder:
+    """Guards against weights without a chunk that is loaded all the same.
+
+    An engine restarts between the check of its staged chunks and the order. The
+    new incarnation has none of them, and the order goes out on a new connection.
+    """
+
+    def test_the_new_incarnation_gets_no_order(self):
+        async def check():
+            engine = FakeEngine(EngineReading(weights=1, layers=ALL))
+            engine.restarts_before_order = True
+            loader = loader_of(engine, named(2))
+            with pytest.raises(UpstreamError, match='refused'):
+                await loader.load_layers(Load('m', 2, ALL_CHUNKS), held(), ALL)
+            assert not engine.loads
+
+        run(check())
+
+    def test_neither_does_it_give_up_layers(self):
+        async def check():
+            reading = EngineReading(weights=1, layers=ALL, orders=2)
+            engine = FakeEngine(reading)
+            engine.restarts_before_order = True
+            with pytest.raises(UpstreamError, match='refused'):
+                await loader_of(engine, named(2)).withdraw('m', 1)
+            assert not engine.loads
+
+        run(check())
+
+
 class TestPartAfterClosing:
     def test_assigned_range_is_loaded_after_closing(self):
         """Guard against missing pipelines though the hosts hold all layers.
@@ -307,6 +338,8 @@
         self.loads = []
         self.kept = set()
         self.restarts_after = None
+        self.restarts_before_order = False
+        self.accepted = 2
 
     async def put_chunk(self, model, index, payload):
         self.kept.add(index)
@@ -316,8 +349,18 @@
     async def staged(self, model):
         return frozenset(self.kept)
 
-    async def load(self, model, version, *, may_cut_off, layers):
+    async def read(self):
+        return attrs.evolve(self.reading, orders=self.accepted)
+
+    async def load(
+        self, model, version, *, may_cut_off, layers, expected_orders
+    ):
+        if self.restarts_before_order:
+            self.accepted = 0
+        if expected_orders not in {None, self.accepted}:
+            return False
         self.loads.append(version)
+        self.accepted += 1
         await asyncio.sleep(0.1)
         self.reading = EngineReading(weights=version, layers=layers or ALL)
         return True
--- a/tests/platform/test_adapter_calls.py
+++ b/tests/platform/test_adapter_calls.py
@@ -185,6 +185,22 @@
 
         run(served(FleetReplica(self.options()), check))
 
+    def test_an_order_for_another_incarnation_is_refused(self):
+        """Guards against an order to an engine that lost what was staged."""
+
+        async def check(address, pool):
+            engine = PlatformEngine(address, pool)
+            accepted = (await engine.read()).orders
+            assert accepted == 0
+            assert not await engine.load(
+                'm', 2, may_cut_off=False, expected_orders=accepted + 1
+            )
+            assert await engine.load(
+                'm', 2, may_cut_off=False, expected_orders=accepted
+            )
+
+        run(served(FleetReplica(self.options()), check))
+
     def test_error_of_an_unreachable_engine_has_its_address(self):
         async def check():
             engine = PlatformEngine('127.0.0.1:9', ConnectionPool())
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -188,6 +188,16 @@
         if is_listed:
             self.list_replica(name, service)
 
+    async def replace(self, name, next_name):
+        """End an engine and start an empty incarnation at its address."""
+        address = self.addresses[name]
+        server = self.server_at(address)
+        server.stop()
+        await server.close_all_connections()
+        ended = self.replicas[name]
+        ended.weights = 0
+        self.begin_life(next_name, address, ended, 'llm')
+
     def publish(self, **more):
         more.setdefault('origin', self.origin_address)
         self.store.put('op/config', json.dumps(config(**more)).encode())
