Platform soak: requests count as sent when they entered a link's queue

Trace of 3024: a queue of 1.70 s into engine-3; entry-0 sent nothing to it after the pause had reached it at 73.64 s, and the counted requests had left at 71.93 to 73.27 s. The check takes their time in the queue off the time of arrival, only for links that had one then.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import hashlib
+import math
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
@@ -65,6 +66,7 @@
     is_unframed: bool = False
     cut_by: str = ''
     last_event: int = 0
+    ended_at: float = math.inf
 
 
 @define
@@ -156,6 +158,7 @@
         self.stated = Statements()
         self.arrivals: list[tuple[float, str]] = []
         self.crashed_by = ''
+        self.crashed_at = math.inf
         self.on_fatal: Callable[[], object] | None = None
         self._load_tasks: set[asyncio.Task[None]] = set()
 
@@ -300,12 +303,20 @@
         call.on_disconnect = partial(self.places.leave, granted)
         if not await granted:
             raise self._refusal(call, 503, 'full')
+        run_record = self._record_run(call)
         try:
-            await self._answer(call, self._record_run(call))
+            await self._answer(call, run_record)
         finally:
+            run_record.ended_at = time.monotonic()
             self.places.release()
         return None
 
+    def on_crash(self, ended_by: str) -> None:
+        """Record how the connections end; only the first end counts."""
+        if not self.crashed_by:
+            self.crashed_by = ended_by
+            self.crashed_at = time.monotonic()
+
     async def _load(self, version: int, layers: tuple[int, int]) -> None:
         await self.places.until_idle()
         await asyncio.sleep(LOAD_DURATION_S)
--- a/scripts/_platform_body_ends.py
+++ b/scripts/_platform_body_ends.py
@@ -96,8 +96,7 @@
     """Return whether a run ended after some events, without a trace of it."""
     if not run.is_unframed:
         return False
-    if run.cut_by:
-        return run.cut_by == 'fin' and run.last_event == events
-    # Events that a crashed replica sends after its end reach nobody.
-    has_crashed = not run.ended and replica.crashed_by == 'fin'
-    return has_crashed and run.last_event >= events
+    # A crashed replica goes on with its runs; what it sends reaches nobody.
+    if run.began_at <= replica.crashed_at <= run.ended_at:
+        return replica.crashed_by == 'fin' and run.last_event >= events
+    return run.cut_by == 'fin' and run.last_event == events
--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -235,7 +235,7 @@
         if before.is_listed:
             self.unlist(name)
         before.server.stop()
-        before.replica.crashed_by = before.replica.crashed_by or 'fin'
+        before.replica.on_crash('fin')
         self.relay.end(name)
         self.past_incarnations.append(before)
         ip = before.address.rpartition(':')[0]
@@ -250,7 +250,7 @@
     async def crash(self, name: str, away_s: float) -> None:
         """End a replica at once and start a new incarnation after a delay."""
         is_reset = self.is_crash_reset()
-        self.replicas[name].replica.crashed_by = 'reset' if is_reset else 'fin'
+        self.replicas[name].replica.on_crash('reset' if is_reset else 'fin')
         self.relay.close(name)
         self.relay.end(name, is_reset=is_reset)
         await asyncio.sleep(away_s)
--- a/scripts/_platform_links.py
+++ b/scripts/_platform_links.py
@@ -13,7 +13,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 if TYPE_CHECKING:
     import random
@@ -29,6 +29,8 @@
 """How long a link has a queue."""
 
 PAUSE_S = (0.2, 1.0)
+RELEASE_S = 0.1
+"""Time in which the relay notices that a queue has ended."""
 
 
 class Direction(enum.Enum):
@@ -39,6 +41,24 @@
     BOTH = 'into and out of'
 
 
+@frozen
+class InboundQueue:
+    """A period in which the links of entries into an engine had a queue."""
+
+    engine: str
+    queue_s: float
+    began_at: float
+    ended_at: float
+
+    def delays(self, engine: str, arrived_at: float) -> bool:
+        """Return whether what arrived at an engine then had been queued."""
+        sent_at = arrived_at - self.queue_s
+        return (
+            engine == self.engine
+            and self.began_at <= sent_at <= self.ended_at + RELEASE_S
+        )
+
+
 @define(eq=False)
 class NarrowLinks:
     """Gives the links of engines' hosts queues, one host at a time.
@@ -50,6 +70,18 @@
     rng: random.Random
     log_line: Callable[[str], None]
     counts: Counter[str] = field(factory=Counter)
+    inbound: list[InboundQueue] = field(factory=list)
+
+    def queued_s(self, engine: str, arrived_at: float) -> float:
+        """Return how long a request that arrived then had been in a queue."""
+        return max(
+            (
+                queue.queue_s
+                for queue in self.inbound
+                if queue.delays(engine, arrived_at)
+            ),
+            default=0,
+        )
 
     async def run(self, ends_at: float) -> None:
         """Delay one direction, then the other, then both, until a deadline."""
@@ -73,9 +105,14 @@
             link.queue_s = queue_s
         self.counts[direction.value] += 1
         self.log_line(f'queue of {queue_s:.2f} s {direction.value} {engine}')
+        began_at = time.monotonic()
         await asyncio.sleep(self.rng.uniform(*NARROW_S))
         for link in links:
             link.queue_s = 0
+        if direction is not Direction.OUTBOUND:
+            self.inbound.append(
+                InboundQueue(engine, queue_s, began_at, time.monotonic())
+            )
 
     def _links(self, engine: str, direction: Direction) -> list[Link]:
         link = self.fleet.relay.link
--- a/scripts/_platform_statements.py
+++ b/scripts/_platform_statements.py
@@ -39,6 +39,10 @@
 SILENT_STORE_SHARE = 0.5
 
 
+def _never_queued(_engine: str, _arrived_at: float) -> float:
+    return 0
+
+
 @frozen
 class Leave:
     """A replica that stated from a time on that it leaves."""
@@ -109,16 +113,28 @@
     stating: StatingReplicas,
     results: Collection[RequestResult],
     verdict: Verdict,
+    queued_s: Callable[[str, float], float] = _never_queued,
 ) -> None:
     """Check that each entry respected what it was told, by arrivals.
 
     The store's disturbances excuse nothing: the entry was told by the replica.
+    A request that was in a queue on its way counts as sent so long before it
+    arrived, as ``queued_s`` tells for an engine and a time of arrival.
     """
     entries = {each.request_id: each.entry for each in results}
     for leave in stating.leaves:
-        _check_leave(leave, stating, results, entries, verdict)
+        _check_leave(leave, stating, results, entries, verdict, queued_s)
     for incarnation in stating.fleet.all_incarnations():
-        _check_pauses(incarnation.replica, stating, entries, verdict)
+        _check_pauses(incarnation.replica, stating, entries, verdict, queued_s)
+
+
+def _sent_at(
+    replica: FleetReplica,
+    arrived_at: float,
+    queued_s: Callable[[str, float], float],
+) -> float:
+    engine = replica.id.partition('.')[0]
+    return arrived_at - queued_s(engine, arrived_at)
 
 
 def _check_leave(
@@ -127,6 +143,7 @@
     results: Collection[RequestResult],
     entries: dict[str, str],
     verdict: Verdict,
+    queued_s: Callable[[str, float], float],
 ) -> None:
     told_at = _told_at(leave, results)
     # Requests for another replica, which get 421, don't count for one that leaves.
@@ -135,7 +152,8 @@
     for at, request_id in sorted(arrivals):
         entry = entries.get(request_id, '')
         since = told_at.get(entry)
-        if since is None or at <= since + NOTICE_S:
+        sent_at = _sent_at(leave.replica, at, queued_s)
+        if since is None or sent_at <= since + NOTICE_S:
             continue
         if not _is_excused(stating.chaos, entry, since, at):
             verdict.add_violation(
@@ -166,6 +184,7 @@
     stating: StatingReplicas,
     entries: dict[str, str],
     verdict: Verdict,
+    queued_s: Callable[[str, float], float],
 ) -> None:
     for at, request_id, pause_s in replica.stated.pauses:
         entry = entries.get(request_id, '')
@@ -177,6 +196,7 @@
             arrived_at
             for arrived_at in _arrivals_of(entry, replica, entries)
             if at + NOTICE_S < arrived_at < until
+            and at + NOTICE_S < _sent_at(replica, arrived_at, queued_s)
         ]
         if len(late) > MAX_PAUSE_ARRIVALS and not _is_excused(
             stating.chaos, entry, at, late[MAX_PAUSE_ARRIVALS]
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -130,7 +130,12 @@
             for caller in fatals_and_limits.callers
             for each in caller.results
         )
-        check_statements(stating, [*results, *fatal_results], verdict)
+        check_statements(
+            stating,
+            [*results, *fatal_results],
+            verdict,
+            narrow_links.queued_s,
+        )
         check_store_returns(store_returns, chaos, verdict)
         problems += chaos.problems
         for problem in problems:
--- a/tests/fleet/test_agent_chunks.py
+++ b/tests/fleet/test_agent_chunks.py
@@ -142,7 +142,7 @@
 
     def test_weights_are_staged_again_at_the_new_incarnation(self, monkeypatch):
         check_staged = _loader.Loader._check_staged
-        replaced = []
+        replaced: list[_loader.Load] = []
 
         async def check(world):
             async def check_and_replace(loader, load):
--- a/tests/scripts/test_platform_body_ends.py
+++ b/tests/scripts/test_platform_body_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import Any, cast
 
@@ -29,8 +30,10 @@
 
 def ran(*, cut_by='', ended='', crashed_by='', is_unframed=True, last_event=2):
     replica = FleetReplica({'--id': 'r.1', '--model': 'm'})
-    replica.crashed_by = crashed_by
-    run_record = Run('a', 'POST', '/', b'', '', 0, 1, ended)
+    if crashed_by:
+        replica.on_crash(crashed_by)
+    run_record = Run('a', 'POST', '/', b'', '', 0, 1, ended, began_at=0)
+    run_record.ended_at = 0 if cut_by or not crashed_by else math.inf
     run_record.is_unframed = is_unframed
     run_record.cut_by = cut_by
     run_record.last_event = last_event
@@ -53,7 +56,6 @@
             ran(crashed_by='reset'),
             ran(cut_by='reset', crashed_by='fin'),
             ran(is_unframed=False, cut_by='fin'),
-            ran(ended='whole', crashed_by='fin'),
             ran(cut_by='fin', last_event=1),
             ran(crashed_by='fin', last_event=1),
             ran(),
@@ -68,6 +70,11 @@
     def test_neither_are_half_events_nothing_and_other_streams(self, body):
         assert not looks_ended(result_with(body), [ran(cut_by='fin')])
 
+    def test_a_run_that_ended_before_the_crash_is_not_excused(self):
+        replica, run_record = ran(ended='whole', crashed_by='fin')
+        run_record.ended_at = replica.crashed_at - 1
+        assert not looks_ended(result_with(TWO_EVENTS), [(replica, run_record)])
+
     def test_any_run_that_ended_there_counts(self):
         runs = [ran(cut_by='fin'), ran(is_unframed=False)]
         assert looks_ended(result_with(TWO_EVENTS), runs)
--- a/tests/scripts/test_platform_statements.py
+++ b/tests/scripts/test_platform_statements.py
@@ -9,6 +9,7 @@
 import pytest
 from _platform_chaos import Disturbance, PlatformChaos
 from _platform_checks import Verdict
+from _platform_links import InboundQueue, NarrowLinks
 from _platform_load import ROUTE_KINDS, RequestResult
 from _platform_statements import Leave, StatingReplicas, check_statements
 
@@ -31,6 +32,7 @@
             fleet, random.Random(1), self.chaos, print
         )
         self.results = []
+        self.links = NarrowLinks(fleet, random.Random(1), print)
 
     def send(self, at, *, entry='entry-0', states_leaving=False):
         request_id = f'{entry}-{at}'
@@ -57,7 +59,9 @@
 
     def violations(self):
         verdict = Verdict()
-        check_statements(self.stating, self.results, verdict)
+        check_statements(
+            self.stating, self.results, verdict, self.links.queued_s
+        )
         return set(verdict.violations)
 
 
@@ -138,3 +142,34 @@
         for delay_s in (0.6, 1.5, 2.9):
             soak.send(TOLD_AT + delay_s, entry='entry-1')
         assert not soak.violations()
+
+
+class TestQueuedRequests:
+    """Guards against a request that counts as sent when it arrives.
+
+    A link into a replica has a queue of seconds; requests that entered it before
+    the replica's statement reached their entry arrive after it.
+    """
+
+    def soak(self, *queues):
+        soak = Soak()
+        soak.links.inbound += queues
+        soak.pause()
+        for late_s in (0.6, 0.7, 0.8):
+            soak.send(TOLD_AT + late_s)
+        return soak
+
+    def test_a_request_counts_as_sent_when_it_entered_the_queue(self):
+        queue = InboundQueue('r', 1.5, TOLD_AT - 2, TOLD_AT - 0.5)
+        assert not self.soak(queue).violations()
+
+    @pytest.mark.parametrize(
+        'queue',
+        [
+            InboundQueue('other', 1.5, TOLD_AT - 2, TOLD_AT - 0.5),
+            InboundQueue('r', 1.5, TOLD_AT - 4, TOLD_AT - 2),
+            InboundQueue('r', 0.05, TOLD_AT - 2, TOLD_AT + 2),
+        ],
+    )
+    def test_other_queues_and_short_ones_excuse_nothing(self, queue):
+        assert self.soak(queue).violations() == {'sent in a pause'}
