--- a/scripts/_platform_seeds.py
+++ b/scripts/_platform_seeds.py
@@ -39,6 +39,23 @@
     316: 'a replica got requests in a pause that it had asked for',
     321: 'as 301',
     324: 'as 323',
+    901: 'answers with nothing after their head were told as whole',
+    1017: (
+        'entries contradicted each other over a request without harm, and '
+        'rejected it in between'
+    ),
+    2003: (
+        'an engine was replaced between the check of its staged chunks and '
+        'the order, which its successor took'
+    ),
+    3022: (
+        'a request without harm was rejected by one entry for 2.5 s; no run '
+        'of it had been completed for ten seconds'
+    ),
+    3024: (
+        'requests in the queue of a link counted as sent in a pause that was '
+        'asked for after they had left'
+    ),
     323: (
         'a request without harm ran on three engines that another one ended, '
         'and was refused as the one that ends them'
