--- a/packages/daemon/src/crowrudder_daemon/fetch/_fetch.py
+++ b/packages/daemon/src/crowrudder_daemon/fetch/_fetch.py
@@ -128,7 +128,11 @@
                     ),
                 )
         except TimeoutError as exc:
-            raise self._upstream_error(path, exc) from exc
+            raise UpstreamError(
+                f'no answer within {timeout_s:.2f} s',
+                step=path,
+                peer=self.address,
+            ) from exc
         finally:
             if conn is not None:
                 self._open.discard(conn)
@@ -182,11 +186,6 @@
             allow_nonstandard_methods=True,
         )
 
-    def _upstream_error(
-        self, path: str, exc: BaseException | None
-    ) -> UpstreamError:
-        return UpstreamError(str(exc), step=path, peer=self.address)
-
 
 def _answer(conn: HttpConnection, wire_answer: WireAnswer) -> Answer:
     status = wire_answer.head.status
