Requests: header values beyond ASCII are forwarded

A caller whose header value had such a byte was never answered: the value is read as Latin-1, and writing it to the upstream failed outside of any attempt. Before: no answer in 5 s; now 200 (played with a raw request).

--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -455,7 +455,11 @@
 
 
 def _encode(wire: h11.Connection, request: WireRequest) -> bytes:
-    headers = list(_with_length(request))
+    # Header values are decoded as Latin-1 where they are read.
+    headers = [
+        (name.encode('ascii'), text.encode('latin-1'))
+        for name, text in _with_length(request)
+    ]
     head = wire.send(
         h11.Request(
             method=request.method,
--- a/tests/fleet/test_entry.py
+++ b/tests/fleet/test_entry.py
@@ -35,6 +35,18 @@
 
         checked(check)
 
+    def test_a_header_with_other_characters_is_forwarded(self):
+        """Guards against a request that is never answered.
+
+        A header's value may have bytes beyond ASCII; its encoding failed.
+        """
+
+        async def check(world):
+            answer = await world.ask('/read/x', request_id='a', X_Name='café')
+            assert answer.body == body_of('a')
+
+        checked(check)
+
     def test_sends_the_customer_of_the_key_to_the_upstream(self):
         async def check(world):
             await world.ask('/read/x', request_id='a', X_Tenant='somebody')
