Platform soak: a pause counts from when its answer left a link's queue

Trace: the refusals of 19.2 s waited in a queue of 1.38 s out of the replica, their entry had given up and read none; it read the next ones at 220.86 s of its log and had sent the counted requests at 220.77 to 220.82 s, the next one at 222.70 s. The check takes the time of the queue into account, only for links that had one then.

--- a/scripts/_platform_links.py
+++ b/scripts/_platform_links.py
@@ -42,17 +42,16 @@
 
 
 @frozen
-class InboundQueue:
-    """A period in which the links of entries into an engine had a queue."""
+class QueuePeriod:
+    """A period in which the links between entries and an engine had a queue."""
 
     engine: str
     queue_s: float
     began_at: float
     ended_at: float
 
-    def delays(self, engine: str, arrived_at: float) -> bool:
-        """Return whether what arrived at an engine then had been queued."""
-        sent_at = arrived_at - self.queue_s
+    def delays(self, engine: str, sent_at: float) -> bool:
+        """Return whether what was sent over an engine's links was queued."""
         return (
             engine == self.engine
             and self.began_at <= sent_at <= self.ended_at + RELEASE_S
@@ -70,17 +69,29 @@
     rng: random.Random
     log_line: Callable[[str], None]
     counts: Counter[str] = field(factory=Counter)
-    inbound: list[InboundQueue] = field(factory=list)
+    inbound: list[QueuePeriod] = field(factory=list)
+    outbound: list[QueuePeriod] = field(factory=list)
 
-    def queued_s(self, engine: str, arrived_at: float) -> float:
-        """Return how long a request that arrived then had been in a queue."""
-        return max(
+    def sent_at(self, engine: str, arrived_at: float) -> float:
+        """Return when a request was sent that arrived at an engine."""
+        return min(
             (
-                queue.queue_s
+                arrived_at - queue.queue_s
                 for queue in self.inbound
-                if queue.delays(engine, arrived_at)
+                if queue.delays(engine, arrived_at - queue.queue_s)
+            ),
+            default=arrived_at,
+        )
+
+    def told_at(self, engine: str, answered_at: float) -> float:
+        """Return when an engine's answer arrived that was sent then."""
+        return max(
+            (
+                answered_at + queue.queue_s
+                for queue in self.outbound
+                if queue.delays(engine, answered_at)
             ),
-            default=0,
+            default=answered_at,
         )
 
     async def run(self, ends_at: float) -> None:
@@ -109,10 +120,11 @@
         await asyncio.sleep(self.rng.uniform(*NARROW_S))
         for link in links:
             link.queue_s = 0
+        period = QueuePeriod(engine, queue_s, began_at, time.monotonic())
         if direction is not Direction.OUTBOUND:
-            self.inbound.append(
-                InboundQueue(engine, queue_s, began_at, time.monotonic())
-            )
+            self.inbound.append(period)
+        if direction is not Direction.INBOUND:
+            self.outbound.append(period)
 
     def _links(self, engine: str, direction: Direction) -> list[Link]:
         link = self.fleet.relay.link
--- a/scripts/_platform_statements.py
+++ b/scripts/_platform_statements.py
@@ -23,6 +23,7 @@
     from _platform_chaos import PlatformChaos
     from _platform_checks import Verdict
     from _platform_fleet import PlatformFleet
+    from _platform_links import NarrowLinks
     from _platform_load import RequestResult
 
     from crowrudder_standins.fleet_replica import FleetReplica
@@ -39,10 +40,6 @@
 SILENT_STORE_SHARE = 0.5
 
 
-def _never_queued(_engine: str, _arrived_at: float) -> float:
-    return 0
-
-
 @frozen
 class Leave:
     """A replica that stated from a time on that it leaves."""
@@ -113,28 +110,23 @@
     stating: StatingReplicas,
     results: Collection[RequestResult],
     verdict: Verdict,
-    queued_s: Callable[[str, float], float] = _never_queued,
+    links: NarrowLinks,
 ) -> None:
     """Check that each entry respected what it was told, by arrivals.
 
     The store's disturbances excuse nothing: the entry was told by the replica.
-    A request that was in a queue on its way counts as sent so long before it
-    arrived, as ``queued_s`` tells for an engine and a time of arrival.
+    What was in a queue of a link counts from when it entered it, if it is a
+    request, and from when it left it, if it is an answer that says so.
     """
     entries = {each.request_id: each.entry for each in results}
     for leave in stating.leaves:
-        _check_leave(leave, stating, results, entries, verdict, queued_s)
+        _check_leave(leave, stating, results, entries, verdict, links)
     for incarnation in stating.fleet.all_incarnations():
-        _check_pauses(incarnation.replica, stating, entries, verdict, queued_s)
+        _check_pauses(incarnation.replica, stating, entries, verdict, links)
 
 
-def _sent_at(
-    replica: FleetReplica,
-    arrived_at: float,
-    queued_s: Callable[[str, float], float],
-) -> float:
-    engine = replica.id.partition('.')[0]
-    return arrived_at - queued_s(engine, arrived_at)
+def _engine_of(replica: FleetReplica) -> str:
+    return replica.id.partition('.')[0]
 
 
 def _check_leave(
@@ -143,7 +135,7 @@
     results: Collection[RequestResult],
     entries: dict[str, str],
     verdict: Verdict,
-    queued_s: Callable[[str, float], float],
+    links: NarrowLinks,
 ) -> None:
     told_at = _told_at(leave, results)
     # Requests for another replica, which get 421, don't count for one that leaves.
@@ -152,7 +144,7 @@
     for at, request_id in sorted(arrivals):
         entry = entries.get(request_id, '')
         since = told_at.get(entry)
-        sent_at = _sent_at(leave.replica, at, queued_s)
+        sent_at = links.sent_at(_engine_of(leave.replica), at)
         if since is None or sent_at <= since + NOTICE_S:
             continue
         if not _is_excused(stating.chaos, entry, since, at):
@@ -184,7 +176,7 @@
     stating: StatingReplicas,
     entries: dict[str, str],
     verdict: Verdict,
-    queued_s: Callable[[str, float], float],
+    links: NarrowLinks,
 ) -> None:
     for at, request_id, pause_s in replica.stated.pauses:
         entry = entries.get(request_id, '')
@@ -192,11 +184,13 @@
             continue
         verdict.ends['pauses asked for'] += 1
         until = at + float(pause_s)
+        engine = _engine_of(replica)
+        noticed_at = links.told_at(engine, at) + NOTICE_S
         late = [
             arrived_at
             for arrived_at in _arrivals_of(entry, replica, entries)
-            if at + NOTICE_S < arrived_at < until
-            and at + NOTICE_S < _sent_at(replica, arrived_at, queued_s)
+            if noticed_at < arrived_at < until
+            and noticed_at < links.sent_at(engine, arrived_at)
         ]
         if len(late) > MAX_PAUSE_ARRIVALS and not _is_excused(
             stating.chaos, entry, at, late[MAX_PAUSE_ARRIVALS]
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -134,7 +134,7 @@
             stating,
             [*results, *fatal_results],
             verdict,
-            narrow_links.queued_s,
+            narrow_links,
         )
         check_store_returns(store_returns, chaos, verdict)
         problems += chaos.problems
