--- a/scripts/_platform_seeds.py
+++ b/scripts/_platform_seeds.py
@@ -9,7 +9,8 @@
     ),
     3: (
         'the origin sent the same wrong digest to all hosts for a second; '
-        'the manifest was trusted permanently'
+        'the manifest was trusted permanently. Also: an engine that had taken '
+        'no order was replaced, and its successor took its first one'
     ),
     2: (
         'the stand-in of a crashed replica kept answering on open '
