Tests: ports that no outgoing connection of another process can take

A test's port was ephemeral, and taken before the test listened on it; the entry failed to start and leaked its gRPC server, which the next event loops shared. A busy port on purpose gives the same failures and the same stack. Single ports now come from below the range of ephemeral ports, as the ranges of a fleet do.

--- a/tests/support/ports.py
+++ b/tests/support/ports.py
@@ -10,14 +10,29 @@
 _LAST = 32_000
 """Below the ephemeral ports of the operating system."""
 
+_FIRST_SINGLE = 10_000
+_SINGLE_COUNT = 10_000
+_next_single = itertools.count(os.getpid() * 101)
+
 _reservations: list[socket.socket] = []
 
 
 def free_port(address: str = '127.0.0.1') -> int:
-    """Return a TCP port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((address, 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that nothing uses.
+
+    It is no ephemeral port: another process could connect from it before the
+    test listens there. An entry that can't listen leaks its gRPC server, and
+    all later tests of the process fail.
+    """
+    for index in itertools.islice(_next_single, _SINGLE_COUNT):
+        port = _FIRST_SINGLE + index % _SINGLE_COUNT
+        with socket.socket() as sock:
+            try:
+                sock.bind((address, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError('the ports ran out')
 
 
 def claimed_range(count: int) -> tuple[int, int]:
