Tests: an end that arrives while the reader holds the body back

A FIN and a reset that arrive unread, and a caller that reads slowly while a stream without framing ends within an event. Both pass: no test covered them.

--- a/tests/fleet/test_body_ends.py
+++ b/tests/fleet/test_body_ends.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from crowrudder_daemon.fleet_entry._caller_side import CallerSide
 from crowrudder_standins import fleet_replica
 from crowrudder_standins.fleet_replica import body_of, stream_of
 from support.fleet_checks import all_runs, checked, fault, inject_fault_all
@@ -105,6 +106,33 @@
         checked(check)
 
 
+class TestSlowReader:
+    """Guards against a FIN that arrives while the caller holds the stream back."""
+
+    @pytest.mark.parametrize('end', ['whole', 'within an event'])
+    @pytest.mark.parametrize('path', ['/draft/x', '/once/x'])
+    def test_its_stream_is_whole_or_looks_truncated(
+        self, end, path, monkeypatch
+    ):
+        push = CallerSide.push
+
+        def push_slowly(side, piece):
+            push(side, piece)
+            return asyncio.ensure_future(asyncio.sleep(0.1))
+
+        monkeypatch.setattr(CallerSide, 'push', push_slowly)
+
+        async def check(world):
+            break_once(world, 'e', ('unframed', *ENDS[end]))
+            answer = await world.ask(path, method='POST', request_id='a')
+            is_whole = end == 'whole' or path == '/draft/x'
+            assert answer.cut != is_whole
+            assert (answer.body == stream_of('a')) == is_whole
+            assert answer.body.endswith(b'\n\n')
+
+        checked(check)
+
+
 class TestPlainAnswersByFramingAndEnd:
     """Guards against the head of an answer that is taken for all of it."""
 
--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -7,6 +7,7 @@
 import pytest
 from attrs import evolve
 
+from crowrudder_core.dispatch import BodyEnd
 from crowrudder_daemon.http import (
     BrokenAnswerError,
     ConnectionPool,
@@ -90,6 +91,47 @@
         run(check())
 
 
+class TestRelayHeldBack:
+    """Guards against an end that arrives unread while the reader is slow."""
+
+    @pytest.mark.parametrize(
+        ('ending', 'expected'), [('close', BodyEnd.FIN), ('reset', None)]
+    )
+    def test_the_end_is_judged_after_all_bytes(self, ending, expected):
+        async def check():
+            size = 3 * READ_AHEAD_BYTES
+            text = b'HTTP/1.1 200 OK\r\n\r\n' + bytes(size)
+            consumed: list[bytes] = []
+            async with serving([text], **{ending: True}) as server:
+                conn = await ConnectionPool().acquire(
+                    server.address, timeout_s=1
+                )
+                conn.send(GET)
+                await conn.head()
+                released = asyncio.get_running_loop().create_future()
+
+                def consume(part):
+                    consumed.append(part)
+                    return released
+
+                relay = asyncio.ensure_future(conn.relay(consume, pause_s=1))
+                await asyncio.sleep(0.1)
+                held_back = len(b''.join(consumed))
+                assert held_back < size
+                assert not relay.done()
+                released.set_result(None)
+                if expected is None:
+                    with pytest.raises(BrokenAnswerError):
+                        await relay
+                    assert conn.body_end is BodyEnd.RESET
+                else:
+                    await relay
+                    assert conn.body_end is expected
+                    assert len(b''.join(consumed)) == size
+
+        run(check())
+
+
 class TestProgress:
     def test_bytes_are_reported_as_they_arrive(self):
         """A read that made progress was counted as stalled.
