Tests: forecast, quarantine and log ask whether an answer is proven whole

Three mutants survived: an assumed end that lifts an avoidance, one that no later answer confirms, and a log that calls it complete. Each has a test now.

--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -313,6 +313,10 @@
         names = ('framing', 'body_end', 'events')
         found = (*(line[name] for name in names), line.get('rest_bytes', 0))
         assert found == expected
+        if not {'cut', 'half_event', 'half_first'} & set(faults):
+            is_assumed = 'unframed' in faults
+            completeness = 'assumed' if is_assumed else 'complete'
+            assert line['completeness'] == completeness
 
     @pytest.mark.parametrize(
         ('fault_name', 'told'), [('slow', 'whole'), ('cut', 'truncated')]
--- a/tests/fleet/test_body_ends.py
+++ b/tests/fleet/test_body_ends.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from crowrudder_core.quarantine import _unconfirmed
+from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._caller_side import CallerSide
 from crowrudder_standins import fleet_replica
 from crowrudder_standins.fleet_replica import body_of, stream_of
@@ -188,6 +190,38 @@
         checked(check)
 
 
+class TestAnswerThatIsNotProvenWhole:
+    """Guards against an entry that acts on an assumed end as on a proven one."""
+
+    def test_its_upstream_stays_avoided(self):
+        async def check(world):
+            break_all(world, 'unframed')
+            (forecast,) = world.entries[0].upstreams._table.by_id.values()
+            avoid_until = clock_s() + 60
+            forecast.avoid_until = avoid_until
+            answer = await world.ask('/draft/x', method='POST', request_id='a')
+            assert answer.body == stream_of('a')
+            assert forecast.avoid_until == avoid_until
+
+        checked(check, engines=1, plain=0)
+
+    def test_a_later_answer_proves_that_its_upstream_outlived_it(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(_unconfirmed, 'ALIVE_AFTER_S', 0)
+
+        async def check(world):
+            inject_fault_all(world, 'p', 'unframed', None)
+            quarantine = world.entries[0].requests._context.quarantine
+            completed = quarantine._core._ledger._completed_at
+            await world.ask('/read/x', request_id='a')
+            assert not completed
+            await world.ask('/read/x', request_id='b')
+            assert len(completed) == 1
+
+        checked(check, engines=0, plain=1)
+
+
 class TestStreamWithoutFraming:
     """Guards against a FIN within an event that is taken for the end."""
 
