--- a/tests/http/test_connection.py
+++ b/tests/http/test_connection.py
@@ -91,6 +91,28 @@
         run(check())
 
 
+class TestAnswersWithoutBody:
+    """Guards against a bodiless answer that counts as truncated."""
+
+    @pytest.mark.parametrize(
+        ('method', 'status'),
+        [('HEAD', b'200 OK'), ('GET', b'204 No'), ('GET', b'304 No')],
+    )
+    def test_it_ends_with_its_head(self, method, status):
+        async def check():
+            text = b'HTTP/1.1 ' + status + b'\r\n\r\n'
+            async with serving([text]) as server:
+                conn = await ConnectionPool().acquire(
+                    server.address, timeout_s=1
+                )
+                conn.send(evolve(GET, method=method))
+                await conn.answer(max_bytes=1000)
+                assert conn.body_end is BodyEnd.FRAMING
+                conn.close()
+
+        run(check())
+
+
 class TestRelayHeldBack:
     """Guards against an end that arrives unread while the reader is slow."""
 
