Answers: one place knows what an empty answer is

Attempt and Fetcher each worked out whether an answer has nothing in it; the rule takes status and size itself now. Attempt.is_complete, beside a completeness, is is_streamed: whether a stream was forwarded up to its end. No decision changes.

--- a/packages/core/src/crowrudder_core/dispatch/_body_end.py
+++ b/packages/core/src/crowrudder_core/dispatch/_body_end.py
@@ -4,6 +4,8 @@
 
 import enum
 
+_FIRST_NON_SUCCESS_STATUS = 300
+
 
 class Framing(enum.Enum):
     """What tells the end of a body to its receiver."""
@@ -47,25 +49,22 @@
     TRUNCATED = 'truncated'
 
 
-def answer_completeness(end: BodyEnd, *, is_empty: bool) -> Completeness:
-    """Return whether an answer is whole.
+def answer_completeness(
+    end: BodyEnd, *, status: int, size: int
+) -> Completeness:
+    """Return whether an answer that is no stream is whole.
 
     Parameters
     ----------
     end
         How its body ended.
-    is_empty
-        Whether it promises content and has none: a success without a byte, a
-        stream without an event. An upstream that means it sends a length of 0
-        or a last chunk; one that crashes after the head does not.
+    status
+        Its status. A success promises content; others say enough themselves.
+    size
+        Bytes of its body.
     """
-    match end:
-        case BodyEnd.FRAMING:
-            return Completeness.COMPLETE
-        case BodyEnd.FIN if not is_empty:
-            return Completeness.ASSUMED
-        case _:
-            return Completeness.TRUNCATED
+    is_empty = status < _FIRST_NON_SUCCESS_STATUS and not size
+    return _completeness(end, is_empty=is_empty)
 
 
 def stream_completeness(
@@ -84,7 +83,22 @@
     """
     if _ends_within_event(rest):
         return Completeness.TRUNCATED
-    return answer_completeness(end, is_empty=not has_events)
+    return _completeness(end, is_empty=not has_events)
+
+
+def _completeness(end: BodyEnd, *, is_empty: bool) -> Completeness:
+    """Return whether a body is whole, as far as its end tells.
+
+    An upstream that means to send nothing says so by a length of 0 or a last
+    chunk; one that crashes after the head does not.
+    """
+    match end:
+        case BodyEnd.FRAMING:
+            return Completeness.COMPLETE
+        case BodyEnd.FIN if not is_empty:
+            return Completeness.ASSUMED
+        case _:
+            return Completeness.TRUNCATED
 
 
 def has_field(lines: bytes) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/fetch/_fetch.py
+++ b/packages/daemon/src/crowrudder_daemon/fetch/_fetch.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -188,15 +187,12 @@
 
 
 def _answer(conn: HttpConnection, wire_answer: WireAnswer) -> Answer:
-    status = wire_answer.head.status
-    is_success = status < HTTPStatus.MULTIPLE_CHOICES
+    status, body = wire_answer.head.status, wire_answer.body
     return Answer(
         status,
         wire_answer.head.headers,
-        wire_answer.body,
-        answer_completeness(
-            conn.body_end, is_empty=is_success and not wire_answer.body
-        ),
+        body,
+        answer_completeness(conn.body_end, status=status, size=len(body)),
     )
 
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -115,7 +115,9 @@
     _dialect: CallerProtocol
     _upstreams: Upstreams
     answer: WireAnswer | None = field(default=None, init=False)
-    is_complete: bool = field(default=False, init=False)
+    is_streamed: bool = field(default=False, init=False)
+    """Whether a stream was forwarded up to its end."""
+
     time_to_first_event_s: float = field(default=-1, init=False)
     sent_at: float = field(default=0, init=False)
     load_report_age_s: float = field(default=-1, init=False)
@@ -370,9 +372,8 @@
                 step='answer',
                 peer=conn.peer,
             )
-        is_success = head.status < FIRST_NON_SUCCESS_STATUS
         completeness = answer_completeness(
-            conn.body_end, is_empty=is_success and not size
+            conn.body_end, status=head.status, size=size
         )
         self._check_whole(conn, completeness)
         self._upstreams.pool.keep(conn, head)
@@ -401,7 +402,7 @@
         self._check_whole(conn, completeness)
         await self._forward(head, self.events.rest())
         self._upstreams.pool.keep(conn, head)
-        self.is_complete = True
+        self.is_streamed = True
         self._record_completion(completeness, is_good=True)
         return Answered(head.status, completeness)
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -220,7 +220,7 @@
         return Fail(reason) if self.side.has_begun else Reject(reason)
 
     def _next_step(self, attempt: Attempt, ending: AttemptOutcome) -> Decision:
-        if attempt.is_complete:
+        if attempt.is_streamed:
             return Relay()
         if self.context.quarantine.is_quarantined(self.digest):
             return self._reject_quarantined()
--- a/tests/dispatch/test_body_end.py
+++ b/tests/dispatch/test_body_end.py
@@ -37,15 +37,19 @@
         ],
     )
     def test_only_its_own_framing_proves_it_complete(self, end, expected):
-        assert answer_completeness(end, is_empty=False) is expected
+        assert answer_completeness(end, status=200, size=1) is expected
 
     def test_an_orderly_end_after_the_head_is_no_answer(self):
         """Guards against a crash after the head that is taken for an answer."""
-        completeness = answer_completeness(BodyEnd.FIN, is_empty=True)
+        completeness = answer_completeness(BodyEnd.FIN, status=200, size=0)
         assert completeness is Completeness.TRUNCATED
 
+    def test_a_failure_needs_no_content(self):
+        completeness = answer_completeness(BodyEnd.FIN, status=500, size=0)
+        assert completeness is Completeness.ASSUMED
+
     def test_an_answer_may_say_itself_that_it_is_empty(self):
-        completeness = answer_completeness(BodyEnd.FRAMING, is_empty=True)
+        completeness = answer_completeness(BodyEnd.FRAMING, status=200, size=0)
         assert completeness is Completeness.COMPLETE
 
 
