Silent upstreams: log lines, fields and a counter that tell why a stream was cut

An entry's line said that an upstream was 'silent for too long', but neither for how long, after which event, how many other runs were silent there, how late its own loop was, nor which step then refused another attempt. Three hypotheses on streams that entries closed around a configuration couldn't be told apart.

An attempt that is given up has silent_s, after_event, others_silent and loop_late_s, a request has denied_by; 'upstream fell silent' and 'upstream speaks again' come once for an upstream; streams_cut_at_work counts by reason. When a request is given up is unchanged.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -23,6 +23,7 @@
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet.ports import SendTerms
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
+from crowrudder_daemon.fleet_entry._run_activity import RunActivity
 from crowrudder_daemon.fleet_entry._statement_reader import StatementReader
 from crowrudder_daemon.fleet_entry._version_end import MIN_START_WINDOW_S
 from crowrudder_daemon.http import (
@@ -44,6 +45,7 @@
     )
     from crowrudder_daemon.fleet_entry._caller_side import CallerSide
     from crowrudder_daemon.fleet_entry._delivery import Delivery
+    from crowrudder_daemon.fleet_entry._silence_watch import Silence
     from crowrudder_daemon.fleet_entry._timeouts import AttemptTimeouts
     from crowrudder_daemon.fleet_entry._upstreams import Upstreams
     from crowrudder_daemon.http import HttpConnection, WireHead
@@ -130,6 +132,9 @@
     connect_s: float = field(default=-1, init=False)
     delivery: Delivery | None = field(default=None, init=False)
     cancellation: Cancellation | None = field(default=None, init=False)
+    silence: Silence | None = field(default=None, init=False)
+    """Why the run was given up, if its upstream was silent."""
+
     is_cut_off: bool = field(default=False, init=False)
     """Whether the upstream closed the connection before its answer ended."""
 
@@ -149,6 +154,8 @@
     _ticket: int = field(default=0, init=False)
     _wait: asyncio.Timeout | None = field(default=None, init=False)
     _last_event_at: float = field(default=math.inf, init=False)
+    activity: RunActivity = field(init=False)
+    """What arrives from the upstream, once the request has been sent."""
 
     def __attrs_post_init__(self) -> None:
         """Initialise the deadline to begin and the reader of statements."""
@@ -215,6 +222,13 @@
         if math.isfinite(begin_left_s):
             self.begin_left_s = begin_left_s
         self._ticket = self._upstreams.add_pending(self)
+        self.activity = RunActivity(
+            upstream_id=upstream.id,
+            first_s=self.timeouts.first_s,
+            pause_s=self.timeouts.pause_s,
+            heard_at=now,
+        )
+        self._upstreams.silences.add(self.activity)
         forecast = self.choice.forecast
         self.load_report_age_s = forecast.load_report_age_s(now)
         memory = self.choice.memory_of(
@@ -241,9 +255,14 @@
                 self._record_cancellation(unsent_bytes)
                 return Broken('not begun as its version ends')
             self._record_failure()
+            if isinstance(exc, TimeoutError):
+                self.silence = self._upstreams.silences.describe(
+                    self.activity, after_event=self.events.last_id
+                )
             return Broken(str(exc) or 'silent for too long')
         finally:
             self._upstreams.remove_pending(self._ticket)
+            self._upstreams.silences.remove(self.activity)
             for each in self.choice.forecasts:
                 each.on_ended(self._ticket)
 
@@ -344,6 +363,7 @@
 
     async def _read(self, conn: HttpConnection) -> AttemptOutcome:
         head, metadata = await self._matching_head(conn)
+        self.activity.on_heard()
         self.time_to_head_s = clock_s() - self.sent_at
         if metadata.not_run:
             return await self._not_run(conn, head, metadata)
@@ -463,25 +483,32 @@
 
     def _push(self, part: bytes) -> asyncio.Future[None] | None:
         """Forward the events that a part of the body completes."""
+        self.activity.on_heard()
         complete_events = self.events.take(part)
         if not complete_events:
             return None
         self._record_pause()
-        return self._side.push(complete_events)
+        held = self._side.push(complete_events)
+        self.activity.on_held(held)
+        return held
 
     async def _read_part(
         self, conn: HttpConnection, *, has_begun: bool
     ) -> bytes | None:
         if has_begun:
             async with asyncio.timeout(self.timeouts.pause_s):
-                return await conn.part()
+                part = await conn.part()
+            self.activity.on_heard()
+            return part
         # An upstream may send the head of its answer before it begins. If only
         # the head had to arrive by `begin_by`, a request that has not begun
         # would be cancelled up to `pause_s` too late; the log shows this as
         # `late_s` together with a `head_s`.
         left_s = min(self.timeouts.pause_s, self.begin_by - clock_s())
         async with self._waiting(left_s):
-            return await conn.part()
+            part = await conn.part()
+        self.activity.on_heard()
+        return part
 
     @contextlib.asynccontextmanager
     async def _waiting(self, left_s: float) -> AsyncIterator[None]:
@@ -522,6 +549,7 @@
             return
         now = clock_s()
         self.time_to_first_event_s = now - self.sent_at
+        self.activity.has_begun = True
         delivery = self.delivery
         self.choice.forecast.on_begun(
             self._ticket,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -56,6 +56,11 @@
         line['leaving'] = True
     if statements.pause_s is not None:
         line['asked_pause_s'] = statements.pause_s
+    if attempt.silence is not None:
+        line['silent_s'] = round(attempt.silence.silent_s, 3)
+        line['after_event'] = attempt.silence.after_event
+        line['others_silent'] = attempt.silence.others
+        line['loop_late_s'] = round(attempt.silence.loop_late_s, 3)
     cancellation = attempt.cancellation
     if cancellation is not None:
         line['late_s'] = round(cancellation.late_s, 3)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_context.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_context.py
@@ -37,6 +37,7 @@
     _first_send: Any = field(init=False)
     _body_ends: Any = field(init=False)
     region_refusals: Any = field(init=False)
+    cuts_at_work: Any = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Declare the metrics of requests."""
@@ -69,6 +70,12 @@
             'Requests refused as no region that may serve them can.',
         )
 
+        self.cuts_at_work = metrics.counter(
+            'streams_cut_at_work',
+            'Streams cut though their upstream was at work, by reason.',
+            labels=('reason',),
+        )
+
         self._body_ends = metrics.counter(
             'fleet_body_ends',
             'Answers of upstreams by what delimited them and how they ended.',
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -15,6 +15,7 @@
     Dispatch,
     EventStream,
     Fail,
+    NotRun,
     NotSent,
     Refuse,
     Reject,
@@ -91,6 +92,9 @@
     _terms: AdmissionTerms = field(init=False)
     _is_admitted: bool = field(default=False, init=False)
     _refusal: ForecastRefusal | None = field(default=None, init=False)
+    _denied_by: str = field(default='', init=False)
+    """Which step refused another attempt, for the log."""
+
     _first_s: float = field(default=-1, init=False)
     _sent_s: float = field(default=-1, init=False)
 
@@ -160,14 +164,17 @@
         while True:
             refusal = self._quarantine_refusal()
             if refusal is not None:
+                self._denied_by = 'quarantine'
                 return refusal
             is_retryable = self._is_retryable
             self._terms = self.context.admission.terms_for(self._admission)
             choice = self._choose(is_retryable=is_retryable)
             if choice is None:
+                self._denied_by = 'choice'
                 return self._refuse_without_upstream()
             refusal = self._forecast_refusal(choice)
             if refusal is not None:
+                self._denied_by = 'forecast'
                 return refusal
             attempt = self._create_attempt(choice, is_retryable=is_retryable)
             self._current_attempt = attempt
@@ -175,6 +182,7 @@
             self._current_attempt = None
             self._record_attempt(attempt, ending)
             self._report_incarnations(attempt, ending)
+            self._denied_by = _denier_of(ending)
             next_step = self._next_step(attempt, ending)
             if not isinstance(next_step, SendAgain):
                 if isinstance(next_step, Relay):
@@ -276,8 +284,12 @@
 
     def _spend_retry(self) -> bool:
         if not self.context.quarantine.may_retry(self.digests):
+            self._denied_by = 'quarantine'
+            return False
+        if not self.context.upstreams.spend_retry(self.admitted.service):
+            self._denied_by = 'budget'
             return False
-        return self.context.upstreams.spend_retry(self.admitted.service)
+        return True
 
     def _choose(self, *, is_retryable: bool) -> Choice | None:
         return self.context.upstreams.choose(
@@ -443,6 +455,7 @@
 
     async def _fail(self, status: HTTPStatus, reason: str) -> None:
         if self.side.has_begun:
+            self._count_cut()
             self.side.abort()
         else:
             await self._send_error(
@@ -450,6 +463,14 @@
             )
         self._record_end('failed', status, reason=reason)
 
+    def _count_cut(self) -> None:
+        """Count a stream that is cut though no upstream broke it off."""
+        if self._is_cut_off:
+            return
+        is_late = clock_s() >= self.dispatch.deadline_at
+        reason = 'deadline' if is_late else self._denied_by or 'other'
+        self.context.cuts_at_work.add(reason=reason)
+
     async def _send_error(self, answer: ErrorAnswer) -> None:
         try:
             await send_error(self.side, self.context.dialect, self.call, answer)
@@ -485,6 +506,7 @@
                 'status': int(status),
                 'reason': reason,
                 'told': self.side.told.value,
+                'denied_by': self._denied_by,
                 'route': self.admitted.route.name,
                 'service': self.admitted.service,
                 'customer': self.admitted.customer,
@@ -527,3 +549,16 @@
         if not self._is_cut_off or not self.call.shared_parts:
             return {}
         return {'parts': list(self.call.shared_parts)}
+
+
+def _denier_of(ending: AttemptOutcome) -> str:
+    """Return which step an attempt's outcome names as its end."""
+    match ending:
+        case NotSent():
+            return 'send'
+        case NotRun():
+            return 'upstream'
+        case Broken():
+            return 'sends'
+        case _:
+            return ''
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
@@ -0,0 +1,62 @@
+"""What arrives from the upstream of one run, and since when nothing did."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from crowrudder_daemon._clock import clock_s
+
+if TYPE_CHECKING:
+    import asyncio
+
+
+@define(kw_only=True, eq=False)
+class RunActivity:
+    """The activity of a run that was sent.
+
+    Parameters
+    ----------
+    upstream_id
+        Incarnation id of its upstream.
+    first_s, pause_s
+        Longest silence in seconds before and after its first event.
+    heard_at
+        When something arrived last; at first, when the run was sent.
+    """
+
+    upstream_id: str
+    first_s: float
+    pause_s: float
+    heard_at: float
+    has_begun: bool = False
+    _held: asyncio.Future[None] | None = field(default=None, init=False)
+    """Done once the caller has taken what it was sent."""
+
+    def on_heard(self) -> None:
+        """Record that bytes arrived."""
+        self.heard_at = clock_s()
+
+    def on_held(self, held: asyncio.Future[None] | None) -> None:
+        """Record that the caller holds back the upstream's bytes until then."""
+        self._held = held
+        if held is not None:
+            held.add_done_callback(self._on_taken)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether nothing arrived for longer than the run allows.
+
+        What a slow caller holds back isn't the upstream's silence.
+        """
+        if self._held is not None and not self._held.done():
+            return False
+        limit_s = self.pause_s if self.has_begun else self.first_s
+        return now - self.heard_at >= limit_s
+
+    def excuse(self, late_s: float) -> None:
+        """Discount a time in which this process could not have read."""
+        self.heard_at += late_s
+
+    def _on_taken(self, _taken: asyncio.Future[None]) -> None:
+        self.heard_at = clock_s()
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
@@ -0,0 +1,151 @@
+"""Find runs whose upstream has been silent for too long."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from crowrudder_daemon._clock import clock_s
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from crowrudder_daemon.fleet_entry._run_activity import RunActivity
+    from crowrudder_daemon.process import Runtime
+
+POLL_INTERVAL_S = 0.1
+"""Interval of checks while any run is open. A timer for each run would cost
+more, as nearly every run ends before its limit."""
+
+LATENESS_KEPT_S = 5.0
+"""How long late checks are remembered for the log lines of silent runs."""
+
+
+@frozen(kw_only=True)
+class Silence:
+    """The silence of one run, as it was when the entry acted on it.
+
+    Attributes
+    ----------
+    silent_s
+        Seconds since the upstream sent anything for the run.
+    after_event
+        Id of the last event before it; empty before the first one.
+    others
+        How many other runs at the upstream were silent as well.
+    loop_late_s
+        How late the event loop was at worst since the silence began.
+    """
+
+    silent_s: float
+    after_event: str
+    others: int
+    loop_late_s: float
+
+
+class SilenceWatch:
+    """Checks the runs of this entry and logs silent upstreams."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._log = runtime.log
+        self._runs: set[RunActivity] = set()
+        self._silent_since: dict[str, float] = {}
+        self._late: deque[tuple[float, float]] = deque()
+        self._timer: asyncio.TimerHandle | None = None
+        self._due_at = 0.0
+        self._silences = runtime.metrics.counter(
+            'upstream_silences',
+            'Times at which runs at an upstream fell silent.',
+        )
+
+    def add(self, run: RunActivity) -> None:
+        """Watch a run that was sent."""
+        self._runs.add(run)
+        if self._timer is None:
+            self._schedule()
+
+    def remove(self, run: RunActivity) -> None:
+        """Stop watching a run that has ended."""
+        self._runs.discard(run)
+
+    def describe(self, run: RunActivity, *, after_event: str) -> Silence:
+        """Return the silence of a run as of now."""
+        now = clock_s()
+        heard_at = run.heard_at
+        others = sum(
+            each is not run
+            and each.upstream_id == run.upstream_id
+            and each.is_silent(now)
+            for each in self._runs
+        )
+        return Silence(
+            silent_s=now - heard_at,
+            after_event=after_event,
+            others=others,
+            loop_late_s=max(
+                (late_s for at, late_s in self._late if at >= heard_at),
+                default=0,
+            ),
+        )
+
+    def _schedule(self) -> None:
+        self._due_at = clock_s() + POLL_INTERVAL_S
+        self._timer = asyncio.get_running_loop().call_later(
+            POLL_INTERVAL_S, self._poll
+        )
+
+    def _poll(self) -> None:
+        now = clock_s()
+        self._record_lateness(now)
+        silent = [run for run in self._runs if run.is_silent(now)]
+        self._log_changes(silent, now)
+        self._timer = None
+        if self._runs:
+            self._schedule()
+
+    def _record_lateness(self, now: float) -> None:
+        """Excuse the runs while this process did not read their sockets."""
+        late_s = now - self._due_at
+        while self._late and self._late[0][0] < now - LATENESS_KEPT_S:
+            self._late.popleft()
+        if late_s < POLL_INTERVAL_S:
+            return
+        self._late.append((now, late_s))
+        for run in self._runs:
+            run.excuse(late_s)
+
+    def _log_changes(self, silent: Iterable[RunActivity], now: float) -> None:
+        runs = Counter(run.upstream_id for run in silent)
+        if not runs and not self._silent_since:
+            return
+        for upstream_id, count in runs.items():
+            if upstream_id not in self._silent_since:
+                self._silent_since[upstream_id] = now
+                self._silences.add()
+                self._log.info(
+                    'upstream fell silent',
+                    extra={
+                        'step': 'silence',
+                        'upstream': upstream_id,
+                        'silent_runs': count,
+                        'runs': self._runs_at(upstream_id),
+                    },
+                )
+        for upstream_id in self._silent_since.keys() - runs.keys():
+            since = self._silent_since.pop(upstream_id)
+            left = self._runs_at(upstream_id)
+            self._log.info(
+                'upstream speaks again' if left else 'silent runs ended',
+                extra={
+                    'step': 'silence',
+                    'upstream': upstream_id,
+                    'logged_silent_s': round(now - since, 3),
+                    'runs': left,
+                },
+            )
+
+    def _runs_at(self, upstream_id: str) -> int:
+        return sum(run.upstream_id == upstream_id for run in self._runs)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -29,6 +29,7 @@
     cold_terms,
     retry_after_s,
 )
+from crowrudder_daemon.fleet_entry._silence_watch import SilenceWatch
 from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_capacity import UpstreamCapacity
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
@@ -106,6 +107,7 @@
             window_s=bounds.retry_window_s,
         )
         self.deliveries = DeliveryWatch()
+        self.silences = SilenceWatch(runtime)
         self.probe = UpstreamProbe(
             runtime, self.pool, quarantine, view.evacuations
         )
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -147,6 +147,11 @@
             deliveries=SimpleNamespace(
                 start=lambda *_, **_more: None, finish=lambda _: None
             ),
+            silences=SimpleNamespace(
+                add=lambda _: None,
+                remove=lambda _: None,
+                describe=lambda *_, **_more: None,
+            ),
             statements=SimpleNamespace(
                 key_of=lambda _: None, on_answer=lambda *_: None
             ),
--- /dev/null
+++ b/tests/fleet/test_silence_watch.py
@@ -0,0 +1,122 @@
+"""Log lines and figures of silent upstreams, with a fake clock."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from crowrudder_daemon.fleet_entry import _run_activity, _silence_watch
+from crowrudder_daemon.fleet_entry._run_activity import RunActivity
+from crowrudder_daemon.fleet_entry._silence_watch import (
+    POLL_INTERVAL_S,
+    SilenceWatch,
+)
+from crowrudder_daemon.metrics import Metrics
+from support.aio import run
+
+PAUSE_S = 0.9
+
+
+class World:
+    """A watch whose checks happen when a test says so."""
+
+    def __init__(self, monkeypatch, caplog):
+        self.now = 1000.0
+        for module in (_run_activity, _silence_watch):
+            monkeypatch.setattr(module, 'clock_s', lambda: self.now)
+        monkeypatch.setattr(SilenceWatch, '_schedule', lambda _: None)
+        caplog.set_level(logging.INFO)
+        self._caplog = caplog
+        runtime: Any = SimpleNamespace(
+            log=logging.getLogger('test'), metrics=Metrics()
+        )
+        self.watch = SilenceWatch(runtime)
+
+    def run_at(self, upstream_id):
+        run = RunActivity(
+            upstream_id=upstream_id,
+            first_s=PAUSE_S,
+            pause_s=PAUSE_S,
+            heard_at=self.now,
+        )
+        self.watch.add(run)
+        return run
+
+    def pass_s(self, span_s, *, late_s=0.0):
+        self.now += span_s
+        self.watch._due_at = self.now
+        self.now += late_s
+        self.watch._poll()
+
+    def lines(self):
+        return [record.message for record in self._caplog.records]
+
+
+@pytest.fixture
+def world(monkeypatch, caplog):
+    return World(monkeypatch, caplog)
+
+
+class TestLogLines:
+    """Guards against a log from which no one learns that an upstream was silent."""
+
+    def test_a_line_as_it_falls_silent_and_as_it_speaks(self, world):
+        silent = [world.run_at('e0'), world.run_at('e0')]
+        other = world.run_at('e1')
+        world.pass_s(PAUSE_S / 2)
+        other.on_heard()
+        assert not world.lines()
+        world.pass_s(0.6 * PAUSE_S)
+        assert world.lines() == ['upstream fell silent']
+        for each in silent:
+            each.on_heard()
+        world.pass_s(PAUSE_S / 9)
+        assert world.lines() == [
+            'upstream fell silent',
+            'upstream speaks again',
+        ]
+
+    def test_runs_that_end_while_silent(self, world):
+        run_of = world.run_at('e0')
+        world.pass_s(2 * PAUSE_S)
+        world.watch.remove(run_of)
+        world.pass_s(POLL_INTERVAL_S)
+        assert world.lines() == ['upstream fell silent', 'silent runs ended']
+
+    def test_the_others_that_are_silent_there(self, world):
+        first, *_ = (world.run_at(name) for name in ('e0', 'e0', 'e0', 'e1'))
+        world.pass_s(2 * PAUSE_S)
+        silence = world.watch.describe(first, after_event='7')
+        assert (silence.others, silence.after_event) == (2, '7')
+        assert silence.silent_s == pytest.approx(2 * PAUSE_S)
+
+
+class TestWhoseSilence:
+    """Guards against a silence that is charged to the upstream but isn't its own."""
+
+    def test_a_pause_of_this_process_is_excused(self, world):
+        run_of = world.run_at('e0')
+        world.pass_s(PAUSE_S / 2, late_s=2 * PAUSE_S)
+        assert not run_of.is_silent(world.now)
+        assert not world.lines()
+        silence = world.watch.describe(run_of, after_event='')
+        assert silence.loop_late_s == pytest.approx(2 * PAUSE_S)
+
+    def test_what_a_slow_caller_holds_back_is_excused(self, world):
+        async def check():
+            held = asyncio.get_running_loop().create_future()
+            run_of = world.run_at('e0')
+            run_of.on_held(held)
+            world.pass_s(2 * PAUSE_S)
+            assert not run_of.is_silent(world.now)
+            held.set_result(None)
+            await asyncio.sleep(0)
+            assert not run_of.is_silent(world.now)
+            world.pass_s(2 * PAUSE_S)
+            assert run_of.is_silent(world.now)
+
+        run(check())
