--- a/tests/support/scripted_engine.py
+++ b/tests/support/scripted_engine.py
@@ -105,7 +105,7 @@
 
     async def _answer(self, reader, writer):
         """Answer one request; return whether the connection stays open."""
-        fields = await _read_request(reader)
+        fields = await read_request(reader)
         request_id = fields.get(REQUEST_ID, '')
         after = int(fields.get('last-event-id') or 0)
         self.plan.runs.append(Run(request_id, after))
@@ -120,10 +120,10 @@
         inner = sorted(cut for cut in cuts if cut < len(sent))
         for first, end in pairwise((0, *inner, len(sent))):
             writer.write(sent[first:end])
-            await _wait_turns(script.turns)
+            await wait_turns(script.turns)
         if script.is_reset:
             # A reset may discard bytes that nobody has read.
-            await _wait_turns(TURNS_TO_READ)
+            await wait_turns(TURNS_TO_READ)
         if script.stalls:
             await reader.read()
         if script.is_reset and script.size is not None:
@@ -144,7 +144,7 @@
         ).encode()
 
 
-async def _read_request(reader):
+async def read_request(reader):
     head = await reader.readuntil(b'\r\n\r\n')
     fields = {}
     for line in head.decode().splitlines()[1:]:
@@ -154,7 +154,7 @@
     return fields
 
 
-async def _wait_turns(turns):
+async def wait_turns(turns):
     for _ in range(turns):
         await asyncio.sleep(0)
 
