Silent upstreams: a run is closed only once another one has begun in its place

What callers saw: a stream that ends with a closed connection though its upstream was at work, several at once at one upstream.

Cause: a run is given up before it is certain that another one takes its place. Several streams of one upstream counted on the same last retry and fell silent in the same moment.

Change: silence closes nothing. SilenceWatch finds silent runs, Succession lets a second run stand by, out of the same budget; the one that completes the next event, or a whole answer, first goes on, and the other one is closed in that turn. EventStream takes events only from the run that goes on after the last one. A second run that fails or is refused leaves the first one as it was. A retry that was never sent goes back to the budget. Urgent requests move first; the runs of one upstream move in growing numbers. The entry's own pauses and slow callers don't count as silence.

--- a/packages/core/src/crowrudder_core/dispatch/__init__.py
+++ b/packages/core/src/crowrudder_core/dispatch/__init__.py
@@ -7,6 +7,7 @@
     answer_completeness,
 )
 from crowrudder_core.dispatch._dispatch import (
+    SERVER_ERROR,
     Answered,
     AttemptOutcome,
     Broken,
@@ -20,9 +21,14 @@
     Relay,
     SendAgain,
 )
-from crowrudder_core.dispatch._events import EventSplitter, EventStream
+from crowrudder_core.dispatch._events import (
+    EventSplitter,
+    EventStream,
+    RunEvents,
+)
 
 __all__ = (
+    'SERVER_ERROR',
     'Answered',
     'BodyEnd',
     'Broken',
@@ -31,6 +37,7 @@
     'AttemptOutcome',
     'EventSplitter',
     'EventStream',
+    'RunEvents',
     'Fail',
     'Framing',
     'Decision',
--- a/packages/core/src/crowrudder_core/dispatch/_dispatch.py
+++ b/packages/core/src/crowrudder_core/dispatch/_dispatch.py
@@ -17,6 +17,7 @@
 step take."""
 
 SERVER_ERROR = 500
+"""From this status on, another upstream may give a better answer."""
 
 
 @frozen
@@ -143,6 +144,10 @@
         self.unresolved_sends += 1
         self.tried.add(upstream_id)
 
+    def on_not_run(self) -> None:
+        """Record that an upstream reports a send as not run."""
+        self.unresolved_sends -= 1
+
     def after(
         self,
         outcome: AttemptOutcome,
@@ -184,7 +189,7 @@
         now: float,
         spend_retry: Callable[[], bool],
     ) -> Decision:
-        self.unresolved_sends -= 1
+        self.on_not_run()
         if self.may_send(now) and spend_retry():
             return SendAgain()
         return self.refuse(reason)
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -48,14 +48,59 @@
         return joined[:end]
 
 
+@define(eq=False)
+class RunEvents:
+    """The events of one run, of which a stream may have two at a time.
+
+    Both were sent to go on after the same event. The first of them that
+    completes another event holds the stream from then on, and nothing of the
+    other one is forwarded any more: it would repeat what the caller has.
+    """
+
+    _stream: EventStream
+    _began_at: int
+    """Position of the stream after which the run goes on."""
+
+    events: int = 0
+    _has_event: bool = False
+    _splitter: EventSplitter = field(factory=EventSplitter)
+
+    def take(self, piece: bytes) -> bytes:
+        """Append the upstream's bytes; return what may be forwarded."""
+        complete = self._splitter.feed(piece)
+        if not complete or not self._stream.hold(self, self._began_at):
+            return b''
+        if not self._has_event:
+            self._has_event = has_field(complete)
+        self.events += self._stream.on_complete(complete)
+        return complete
+
+    def rest(self) -> bytes:
+        """Return what follows the last complete event of an ended run."""
+        return self._splitter.rest
+
+    def completeness(self, end: BodyEnd) -> Completeness:
+        """Return whether the run's stream is whole at its end."""
+        return stream_completeness(
+            end,
+            rest=self._splitter.rest,
+            has_events=self._has_event,
+        )
+
+    def finish(self) -> bool:
+        """End the stream with this run; return whether it was the run's."""
+        return self._stream.finish(self, self._began_at)
+
+
 @define
 class EventStream:
-    r"""The events that a caller has received over all attempts.
+    r"""The events that a caller has received over all runs.
 
     Example
     -------
     >>> stream = EventStream()
-    >>> stream.take(b'id: 7\ndata: a\n\n')
+    >>> run = stream.begin_run()
+    >>> run.take(b'id: 7\ndata: a\n\n')
     b'id: 7\ndata: a\n\n'
     >>> stream.last_id
     '7'
@@ -64,50 +109,49 @@
     last_id: str = ''
     events: int = 0
     longest_pause_s: float = 0
-    attempt_events: int = 0
-    """The events of the current attempt."""
-
-    _has_attempt_event: bool = False
     _forwarded_at: float | None = None
-    _splitter: EventSplitter = field(factory=EventSplitter)
-
-    def begin_attempt(self) -> None:
-        """Drop the partial event of the previous attempt."""
-        self._splitter = EventSplitter()
-        self.attempt_events = 0
-        self._has_attempt_event = False
-
-    def take(self, piece: bytes) -> bytes:
-        """Append an upstream's bytes; return what may be forwarded."""
-        complete = self._splitter.feed(piece)
-        if complete and not self._has_attempt_event:
-            self._has_attempt_event = has_field(complete)
+    _position: int = 0
+    """How often events were forwarded."""
+
+    _holder: RunEvents | None = None
+    _is_finished: bool = False
+
+    def begin_run(self) -> RunEvents:
+        """Return the events of a run that goes on after the last event."""
+        return RunEvents(self, self._position)
+
+    def hold(self, run: RunEvents, began_at: int) -> bool:
+        """Let a run continue the stream; return False if another one did."""
+        if self._is_finished:
+            return False
+        if self._holder is not run and began_at != self._position:
+            return False
+        self._holder = run
+        return True
+
+    def on_complete(self, complete: bytes) -> int:
+        """Record events that are forwarded; return how many have an id."""
+        self._position += 1
         ids = _ID_LINE.findall(complete)
         if ids:
             self.last_id = ids[-1].decode('ascii', errors='replace')
             self.events += len(ids)
-            self.attempt_events += len(ids)
-        return complete
+        return len(ids)
+
+    def finish(self, run: RunEvents, began_at: int) -> bool:
+        """Let a run end the stream; return False if another one holds it."""
+        if not self.hold(run, began_at):
+            return False
+        self._is_finished = True
+        return True
 
     def on_forwarded(self, now: float) -> float:
         """Record that events are forwarded; return the seconds since the last.
 
-        The pause counts over all attempts: a caller waits in the same way
-        while its stream is resumed elsewhere. 0 before the first event.
+        The pause counts over all runs: a caller waits in the same way while
+        its stream is resumed elsewhere. 0 before the first event.
         """
         previous_at, self._forwarded_at = self._forwarded_at, now
         pause_s = 0 if previous_at is None else now - previous_at
         self.longest_pause_s = max(self.longest_pause_s, pause_s)
         return pause_s
-
-    def rest(self) -> bytes:
-        """Return what follows the last complete event of an ended stream."""
-        return self._splitter.rest
-
-    def completeness(self, end: BodyEnd) -> Completeness:
-        """Return whether the current attempt's stream is whole at its end."""
-        return stream_completeness(
-            end,
-            rest=self._splitter.rest,
-            has_events=self._has_attempt_event,
-        )
--- a/packages/core/src/crowrudder_core/limits/_shared_budget.py
+++ b/packages/core/src/crowrudder_core/limits/_shared_budget.py
@@ -65,6 +65,16 @@
         self._window(service, now).repeats.append(now)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Return an arrival that was spent and never sent.
+
+        The oldest one is removed: whichever it was, at least as many are left
+        in any later window as have arrived.
+        """
+        window = self._windows.get(service)
+        if window is not None and window.repeats:
+            window.repeats.popleft()
+
     def has(self, service: str, *, entry_share: float, now: float) -> bool:
         """Return whether one further arrival could be spent."""
         window = self._window(service, now)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from attrs import define, field, frozen
 
@@ -17,6 +17,7 @@
     EventStream,
     NotRun,
     NotSent,
+    RunEvents,
     answer_completeness,
 )
 from crowrudder_core.forecast import InFlightRequest
@@ -25,6 +26,7 @@
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
 from crowrudder_daemon.fleet_entry._run_activity import RunActivity
 from crowrudder_daemon.fleet_entry._statement_reader import StatementReader
+from crowrudder_daemon.fleet_entry._timeouts import NO_TIMEOUT_S
 from crowrudder_daemon.fleet_entry._version_end import MIN_START_WINDOW_S
 from crowrudder_daemon.http import (
     BrokenAnswerError,
@@ -93,6 +95,16 @@
     unsent_bytes: int
 
 
+class AttemptObserver(Protocol):
+    """The request whose run an attempt is."""
+
+    def on_events(self, attempt: Attempt) -> None:
+        """Handle events that are about to be forwarded."""
+
+    def on_silent(self, attempt: Attempt) -> bool:
+        """Handle a silent upstream; return whether another run was sent."""
+
+
 @define(kw_only=True, eq=False)
 class Attempt:
     """One send to an upstream, until the answer is complete or has failed.
@@ -113,6 +125,7 @@
     customer: str
     urgency: int | None
     timeouts: AttemptTimeouts
+    observer: AttemptObserver
     dispatch: Dispatch
     events: EventStream
     is_stream: bool
@@ -133,7 +146,7 @@
     delivery: Delivery | None = field(default=None, init=False)
     cancellation: Cancellation | None = field(default=None, init=False)
     silence: Silence | None = field(default=None, init=False)
-    """Why the run was given up, if its upstream was silent."""
+    """The first silence of its upstream that was too long."""
 
     is_cut_off: bool = field(default=False, init=False)
     """Whether the upstream closed the connection before its answer ended."""
@@ -150,7 +163,11 @@
     """Whether the upstream's address refused the connection."""
 
     begin_by: float = field(init=False)
+    is_resumption: bool = field(default=False, init=False)
+    """Whether its caller had a part of the answer when it was sent."""
+
     _reader: StatementReader = field(init=False)
+    _run: RunEvents = field(init=False)
     _ticket: int = field(default=0, init=False)
     _wait: asyncio.Timeout | None = field(default=None, init=False)
     _last_event_at: float = field(default=math.inf, init=False)
@@ -160,6 +177,7 @@
     def __attrs_post_init__(self) -> None:
         """Initialise the deadline to begin and the reader of statements."""
         self.begin_by = self.timeouts.begin_by
+        self.is_resumption = self._side.has_begun
         self._reader = StatementReader(
             statements=self._upstreams.statements,
             dialect=self._dialect,
@@ -213,7 +231,7 @@
             return NotSent(str(exc))
         self.dispatch.on_sent(upstream.id, now=now)
         self._reader.on_sent(conn, upstream)
-        self.events.begin_attempt()
+        self._run = self.events.begin_run()
         self.sent_at = now
         self.delivery = self._upstreams.deliveries.start(
             conn, transit, sent_at=now
@@ -227,6 +245,8 @@
             first_s=self.timeouts.first_s,
             pause_s=self.timeouts.pause_s,
             heard_at=now,
+            urgency=self.urgency or 0,
+            on_silent=self._on_silent,
         )
         self._upstreams.silences.add(self.activity)
         forecast = self.choice.forecast
@@ -255,10 +275,6 @@
                 self._record_cancellation(unsent_bytes)
                 return Broken('not begun as its version ends')
             self._record_failure()
-            if isinstance(exc, TimeoutError):
-                self.silence = self._upstreams.silences.describe(
-                    self.activity, after_event=self.events.last_id
-                )
             return Broken(str(exc) or 'silent for too long')
         finally:
             self._upstreams.remove_pending(self._ticket)
@@ -326,6 +342,17 @@
         """Whether an event has arrived."""
         return self.time_to_first_event_s >= 0
 
+    def _on_silent(self) -> bool:
+        """Report that the upstream is silent; return if it had an effect."""
+        if not self.dispatch.repeatable:
+            return False
+        if self.silence is None:
+            self._record_failure()
+            self.silence = self._upstreams.silences.describe(
+                self.activity, after_event=self.events.last_id
+            )
+        return self.observer.on_silent(self)
+
     def _record_cancellation(self, unsent_bytes: int) -> None:
         self.cancellation = Cancellation(
             late_s=clock_s() - self.begin_by,
@@ -383,8 +410,7 @@
         An upstream may answer an earlier request of the connection twice.
         Without this check the caller would get an answer to another request.
         """
-        left_s = min(self.timeouts.first_s, self.begin_by - clock_s())
-        async with self._waiting(left_s):
+        async with self._waiting(self.begin_by - clock_s()):
             for _ in range(MAX_STRAY_ANSWERS):
                 head = await conn.head()
                 metadata = self._reader.read(head)
@@ -455,16 +481,23 @@
             part = await self._read_part(conn, has_begun=False)
             if part is None:
                 break
-            complete_events = self.events.take(part)
+            complete_events = self._run.take(part)
             if complete_events:
                 self._record_first_event(conn)
+                self.observer.on_events(self)
                 self._record_pause()
                 await self._forward(head, complete_events)
         else:
-            await conn.relay(self._push, pause_s=self.timeouts.pause_s)
-        completeness = self.events.completeness(conn.body_end)
+            await conn.relay(self._push, pause_s=NO_TIMEOUT_S)
+        completeness = self._run.completeness(conn.body_end)
         self._check_whole(conn, completeness)
-        await self._forward(head, self.events.rest())
+        if not self._run.finish():
+            raise BrokenAnswerError(
+                'another run has begun in its place',
+                step='answer',
+                peer=conn.peer,
+            )
+        await self._forward(head, self._run.rest())
         self._upstreams.pool.keep(conn, head)
         self.is_streamed = True
         self._record_completion(
@@ -484,9 +517,10 @@
     def _push(self, part: bytes) -> asyncio.Future[None] | None:
         """Forward the events that a part of the body completes."""
         self.activity.on_heard()
-        complete_events = self.events.take(part)
+        complete_events = self._run.take(part)
         if not complete_events:
             return None
+        self.observer.on_events(self)
         self._record_pause()
         held = self._side.push(complete_events)
         self.activity.on_held(held)
@@ -496,16 +530,14 @@
         self, conn: HttpConnection, *, has_begun: bool
     ) -> bytes | None:
         if has_begun:
-            async with asyncio.timeout(self.timeouts.pause_s):
-                part = await conn.part()
+            part = await conn.part()
             self.activity.on_heard()
             return part
         # An upstream may send the head of its answer before it begins. If only
         # the head had to arrive by `begin_by`, a request that has not begun
         # would be cancelled up to `pause_s` too late; the log shows this as
         # `late_s` together with a `head_s`.
-        left_s = min(self.timeouts.pause_s, self.begin_by - clock_s())
-        async with self._waiting(left_s):
+        async with self._waiting(self.begin_by - clock_s()):
             part = await conn.part()
         self.activity.on_heard()
         return part
@@ -514,7 +546,8 @@
     async def _waiting(self, left_s: float) -> AsyncIterator[None]:
         """Apply a timeout that ``update_begin_by`` may shorten."""
         try:
-            async with asyncio.timeout(left_s) as wait:
+            timeout_s = left_s if math.isfinite(left_s) else None
+            async with asyncio.timeout(timeout_s) as wait:
                 self._wait = wait
                 yield
         finally:
@@ -575,8 +608,8 @@
         self.framing = conn.body.framing
         self.body_end = conn.body_end
         if self.is_stream and self.framing is not None:
-            self.stream_events = self.events.attempt_events
-            self.rest_bytes = len(self.events.rest())
+            self.stream_events = self._run.events
+            self.rest_bytes = len(self._run.rest())
 
     def _record_completion(
         self,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
@@ -39,10 +39,14 @@
     is_returning_caller,
 )
 from crowrudder_daemon.fleet_entry._attempt import Attempt
-from crowrudder_daemon.fleet_entry._attempt_log import MIN_LOGGED_S, log_fields
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
 from crowrudder_daemon.fleet_entry._choosing import UpstreamRequirements
 from crowrudder_daemon.fleet_entry._error_answer import ErrorAnswer, send_error
+from crowrudder_daemon.fleet_entry._request_record import (
+    RequestRecord,
+    caller_fields,
+)
+from crowrudder_daemon.fleet_entry._succession import Succession
 from crowrudder_daemon.fleet_entry._timeouts import timeouts_for
 from crowrudder_model.fleet import RouteKind
 
@@ -78,28 +82,20 @@
     share."""
 
     events: EventStream = field(factory=EventStream, init=False)
-    _attempts: list[dict[str, Any]] = field(factory=list, init=False)
-    _is_cut_off: bool = field(default=False, init=False)
-    """Whether an upstream closed the connection before its answer ended."""
-
-    _current_attempt: Attempt | None = field(default=None, init=False)
+    _record: RequestRecord = field(factory=RequestRecord, init=False)
+    _runs: Succession = field(init=False)
     _answered_attempt: Attempt | None = field(default=None, init=False)
     """An attempt with a complete answer that another one was to improve on."""
 
-    _wait: asyncio.Timeout | None = field(default=None, init=False)
     _began_at: float = field(factory=clock_s, init=False)
     _admission: AdmissionRequest | None = field(init=False)
     _terms: AdmissionTerms = field(init=False)
     _is_admitted: bool = field(default=False, init=False)
     _refusal: ForecastRefusal | None = field(default=None, init=False)
-    _denied_by: str = field(default='', init=False)
-    """Which step refused another attempt, for the log."""
-
-    _first_s: float = field(default=-1, init=False)
-    _sent_s: float = field(default=-1, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Compute the deadline of the answer and the digests."""
+        self._runs = Succession(self)
         route = self.admitted.route
         wait_s = route.timeout_s
         if self.call.wait_s is not None:
@@ -134,14 +130,49 @@
         try:
             await self._run()
         finally:
+            self._runs.cancel_standby('its request has ended')
             quarantine.untrack(self)
 
     def on_quarantined(self) -> None:
         """Cancel an attempt that has not begun; let a stream run to its end."""
-        attempt, wait = self._current_attempt, self._wait
-        has_begun = attempt is not None and attempt.time_to_first_event_s >= 0
-        if wait is not None and not wait.expired() and not has_begun:
-            wait.reschedule(asyncio.get_running_loop().time())
+        reason = 'taken back, as upstreams ended under this request'
+        self._runs.cancel_standby(reason)
+        attempt = self._runs.current
+        if attempt is not None and attempt.time_to_first_event_s < 0:
+            self._runs.close_current(reason)
+
+    def on_events(self, attempt: Attempt) -> None:
+        """Close the run that another one's events have superseded."""
+        self._runs.on_events(attempt)
+
+    def on_silent(self, attempt: Attempt) -> bool:
+        """Let another run stand by for a silent one, if one may be sent."""
+        if not self._runs.needs_standby(attempt):
+            return False
+        standby = self._create_standby()
+        if standby is None:
+            return False
+        self._runs.stand_by(standby)
+        return True
+
+    def on_run_ended(
+        self, attempt: Attempt, ending: AttemptOutcome, *, is_last: bool
+    ) -> None:
+        """Record a run; others may be open if it isn't the last one."""
+        self._record.on_attempt(attempt, ending, arrived_at=self.arrived_at)
+        self._report_incarnations(attempt, ending)
+        if is_last:
+            return
+        if attempt.answer is not None:
+            self._answered_attempt = attempt
+        match ending:
+            case NotRun():
+                self._record.denied_by = 'upstream'
+                self.dispatch.on_not_run()
+            case NotSent():
+                self._record.denied_by = 'send'
+        if not attempt.sent_at:
+            self.context.upstreams.give_back_retry(self.admitted.service)
 
     async def _run(self) -> None:
         try:
@@ -162,27 +193,11 @@
 
     async def _run_attempts(self) -> Decision:
         while True:
-            refusal = self._quarantine_refusal()
-            if refusal is not None:
-                self._denied_by = 'quarantine'
-                return refusal
-            is_retryable = self._is_retryable
-            self._terms = self.context.admission.terms_for(self._admission)
-            choice = self._choose(is_retryable=is_retryable)
-            if choice is None:
-                self._denied_by = 'choice'
-                return self._refuse_without_upstream()
-            refusal = self._forecast_refusal(choice)
-            if refusal is not None:
-                self._denied_by = 'forecast'
-                return refusal
-            attempt = self._create_attempt(choice, is_retryable=is_retryable)
-            self._current_attempt = attempt
-            ending = await self._run_attempt(attempt)
-            self._current_attempt = None
-            self._record_attempt(attempt, ending)
-            self._report_incarnations(attempt, ending)
-            self._denied_by = _denier_of(ending)
+            prepared = self._prepare()
+            if not isinstance(prepared, Attempt):
+                return prepared
+            attempt, ending = await self._runs.run(prepared)
+            self._record.denied_by = _denier_of(ending)
             next_step = self._next_step(attempt, ending)
             if not isinstance(next_step, SendAgain):
                 if isinstance(next_step, Relay):
@@ -191,19 +206,50 @@
             if attempt.answer is not None:
                 self._answered_attempt = attempt
 
-    async def _run_attempt(self, attempt: Attempt) -> AttemptOutcome:
-        """Run an attempt, and cancel it if its request is quarantined."""
-        wait = asyncio.timeout(None)
-        self._wait = wait
-        try:
-            async with wait:
-                return await attempt.run()
-        except TimeoutError:
-            if not wait.expired():
-                raise
-            return Broken('taken back, as upstreams ended under this request')
-        finally:
-            self._wait = None
+    def _prepare(self) -> Attempt | Decision:
+        """Return the next attempt, or how the request ends without one."""
+        refusal = self._quarantine_refusal()
+        if refusal is not None:
+            self._record.denied_by = 'quarantine'
+            return refusal
+        is_retryable = self._is_retryable
+        self._terms = self.context.admission.terms_for(self._admission)
+        choice = self._choose(is_retryable=is_retryable)
+        if choice is None:
+            self._record.denied_by = 'choice'
+            return self._refuse_without_upstream()
+        refusal = self._forecast_refusal(choice)
+        if refusal is not None:
+            self._record.denied_by = 'forecast'
+            return refusal
+        return self._create_attempt(choice)
+
+    def _create_standby(self) -> Attempt | None:
+        """Return an attempt beside a silent one; None if none may be sent.
+
+        Nothing of the silent one is given up by a refusal.
+        """
+        now = clock_s()
+        verdict = self.context.quarantine.verdict(self.digests)
+        self._record.denied_by = ''
+        if not self.dispatch.may_send(now):
+            self._record.denied_by = 'sends'
+        elif verdict is not Verdict.ALLOWED:
+            self._record.denied_by = 'quarantine'
+        elif not self.context.upstreams.has_retry(self.admitted.service):
+            self._record.denied_by = 'budget'
+        if self._record.denied_by:
+            return None
+        choice = self._choose(is_retryable=True)
+        if choice is None:
+            self._record.denied_by = 'choice'
+            return None
+        if deadline_refusal(choice, self.dispatch.deadline_at - now):
+            self._record.denied_by = 'forecast'
+            return None
+        if not self._spend_retry():
+            return None
+        return self._create_attempt(choice)
 
     def _report_incarnations(
         self, attempt: Attempt, ending: AttemptOutcome
@@ -284,10 +330,10 @@
 
     def _spend_retry(self) -> bool:
         if not self.context.quarantine.may_retry(self.digests):
-            self._denied_by = 'quarantine'
+            self._record.denied_by = 'quarantine'
             return False
         if not self.context.upstreams.spend_retry(self.admitted.service):
-            self._denied_by = 'budget'
+            self._record.denied_by = 'budget'
             return False
         return True
 
@@ -298,7 +344,7 @@
                 model=self.call.model,
                 prompt=self.call.prompt_tokens,
                 answer=self.call.answer_tokens,
-                avoid=frozenset(self.dispatch.tried | self._unreachable),
+                avoid=frozenset(self.dispatch.tried | self._record.unreachable),
                 is_retryable=is_retryable,
                 may_use_pipeline=self.dispatch.repeatable,
                 regions=self._regions(),
@@ -316,14 +362,6 @@
             admitted.route, admitted.terms, self.call.key
         )
 
-    @property
-    def _unreachable(self) -> set[str]:
-        return {
-            attempt['upstream']
-            for attempt in self._attempts
-            if attempt['ending'] == NotSent.__name__
-        }
-
     def _forecast_refusal(self, choice: Choice) -> Decision | None:
         """Return a refusal if the attempt is forecast to be too late.
 
@@ -370,7 +408,7 @@
             f'no upstream of {service} can serve this now',
         )
 
-    def _create_attempt(self, choice: Choice, *, is_retryable: bool) -> Attempt:
+    def _create_attempt(self, choice: Choice) -> Attempt:
         return Attempt(
             call=self.call,
             body=self.body,
@@ -383,9 +421,9 @@
                 begin_by=self.context.upstreams.begin_by(
                     choice, self.call.model
                 ),
-                is_retryable=is_retryable,
                 transit_s=choice.transit_s,
             ),
+            observer=self,
             dispatch=self.dispatch,
             events=self.events,
             is_stream=self.admitted.route.kind is RouteKind.STREAM,
@@ -465,10 +503,10 @@
 
     def _count_cut(self) -> None:
         """Count a stream that is cut though no upstream broke it off."""
-        if self._is_cut_off:
+        if self._record.is_cut_off:
             return
         is_late = clock_s() >= self.dispatch.deadline_at
-        reason = 'deadline' if is_late else self._denied_by or 'other'
+        reason = 'deadline' if is_late else self._record.denied_by or 'other'
         self.context.cuts_at_work.add(reason=reason)
 
     async def _send_error(self, answer: ErrorAnswer) -> None:
@@ -477,24 +515,16 @@
         except CallerGoneError:
             self._record_end('caller_gone', answer.status)
 
-    def _record_attempt(
-        self, attempt: Attempt, ending: AttemptOutcome | None
-    ) -> None:
-        if attempt.sent_at and self._sent_s < 0:
-            self._sent_s = attempt.sent_at - self.arrived_at
-        first_s = attempt.time_to_first_event_s
-        if first_s >= 0 and self._first_s < 0:
-            self._first_s = attempt.sent_at + first_s - self.arrived_at
-        self._is_cut_off |= attempt.is_cut_off
-        self._attempts.append(log_fields(attempt, ending))
-
     def _record_end(
         self, outcome: str, status: int, *, reason: str = ''
     ) -> None:
         now = clock_s()
-        if self._current_attempt is not None:
-            self._record_attempt(self._current_attempt, None)
-            self._current_attempt = None
+        self._runs.cancel_standby('its request has ended')
+        if self._runs.current is not None:
+            self._record.on_attempt(
+                self._runs.current, None, arrived_at=self.arrived_at
+            )
+            self._runs.current = None
         self.context.record_end(
             self,
             outcome=outcome,
@@ -506,13 +536,10 @@
                 'status': int(status),
                 'reason': reason,
                 'told': self.side.told.value,
-                'denied_by': self._denied_by,
                 'route': self.admitted.route.name,
                 'service': self.admitted.service,
                 'customer': self.admitted.customer,
                 'took_s': round(now - self.arrived_at, 3),
-                'sent_s': round(self._sent_s, 4),
-                'first_s': round(self._first_s, 3),
                 'goal_s': self.admitted.route.goal_s,
                 'urgency': self.admitted.urgency,
                 'max_wait_s': self._terms.logged_max_wait_s,
@@ -522,34 +549,15 @@
                 'pause_goal_s': self.admitted.route.pause_goal_s,
                 'came_back': self._is_returning_caller,
                 **(self._refusal.log_fields() if self._refusal else {}),
-                **self._caller_fields(),
-                **self._part_fields(),
-                'attempts': self._attempts,
+                **caller_fields(
+                    self.side,
+                    arrived_at=self.arrived_at,
+                    began_at=self._began_at,
+                ),
+                **self._record.fields(self.call),
             },
         )
 
-    def _caller_fields(self) -> dict[str, float]:
-        """Return how late this process was for the caller, if it was."""
-        side = self.side
-        fields = {
-            'unread_s': side.unread_s,
-            'unhandled_s': self._began_at - side.read_at,
-        }
-        if side.gone_at is not None:
-            fields['gone_s'] = side.gone_at - self.arrived_at
-            fields['gone_late_s'] = side.gone_late_s
-        return {
-            name: round(seconds, 3)
-            for name, seconds in fields.items()
-            if seconds >= MIN_LOGGED_S or name == 'gone_s'
-        }
-
-    def _part_fields(self) -> dict[str, list[str]]:
-        """Return the shared parts of a prompt under which an upstream ended."""
-        if not self._is_cut_off or not self.call.shared_parts:
-            return {}
-        return {'parts': list(self.call.shared_parts)}
-
 
 def _denier_of(ending: AttemptOutcome) -> str:
     """Return which step an attempt's outcome names as its end."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
 
 @define(kw_only=True, eq=False)
@@ -24,12 +25,19 @@
         Longest silence in seconds before and after its first event.
     heard_at
         When something arrived last; at first, when the run was sent.
+    urgency
+        Of its request, 0 first.
+    on_silent
+        Called at each check while the run is silent; returns whether another
+        run was sent to take its place.
     """
 
     upstream_id: str
     first_s: float
     pause_s: float
     heard_at: float
+    urgency: int = 0
+    on_silent: Callable[[], bool] = bool
     has_begun: bool = False
     _held: asyncio.Future[None] | None = field(default=None, init=False)
     """Done once the caller has taken what it was sent."""
@@ -54,6 +62,14 @@
         limit_s = self.pause_s if self.has_begun else self.first_s
         return now - self.heard_at >= limit_s
 
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Return the order in which silent runs get another one.
+
+        The more urgent request first, then the caller that waits longest.
+        """
+        return self.urgency, self.heard_at
+
     def excuse(self, late_s: float) -> None:
         """Discount a time in which this process could not have read."""
         self.heard_at += late_s
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
@@ -1,4 +1,4 @@
-"""Find runs whose upstream has been silent for too long."""
+"""Find runs whose upstream has been silent for too long, and report them."""
 
 from __future__ import annotations
 
@@ -20,6 +20,11 @@
 """Interval of checks while any run is open. A timer for each run would cost
 more, as nearly every run ends before its limit."""
 
+FIRST_MOVES = 2
+"""How many runs of an upstream get another run at the first check that finds
+them silent. The number doubles with each check: most silences end by themselves
+within a second, and those of a lost host must all be dealt with in that time."""
+
 LATENESS_KEPT_S = 5.0
 """How long late checks are remembered for the log lines of silent runs."""
 
@@ -53,6 +58,7 @@
         self._log = runtime.log
         self._runs: set[RunActivity] = set()
         self._silent_since: dict[str, float] = {}
+        self._limits: dict[str, int] = {}
         self._late: deque[tuple[float, float]] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._due_at = 0.0
@@ -105,6 +111,7 @@
         self._timer = None
         if self._runs:
             self._schedule()
+        self._report(silent)
 
     def _record_lateness(self, now: float) -> None:
         """Excuse the runs while this process did not read their sockets."""
@@ -117,6 +124,19 @@
         for run in self._runs:
             run.excuse(late_s)
 
+    def _report(self, silent: list[RunActivity]) -> None:
+        """Report silent runs in order, up to a limit for each upstream."""
+        moved: Counter[str] = Counter()
+        for run in sorted(silent, key=lambda each: each.rank):
+            upstream_id = run.upstream_id
+            limit = self._limits.setdefault(upstream_id, FIRST_MOVES)
+            if moved[upstream_id] < limit:
+                moved[upstream_id] += run.on_silent()
+        self._limits = {
+            each.upstream_id: 2 * self._limits[each.upstream_id]
+            for each in silent
+        }
+
     def _log_changes(self, silent: Iterable[RunActivity], now: float) -> None:
         runs = Counter(run.upstream_id for run in silent)
         if not runs and not self._silent_since:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_timeouts.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_timeouts.py
@@ -1,4 +1,4 @@
-"""Timeouts after which an attempt is abandoned and another one started."""
+"""How long an upstream may be silent before another one is tried as well."""
 
 from __future__ import annotations
 
@@ -24,16 +24,18 @@
 """Least timeout for a short answer of a repeatable request."""
 
 TIMEOUT_FORECASTS = 4
-"""Timeout of an attempt, in multiples of its forecast."""
+"""Longest silence before an answer, in multiples of its forecast."""
 
 NO_TIMEOUT_S = 3600.0
+"""For waits that the deadline of a request ends."""
 
 
 @frozen(kw_only=True)
 class AttemptTimeouts:
     """Timeouts of one attempt, in seconds.
 
-    ``first_s`` applies until the answer begins, ``pause_s`` between its parts.
+    ``first_s`` is the longest silence until the answer begins, ``pause_s``
+    between its parts. Neither ends the attempt.
     ``begin_by`` is the time on the own clock by which the answer must begin,
     as known at the send; a version that is announced later may move it up.
     ``late_pause_s`` is the pause in a stream that counts against the upstream.
@@ -50,13 +52,10 @@
     *,
     first_s: float,
     begin_by: float,
-    is_retryable: bool,
     transit_s: float = 0,
 ) -> AttemptTimeouts:
     """Return the timeouts of an attempt.
 
-    Silence ends an attempt only if another one can follow.
-
     Parameters
     ----------
     first_s
@@ -67,15 +66,6 @@
         Time by which the answer must begin, on the own clock.
     """
     late_pause_s = route.pause_goal_s or math.inf
-    if not is_retryable:
-        # `begin_by` still applies: a queue can last longer than any margin,
-        # and the request would begin after the end of its version.
-        return AttemptTimeouts(
-            first_s=NO_TIMEOUT_S,
-            pause_s=NO_TIMEOUT_S,
-            begin_by=begin_by,
-            late_pause_s=late_pause_s,
-        )
     forecast_s = TIMEOUT_FORECASTS * (first_s - transit_s)
     if route.kind is RouteKind.STREAM:
         return AttemptTimeouts(
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -218,6 +218,10 @@
         entry_share = self._peers.roster.budget_share(now=now)
         return self._budget.take(service, entry_share=entry_share, now=now)
 
+    def give_back_retry(self, service: str) -> None:
+        """Return a retry to the budget that was spent and never sent."""
+        self._budget.give_back(service)
+
     def has_retry(self, service: str) -> bool:
         """Return whether the shared budget has a retry left."""
         now = clock_s()
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -8,6 +8,7 @@
 import math
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from attrs import define, field
@@ -165,6 +166,7 @@
         dispatch=Dispatch(
             repeatable=True, max_sends=2, deadline_at=conn.clock.now + 9
         ),
+        observer=Mock(),
         events=EventStream(),
         is_stream=True,
         allowed_regions=lambda: None,
--- a/tests/limits/test_shared_budget.py
+++ b/tests/limits/test_shared_budget.py
@@ -8,6 +8,7 @@
 SHARE = 0.2
 EXTRA = 10
 WINDOW_S = 10.0
+PAUSES_S = st.floats(0, 0.5)
 
 
 def make_budget():
@@ -54,3 +55,45 @@
         assert one.take('a', entry_share=1, now=0)
         assert not one.take('a', entry_share=1, now=9)
         assert one.take('a', entry_share=1, now=11)
+
+    @given(
+        events=st.lists(
+            st.tuples(st.sampled_from(['first', 'sent', 'unsent']), PAUSES_S),
+            max_size=200,
+        ),
+    )
+    def test_what_is_given_back_never_exceeds_the_bound(self, events):
+        """Guards against arrivals beyond the budget once some were unsent."""
+        budget = make_budget()
+        now = 0.0
+        unsent = 0
+        firsts, repeats = [], []
+        for what, pause_s in events:
+            now += pause_s
+            if what == 'first':
+                budget.on_first('s', now=now)
+                firsts.append(now)
+            elif what == 'back':
+                if unsent:
+                    budget.give_back('s')
+                    unsent -= 1
+            elif budget.take('s', entry_share=1, now=now):
+                if what == 'unsent':
+                    unsent += 1
+                    continue
+                repeats.append(now)
+                since = now - WINDOW_S
+                requests = sum(at >= since for at in firsts)
+                repeated = sum(at >= since for at in repeats)
+                assert repeated <= SHARE * requests + EXTRA
+
+    def test_what_is_given_back_can_be_spent_again(self):
+        budget = make_budget()
+        spent = 0
+        while budget.take('s', entry_share=1, now=1):
+            spent += 1
+        budget.give_back('s')
+        assert spent
+        assert budget.has('s', entry_share=1, now=1)
+        assert budget.take('s', entry_share=1, now=1)
+        assert not budget.has('s', entry_share=1, now=1)
--- a/tests/support/silent_engine.py
+++ b/tests/support/silent_engine.py
@@ -222,8 +222,10 @@
         if is_reset:
             # A reset may discard bytes that nobody has read.
             await wait_turns(4)
-            sock = writer.get_extra_info('socket')
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            # The entry may have closed the connection meanwhile.
+            with contextlib.suppress(OSError):
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
     async def _wait_told(self, request_id, silent_s):
         timeout_s = None if silent_s == FOREVER else silent_s
