Silent upstreams: runs of an incarnation that has ended move at once

A host that lost its power closes no connection, so that its callers waited for the whole pause, and in growing numbers, although a load report had said that its engine has ended. Such runs are silent at the next check, all of them. A run that still sends goes on: the report may be of another engine at the address.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
@@ -39,12 +39,16 @@
     urgency: int = 0
     on_silent: Callable[[], bool] = bool
     has_begun: bool = False
+    is_upstream_ended: bool = field(default=False, init=False)
+    """Whether its upstream's incarnation is known to have ended."""
+
     _held: asyncio.Future[None] | None = field(default=None, init=False)
     """Done once the caller has taken what it was sent."""
 
     def on_heard(self) -> None:
         """Record that bytes arrived."""
         self.heard_at = clock_s()
+        self.is_upstream_ended = False
 
     def on_held(self, held: asyncio.Future[None] | None) -> None:
         """Record that the caller holds back the upstream's bytes until then."""
@@ -60,7 +64,7 @@
         if self._held is not None and not self._held.done():
             return False
         limit_s = self.pause_s if self.has_begun else self.first_s
-        return now - self.heard_at >= limit_s
+        return self.is_upstream_ended or now - self.heard_at >= limit_s
 
     @property
     def rank(self) -> tuple[int, float]:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
@@ -25,6 +25,9 @@
 them silent. The number doubles with each check: most silences end by themselves
 within a second, and those of a lost host must all be dealt with in that time."""
 
+MAX_MOVES = 1000
+"""The number for an upstream that is known to have ended."""
+
 LATENESS_KEPT_S = 5.0
 """How long late checks are remembered for the log lines of silent runs."""
 
@@ -77,6 +80,16 @@
         """Stop watching a run that has ended."""
         self._runs.discard(run)
 
+    def on_upstream_ended(self, upstream_id: str) -> None:
+        """Move the runs of an incarnation that has ended at the next check.
+
+        A host that lost its power closes no connection.
+        """
+        for run in self._runs:
+            if run.upstream_id == upstream_id:
+                run.is_upstream_ended = True
+        self._limits[upstream_id] = MAX_MOVES
+
     def describe(self, run: RunActivity, *, after_event: str) -> Silence:
         """Return the silence of a run as of now."""
         now = clock_s()
@@ -133,7 +146,7 @@
             if moved[upstream_id] < limit:
                 moved[upstream_id] += run.on_silent()
         self._limits = {
-            each.upstream_id: 2 * self._limits[each.upstream_id]
+            each.upstream_id: min(2 * self._limits[each.upstream_id], MAX_MOVES)
             for each in silent
         }
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -169,6 +169,7 @@
                 )
             if is_new_incarnation or not load.reachable:
                 self._quarantine.on_incarnation_ended(forecast.upstream.id)
+                self.silences.on_upstream_ended(forecast.upstream.id)
             else:
                 self._quarantine.on_incarnation_alive(
                     forecast.upstream.id, age_s=age_s
--- a/tests/fleet/test_silence_watch.py
+++ b/tests/fleet/test_silence_watch.py
@@ -157,3 +157,14 @@
             4 * FIRST_MOVES,
             8 * FIRST_MOVES,
         ]
+
+    def test_all_runs_of_an_upstream_that_has_ended_move_at_once(self, world):
+        """Guards against callers that wait for a host without power."""
+        for _ in range(40):
+            world.run_at('e0')
+        speaking = world.run_at('e0', name='speaks')
+        world.run_at('e1', name='other')
+        world.watch.on_upstream_ended('e0')
+        speaking.on_heard()
+        world.pass_s(POLL_INTERVAL_S)
+        assert world.reported == [''] * 40
