--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -29,6 +29,7 @@
     cold_terms,
     retry_after_s,
 )
+from crowrudder_daemon.fleet_entry._silence_watch import SilenceWatch
 from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_capacity import UpstreamCapacity
 from crowrudder_daemon.fleet_entry._upstream_probe import UpstreamProbe
@@ -106,6 +107,7 @@
             window_s=bounds.retry_window_s,
         )
         self.deliveries = DeliveryWatch()
+        self.silences = SilenceWatch(runtime)
         self.probe = UpstreamProbe(
             runtime, self.pool, quarantine, view.evacuations
         )
@@ -216,6 +218,10 @@
         entry_share = self._peers.roster.budget_share(now=now)
         return self._budget.take(service, entry_share=entry_share, now=now)
 
+    def give_back_retry(self, service: str) -> None:
+        """Return a retry to the budget that was spent and never sent."""
+        self._budget.give_back(service)
+
     def has_retry(self, service: str) -> bool:
         """Return whether the shared budget has a retry left."""
         now = clock_s()
--- a/tests/fleet/test_attempt_line.py
+++ b/tests/fleet/test_attempt_line.py
@@ -8,6 +8,7 @@
 import math
 from types import SimpleNamespace
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from attrs import define, field
@@ -147,6 +148,11 @@
             deliveries=SimpleNamespace(
                 start=lambda *_, **_more: None, finish=lambda _: None
             ),
+            silences=SimpleNamespace(
+                add=lambda _: None,
+                remove=lambda _: None,
+                describe=lambda *_, **_more: None,
+            ),
             statements=SimpleNamespace(
                 key_of=lambda _: None, on_answer=lambda *_: None
             ),
@@ -160,6 +166,7 @@
         dispatch=Dispatch(
             repeatable=True, max_sends=2, deadline_at=conn.clock.now + 9
         ),
+        observer=Mock(),
         events=EventStream(),
         is_stream=True,
         allowed_regions=lambda: None,
