Tests of silent upstreams: each of two runs is superseded at some offset, in both forms

The check failed where all events come in one piece because it asked before the upstreams had noticed that their connections were closed; a trace with 50 ms of wait showed each close.

--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -454,10 +454,12 @@
                 check_whole(answer)
             assert len(upstreams.runs) == 2 * len(pairs)
             runs = [upstreams.runs_of(f'q{n}') for n in range(len(pairs))]
-            if is_piecewise:
-                # Else the offsets are too small to let each of the two go on.
-                assert any(first.is_closed for first, _ in runs)
-                assert any(second.is_closed for _, second in runs)
+            await world.until(
+                lambda: not any(each.is_open for each in upstreams.runs)
+            )
+            # Else the offsets are too small to let each of the two go on.
+            assert any(first.is_closed for first, _ in runs)
+            assert any(second.is_closed for _, second in runs)
 
         checked(check)
 
