Silent upstreams: a caller that is slow to take the first event isn't a silence

While an entry waited for its caller to take the head and the first event, nothing was read, and the upstream counted as silent: a second run was sent for nothing. The test fails before (two runs).

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -571,11 +571,12 @@
         wait.reschedule(min(due_at, wait.when() or due_at))
 
     async def _forward(self, head: WireHead, complete_events: bytes) -> None:
-        if self._side.has_begun:
-            await self._side.write(complete_events)
-            return
-        headers = self._dialect.response_headers(head)
-        await self._side.begin(head.status, headers, complete_events)
+        with self.activity.held():
+            if self._side.has_begun:
+                await self._side.write(complete_events)
+                return
+            headers = self._dialect.response_headers(head)
+            await self._side.begin(head.status, headers, complete_events)
 
     def _record_first_event(self, conn: HttpConnection) -> None:
         if self._has_begun:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_run_activity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -10,7 +11,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 
 @define(kw_only=True, eq=False)
@@ -42,6 +43,7 @@
     is_upstream_ended: bool = field(default=False, init=False)
     """Whether its upstream's incarnation is known to have ended."""
 
+    _is_held: bool = field(default=False, init=False)
     _held: asyncio.Future[None] | None = field(default=None, init=False)
     """Done once the caller has taken what it was sent."""
 
@@ -56,12 +58,22 @@
         if held is not None:
             held.add_done_callback(self._on_taken)
 
+    @contextlib.contextmanager
+    def held(self) -> Iterator[None]:
+        """Discount the time in which a caller takes what it is sent."""
+        self._is_held = True
+        try:
+            yield
+        finally:
+            self._is_held = False
+            self.heard_at = clock_s()
+
     def is_silent(self, now: float) -> bool:
         """Return whether nothing arrived for longer than the run allows.
 
         What a slow caller holds back isn't the upstream's silence.
         """
-        if self._held is not None and not self._held.done():
+        if self._is_held or (self._held is not None and not self._held.done()):
             return False
         limit_s = self.pause_s if self.has_begun else self.first_s
         return self.is_upstream_ended or now - self.heard_at >= limit_s
--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -12,6 +12,7 @@
 
 from crowrudder_daemon.fleet_entry import _silence_watch, _timeouts
 from crowrudder_daemon.fleet_entry._admission import ForecastRefusal
+from crowrudder_daemon.fleet_entry._caller_side import CallerSide
 from crowrudder_daemon.fleet_entry._statement_log import AnswerSource
 from crowrudder_model.fleet import UpstreamStatements
 from support.aio import run
@@ -659,3 +660,22 @@
             assert time.monotonic() < left_at + SOON_S
 
         checked(check, service=service)
+
+
+class TestSlowCaller:
+    """Guards against a second run while a caller is slow to take the first."""
+
+    def test_a_caller_that_is_slow_to_take_the_first_event(self, monkeypatch):
+        begin = CallerSide.begin
+
+        async def begin_slowly(side, *args):
+            await begin(side, *args)
+            await asyncio.sleep(LATE_S)
+
+        monkeypatch.setattr(CallerSide, 'begin', begin_slowly)
+
+        async def check(world, upstreams):
+            check_whole(await ask(world, upstreams, [Script()]))
+            assert len(upstreams.runs) == 1
+
+        checked(check)
