Events of a stream: work linear in bytes, however they are split

The splitter keeps a bytearray and searches only where a new end may lie. Whether lines have a field is found with one search that stops at the first.

--- a/packages/core/src/crowrudder_core/dispatch/_body_end.py
+++ b/packages/core/src/crowrudder_core/dispatch/_body_end.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import enum
+import re
+
+_FIELD_START = re.compile(rb'(?:\A|(?<=[\r\n]))[^:\r\n]')
+"""The first byte of a line that is neither empty nor a comment."""
 
 _FIRST_NON_SUCCESS_STATUS = 300
 
@@ -103,9 +107,7 @@
 
 def has_field(lines: bytes) -> bool:
     """Return whether lines of a stream have a field, not only comments."""
-    return any(
-        line and not line.startswith(b':') for line in lines.splitlines()
-    )
+    return _FIELD_START.search(lines) is not None
 
 
 def _ends_within_event(rest: bytes) -> bool:
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -16,6 +16,7 @@
     from crowrudder_core.dispatch._body_end import BodyEnd, Completeness
 
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb'(?:\A|(?<=[\r\n]))id:[ ]?([^\r\n]*)')
 """``^`` matches only after LF, and a line may end with CR alone."""
 
@@ -36,16 +37,31 @@
     b'id: 2'
     """
 
-    rest: bytes = b''
+    _held: bytearray = field(factory=bytearray, init=False)
+    """What follows the last complete event; it contains no event's end."""
+
+    @property
+    def rest(self) -> bytes:
+        """Return what follows the last complete event."""
+        return bytes(self._held)
 
     def feed(self, piece: bytes) -> bytes:
-        """Append bytes; return the events that they complete."""
-        joined = self.rest + piece
-        end = max(
-            (found.end() for found in _EVENT_END.finditer(joined)), default=0
-        )
-        self.rest = joined[end:]
-        return joined[:end]
+        """Append bytes; return the events that they complete.
+
+        Only the bytes in which a new end may lie are searched: an event that
+        arrives in many pieces would else be searched once for each of them.
+        """
+        held = self._held
+        start = max(len(held) - _MAX_END_BYTES + 1, 0)
+        held += piece
+        end = 0
+        for found in _EVENT_END.finditer(held, start):
+            end = found.end()
+        if not end:
+            return b''
+        complete = bytes(held[:end])
+        self._held = held[end:]
+        return complete
 
 
 @define(eq=False)
