Answers of upstreams: named bounds in one module

Callers beside an answer without end waited until its request's deadline: informational answers, a stream's bytes before its first event, the bytes of one event and comments had no bound at all, and a body that is discarded was read to its end.

The bounds stand in crowrudder_core.dispatch._answer_bounds. At one of them the answer fails with AnswerBoundError (a BrokenAnswerError), so that its connection is closed and its upstream avoided as for every broken answer; the attempt's log fields are bound and received_bytes, the counter is answer_bounds_met. A stream is bounded by bytes on the wire, as chunks of one byte may have extensions of any length. Comments before the first event are held back until then: alone they began an answer (200) that may have no event, and took the stream from another run.

--- a/packages/core/src/crowrudder_core/dispatch/__init__.py
+++ b/packages/core/src/crowrudder_core/dispatch/__init__.py
@@ -1,5 +1,19 @@
 """Requests that an entry sends straight to an upstream, and their outcomes."""
 
+from crowrudder_core.dispatch._answer_bounds import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_ANSWER_BYTES,
+    MAX_BYTES_WITHOUT_EVENT,
+    MAX_COMMENT_BYTES,
+    MAX_DRAINED_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_INFORMATIONAL_ANSWERS,
+    MAX_INFORMATIONAL_BYTES,
+    MAX_STRAY_ANSWERS,
+    AnswerBound,
+    InformationalCount,
+    StreamBounds,
+)
 from crowrudder_core.dispatch._body_end import (
     BodyEnd,
     Completeness,
@@ -28,7 +42,17 @@
 )
 
 __all__ = (
+    'MAX_BODY_BYTES',
+    'MAX_BUFFERED_ANSWER_BYTES',
+    'MAX_BYTES_WITHOUT_EVENT',
+    'MAX_COMMENT_BYTES',
+    'MAX_DRAINED_BYTES',
+    'MAX_HEAD_BYTES',
+    'MAX_INFORMATIONAL_ANSWERS',
+    'MAX_INFORMATIONAL_BYTES',
+    'MAX_STRAY_ANSWERS',
     'SERVER_ERROR',
+    'AnswerBound',
     'Answered',
     'BodyEnd',
     'Broken',
@@ -40,6 +64,8 @@
     'RunEvents',
     'Fail',
     'Framing',
+    'InformationalCount',
+    'StreamBounds',
     'Decision',
     'NotRun',
     'NotSent',
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -7,12 +7,14 @@
 
 from attrs import define, field
 
+from crowrudder_core.dispatch._answer_bounds import StreamBounds
 from crowrudder_core.dispatch._body_end import (
     has_field,
     stream_completeness,
 )
 
 if TYPE_CHECKING:
+    from crowrudder_core.dispatch._answer_bounds import AnswerBound
     from crowrudder_core.dispatch._body_end import BodyEnd, Completeness
 
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
@@ -79,21 +81,49 @@
 
     events: int = 0
     _has_event: bool = False
+    _comments: bytearray = field(factory=bytearray)
+    """Comments before the first event: forwarded with it, as they alone would
+    begin an answer that may have no event."""
+
     _splitter: EventSplitter = field(factory=EventSplitter)
+    _bounds: StreamBounds = field(factory=StreamBounds)
+
+    def take(self, piece: bytes, received: int = 0) -> bytes:
+        """Append the upstream's bytes; return what may be forwarded.
 
-    def take(self, piece: bytes) -> bytes:
-        """Append the upstream's bytes; return what may be forwarded."""
+        Parameters
+        ----------
+        piece
+            A part of the body.
+        received
+            Bytes received for the answer, with all framing.
+        """
         complete = self._splitter.feed(piece)
-        if not complete or not self._stream.hold(self, self._began_at):
+        if not complete:
+            return b''
+        if has_field(complete):
+            self._bounds.on_event(received)
+        else:
+            self._bounds.on_comments(len(complete))
+            if not self._has_event:
+                self._comments += complete
+                return b''
+        if not self._stream.hold(self, self._began_at):
             return b''
         if not self._has_event:
-            self._has_event = has_field(complete)
+            self._has_event = True
+            complete = bytes(self._comments + complete)
+            self._comments.clear()
         self.events += self._stream.on_complete(complete)
         return complete
 
+    def exceeded(self, received: int) -> AnswerBound | None:
+        """Return the bound that the run's stream exceeds, if any."""
+        return self._bounds.exceeded(received)
+
     def rest(self) -> bytes:
-        """Return what follows the last complete event of an ended run."""
-        return self._splitter.rest
+        """Return what an ended run has sent and not had forwarded."""
+        return bytes(self._comments) + self._splitter.rest
 
     def completeness(self, end: BodyEnd) -> Completeness:
         """Return whether the run's stream is whole at its end."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -5,11 +5,16 @@
 import asyncio
 import contextlib
 import math
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import define, field, frozen
 
 from crowrudder_core.dispatch import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_ANSWER_BYTES,
+    MAX_STRAY_ANSWERS,
+    AnswerBound,
     Answered,
     BodyEnd,
     Broken,
@@ -29,6 +34,7 @@
 from crowrudder_daemon.fleet_entry._timeouts import NO_TIMEOUT_S
 from crowrudder_daemon.fleet_entry._version_end import MIN_START_WINDOW_S
 from crowrudder_daemon.http import (
+    AnswerBoundError,
     BrokenAnswerError,
     ConnectionLimitError,
     NotConnectedError,
@@ -57,13 +63,6 @@
 """Timeout for a connection to an upstream. A host without power never answers;
 the latency between regions is some milliseconds."""
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
-"""Size limit of an answer that is buffered before it is forwarded."""
-
-MAX_STRAY_ANSWERS = 4
-"""Limit of answers to other requests that are discarded before the attempt
-fails."""
-
 FIRST_NON_SUCCESS_STATUS = 300
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise the caller that its request was not executed."""
@@ -159,6 +158,12 @@
     rest_bytes: int = field(default=0, init=False)
     """Bytes of a stream after its last complete event."""
 
+    bound: AnswerBound | None = field(default=None, init=False)
+    """The bound at which the answer was given up; None if it met none."""
+
+    received_bytes: int = field(default=0, init=False)
+    """Bytes received for an answer that failed."""
+
     is_refused: bool = field(default=False, init=False)
     """Whether the upstream's address refused the connection."""
 
@@ -271,6 +276,9 @@
             unsent_bytes = conn.unsent_bytes
             self.is_cut_off = conn.was_ended_by_peer
             conn.close()
+            if isinstance(exc, AnswerBoundError):
+                self.bound = exc.bound
+            self.received_bytes = conn.received_bytes
             if self._is_start_overdue:
                 self._record_cancellation(unsent_bytes)
                 return Broken('not begun as its version ends')
@@ -418,9 +426,7 @@
                     return head, metadata
                 await conn.drain()
                 conn.skip()
-        raise BrokenAnswerError(
-            'only answers to other requests', step='answer', peer=conn.peer
-        )
+        raise AnswerBoundError(AnswerBound.STRAY, peer=conn.peer)
 
     async def _not_run(
         self,
@@ -449,10 +455,11 @@
         while (part := await self._read_part(conn, has_begun=True)) is not None:
             parts.append(part)
             size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise BrokenAnswerError(
-                    'longer than allowed', step='answer', peer=conn.peer
-                )
+            if (
+                size > MAX_BODY_BYTES
+                or conn.received_bytes > MAX_BUFFERED_ANSWER_BYTES
+            ):
+                raise AnswerBoundError(AnswerBound.BODY, peer=conn.peer)
         if not metadata.is_authentic or head.status in NOT_EXECUTED_STATUSES:
             raise BrokenAnswerError(
                 f'answered {head.status}, which is no answer to pass on',
@@ -481,14 +488,14 @@
             part = await self._read_part(conn, has_begun=False)
             if part is None:
                 break
-            complete_events = self._run.take(part)
+            complete_events = self._take(conn, part)
             if complete_events:
                 self._record_first_event(conn)
                 self.observer.on_events(self)
                 self._record_pause()
                 await self._forward(head, complete_events)
         else:
-            await conn.relay(self._push, pause_s=NO_TIMEOUT_S)
+            await conn.relay(partial(self._push, conn), pause_s=NO_TIMEOUT_S)
         completeness = self._run.completeness(conn.body_end)
         self._check_whole(conn, completeness)
         if not self._run.finish():
@@ -514,10 +521,21 @@
                 'ended before it was whole', step='answer', peer=conn.peer
             )
 
-    def _push(self, part: bytes) -> asyncio.Future[None] | None:
+    def _take(self, conn: HttpConnection, part: bytes) -> bytes:
+        """Return the events that a part of the body completes."""
+        received = conn.received_bytes
+        complete_events = self._run.take(part, received)
+        bound = self._run.exceeded(received)
+        if bound is not None:
+            raise AnswerBoundError(bound, peer=conn.peer)
+        return complete_events
+
+    def _push(
+        self, conn: HttpConnection, part: bytes
+    ) -> asyncio.Future[None] | None:
         """Forward the events that a part of the body completes."""
         self.activity.on_heard()
-        complete_events = self._run.take(part)
+        complete_events = self._take(conn, part)
         if not complete_events:
             return None
         self.observer.on_events(self)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt_log.py
@@ -61,6 +61,9 @@
         line['after_event'] = attempt.silence.after_event
         line['others_silent'] = attempt.silence.others
         line['loop_late_s'] = round(attempt.silence.loop_late_s, 3)
+    if attempt.bound is not None:
+        line['bound'] = attempt.bound.value
+        line['received_bytes'] = attempt.received_bytes
     cancellation = attempt.cancellation
     if cancellation is not None:
         line['late_s'] = round(cancellation.late_s, 3)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_context.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_context.py
@@ -36,6 +36,7 @@
     _first_event: Any = field(init=False)
     _first_send: Any = field(init=False)
     _body_ends: Any = field(init=False)
+    _bounds_met: Any = field(init=False)
     region_refusals: Any = field(init=False)
     cuts_at_work: Any = field(init=False)
 
@@ -82,6 +83,12 @@
             labels=('framing', 'body_end'),
         )
 
+        self._bounds_met = metrics.counter(
+            'answer_bounds_met',
+            'Answers of upstreams that were given up at a bound, by bound.',
+            labels=('bound',),
+        )
+
     def record_end(
         self,
         _execution: object,
@@ -102,6 +109,9 @@
                 self._body_ends.add(
                     framing=framing, body_end=attempt['body_end']
                 )
+            bound = attempt.get('bound')
+            if bound is not None:
+                self._bounds_met.add(bound=bound)
         self._duration.record(extra['took_s'], outcome=outcome)
         if extra['first_s'] >= 0:
             self._first_event.record(extra['first_s'])
--- a/packages/daemon/src/crowrudder_daemon/http/__init__.py
+++ b/packages/daemon/src/crowrudder_daemon/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP client for systems outside the fleet."""
 
 from crowrudder_daemon.http._connection import (
+    AnswerBoundError,
     BrokenAnswerError,
     ConnectionEndedError,
     ConnectionLimitError,
@@ -13,6 +14,7 @@
 from crowrudder_daemon.http._pool import ConnectionPool, kept_s_of
 
 __all__ = (
+    'AnswerBoundError',
     'BrokenAnswerError',
     'ConnectionEndedError',
     'ConnectionLimitError',
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -12,12 +12,20 @@
 import sys
 import termios
 from functools import partial
+from http import HTTPStatus
 from typing import TYPE_CHECKING, cast
 
 import h11
 from attrs import frozen
 
-from crowrudder_core.dispatch import BodyEnd, Framing
+from crowrudder_core.dispatch import (
+    MAX_DRAINED_BYTES,
+    MAX_HEAD_BYTES,
+    AnswerBound,
+    BodyEnd,
+    Framing,
+    InformationalCount,
+)
 from crowrudder_daemon._peer_state import peer_state
 from crowrudder_daemon.http._body_relay import BodyRelay
 from crowrudder_daemon.http._response_body import (
@@ -34,7 +42,6 @@
 """Response bytes buffered before reading pauses, so that a slow caller slows
 its upstream."""
 
-MAX_HEAD_BYTES = 65_536
 TCP_USER_TIMEOUT_MS = 4000
 """The kernel closes the connection after this time without an acknowledgement.
 
@@ -71,6 +78,16 @@
     """The response was truncated or invalid; the request may have run."""
 
 
+class AnswerBoundError(BrokenAnswerError):
+    """The response had more of something than any response may have."""
+
+    def __init__(self, bound: AnswerBound, *, peer: str) -> None:
+        super().__init__(
+            f'too much of: {bound.value}', step='answer', peer=peer
+        )
+        self.bound = bound
+
+
 @frozen(kw_only=True)
 class WireRequest:
     """A request to send; ``target`` is the path with its query."""
@@ -122,6 +139,8 @@
         Set by the user of the connection: for what it was used last.
     body
         The body of the current response.
+    received_bytes
+        Bytes received since the current request was sent.
     """
 
     def __init__(
@@ -133,6 +152,7 @@
         self.context: object = None
         self.usable_until = 0.0
         self.requests = 0
+        self.received_bytes = 0
         self.body = ResponseBody()
         self._wire = h11.Connection(
             h11.CLIENT,
@@ -167,6 +187,7 @@
             self.close()
             return
         self._wire.receive_data(data)
+        self.received_bytes += len(data)
         self._unread_bytes += len(data)
         if (
             self._unread_bytes > READ_AHEAD_BYTES
@@ -244,6 +265,7 @@
                 self._end.reason or 'busy', step='send', peer=self.peer
             )
         self._is_busy = True
+        self.received_bytes = 0
         self.requests += 1
         self._request = request
         self.body = ResponseBody()
@@ -257,12 +279,16 @@
         BrokenAnswerError
             When the connection ended or the response is invalid.
         """
+        informational = InformationalCount()
         while True:
+            if informational.is_exceeded:
+                bound = AnswerBound.INFORMATIONAL
+                raise AnswerBoundError(bound, peer=self.peer)
             match await self._event():
                 case h11.Response() as event:
                     return self._begin_body(event)
-                case h11.InformationalResponse():
-                    continue
+                case h11.InformationalResponse() as event:
+                    informational.add(_fields_size(event))
                 case _:
                     raise self._answer_error('ended without an answer')
 
@@ -321,9 +347,17 @@
             await self._wait_for_bytes()
 
     async def drain(self) -> None:
-        """Read and discard the rest of a response."""
+        """Read and discard the rest of a response.
+
+        Raises
+        ------
+        BrokenAnswerError
+            When it is truncated, or too long to be worth the connection.
+        """
+        began_at = self.received_bytes
         while await self.part() is not None:
-            self._unread_bytes = 0
+            if self.received_bytes - began_at > MAX_DRAINED_BYTES:
+                raise AnswerBoundError(AnswerBound.DRAINED, peer=self.peer)
 
     async def answer(
         self,
@@ -445,6 +479,8 @@
         try:
             event = self._wire.next_event()
         except h11.RemoteProtocolError as exc:
+            if (bound := _bound_met(exc, self.body)) is not None:
+                raise AnswerBoundError(bound, peer=self.peer) from exc
             raise self._answer_error(self._end.reason or str(exc)) from exc
         if event is h11.NEED_DATA and self._end.reason:
             raise self._answer_error(self._end.reason)
@@ -470,6 +506,21 @@
         return BrokenAnswerError(reason, step='answer', peer=self.peer)
 
 
+def _bound_met(
+    exc: h11.RemoteProtocolError, body: ResponseBody
+) -> AnswerBound | None:
+    """Return the bound that the parser reports with an error, if any."""
+    if exc.error_status_hint != HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+        return None
+    if body.framing is None:
+        return AnswerBound.HEAD
+    return AnswerBound.CHUNK_FRAMING
+
+
+def _fields_size(event: h11.InformationalResponse) -> int:
+    return sum(len(name) + len(text) for name, text in event.headers)
+
+
 def _wire_head(event: h11.Response) -> WireHead:
     return WireHead(
         status=event.status_code,
