--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -7,15 +7,18 @@
 
 from attrs import define, field
 
+from crowrudder_core.dispatch._answer_bounds import StreamBounds
 from crowrudder_core.dispatch._body_end import (
     has_field,
     stream_completeness,
 )
 
 if TYPE_CHECKING:
+    from crowrudder_core.dispatch._answer_bounds import AnswerBound
     from crowrudder_core.dispatch._body_end import BodyEnd, Completeness
 
 _EVENT_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb'(?:\A|(?<=[\r\n]))id:[ ]?([^\r\n]*)')
 """``^`` matches only after LF, and a line may end with CR alone."""
 
@@ -36,16 +39,31 @@
     b'id: 2'
     """
 
-    rest: bytes = b''
+    _held: bytearray = field(factory=bytearray, init=False)
+    """What follows the last complete event; it contains no event's end."""
+
+    @property
+    def rest(self) -> bytes:
+        """Return what follows the last complete event."""
+        return bytes(self._held)
 
     def feed(self, piece: bytes) -> bytes:
-        """Append bytes; return the events that they complete."""
-        joined = self.rest + piece
-        end = max(
-            (found.end() for found in _EVENT_END.finditer(joined)), default=0
-        )
-        self.rest = joined[end:]
-        return joined[:end]
+        """Append bytes; return the events that they complete.
+
+        Only the bytes in which a new end may lie are searched: an event that
+        arrives in many pieces would else be searched once for each of them.
+        """
+        held = self._held
+        start = max(len(held) - _MAX_END_BYTES + 1, 0)
+        held += piece
+        end = 0
+        for found in _EVENT_END.finditer(held, start):
+            end = found.end()
+        if not end:
+            return b''
+        complete = bytes(held[:end])
+        self._held = held[end:]
+        return complete
 
 
 @define(eq=False)
@@ -63,21 +81,49 @@
 
     events: int = 0
     _has_event: bool = False
+    _comments: bytearray = field(factory=bytearray)
+    """Comments before the first event: forwarded with it, as they alone would
+    begin an answer that may have no event."""
+
     _splitter: EventSplitter = field(factory=EventSplitter)
+    _bounds: StreamBounds = field(factory=StreamBounds)
+
+    def take(self, piece: bytes, received: int = 0) -> bytes:
+        """Append the upstream's bytes; return what may be forwarded.
 
-    def take(self, piece: bytes) -> bytes:
-        """Append the upstream's bytes; return what may be forwarded."""
+        Parameters
+        ----------
+        piece
+            A part of the body.
+        received
+            Bytes received for the answer, with all framing.
+        """
         complete = self._splitter.feed(piece)
-        if not complete or not self._stream.hold(self, self._began_at):
+        if not complete:
+            return b''
+        if has_field(complete):
+            self._bounds.on_event(received)
+        else:
+            self._bounds.on_comments(len(complete))
+            if not self._has_event:
+                self._comments += complete
+                return b''
+        if not self._stream.hold(self, self._began_at):
             return b''
         if not self._has_event:
-            self._has_event = has_field(complete)
+            self._has_event = True
+            complete = bytes(self._comments + complete)
+            self._comments.clear()
         self.events += self._stream.on_complete(complete)
         return complete
 
+    def exceeded(self, received: int) -> AnswerBound | None:
+        """Return the bound that the run's stream exceeds, if any."""
+        return self._bounds.exceeded(received)
+
     def rest(self) -> bytes:
-        """Return what follows the last complete event of an ended run."""
-        return self._splitter.rest
+        """Return what an ended run has sent and not had forwarded."""
+        return bytes(self._comments) + self._splitter.rest
 
     def completeness(self, end: BodyEnd) -> Completeness:
         """Return whether the run's stream is whole at its end."""
