Silent upstreams: what the review of the fix found

A reviewer who had not seen the work looked for the same cause elsewhere and took rules out of the fix.

- One refusal before a second run was sent excluded that upstream for the rest of the request, so that a stream whose first upstream was silent for good was cut at its deadline.
It is asked again after 0.3 s.
- An error answer of the first run, in the turn in which the other one had begun, counted as the answer and closed it.
- The quarantine closed a second run that had just begun.
- Runs that can't move no longer open the way for a wave.
- A relayed load report that is older than the last one ends nothing.
- The last send of a request keeps the wider margin before a version's end.

Outcomes of two runs beside each other that no test held have one now: both not run, the first answers, an error with nothing better, quarantine, a caller who is found gone.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -168,9 +168,6 @@
     """Whether the upstream's address refused the connection."""
 
     begin_by: float = field(init=False)
-    is_resumption: bool = field(default=False, init=False)
-    """Whether its caller had a part of the answer when it was sent."""
-
     _reader: StatementReader = field(init=False)
     _run: RunEvents = field(init=False)
     _ticket: int = field(default=0, init=False)
@@ -182,7 +179,6 @@
     def __attrs_post_init__(self) -> None:
         """Initialise the deadline to begin and the reader of statements."""
         self.begin_by = self.timeouts.begin_by
-        self.is_resumption = self._side.has_begun
         self._reader = StatementReader(
             statements=self._upstreams.statements,
             dialect=self._dialect,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -135,11 +135,9 @@
 
     def on_quarantined(self) -> None:
         """Cancel an attempt that has not begun; let a stream run to its end."""
-        reason = 'taken back, as upstreams ended under this request'
-        self._runs.cancel_standby(reason)
-        attempt = self._runs.current
-        if attempt is not None and attempt.time_to_first_event_s < 0:
-            self._runs.close_current(reason)
+        self._runs.close_unbegun(
+            'taken back, as upstreams ended under this request'
+        )
 
     def on_events(self, attempt: Attempt) -> None:
         """Close the run that another one's events have superseded."""
@@ -171,6 +169,7 @@
                 self.dispatch.on_not_run()
             case NotSent():
                 self._record.denied_by = 'send'
+                self._record.on_refused(attempt, now=clock_s())
         if not attempt.sent_at:
             self.context.upstreams.give_back_retry(self.admitted.service)
 
@@ -179,6 +178,7 @@
             async with asyncio.timeout(self.dispatch.deadline_at - clock_s()):
                 next_step = await self._run_attempts()
         except TimeoutError:
+            self._runs.cancel_standby('its request has ended')
             next_step = self.dispatch.refuse('out of time', MIN_RETRY_AFTER_S)
             await self._finish(next_step, HTTPStatus.GATEWAY_TIMEOUT)
         except CallerGoneError:
@@ -214,7 +214,10 @@
             return refusal
         is_retryable = self._is_retryable
         self._terms = self.context.admission.terms_for(self._admission)
-        choice = self._choose(is_retryable=is_retryable)
+        choice = self._choose(
+            is_retryable=is_retryable,
+            avoid=self.dispatch.tried | self._record.unreachable,
+        )
         if choice is None:
             self._record.denied_by = 'choice'
             return self._refuse_without_upstream()
@@ -240,7 +243,10 @@
             self._record.denied_by = 'budget'
         if self._record.denied_by:
             return None
-        choice = self._choose(is_retryable=True)
+        choice = self._choose(
+            is_retryable=self._is_retryable,
+            avoid=self.dispatch.tried | self._record.refusing(now),
+        )
         if choice is None:
             self._record.denied_by = 'choice'
             return None
@@ -337,14 +343,14 @@
             return False
         return True
 
-    def _choose(self, *, is_retryable: bool) -> Choice | None:
+    def _choose(self, *, is_retryable: bool, avoid: set[str]) -> Choice | None:
         return self.context.upstreams.choose(
             UpstreamRequirements(
                 service=self.admitted.service,
                 model=self.call.model,
                 prompt=self.call.prompt_tokens,
                 answer=self.call.answer_tokens,
-                avoid=frozenset(self.dispatch.tried | self._record.unreachable),
+                avoid=frozenset(avoid),
                 is_retryable=is_retryable,
                 may_use_pipeline=self.dispatch.repeatable,
                 regions=self._regions(),
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_request_record.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_request_record.py
@@ -16,6 +16,11 @@
     from crowrudder_daemon.fleet_entry._caller_side import CallerSide
 
 
+REFUSED_S = 0.3
+"""How long an upstream that could not be sent to beside a silent run isn't
+asked again for the same request."""
+
+
 @define
 class RequestRecord:
     """The attempts of a request, as its log line shows them.
@@ -31,6 +36,7 @@
     denied_by: str = ''
     is_cut_off: bool = False
     _attempts: list[dict[str, Any]] = field(factory=list)
+    _refused_until: dict[str, float] = field(factory=dict)
     _sent_s: float = -1
     _first_s: float = -1
 
@@ -43,6 +49,20 @@
             if attempt['ending'] == NotSent.__name__
         }
 
+    def on_refused(self, attempt: Attempt, *, now: float) -> None:
+        """Record an upstream that could not be sent to beside a silent run."""
+        self._refused_until[attempt.choice.forecast.upstream.id] = (
+            now + REFUSED_S
+        )
+
+    def refusing(self, now: float) -> set[str]:
+        """Return the upstreams that refused such a run just now."""
+        return {
+            upstream_id
+            for upstream_id, until in self._refused_until.items()
+            if until > now
+        }
+
     def on_attempt(
         self,
         attempt: Attempt,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_silence_watch.py
@@ -11,8 +11,6 @@
 from crowrudder_daemon._clock import clock_s
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from crowrudder_daemon.fleet_entry._run_activity import RunActivity
     from crowrudder_daemon.process import Runtime
 
@@ -28,6 +26,10 @@
 MAX_MOVES = 1000
 """The number for an upstream that is known to have ended."""
 
+MAX_ASKED = 50
+"""Most silent runs that one check asks: each looks for another upstream, and
+other connections wait meanwhile."""
+
 LATENESS_KEPT_S = 5.0
 """How long late checks are remembered for the log lines of silent runs."""
 
@@ -61,7 +63,9 @@
         self._log = runtime.log
         self._runs: set[RunActivity] = set()
         self._silent_since: dict[str, float] = {}
+        self._silent_counts: Counter[str] = Counter()
         self._limits: dict[str, int] = {}
+        self._asked: set[RunActivity] = set()
         self._late: deque[tuple[float, float]] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._due_at = 0.0
@@ -94,12 +98,7 @@
         """Return the silence of a run as of now."""
         now = clock_s()
         heard_at = run.heard_at
-        others = sum(
-            each is not run
-            and each.upstream_id == run.upstream_id
-            and each.is_silent(now)
-            for each in self._runs
-        )
+        others = max(self._silent_counts[run.upstream_id] - 1, 0)
         return Silence(
             silent_s=now - heard_at,
             after_event=after_event,
@@ -120,7 +119,8 @@
         now = clock_s()
         self._record_lateness(now)
         silent = [run for run in self._runs if run.is_silent(now)]
-        self._log_changes(silent, now)
+        self._silent_counts = Counter(run.upstream_id for run in silent)
+        self._log_changes(now)
         self._timer = None
         if self._runs:
             self._schedule()
@@ -140,18 +140,38 @@
     def _report(self, silent: list[RunActivity]) -> None:
         """Report silent runs in order, up to a limit for each upstream."""
         moved: Counter[str] = Counter()
-        for run in sorted(silent, key=lambda each: each.rank):
+        for run in self._next_asked(silent):
             upstream_id = run.upstream_id
             limit = self._limits.setdefault(upstream_id, FIRST_MOVES)
             if moved[upstream_id] < limit:
                 moved[upstream_id] += run.on_silent()
         self._limits = {
-            each.upstream_id: min(2 * self._limits[each.upstream_id], MAX_MOVES)
-            for each in silent
+            upstream_id: min(2 * limit, MAX_MOVES)
+            if moved[upstream_id] >= limit
+            else limit
+            for upstream_id, limit in self._limits.items()
+            if upstream_id in self._silent_counts
         }
 
-    def _log_changes(self, silent: Iterable[RunActivity], now: float) -> None:
-        runs = Counter(run.upstream_id for run in silent)
+    def _next_asked(self, silent: list[RunActivity]) -> list[RunActivity]:
+        """Return the silent runs of this check in their order.
+
+        Where there are more than one check can take, those that were asked
+        last come when all others had their turn.
+        """
+        if len(silent) <= MAX_ASKED:
+            self._asked.clear()
+            return sorted(silent, key=lambda each: each.rank)
+        waiting = [run for run in silent if run not in self._asked]
+        if not waiting:
+            self._asked.clear()
+            waiting = silent
+        chosen = sorted(waiting, key=lambda each: each.rank)[:MAX_ASKED]
+        self._asked.update(chosen)
+        return chosen
+
+    def _log_changes(self, now: float) -> None:
+        runs = self._silent_counts
         if not runs and not self._silent_since:
             return
         for upstream_id, count in runs.items():
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_succession.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_succession.py
@@ -18,11 +18,14 @@
 
     from crowrudder_core.dispatch import AttemptOutcome
     from crowrudder_daemon.fleet_entry._attempt import Attempt
+    from crowrudder_daemon.fleet_entry._caller_side import CallerSide
 
 
 class Succeeded(Protocol):
     """The request whose runs succeed each other."""
 
+    side: CallerSide
+
     def on_run_ended(
         self, attempt: Attempt, ending: AttemptOutcome, *, is_last: bool
     ) -> None:
@@ -56,7 +59,7 @@
         """Run an attempt, and what stands by for it; return the last one."""
         self.current = attempt
         ending = await self._guard(attempt.run())
-        while self._standby is not None and not is_final(attempt, ending):
+        while self._standby is not None and not self._is_final(attempt, ending):
             self._request.on_run_ended(attempt, ending, is_last=False)
             standby, self._standby = self._standby, None
             self.current = attempt = standby.attempt
@@ -85,6 +88,15 @@
         else:
             self.cancel_standby('the run before it goes on')
 
+    def close_unbegun(self, reason: str) -> None:
+        """Close the runs that have not begun; those that have go on."""
+        standby, current = self._standby, self.current
+        if standby is not None and standby.attempt.time_to_first_event_s >= 0:
+            return
+        self.cancel_standby(reason)
+        if current is not None and current.time_to_first_event_s < 0:
+            self.close_current(reason)
+
     def close_current(self, reason: str) -> None:
         """Close the current run; one that stands by takes its place."""
         wait = self._wait
@@ -98,9 +110,21 @@
         if standby is None:
             return
         standby.task.cancel()
-        ending = _outcome_of(standby.task) or Broken(reason)
+        ending = _outcome_of(standby.task) or Broken(
+            _error_of(standby.task) or reason
+        )
         self._request.on_run_ended(standby.attempt, ending, is_last=False)
 
+    def _is_final(self, attempt: Attempt, ending: AttemptOutcome) -> bool:
+        """Return whether a run's outcome is the answer, whatever others do."""
+        if attempt.is_streamed:
+            return True
+        return (
+            isinstance(ending, Answered)
+            and ending.status < SERVER_ERROR
+            and not self._request.side.has_begun
+        )
+
     async def _guard(
         self, running: Awaitable[AttemptOutcome]
     ) -> AttemptOutcome:
@@ -124,25 +148,21 @@
         if ending is None:
             # The request ends with the error, which says that its caller left.
             self.close_current('the run that stands by has failed')
-        elif is_final(standby.attempt, ending):
+        elif self._is_final(standby.attempt, ending):
             self.close_current('another run has answered in its place')
         else:
             self.cancel_standby('')
 
 
-def is_final(attempt: Attempt, ending: AttemptOutcome) -> bool:
-    """Return whether a run's outcome is the answer, whatever others do."""
-    if attempt.is_streamed:
-        return True
-    return (
-        isinstance(ending, Answered)
-        and ending.status < SERVER_ERROR
-        and not attempt.is_resumption
-    )
-
-
 def _outcome_of(task: asyncio.Task[AttemptOutcome]) -> AttemptOutcome | None:
     """Return the outcome of a run; None if it is open or failed."""
     if not task.done() or task.cancelled() or task.exception() is not None:
         return None
     return task.result()
+
+
+def _error_of(task: asyncio.Task[AttemptOutcome]) -> str:
+    """Return the error with which a run failed; empty if it did not."""
+    if not task.done() or task.cancelled() or task.exception() is None:
+        return ''
+    return repr(task.exception())
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -169,7 +169,9 @@
                 )
             if is_new_incarnation or not load.reachable:
                 self._quarantine.on_incarnation_ended(forecast.upstream.id)
-                self.silences.on_upstream_ended(forecast.upstream.id)
+                # A relayed report may be older than the one before it.
+                if is_new_incarnation or forecast.load is load:
+                    self.silences.on_upstream_ended(forecast.upstream.id)
             else:
                 self._quarantine.on_incarnation_alive(
                     forecast.upstream.id, age_s=age_s
--- a/tests/fleet/test_silence_watch.py
+++ b/tests/fleet/test_silence_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,6 +14,7 @@
 from crowrudder_daemon.fleet_entry._run_activity import RunActivity
 from crowrudder_daemon.fleet_entry._silence_watch import (
     FIRST_MOVES,
+    MAX_ASKED,
     POLL_INTERVAL_S,
     SilenceWatch,
 )
@@ -168,3 +170,25 @@
         speaking.on_heard()
         world.pass_s(POLL_INTERVAL_S)
         assert world.reported == [''] * 40
+
+    def test_a_run_that_cannot_move_opens_no_way_for_a_wave(self, world):
+        """Guards against a limit that grows while nothing moves."""
+        blocked = world.run_at('e0')
+        blocked.on_silent = bool
+        for _ in range(9):
+            world.pass_s(PAUSE_S)
+        for _ in range(20):
+            world.run_at('e0')
+        world.pass_s(2 * PAUSE_S)
+        assert len(world.reported) == FIRST_MOVES
+
+    def test_one_check_asks_a_bounded_number_and_all_in_the_end(self, world):
+        """Guards against a turn of the loop that grows with the runs."""
+        asked: list[int] = []
+        for number in range(2 * MAX_ASKED + 1):
+            ask = partial(asked.append, number)
+            world.run_at('e0').on_silent = lambda ask=ask: bool(ask())
+        for checks in range(1, 4):
+            world.pass_s(2 * PAUSE_S)
+            assert len(asked) <= checks * MAX_ASKED
+        assert sorted(asked) == list(range(2 * MAX_ASKED + 1))
--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -679,3 +679,86 @@
             assert len(upstreams.runs) == 1
 
         checked(check)
+
+
+class TestOutcomesBesideEachOther:
+    """Guards against an outcome that is forgotten where two runs stand."""
+
+    def test_two_runs_that_were_not_run(self):
+        async def check(world, upstreams):
+            scripts = [
+                Script(status=NOT_RUN, silent_s=LATE_S),
+                Script(status=NOT_RUN),
+            ]
+            answer = await ask(world, upstreams, scripts)
+            assert len(upstreams.runs) == 2
+            assert answer.status == NOT_RUN
+            assert answer.retry_after_s > 0
+
+        checked(check, bounds=ONE_RETRY)
+
+    def test_the_first_answers_while_the_other_is_silent(self):
+        async def check(world, upstreams):
+            scripts = [Script(silent_s=FOREVER), Script(silent_s=FOREVER)]
+            answer = asked(world, upstreams, scripts, path='/read/x')
+            first, second = await upstreams.begun('a', 2)
+            first.go_on()
+            answer = await answer
+            assert answer.body == plain_body(first.upstream)
+            await world.until(lambda: second.is_closed)
+
+        checked(check, service='plain')
+
+    def test_an_error_is_passed_on_if_nothing_better_comes(self):
+        async def check(world, upstreams):
+            scripts = [Script(silent_s=FOREVER), Script(status=500)]
+            answer = await ask(
+                world,
+                upstreams,
+                scripts,
+                path='/read/x',
+                X_Deadline_Ms=str(DEADLINE_MS),
+            )
+            assert answer.status == 500
+
+        checked(check, service='plain')
+
+    def test_an_upstream_that_could_not_be_sent_to_for_a_moment(self):
+        """Guards against one refusal that excludes an upstream for good."""
+
+        async def check(world, upstreams):
+            silent = Script(before=2, silent_s=FOREVER)
+            answer = asked(world, upstreams, [silent], X_Deadline_Ms='2500')
+            (first,) = await upstreams.begun('a')
+            other = upstreams.other(first)
+            pauses = iter([LIMIT_S])
+
+            def pause_once():
+                for pause_s in pauses:
+                    state(world, other, pause_s=pause_s)
+
+            on_connection(world, pause_once)
+            check_whole(await answer)
+            assert not list(pauses)
+
+        checked(check, bounds=ONE_RETRY)
+
+    def test_a_quarantined_request_has_no_second_run(self):
+        """Guards against a run that goes on after its request was taken back."""
+
+        async def check(world, upstreams):
+            scripts = [
+                Script(before=2, silent_s=FOREVER),
+                Script(silent_s=FOREVER),
+            ]
+            answer = asked(world, upstreams, scripts)
+            first, second = await upstreams.begun('a', 2)
+            quarantine = world.entries[0].requests._context.quarantine
+            for each in set().union(*quarantine._active.values()):
+                each.on_quarantined()
+            await world.until(lambda: second.is_closed)
+            assert first.is_open
+            first.go_on()
+            check_whole(await answer)
+
+        checked(check)
