Platform soak: upstreams that fall silent, and streams cut at work

Replicas can stall: their requests run on, nothing is sent and no connection ends until the stall is over.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -56,7 +56,8 @@
     ``cut_by`` says how its connection was dropped: ``fin`` or ``reset``,
     ``last_event`` is the number of the last event that was sent. ``parts``
     are those of its prompt, without the last. ``is_unframed`` and ``is_sized``
-    say what delimits its answer; chunks do if neither is set.
+    say what delimits its answer; chunks do if neither is set. ``closed_at`` is
+    when its connection was closed by the other side before the run ended.
     """
 
     request_id: str
@@ -75,6 +76,8 @@
     ended_at: float = math.inf
     parts: tuple[str, ...] = ()
     is_sized: bool = False
+    closed_at: float = math.inf
+    is_unvouched: bool = False
 
     @property
     def framing(self) -> str:
@@ -83,6 +86,11 @@
             return 'connection'
         return 'length' if self.is_sized else 'chunks'
 
+    def on_disconnect(self) -> None:
+        """Record a connection that is closed while the request runs."""
+        if not math.isfinite(self.ended_at):
+            self.closed_at = time.monotonic()
+
 
 @define
 class Statements:
@@ -119,7 +127,9 @@
     ``unvouched`` omits the seal, ``half_event`` drops the connection within an
     event, ``half_first`` within the first one, ``head_only`` after the headers,
     ``slow`` waits for ``amount`` seconds before it answers, ``head_alone``
-    sends nothing after the headers. ``rot`` corrupts a staged piece.
+    sends nothing after the headers. ``rot`` corrupts a staged piece. While
+    ``stall`` is on, requests run, but nothing is sent to any caller and no
+    connection ends; then all of them go on.
 
     Three faults change the form of answers and are combined with others:
     ``unframed`` answers without length and chunks, so that the connection's end
@@ -138,6 +148,7 @@
     warm-up, which is called when it gets too many requests while it is cold.
     """
 
+    event_interval_s = EVENT_INTERVAL_S
     fatal_marker = b'fatal'
     fatal_parts: frozenset[str] = frozenset()
 
@@ -159,6 +170,7 @@
         'slow',
         'head_alone',
         'rot',
+        'stall',
     )
 
     def __init__(self, options: Mapping[str, Any]) -> None:
@@ -303,12 +315,21 @@
 
     @route('GET', '/health')
     async def health(self, call: Call) -> Answer:
+        await self._until_unstalled()
         call.set_header('X-Replica-Id', self.id)
         call.set_header(COLD, str(self.stated.warm_up.left_ms))
         return {}
 
     @route('*', '/(?!-/|control/).*')
     async def serve(self, call: Call) -> Answer:
+        try:
+            await self._serve(call)
+        finally:
+            # Refusals and drops are sent after this.
+            await self._until_unstalled()
+        return None
+
+    async def _serve(self, call: Call) -> None:
         self._drop_if_crashed()
         request_id = call.request.headers.get(REQUEST_ID, '')
         arrival = (time.monotonic(), request_id)
@@ -336,13 +357,16 @@
         try:
             self._drop_if_crashed()
             run_record = self._record_run(call)
+            call.on_disconnect = run_record.on_disconnect
             try:
                 await self._answer(call, run_record)
             finally:
                 run_record.ended_at = time.monotonic()
         finally:
             self.places.release()
-        return None
+
+    async def _until_unstalled(self) -> None:
+        await self.faults.wait_cleared('stall')
 
     def on_crash(self, ended_by: str) -> None:
         """Record how the connections end; only the first end counts."""
@@ -419,10 +443,12 @@
         if self.faults.take('hang'):
             await self.faults.wait_cleared('hang')
             raise self._drop_error(run_record)
+        await self._until_unstalled()
         if self.faults.take('crossed'):
             await self._write_raw(call, self._mismatched_answer())
         call.set_header(REQUEST_ID, run_record.request_id)
-        if not self.faults.take('unvouched'):
+        run_record.is_unvouched = self.faults.take('unvouched') is not None
+        if not run_record.is_unvouched:
             call.set_header(SEAL, seal_of(self.id, run_record.request_id))
         if self.faults.take('fail'):
             run_record.is_sized = True
@@ -493,10 +519,12 @@
             await send(b'')
             raise self._drop_error(run_record)
         for number, event in zip(numbers, events, strict=True):
+            await self._until_unstalled()
             await self._check_cut(send, run_record, number)
             await send(event)
             run_record.last_event = number
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
+        await self._until_unstalled()
         if is_unframed:
             await send(b'')
             raise self._drop_error(run_record, is_whole=True)
--- a/scripts/_platform_chaos.py
+++ b/scripts/_platform_chaos.py
@@ -45,12 +45,17 @@
 
 @frozen
 class Disturbance:
-    """A period in which a process was disturbed; an empty name means all."""
+    """A period in which a process was disturbed; an empty name means all.
+
+    ``reset_to`` names the other end of a link whose connections were reset.
+    """
 
     name: str
     began_at: float
     ended_at: float
     is_fatal: bool = False
+    is_freeze: bool = False
+    reset_to: str = ''
 
 
 @define(eq=False)
@@ -103,6 +108,26 @@
             for disturbance in self.disturbances
         )
 
+    def was_frozen(self, name: str, began_at: float, ended_at: float) -> bool:
+        """Return whether a process was frozen at some time of a period."""
+        return any(
+            disturbance.is_freeze
+            and disturbance.name == name
+            and disturbance.began_at <= ended_at
+            and disturbance.ended_at >= began_at
+            for disturbance in self.disturbances
+        )
+
+    def was_reset(
+        self, source: str, target: str, began_at: float, ended_at: float
+    ) -> bool:
+        """Return whether the connections of a link were reset in a period."""
+        return any(
+            (disturbance.name, disturbance.reset_to) == (source, target)
+            and began_at <= disturbance.began_at <= ended_at
+            for disturbance in self.disturbances
+        )
+
     async def _inject(self, injector: Callable[[], Awaitable[str]]) -> None:
         summary = await injector()
         if summary:
@@ -121,10 +146,21 @@
         return self.rng.choice(hosts) if hosts else None
 
     def _record_disturbance(
-        self, name: str, began_at: float, *, is_fatal: bool = False
+        self,
+        name: str,
+        began_at: float,
+        *,
+        is_freeze: bool = False,
+        reset_to: str = '',
     ) -> None:
         self.disturbances.append(
-            Disturbance(name, began_at, time.monotonic(), is_fatal)
+            Disturbance(
+                name,
+                began_at,
+                time.monotonic(),
+                is_freeze=is_freeze,
+                reset_to=reset_to,
+            )
         )
 
     async def _kill(self) -> str:
@@ -153,7 +189,7 @@
         host.process.freeze()
         await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_S))
         host.process.thaw()
-        self._record_disturbance(host.name, began_at)
+        self._record_disturbance(host.name, began_at, is_freeze=True)
         self._busy.discard(host.name)
         return f'froze {host.name}'
 
@@ -218,7 +254,7 @@
         self.fleet.relay.cut(pair)
         await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_S))
         self.fleet.relay.heal(pair)
-        self._record_disturbance(source, began_at)
+        self._record_disturbance(source, began_at, reset_to=target)
         return f'reset {source} - {target}'
 
     async def _replica_fault(self) -> str:
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -2,7 +2,7 @@
 
 Usage:
   platform_soak.py [--duration=S] [--seed=N] [--seeds=N] [--large] [--logs=DIR]
-                   [--known-red=FILE]
+                   [--calm] [--known-red=FILE]
   platform_soak.py --known [--duration=S] [--logs=DIR]
 
 Options:
@@ -12,6 +12,7 @@
   --seeds=N     Runs one after the other, each with the next seed [default: 1].
   --known       The seeds that failed once.
   --large       Dozens of processes.
+  --calm        No faults but upstreams that fall silent.
   --known-red=FILE
                 List of known failures. A run that it names doesn't fail by the
                 checks that the line names.
@@ -44,6 +45,7 @@
 from _platform_logs import keep_logs
 from _platform_parts import FatalParts, check_parts
 from _platform_seeds import REGRESSION_SEEDS
+from _platform_silence import Silences, check_cuts
 from _platform_statements import StatingReplicas, check_statements
 from _platform_store import StoreReturns, check_store_returns, unused
 from _platform_zones import ZonesAndWarmUps, check_zones_and_warm_ups
@@ -88,7 +90,9 @@
     zones_rng: random.Random
     classes_rng: random.Random
     directory_rng: random.Random
+    silence_rng: random.Random
     duration_s: float
+    is_calm: bool = False
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
     _keys_published_at: list[float] = field(factory=list)
@@ -120,25 +124,35 @@
         )
         classes = ClassLoad(self.fleet, self.classes_rng, self._key)
         directory = DirectoryWatch(self.fleet, self.directory_rng)
+        silences = Silences(
+            self.fleet, self.silence_rng, self._key, self.log_line
+        )
         problems = await self._settle('start', START_TIMEOUT_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
             rewriting = asyncio.create_task(zones.rewrite_forever())
-            await asyncio.gather(
-                chaos.run(ends_at),
-                self._watch_keys(ends_at),
+            faults = (
+                chaos,
                 VersionEnds(
                     self.fleet, self.version_ends_rng, chaos, self.log_line
-                ).run(ends_at),
-                fatals_and_limits.run(ends_at),
-                stating.run(ends_at),
-                narrow_links.run(ends_at),
-                store_returns.run(ends_at),
-                body_ends.run(ends_at),
-                fatal_parts.run(ends_at),
-                zones.run(ends_at),
+                ),
+                fatals_and_limits,
+                stating,
+                narrow_links,
+                store_returns,
+                body_ends,
+                fatal_parts,
+                zones,
+            )
+            await asyncio.gather(
+                *(
+                    fault.run(ends_at)
+                    for fault in (() if self.is_calm else faults)
+                ),
+                self._watch_keys(ends_at),
                 classes.run(ends_at),
                 directory.run(ends_at),
+                silences.run(ends_at),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -149,7 +163,7 @@
             problems = await self._settle('after the faults', SETTLE_TIMEOUT_S)
             problems += await self._find_unused()
             problems += await self._stop()
-        self.callers += fatal_parts.sound
+        self.callers += fatal_parts.sound + silences.callers
         others = list(self.callers)
         self.callers += [caller for _, caller in classes.callers]
         results = [each for caller in self.callers for each in caller.results]
@@ -172,12 +186,14 @@
         check_zones_and_warm_ups(zones, narrow_links, verdict)
         check_classes(classes, others, ZONES, verdict)
         check_directory(directory, verdict)
+        check_cuts(silences, results, chaos, verdict)
         problems += chaos.problems
         for problem in problems:
             verdict.add_violation('state', problem)
         self.log_line(f'faults: {dict(chaos.fault_counts)}')
         self.log_line(f'queues: {dict(narrow_links.counts)}')
         self.log_line(f'answers: {dict(body_ends.counts)}')
+        self.log_line(f'silences: {dict(silences.counts)}')
         calls = [each.calls for each in store_returns.returns]
         self.log_line(f'store: {dict(store_returns.counts)}, {calls=}')
         return verdict
@@ -302,7 +318,9 @@
             random.Random(f'zones of {seed}'),
             random.Random(f'classes of {seed}'),
             random.Random(f'directory of {seed}'),
+            random.Random(f'silences of {seed}'),
             float(options['--duration']),
+            is_calm=bool(options['--calm']),
         )
         soak.log_line(f'seed {seed}: {plan}')
         is_ok = False
