--- a/scripts/_platform_silence.py
+++ b/scripts/_platform_silence.py
@@ -18,7 +18,7 @@
 from attrs import define, field, frozen
 
 from crowrudder_standins._faults import Fault
-from crowrudder_standins.fleet_replica import EVENT_INTERVAL_S
+from crowrudder_standins.fleet_replica import EVENT_INTERVAL_S, EVENTS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator
@@ -196,10 +196,13 @@
 
     def was_ended(self, each: RequestResult, chaos: PlatformChaos) -> bool:
         """Return whether the upstream or its link broke the answer off."""
-        began_at = self.run.began_at
+        run, began_at = self.run, self.run.began_at
+        # Without framing, an end after no event looks like a truncation.
+        is_empty = run.is_unframed and run.resumed_after == EVENTS
         return (
-            bool(self.run.cut_by)
-            or self.run.is_unvouched
+            bool(run.cut_by)
+            or run.is_unvouched
+            or (is_empty and run.ended == 'whole')
             or began_at <= self.replica.crashed_at <= each.ended_at
             or chaos.was_reset(
                 each.entry, _name_of(self.replica), began_at, each.ended_at
