--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -315,7 +315,7 @@
 
     @route('GET', '/health')
     async def health(self, call: Call) -> Answer:
-        await self._until_unstalled()
+        await self.faults.wait_cleared('stall')
         call.set_header('X-Replica-Id', self.id)
         call.set_header(COLD, str(self.stated.warm_up.left_ms))
         return {}
@@ -326,7 +326,7 @@
             await self._serve(call)
         finally:
             # Refusals and drops are sent after this.
-            await self._until_unstalled()
+            await self.faults.wait_cleared('stall')
         return None
 
     async def _serve(self, call: Call) -> None:
@@ -343,11 +343,7 @@
             self.refused['overrun'] += 1
             raise DropError
         if self.stated.pause_s:
-            self.stated.pauses.append(
-                (time.monotonic(), request_id, self.stated.pause_s)
-            )
-            call.set_header(PAUSE, self.stated.pause_s)
-            raise self._refusal(call, 503, 'pause')
+            await self._ask_for_pause(call, request_id, self.stated.pause_s)
         if self.faults.take('full'):
             raise self._refusal(call, 503, 'full')
         granted = self.places.take()
@@ -365,8 +361,17 @@
         finally:
             self.places.release()
 
-    async def _until_unstalled(self) -> None:
+    async def _ask_for_pause(
+        self, call: Call, request_id: str, pause_s: str
+    ) -> None:
+        """Refuse a request; a caller that has left isn't told of the pause."""
+        left = asyncio.Event()
+        call.on_disconnect = left.set
         await self.faults.wait_cleared('stall')
+        if not left.is_set():
+            self.stated.pauses.append((time.monotonic(), request_id, pause_s))
+        call.set_header(PAUSE, pause_s)
+        raise self._refusal(call, 503, 'pause')
 
     def on_crash(self, ended_by: str) -> None:
         """Record how the connections end; only the first end counts."""
@@ -443,7 +448,7 @@
         if self.faults.take('hang'):
             await self.faults.wait_cleared('hang')
             raise self._drop_error(run_record)
-        await self._until_unstalled()
+        await self.faults.wait_cleared('stall')
         if self.faults.take('crossed'):
             await self._write_raw(call, self._mismatched_answer())
         call.set_header(REQUEST_ID, run_record.request_id)
@@ -519,12 +524,12 @@
             await send(b'')
             raise self._drop_error(run_record)
         for number, event in zip(numbers, events, strict=True):
-            await self._until_unstalled()
+            await self.faults.wait_cleared('stall')
             await self._check_cut(send, run_record, number)
             await send(event)
             run_record.last_event = number
             await asyncio.sleep(self.event_interval_s)
-        await self._until_unstalled()
+        await self.faults.wait_cleared('stall')
         if is_unframed:
             await send(b'')
             raise self._drop_error(run_record, is_whole=True)
--- a/scripts/_platform_silence.py
+++ b/scripts/_platform_silence.py
@@ -36,7 +36,11 @@
 SLOW_EVENT_INTERVAL_S = 0.1
 """Interval of events before a silence, so that more streams are open in it."""
 
-SLOW_S = 0.8
+MAX_SLOW_S = 1.5
+MIN_STREAMS = 6
+"""Open streams at which a silence begins earlier."""
+
+POLL_S = 0.02
 STREAMS = 24
 """Streams that callers begin shortly before a silence."""
 
@@ -90,7 +94,7 @@
         while time.monotonic() < ends_at:
             await asyncio.sleep(self.rng.uniform(*INTERVAL_S))
             number += 1
-            until = time.monotonic() + SLOW_S
+            until = time.monotonic() + MAX_SLOW_S
             await asyncio.gather(
                 self._fall_silent(self.rng.choice(SERVICES), until),
                 *(
@@ -105,7 +109,10 @@
         slowed = self._replicas(service)
         for replica in slowed:
             replica.event_interval_s = SLOW_EVENT_INTERVAL_S
-        await asyncio.sleep(at - time.monotonic())
+        while time.monotonic() < at:
+            if self._streams(service) >= MIN_STREAMS:
+                break
+            await asyncio.sleep(POLL_S)
         # Those with the most streams come first, the others in any order.
         replicas = self._replicas(service)
         self.rng.shuffle(replicas)
@@ -143,6 +150,9 @@
             if incarnation.service == service
         ]
 
+    def _streams(self, service: str) -> int:
+        return sum(map(_open_streams, self._replicas(service)))
+
     def describe(self, replica: str, began_at: float, ended_at: float) -> str:
         """Return when a replica was silent, in seconds after a time."""
         found = [
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -92,7 +92,7 @@
     directory_rng: random.Random
     silence_rng: random.Random
     duration_s: float
-    is_calm: bool = False
+    is_calm: bool
     callers: list[Caller] = field(factory=list)
     _began_at: float = field(factory=time.monotonic)
     _keys_published_at: list[float] = field(factory=list)
@@ -320,7 +320,7 @@
             random.Random(f'directory of {seed}'),
             random.Random(f'silences of {seed}'),
             float(options['--duration']),
-            is_calm=bool(options['--calm']),
+            bool(options.get('--calm')),
         )
         soak.log_line(f'seed {seed}: {plan}')
         is_ok = False
--- a/tests/scripts/test_platform_silence.py
+++ b/tests/scripts/test_platform_silence.py
@@ -255,7 +255,7 @@
 
         for name in ('SILENCE_S', 'INTERVAL_S'):
             monkeypatch.setattr(f'_platform_silence.{name}', (0, 0.01))
-        monkeypatch.setattr('_platform_silence.SLOW_S', 0)
+        monkeypatch.setattr('_platform_silence.MAX_SLOW_S', 0)
         monkeypatch.setattr('_platform_silence.SERVICES', ('llm',))
         return Silences(fleet, rng, str, lambda _: None), seen, watch
 
@@ -324,6 +324,34 @@
 
         run(check())
 
+    def test_pause_counts_once_its_caller_was_told(self):
+        """Guards against a check that blames entries for what they don't know."""
+
+        async def check():
+            replica, port = self.replica()
+            replica.stated.pause_s = '1'
+            replica.faults.switch_on(Fault('stall'))
+            conns = [
+                await asyncio.open_connection('127.0.0.1', port)
+                for _ in range(2)
+            ]
+            for _, writer in conns:
+                writer.write(self.REQUEST)
+            await until(lambda: len(replica.arrivals) == 2)
+            assert not replica.stated.pauses
+            (reader, stays), (_, leaves) = conns
+            leaves.close()
+            await asyncio.sleep(0.1)
+            sent_at = time.monotonic()
+            replica.faults.switch_off('stall')
+            head = await asyncio.wait_for(reader.readline(), 2)
+            assert b' 503 ' in head
+            ((at, _, _),) = replica.stated.pauses
+            assert at >= sent_at
+            stays.close()
+
+        run(check())
+
     def test_closed_connection_is_recorded_while_it_is_silent(self):
         async def check():
             replica, port = self.replica()
