Streams cut at work: a drop after the entry had closed is no excuse

A stalled replica may draw a fault on a connection that its entry has closed before. Replicas that would never have gone on are recorded as such.

--- a/packages/standins/src/crowrudder_standins/fleet_replica.py
+++ b/packages/standins/src/crowrudder_standins/fleet_replica.py
@@ -57,7 +57,8 @@
     ``last_event`` is the number of the last event that was sent. ``parts``
     are those of its prompt, without the last. ``is_unframed`` and ``is_sized``
     say what delimits its answer; chunks do if neither is set. ``closed_at`` is
-    when its connection was closed by the other side before the run ended.
+    when its connection was closed by the other side before the run ended, and
+    ``is_hung`` whether the replica would never have gone on with it.
     """
 
     request_id: str
@@ -78,6 +79,7 @@
     is_sized: bool = False
     closed_at: float = math.inf
     is_unvouched: bool = False
+    is_hung: bool = False
 
     @property
     def framing(self) -> str:
@@ -446,6 +448,7 @@
         if self.faults.take('lost'):
             raise self._drop_error(run_record)
         if self.faults.take('hang'):
+            run_record.is_hung = True
             await self.faults.wait_cleared('hang')
             raise self._drop_error(run_record)
         await self.faults.wait_cleared('stall')
@@ -517,6 +520,7 @@
             run_record.is_sized = True
             call.set_header('Content-Length', str(len(b''.join(events))))
         if self.faults.take('head_alone'):
+            run_record.is_hung = True
             await send(b'')
             await self.faults.wait_cleared('head_alone')
             raise self._drop_error(run_record)
--- a/scripts/_platform_silence.py
+++ b/scripts/_platform_silence.py
@@ -210,7 +210,8 @@
         # Without framing, an end after no event looks like a truncation.
         is_empty = run.is_unframed and run.resumed_after == EVENTS
         return (
-            bool(run.cut_by)
+            (bool(run.cut_by) and not math.isfinite(run.closed_at))
+            or run.is_hung
             or run.is_unvouched
             or (is_empty and run.ended == 'whole')
             or began_at <= self.replica.crashed_at <= each.ended_at
--- a/tests/scripts/test_platform_silence.py
+++ b/tests/scripts/test_platform_silence.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 from types import SimpleNamespace
@@ -129,10 +130,20 @@
 
     def test_next_run_that_ends_before_an_event_excuses_nothing(self, soak):
         soak.add_run(
-            1, began_at=CLOSED_AT, resumed_after=1, last_event=0, cut_by='fin'
+            1,
+            began_at=CLOSED_AT,
+            resumed_after=1,
+            last_event=0,
+            cut_by='fin',
+            closed_at=math.inf,
         )
         assert soak.cuts()
 
+    def test_a_drop_after_the_entry_had_closed_excuses_nothing(self, soak):
+        soak.replicas[0].runs.clear()
+        soak.add_run(0, cut_by='fin')
+        assert soak.cuts()
+
     def test_next_run_that_is_closed_too_excuses_nothing(self, soak):
         soak.add_run(1, began_at=CLOSED_AT, resumed_after=1, closed_at=CUT_AT)
         assert soak.cuts()
@@ -202,8 +213,9 @@
     @pytest.mark.parametrize(
         'fields',
         [
-            {'cut_by': 'fin'},
-            {'cut_by': 'reset'},
+            {'cut_by': 'fin', 'closed_at': math.inf},
+            {'cut_by': 'reset', 'closed_at': math.inf},
+            {'is_hung': True},
             {'is_unvouched': True},
             {'ended': 'whole', 'is_unframed': True, 'resumed_after': EVENTS},
         ],
@@ -215,13 +227,24 @@
 
     def test_every_upstream_broke_off(self, soak):
         soak.replicas[0].runs.clear()
-        soak.add_run(0, cut_by='fin')
-        soak.add_run(1, began_at=CLOSED_AT, last_event=0, cut_by='fin')
+        soak.add_run(0, cut_by='fin', closed_at=math.inf)
+        soak.add_run(
+            1,
+            began_at=CLOSED_AT,
+            last_event=0,
+            cut_by='fin',
+            closed_at=math.inf,
+        )
         assert not soak.cuts()
 
     def test_next_run_broke_off_after_it_went_on(self, soak):
         soak.add_run(
-            1, began_at=CLOSED_AT, resumed_after=1, last_event=2, cut_by='fin'
+            1,
+            began_at=CLOSED_AT,
+            resumed_after=1,
+            last_event=2,
+            cut_by='fin',
+            closed_at=math.inf,
         )
         assert not soak.cuts()
 
