--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -347,21 +347,15 @@
         return self.time_to_first_event_s >= 0
 
     def _on_silent(self) -> bool:
-        """Report that the upstream is silent; return if another run was sent.
-
-        Only then it counts against the upstream: one that is full is silent
-        to many requests, and to avoid it would leave others without any.
-        """
+        """Report that the upstream is silent; return if it had an effect."""
         if not self.dispatch.repeatable:
             return False
         if self.silence is None:
+            self._record_failure()
             self.silence = self._upstreams.silences.describe(
                 self.activity, after_event=self.events.last_id
             )
-        is_moved = self.observer.on_silent(self)
-        if is_moved:
-            self._record_failure()
-        return is_moved
+        return self.observer.on_silent(self)
 
     def _record_cancellation(self, unsent_bytes: int) -> None:
         self.cancellation = Cancellation(
