Store: a list whose pages don't end is no list; its answers are bounded

Failure: a store whose pages never end, don't advance or are empty was asked up to 100 times, each answer up to 16 MB, and what had been read by then was taken for the whole list: all records that it lacked counted as removed.

A watch whose answer is too long is read as a list, in pages: the same changes would be too long in each further watch.

--- /dev/null
+++ b/tests/fleet/test_endless_peers.py
@@ -0,0 +1,153 @@
+"""Peers that send bytes without end: what is taken is bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+
+import pytest
+from crowrudder_platform import _store
+from crowrudder_platform.adapter import PlatformStore
+
+from crowrudder_daemon.fleet.ports import HistoryGoneError, PlatformError
+from crowrudder_daemon.http import ConnectionPool
+from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
+from crowrudder_model import StorePosition
+from support.aio import run
+from support.endless import ENDLESS_ANSWERS, HEAD, endless, measured
+from support.fleet import fleet
+
+KINDS = pytest.mark.parametrize('kind', sorted(ENDLESS_ANSWERS))
+READ_AHEAD = 512 * 1024
+"""Bytes that the loop reads at once beyond a bound, with a margin."""
+
+
+@pytest.fixture
+def taken(monkeypatch):
+    """Measure bytes and turns of the loop."""
+    with measured(monkeypatch) as found:
+        yield found
+
+
+def bound_of(kind, max_body_bytes):
+    """Return how much of an answer of a kind may be taken, in bytes."""
+    bound = max_body_bytes if kind.startswith('body') else MAX_HEAD_BYTES
+    return bound + READ_AHEAD
+
+
+async def asked(kind, ask):
+    """Ask a peer that answers endlessly."""
+    async with endless(*ENDLESS_ANSWERS[kind]) as peer:
+        await ask(peer.address)
+
+
+def page(keys, value='aa=='):
+    items = [
+        {'key': key, 'rev': 1, 'create_revision': 1, 'value': value}
+        for key in keys
+    ]
+    body = json.dumps(
+        {'items': items, 'store_revision': 7, 'more_pages': True}
+    ).encode()
+    return HEAD + b'Content-Length: %d\r\n\r\n' % len(body) + body
+
+
+async def paged(answer_of):
+    """Serve the answers that a function returns for each page's number."""
+    asked_pages = 0
+
+    async def on_connection(reader, writer):
+        nonlocal asked_pages
+        while await reader.readuntil(b'\r\n\r\n'):
+            writer.write(answer_of(asked_pages))
+            asked_pages += 1
+            await writer.drain()
+
+    server = await asyncio.start_server(on_connection, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    with pytest.raises(PlatformError) as caught:
+        await PlatformStore(f'127.0.0.1:{port}', ConnectionPool()).list_all()
+    server.close()
+    return str(caught.value), asked_pages
+
+
+class TestStore:
+    """The store's answers; a list that was given up would remove records."""
+
+    @KINDS
+    def test_page_without_end(self, kind, taken):
+        async def ask(address):
+            with pytest.raises(PlatformError):
+                await PlatformStore(address, ConnectionPool()).list_all()
+
+        run(asked(kind, ask))
+        taken.check(bound_of(kind, _store.MAX_ANSWER_BYTES))
+
+    @KINDS
+    def test_watch_without_end(self, kind, taken):
+        async def ask(address):
+            source = PlatformStore(address, ConnectionPool())
+            with pytest.raises(PlatformError):
+                await source.watch(StorePosition(1, 1), wait_s=0.2)
+
+        run(asked(kind, ask))
+        taken.check(bound_of(kind, _store.MAX_ANSWER_BYTES))
+
+    def test_watch_that_is_too_long_leads_to_a_list(self):
+        """The same changes would be too long in each further watch."""
+
+        async def ask(address):
+            source = PlatformStore(address, ConnectionPool())
+            with pytest.raises(HistoryGoneError, match='longer than'):
+                await source.watch(StorePosition(1, 1), wait_s=5)
+
+        run(asked('body_by_length', ask))
+
+    def test_pages_that_do_not_advance(self):
+        """The list was asked for a hundred times and then taken as whole."""
+        reason, asked_pages = run(paged(lambda _: page(['a', 'b'])))
+        assert 'do not advance' in reason
+        assert asked_pages == 2
+
+    def test_pages_without_items(self):
+        """The records read so far were taken as all of them."""
+        reason, asked_pages = run(paged(lambda _: page([])))
+        assert 'do not advance' in reason
+        assert asked_pages == 1
+
+    def test_pages_without_end(self):
+        """After a hundred pages the list was taken as whole."""
+        reason, asked_pages = run(paged(lambda n: page([f'k{n:06}'])))
+        assert 'pages' in reason
+        assert asked_pages == _store.MAX_PAGES
+
+    def test_long_pages_without_end(self):
+        """A hundred pages of the greatest length don't fit into the memory."""
+        value = 1_000_000 * 'a'
+        reason, asked_pages = run(paged(lambda n: page([f'{n:06}'], value)))
+        assert 'longer' in reason
+        assert asked_pages <= _store.MAX_LIST_BYTES / len(value) + 1
+
+    def test_callers_are_served_beside_it(self, taken, caplog):
+        async def check():
+            async with fleet() as world:
+                server = world.server_at(world.store_address)
+                server.stop()
+                await server.close_all_connections()
+                beginning, rest = ENDLESS_ANSWERS['body_by_connection']
+                async with endless(beginning, rest, world.store_address):
+                    await world.until(lambda: 'longer than' in reasons(caplog))
+                    answers = [await world.ask('/read/x') for _ in range(20)]
+                assert {answer.status for answer in answers} == {200}
+
+        caplog.set_level(logging.INFO, 'crowrudder.test')
+        run(check())
+        taken.check(_store.MAX_ANSWER_BYTES + READ_AHEAD)
+
+
+def reasons(caplog):
+    """Return the reasons that log lines name."""
+    return ' '.join(
+        str(getattr(record, 'reason', '')) for record in caplog.records
+    )
