Chunks: a read ends at the size of its chunk, whatever its source sends

Failure: a chunk of an agent without end, in pieces with or without bytes, was collected for as long as it came: a read counts as stalled only while nothing arrives.

Change: the collector ends a read that brings more bytes than its chunk has, or more than 16 pieces without bytes ("chunk not read" with the reason, counted as failed).

--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from crowrudder_core.transfer import FromOrigin, FromPeer
+from crowrudder_daemon.chunks._read_bound import ReadBound
 from crowrudder_daemon.chunks._sources import (
     NoSourceError,
     PeerAnswer,
@@ -176,7 +177,10 @@
             bytes_per_s=self._max_read_rate(),
         )
 
+        bound = self._bound(read, address)
+
         async def on_piece(size: int) -> None:
+            bound.on_piece(size)
             wait_s = self._reserve_link(read, size)
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
@@ -192,11 +196,16 @@
 
     async def _from_origin(self, read: FromOrigin) -> None:
         self._watch.asked_origin(read)
+        bound = self._bound(read, 'origin')
+
+        def on_piece(size: int) -> None:
+            bound.on_piece(size)
+            # Without waiting: the origin limits its own rate.
+            self._reserve_link(read, size)
+
         try:
             payload = await self._origin.chunk(
-                self._version_ref.version,
-                read.index,
-                lambda size: self._record_bytes(read, size),
+                self._version_ref.version, read.index, on_piece
             )
         except CrowrudderError as exc:
             self._watch.failed(self._version_ref.version, read, exc)
@@ -209,9 +218,8 @@
         if not self._accept(read, payload):
             self._origin.on_bad_store_chunk()
 
-    def _record_bytes(self, read: Read, size: int) -> None:
-        """Record received bytes of the origin, which limits its own rate."""
-        self._reserve_link(read, size)
+    def _bound(self, read: Read, source: str) -> ReadBound:
+        return ReadBound(source, self._transfer.manifest.chunk_size(read.index))
 
     def _reserve_link(self, read: Read, size: int) -> float:
         """Record received bytes; return how long the link is busy, in seconds."""
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -5,18 +5,35 @@
 import asyncio
 import json
 import logging
+from typing import Any
 
 import pytest
-from crowrudder_platform import _store
-from crowrudder_platform.adapter import PlatformStore
-
+from crowrudder_platform import _origin, _store
+from crowrudder_platform.adapter import (
+    PlatformOrigin,
+    PlatformStore,
+)
+
+from crowrudder_core.transfer import FromOrigin, FromPeer, LinkShare
+from crowrudder_daemon.chunks._collect import Collector
+from crowrudder_daemon.chunks._sources import PeerSource
+from crowrudder_daemon.chunks._stock import (
+    EngineStatus,
+    UploadSlots,
+    build_inventory,
+)
 from crowrudder_daemon.fleet.ports import HistoryGoneError, PlatformError
+from crowrudder_daemon.fleet_agent._origin_chunks import OriginChunks
 from crowrudder_daemon.http import ConnectionPool
 from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
-from crowrudder_model import StorePosition
+from crowrudder_daemon.rpc import PeerClient, PeerServer
+from crowrudder_model import StorePosition, UpstreamError
+from crowrudder_model.messages import ChunkPiece
+from crowrudder_model.rpc import CHUNK
 from support.aio import run
 from support.endless import ENDLESS_ANSWERS, HEAD, endless, measured
 from support.fleet import fleet
+from support.weights_versions import OLD, begin, version
 
 KINDS = pytest.mark.parametrize('kind', sorted(ENDLESS_ANSWERS))
 READ_AHEAD = 512 * 1024
@@ -146,6 +163,99 @@
         taken.check(_store.MAX_ANSWER_BYTES + READ_AHEAD)
 
 
+class TestOrigin:
+    """The origin's answers; all that it sends is paid for."""
+
+    @KINDS
+    def test_manifest_without_end(self, kind, taken):
+        async def ask(address):
+            with pytest.raises(UpstreamError):
+                await PlatformOrigin(ConnectionPool()).digests(address, 'm')
+
+        run(asked(kind, ask))
+        taken.check(bound_of(kind, _origin.MAX_MANIFEST_BYTES))
+
+    @KINDS
+    def test_chunk_without_end(self, kind, taken):
+        """A chunk of a few bytes was read for 16 MB before it was refused."""
+
+        async def ask(address):
+            origin = OriginChunks(
+                PlatformOrigin(ConnectionPool()), lambda: address, 'm', 1
+            )
+            assert await outcome(FromOrigin(0), origin=origin) == 'failed'
+
+        run(asked(kind, ask))
+        taken.check(bound_of(kind, 0))
+
+
+class TestChunksOfAgents:
+    """Chunks of other agents; a read is stalled only while nothing arrives."""
+
+    @pytest.mark.parametrize('piece', [b'', 1000 * b'y'])
+    def test_chunk_without_end(self, piece):
+        """The pieces were collected for as long as they came."""
+
+        async def on_chunk(_request, _context):
+            while True:
+                sent.append(piece)
+                yield ChunkPiece(payload=piece)
+                await asyncio.sleep(0)
+
+        async def check():
+            server = PeerServer('127.0.0.1:0')
+            server.add(CHUNK, on_chunk)
+            await server.start()
+            client = PeerClient()
+            address = f'127.0.0.1:{server.port}'
+            peers = PeerSource(client)
+            try:
+                read = FromPeer(0, address)
+                assert await outcome(read, peers=peers) == 'failed'
+            finally:
+                await client.close()
+                await server.stop(0)
+
+        sent: list[bytes] = []
+        run(check())
+        assert sum(map(len, sent)) < READ_AHEAD
+
+
+async def outcome(read, *, peers=None, origin=None):
+    """Return what a collector records of a read, at most after a second."""
+    transfer = begin(version('old', OLD), host='a', hosts=('a', 'b'))
+    seen: list[str] = []
+    watch: Any = Watch(seen)
+    made = Collector(
+        transfer,
+        peers=peers,
+        origin=origin,
+        downlink=LinkShare(rate=1e9, burst=0),
+        address_of=lambda host: host,
+        watch=watch,
+        own_inventory=lambda: build_inventory(
+            'a',
+            'old',
+            transfer,
+            slots=UploadSlots(1),
+            engine_status=EngineStatus(),
+        ),
+    )
+    async with asyncio.timeout(1):
+        await made._read(read)
+    return seen[-1]
+
+
+class Watch:
+    """Records the outcomes of reads."""
+
+    def __init__(self, seen):
+        self._seen = seen
+
+    def __getattr__(self, name):
+        return lambda *_: self._seen.append(name)
+
+
 def reasons(caplog):
     """Return the reasons that log lines name."""
     return ' '.join(
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -121,7 +121,7 @@
     """Measure what is taken, without pauses of the garbage collector."""
     taken = Taken()
     receive = HttpConnection.data_received
-    turn = asyncio.BaseEventLoop._run_once
+    turn = vars(asyncio.BaseEventLoop)['_run_once']
 
     def counted(conn, data):
         key = id(conn)
