Engine: reports and lists of staged chunks have bounds of their own

Failure: an agent reads its engine's report ten times a second, each up to 16 MB; an engine whose report doesn't end made it read 16 MB again and again.

--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 import pytest
-from crowrudder_platform import _origin, _store
+from crowrudder_platform import _engine, _origin, _store
 from crowrudder_platform.adapter import (
+    PlatformEngine,
     PlatformOrigin,
     PlatformStore,
 )
@@ -256,6 +257,37 @@
         return lambda *_: self._seen.append(name)
 
 
+class TestEngine:
+    """Reports, lists and chunks of an agent's engine."""
+
+    @KINDS
+    def test_report_without_end(self, kind, taken):
+        async def ask(address):
+            with pytest.raises(UpstreamError):
+                await PlatformEngine(address, ConnectionPool()).read()
+
+        run(asked(kind, ask))
+        taken.check(bound_of(kind, _engine.MAX_REPORT_BYTES))
+
+    @KINDS
+    def test_list_of_chunks_without_end(self, kind, taken):
+        async def ask(address):
+            with pytest.raises(UpstreamError):
+                await PlatformEngine(address, ConnectionPool()).staged('m')
+
+        run(asked(kind, ask))
+        taken.check(bound_of(kind, _engine.MAX_STAGED_BYTES))
+
+    def test_staged_chunk_without_end(self, taken):
+        async def ask(address):
+            engine = PlatformEngine(address, ConnectionPool())
+            with pytest.raises(UpstreamError, match='longer than'):
+                await engine.get_chunk('m', 1)
+
+        run(asked('body_by_connection', ask))
+        taken.check(_engine.MAX_PIECE_BYTES + READ_AHEAD)
+
+
 def reasons(caplog):
     """Return the reasons that log lines name."""
     return ' '.join(
