Datagrams: bounded in bytes, and in the items of each list

Failure: a datagram of 64 KB with thousands of load reports was applied in one turn and sent on to all entries of the region; one with thousands of statuses was taken as well.

Change: a datagram has 16 KB at most (the inventory of a version of 60,000 chunks), and each list of a heartbeat or a batch of loads 128 items; senders put 48 at most into one. Others count in peer_datagrams_bad, and the reason stands in the debug line.

Evidence: the four new tests fail before and pass now.

--- a/packages/model/src/crowrudder_model/_codec.py
+++ b/packages/model/src/crowrudder_model/_codec.py
@@ -9,6 +9,9 @@
 from crowrudder_model._errors import MalformedMessageError
 from crowrudder_model.messages._gossip import Datagram
 
+MAX_DATAGRAM_BYTES = 16_384
+"""Longest datagram: the inventory of a version of 60,000 chunks."""
+
 _Message = TypeVar('_Message')
 # The decoder skips unknown keys recursively, so that deeply nested values
 # raise RecursionError.
@@ -53,8 +56,14 @@
     Raises
     ------
     MalformedMessageError
-        When the bytes are not a datagram of a known class.
+        When the bytes are not a datagram of a known class, or too many.
     """
+    if len(payload) > MAX_DATAGRAM_BYTES:
+        raise MalformedMessageError(
+            f'a datagram longer than {MAX_DATAGRAM_BYTES} bytes',
+            step='decode',
+            peer=peer,
+        )
     try:
         return _datagram_decoder.decode(payload)
     except _DECODE_ERRORS as exc:
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import zlib
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 from attrs import frozen
@@ -17,6 +17,11 @@
 from crowrudder_model.messages._suspects import SuspicionUpdate
 from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
+MAX_LISTED = 128
+"""Items in one list of a datagram. Senders put 48 at most into one."""
+
+_Bounded = msgspec.Meta(max_length=MAX_LISTED)
+
 MemberRole = Literal['entry', 'agent']
 
 
@@ -118,8 +123,8 @@
     the receiver to forward them to the entries of its own region.
     """
 
-    loads: tuple[EngineLoad, ...]
-    ages_ms: tuple[int, ...]
+    loads: Annotated[tuple[EngineLoad, ...], _Bounded]
+    ages_ms: Annotated[tuple[int, ...], _Bounded]
     forward: bool = False
 
 
@@ -168,8 +173,8 @@
     confirmed_s: float = 1.0e9
     asks_for_reply: bool = False
     is_alone: bool = False
-    others: tuple[ForwardedStatus, ...] = ()
-    last_seen_entries: tuple[LastSeen, ...] = ()
+    others: Annotated[tuple[ForwardedStatus, ...], _Bounded] = ()
+    last_seen_entries: Annotated[tuple[LastSeen, ...], _Bounded] = ()
     era: int | None = None
 
     @property
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -23,13 +23,23 @@
     UploadSlots,
     build_inventory,
 )
+from crowrudder_daemon.fleet._peers_task import DatagramReceived
 from crowrudder_daemon.fleet.ports import HistoryGoneError, PlatformError
 from crowrudder_daemon.fleet_agent._origin_chunks import OriginChunks
 from crowrudder_daemon.http import ConnectionPool
 from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
 from crowrudder_daemon.rpc import PeerClient, PeerServer
-from crowrudder_model import StorePosition, UpstreamError
-from crowrudder_model.messages import ChunkPiece
+from crowrudder_model import StorePosition, UpstreamError, encode_message
+from crowrudder_model.messages import (
+    ChunkInventory,
+    ChunkPiece,
+    EngineLoad,
+    ForwardedStatus,
+    Heartbeat,
+    LastSeen,
+    LoadBatch,
+    MemberStatus,
+)
 from crowrudder_model.rpc import CHUNK
 from support.aio import run
 from support.endless import ENDLESS_ANSWERS, HEAD, endless, measured
@@ -288,6 +298,63 @@
         taken.check(_engine.MAX_PIECE_BYTES + READ_AHEAD)
 
 
+def status(number):
+    """Return the status of an entry that is not there."""
+    return MemberStatus(
+        ip=f'10.{number >> 16}.{number >> 8 & 255}.{number & 255}',
+        role='entry',
+        incarnation=f'{number}',
+        started_at=1.0,
+    )
+
+
+def load(number):
+    """Return the load report of an engine that is not there."""
+    return EngineLoad(
+        address=f'10.9.{number >> 8}.{number & 255}:80', reachable=True
+    )
+
+
+LONG_DATAGRAMS = {
+    'statuses': Heartbeat(
+        status=status(1),
+        others=tuple(ForwardedStatus(status(n), 0) for n in range(2, 300)),
+    ),
+    'last_seen': Heartbeat(
+        status=status(1),
+        last_seen_entries=tuple(LastSeen('10.0.0.1', n, 0) for n in range(500)),
+    ),
+    'loads': LoadBatch(
+        loads=tuple(load(n) for n in range(300)),
+        ages_ms=(0,) * 300,
+        forward=True,
+    ),
+    'bytes': ChunkInventory(version='m@1', manifest='', chunks=bytes(60_000)),
+}
+
+
+class TestDatagrams:
+    """Datagrams of other processes; any one is dealt with in one turn."""
+
+    @pytest.mark.parametrize('name', sorted(LONG_DATAGRAMS))
+    def test_long_datagram(self, name):
+        """An entry sent batches of loads of any length on to its region."""
+
+        async def check():
+            async with fleet(plain=0, engines=0) as world:
+                entry = world.entries[0]
+                payload = encode_message(LONG_DATAGRAMS[name])
+                entry.peers.handle_immediately(
+                    DatagramReceived(payload, '10.0.0.1')
+                )
+                assert len(entry.peers.entries()) == 1
+                assert b'peer_datagrams_bad_total 1.0' in (
+                    entry.runtime.metrics.render()
+                )
+
+        run(check())
+
+
 def reasons(caplog):
     """Return the reasons that log lines name."""
     return ' '.join(
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -113,6 +113,10 @@
     def check(self, max_bytes):
         """Check the bytes of a connection and the turns of the loop."""
         assert self.most_bytes <= max_bytes
+        self.check_turns()
+
+    def check_turns(self):
+        """Check the turns of the loop."""
         assert self.longest_turn_s <= TURN_S * TURN_FACTOR
 
 
