Datagrams: what is kept of other processes' reports has bounds

Failure: a process that names new entries, engines or versions without end made others keep all of them. An entry of a fleet with one region kept the load report of every address that ever reported, as only batches to other regions dropped expired ones; an agent kept the inventories of every version.

Change: named bounds of the roster (2,048 entries), of the relay's reports (4,096, the expired dropped before each batch interval), of the links (8,192 engines) and of the versions that an agent doesn't read (16).

--- a/packages/core/src/crowrudder_core/membership/_roster.py
+++ b/packages/core/src/crowrudder_core/membership/_roster.py
@@ -42,6 +42,10 @@
 MAX_LAST_SEEN = 48
 """Last-seen entries in one heartbeat; each takes about 24 bytes."""
 
+MAX_ENTRIES = 2048
+"""Other entries that are kept; a fleet has a few hundred. Without a bound, one
+faulty process could name new ones without end."""
+
 _MS = 1000
 
 
@@ -82,6 +86,9 @@
         known = self._others.get(status.ip)
         if known is not None and not _supersedes(status, last_seen_at, known):
             return False
+        if known is None and len(self._others) >= MAX_ENTRIES:
+            # Those that have expired make room at the next heartbeat.
+            return False
         self._others[status.ip] = _StatusRecord(status, last_seen_at)
         self.has_met_others = True
         return known is None
--- a/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_agent/_library.py
@@ -73,6 +73,13 @@
 most chunks come from the own region, and traffic between regions is scarce and
 costs money."""
 
+MAX_UNUSED_VERSIONS = 16
+"""Versions that this host doesn't read and whose inventories are kept: one of a
+new version may arrive before the version itself."""
+
+MAX_REPORTING_HOSTS = 1024
+"""Hosts whose inventory of one version is kept."""
+
 TRANSFER_PACING: dict[str, Any] = {
     'poll_s': 1.0,
     'starved_s': 0.6,
@@ -159,11 +166,24 @@
 
     def chunks_received(self, ip: str, inventory: ChunkInventory) -> None:
         """Apply another agent's chunk inventory."""
-        self._received.setdefault(inventory.version, {})[ip] = inventory
+        of_version = self._received.setdefault(inventory.version, {})
+        if ip in of_version or len(of_version) < MAX_REPORTING_HOSTS:
+            of_version[ip] = inventory
+        self._drop_unused_versions()
         transfer = self.versions.find(inventory.version, inventory.manifest)
         if transfer is not None:
             _apply_inventory(transfer, ip, inventory)
 
+    def _drop_unused_versions(self) -> None:
+        """Drop the inventories of the oldest versions that nobody reads here."""
+        unused = [
+            name
+            for name in self._received
+            if name not in self.versions.transfers
+        ]
+        for name in unused[: max(len(unused) - MAX_UNUSED_VERSIONS, 0)]:
+            del self._received[name]
+
     def on_change(self) -> None:
         """Apply a change of the published records."""
         self._hosts.on_hosts(self._listed_places())
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_host_links.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_host_links.py
@@ -19,6 +19,9 @@
 """How long a link is remembered without a record or a report of its host. Records
 lapse for seconds while the renewals of an upstream wait for a full link."""
 
+MAX_ENGINES = 8192
+"""Engines, and hosts, of which reports are kept; a fleet has a few thousand."""
+
 
 @define
 class HostLinks:
@@ -42,6 +45,9 @@
 
     def on_load(self, load: EngineLoad, *, as_of: float) -> None:
         """Record a load report, whether or not its engine is listed."""
+        is_known = load.address in self._reported_at
+        if not is_known and len(self._reported_at) >= MAX_ENGINES:
+            return
         host = load.address.rpartition(':')[0]
         self.transit(host).on_report(load.link_delay_s, as_of=as_of)
         latest = max(self.reported_at(load.address), as_of)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_load_relay.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_load_relay.py
@@ -31,6 +31,9 @@
 MAX_LOADS_PER_BATCH = 24
 """Load reports in one batch, which must fit into one datagram."""
 
+MAX_REPORTS = 4096
+"""Load reports that are kept; a region has a few thousand engines at most."""
+
 _MS = 1000
 
 
@@ -57,6 +60,8 @@
 
     def on_load(self, load: EngineLoad) -> None:
         """Record the load report of an agent of the own region."""
+        if load.address not in self._reports and self._is_full():
+            return
         load = replace(load, is_close=False)
         self._reports[load.address] = _Report(load, clock_s())
 
@@ -75,15 +80,22 @@
             self._send_batches()
 
     def _send_batches(self) -> None:
+        now = clock_s()
+        reports = self._recent_reports(now)
         targets = self._targets()
         if not targets:
             return
-        now = clock_s()
-        reports = self._recent_reports(now)
         for first in range(0, len(reports), MAX_LOADS_PER_BATCH):
             part = reports[first : first + MAX_LOADS_PER_BATCH]
             self._peers.send(_batch(part, now), targets)
 
+    def _is_full(self) -> bool:
+        """Return whether there is no room, also without expired reports."""
+        return (
+            len(self._reports) >= MAX_REPORTS
+            and len(self._recent_reports(clock_s())) >= MAX_REPORTS
+        )
+
     def _targets(self) -> list[str]:
         """Return the target relay of each other region; none if not a relay.
 
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -15,6 +15,7 @@
     PlatformStore,
 )
 
+from crowrudder_core.membership._roster import MAX_ENTRIES
 from crowrudder_core.transfer import FromOrigin, FromPeer, LinkShare
 from crowrudder_daemon.chunks._collect import Collector
 from crowrudder_daemon.chunks._sources import PeerSource
@@ -25,7 +26,10 @@
 )
 from crowrudder_daemon.fleet._peers_task import DatagramReceived
 from crowrudder_daemon.fleet.ports import HistoryGoneError, PlatformError
+from crowrudder_daemon.fleet_agent._library import MAX_UNUSED_VERSIONS
 from crowrudder_daemon.fleet_agent._origin_chunks import OriginChunks
+from crowrudder_daemon.fleet_entry._host_links import MAX_ENGINES
+from crowrudder_daemon.fleet_entry._load_relay import MAX_REPORTS
 from crowrudder_daemon.http import ConnectionPool
 from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
 from crowrudder_daemon.rpc import PeerClient, PeerServer
@@ -354,6 +358,68 @@
 
         run(check())
 
+    def test_entries_without_end(self, taken):
+        def check(entry):
+            for first in range(0, 4200, 60):
+                others = tuple(
+                    ForwardedStatus(status(first + n), 0) for n in range(60)
+                )
+                yield Heartbeat(status=status(first), others=others)
+                assert len(entry.peers.entries()) <= MAX_ENTRIES + 1
+
+        run(told(check))
+        taken.check_turns()
+
+    def test_loads_without_end(self, taken):
+        """An entry without other regions kept every address for good."""
+
+        def check(entry):
+            for number in range(10_000):
+                yield load(number)
+            assert len(entry._relay._reports) <= MAX_REPORTS
+            assert len(entry.upstreams.links._reported_at) <= MAX_ENGINES
+
+        run(told(check))
+        taken.check_turns()
+
+    def test_expired_loads_are_dropped_without_other_regions(self):
+        """An entry without other regions kept every address for good."""
+
+        async def check():
+            async with fleet(plain=0, engines=0) as world:
+                relay = world.entries[0]._relay
+                relay.on_load(load(1))
+                await world.until(lambda: not relay._reports)
+
+        run(check(), timeout_s=5)
+
+    def test_versions_without_end(self):
+        """An agent kept the inventories of every version that was named."""
+
+        async def check():
+            async with fleet(plain=0, engines=0) as world:
+                await world.add_agent(1, loaded=1)
+                library = world.agents[0].library
+                for number in range(100):
+                    inventory = ChunkInventory(
+                        version=f'x@{number}', manifest='', chunks=b''
+                    )
+                    library.chunks_received('10.0.0.1', inventory)
+                assert len(library._received) <= MAX_UNUSED_VERSIONS + 1
+
+        run(check())
+
+
+async def told(messages_of):
+    """Let an entry receive datagrams, a few in each turn of the loop."""
+    async with fleet(plain=0, engines=0) as world:
+        entry = world.entries[0]
+        for number, message in enumerate(messages_of(entry)):
+            received = DatagramReceived(encode_message(message), '10.0.0.1')
+            entry.peers.handle_immediately(received)
+            if not number % 10:
+                await asyncio.sleep(0)
+
 
 def reasons(caplog):
     """Return the reasons that log lines name."""
