gRPC: a fleet's processes refuse long messages by their announced length

Failure: a request or a reply of up to 64 MB of any other process was received and decoded in one turn, in a process of 256 MB. The bound was that of a whole chunk, which comes in pieces of 256 KB since long.

Change: the server of an entry or agent takes requests of 64 KB, its client replies of 16 MB (the records of a whole fleet). gRPC refuses a longer message before its bytes are received; the caller logs RESOURCE_EXHAUSTED with the bound. Other roles keep 64 MB.

Evidence: both new tests fail before (decoded; received whole) and pass now.

--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -25,6 +25,13 @@
 
 RPC_GRACE_S = 0.2
 
+MAX_REQUEST_BYTES = 65_536
+"""Longest request of another process: that of a chunk, with an inventory."""
+
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+"""Longest reply of another process: the records of the whole fleet. Chunks come
+in pieces of 256 KB."""
+
 
 class FleetRole:
     """Owns the peers, the published records and the calls of a process.
@@ -46,8 +53,10 @@
     ) -> None:
         self.runtime = runtime
         self.node = node
-        self.client = PeerClient()
-        self.rpc = PeerServer(f'{node.ip}:{node.rpc_port}')
+        self.client = PeerClient(max_reply_bytes=MAX_REPLY_BYTES)
+        self.rpc = PeerServer(
+            f'{node.ip}:{node.rpc_port}', max_request_bytes=MAX_REQUEST_BYTES
+        )
         self.peers = PeersTask(runtime, node, self)
         self.catalog = CatalogTask(
             runtime,
--- a/packages/daemon/src/crowrudder_daemon/rpc/_client.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_client.py
@@ -8,7 +8,7 @@
 
 from grpc import aio
 
-from crowrudder_daemon.rpc._options import CHANNEL_OPTIONS
+from crowrudder_daemon.rpc._options import MAX_MESSAGE_BYTES, channel_options
 from crowrudder_model import (
     MalformedMessageError,
     PeerLostError,
@@ -75,9 +75,16 @@
 
 
 class PeerClient:
-    """Channels to other processes, opened on first use."""
+    """Channels to other processes, opened on first use.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_reply_bytes
+        Longest message that is received.
+    """
+
+    def __init__(self, *, max_reply_bytes: int = MAX_MESSAGE_BYTES) -> None:
+        self._options = channel_options(max_reply_bytes)
         self._channels: dict[str, aio.Channel] = {}
 
     async def call(
@@ -164,7 +171,7 @@
     def _channel(self, peer: str) -> aio.Channel:
         channel = self._channels.get(peer)
         if channel is None:
-            channel = aio.insecure_channel(peer, options=CHANNEL_OPTIONS)
+            channel = aio.insecure_channel(peer, options=self._options)
             self._channels[peer] = channel
         return channel
 
--- a/packages/daemon/src/crowrudder_daemon/rpc/_options.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_options.py
@@ -5,6 +5,8 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 """Largest message: one chunk of weights with its envelope."""
 
+_RECEIVE_OPTION = 'grpc.max_receive_message_length'
+
 KEEPALIVE_MS = 2000
 """A suspended peer sends no reset; only a missed keepalive detects it."""
 
@@ -20,7 +22,6 @@
     ('grpc.enable_http_proxy', 0),
     ('grpc.use_local_subchannel_pool', 1),
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
     ('grpc.keepalive_time_ms', KEEPALIVE_MS),
     ('grpc.keepalive_timeout_ms', KEEPALIVE_TIMEOUT_MS),
     ('grpc.http2.ping_timeout_ms', KEEPALIVE_TIMEOUT_MS),
@@ -32,7 +33,6 @@
 SERVER_OPTIONS: tuple[tuple[str, int], ...] = (
     ('grpc.so_reuseport', 0),
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
     ('grpc.keepalive_time_ms', KEEPALIVE_MS),
     ('grpc.keepalive_timeout_ms', KEEPALIVE_TIMEOUT_MS),
     ('grpc.http2.ping_timeout_ms', KEEPALIVE_TIMEOUT_MS),
@@ -41,3 +41,13 @@
     # Pings on idle connections would be half of an idle process's traffic.
     ('grpc.keepalive_permit_without_calls', 0),
 )
+
+
+def channel_options(max_reply_bytes: int) -> tuple[tuple[str, int], ...]:
+    """Return the options of a channel; a longer reply fails its call."""
+    return (*CHANNEL_OPTIONS, (_RECEIVE_OPTION, max_reply_bytes))
+
+
+def server_options(max_request_bytes: int) -> tuple[tuple[str, int], ...]:
+    """Return the options of a server; a longer request fails its call."""
+    return (*SERVER_OPTIONS, (_RECEIVE_OPTION, max_request_bytes))
--- a/packages/daemon/src/crowrudder_daemon/rpc/_server.py
+++ b/packages/daemon/src/crowrudder_daemon/rpc/_server.py
@@ -8,7 +8,7 @@
 import grpc
 from grpc import aio
 
-from crowrudder_daemon.rpc._options import SERVER_OPTIONS
+from crowrudder_daemon.rpc._options import MAX_MESSAGE_BYTES, server_options
 from crowrudder_model import decode_message, encode_message
 from crowrudder_model.rpc import SERVICE_NAME, CallKind, Method
 
@@ -29,13 +29,17 @@
     ----------
     address
         ``IP:PORT`` to listen on.
+    max_request_bytes
+        Longest message that is received.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, *, max_request_bytes: int = MAX_MESSAGE_BYTES
+    ) -> None:
         self.address = address
         self.port = 0
         self._handlers: dict[str, grpc.RpcMethodHandler[Any, Any]] = {}
-        self._server = aio.server(options=SERVER_OPTIONS)
+        self._server = aio.server(options=server_options(max_request_bytes))
 
     def add(
         self,
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -14,6 +14,7 @@
     PlatformOrigin,
     PlatformStore,
 )
+from grpc import StatusCode, aio
 
 from crowrudder_core.membership._roster import MAX_ENTRIES
 from crowrudder_core.transfer import FromOrigin, FromPeer, LinkShare
@@ -25,6 +26,7 @@
     build_inventory,
 )
 from crowrudder_daemon.fleet._peers_task import DatagramReceived
+from crowrudder_daemon.fleet._role import MAX_REPLY_BYTES, MAX_REQUEST_BYTES
 from crowrudder_daemon.fleet.ports import HistoryGoneError, PlatformError
 from crowrudder_daemon.fleet_agent._library import MAX_UNUSED_VERSIONS
 from crowrudder_daemon.fleet_agent._origin_chunks import OriginChunks
@@ -33,8 +35,15 @@
 from crowrudder_daemon.http import ConnectionPool
 from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
 from crowrudder_daemon.rpc import PeerClient, PeerServer
-from crowrudder_model import StorePosition, UpstreamError, encode_message
+from crowrudder_model import (
+    PeerLostError,
+    StorePosition,
+    UpstreamError,
+    encode_message,
+)
 from crowrudder_model.messages import (
+    Changes,
+    ChangesRequest,
     ChunkInventory,
     ChunkPiece,
     EngineLoad,
@@ -43,8 +52,9 @@
     LastSeen,
     LoadBatch,
     MemberStatus,
+    PublishedItem,
 )
-from crowrudder_model.rpc import CHUNK
+from crowrudder_model.rpc import CHANGES, CHUNK
 from support.aio import run
 from support.endless import ENDLESS_ANSWERS, HEAD, endless, measured
 from support.fleet import fleet
@@ -421,6 +431,51 @@
                 await asyncio.sleep(0)
 
 
+class TestMessages:
+    """gRPC messages, refused by their announced length."""
+
+    def test_long_request(self, taken):
+        """A request of 64 MB was received and decoded."""
+
+        async def check():
+            async with fleet(plain=1, engines=0) as world:
+                node = world.nodes[0]
+                channel = aio.insecure_channel(f'{node.ip}:{node.rpc_port}')
+                call = channel.unary_unary(CHANGES.path, bytes, bytes)
+                with pytest.raises(aio.AioRpcError) as caught:
+                    await call(bytes(MAX_REQUEST_BYTES + 1), timeout=2)
+                assert caught.value.code() is StatusCode.RESOURCE_EXHAUSTED
+                assert (await world.ask('/read/x')).status == 200
+                await channel.close(None)
+
+        run(check())
+        taken.check_turns()
+
+    def test_long_reply(self):
+        """Records of 64 MB from one process were received and decoded."""
+
+        async def on_request(_request, _context):
+            return Changes(through=1, items=(item,))
+
+        async def check():
+            server = PeerServer('127.0.0.1:0')
+            server.add(CHANGES, on_request)
+            await server.start()
+            async with fleet(plain=1, engines=0) as world:
+                call = world.entries[0].client.call(
+                    f'127.0.0.1:{server.port}', CHANGES, ChangesRequest(0)
+                )
+                with pytest.raises(PeerLostError, match='EXHAUSTED'):
+                    await call
+                assert (await world.ask('/read/x')).status == 200
+            await server.stop(0)
+
+        item = PublishedItem(
+            key='x', revision=1, payload=bytes(MAX_REPLY_BYTES)
+        )
+        run(check())
+
+
 def reasons(caplog):
     """Return the reasons that log lines name."""
     return ' '.join(
