Callers: a body that is too long is answered as it becomes so

Failure: a body beyond max_body_bytes was read for up to 16 MB before its 413. One that announces more, or a chunk of more, got a bare 400 without id, reason and count, and its connection was closed at once, which can lose the answer.

Change: the entry answers 413 at the head, or at the part with which a body in chunks becomes too long, with "Connection: close", the request's id and the limit; it counts in fleet_denials. What the caller still sends is discarded for a second or 1 MB, so that it reads the answer.

--- a/packages/daemon/src/crowrudder_daemon/entry/_size_gate.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_size_gate.py
@@ -18,6 +18,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from crowrudder_daemon._body_length import is_too_long
 from crowrudder_daemon.entry._caller_request import answer_request_id
 from crowrudder_model import Outcome
 
@@ -36,7 +37,6 @@
 """How long the caller may keep sending before the connection is closed."""
 
 DISCARD_READ_BYTES = 65_536
-_MAX_DIGITS = 18
 
 
 class SizeGate(HTTPServerConnectionDelegate):
@@ -112,17 +112,6 @@
         stream.close()
 
 
-def is_too_long(length: str, max_bytes: int) -> bool:
-    """Return whether a `Content-Length` is a number over the limit.
-
-    >>> is_too_long('11', 10), is_too_long('10', 10), is_too_long('-1', 10)
-    (True, False, False)
-    """
-    if not (length.isascii() and length.isdigit()):
-        return False
-    return len(length) > _MAX_DIGITS or int(length) > max_bytes
-
-
 def too_large_response(request_id: str, max_bytes: int) -> bytes:
     """Return the complete HTTP response to a body over the limit."""
     body = msgspec.json.encode(
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -21,6 +21,7 @@
 
 from crowrudder_daemon._caller_stream import CallerStream
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet_entry._long_bodies import BodyGate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +29,7 @@
     from tornado.http1connection import HTTP1Connection
 
     from crowrudder_daemon.fleet_entry._caller_backlog import CallerBacklog
+    from crowrudder_daemon.fleet_entry._long_bodies import BodyRules
 
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -176,6 +178,28 @@
         sent.add_done_callback(asyncio.Future.exception)
         self.finish()
 
+    def begin_refusal(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a short answer while the request is still being read."""
+        sized = [
+            *headers,
+            ('Connection', 'close'),
+            ('Content-Length', str(len(body))),
+        ]
+        sent = self._conn.write_headers(*self._begin(status, sized), body)
+        # A caller that has left meanwhile is no error.
+        sent.add_done_callback(asyncio.Future.exception)
+
+    def end_refusal(self) -> None:
+        """Close the connection after `begin_refusal`."""
+        self.told = AnswerTold.WHOLE
+        self._conn.close()
+
+    def allow_body(self, max_bytes: int) -> None:
+        """Set how long the body of this request may be."""
+        self._conn.set_max_body_size(max_bytes)
+
     def _begin(
         self, status: int, headers: list[tuple[str, str]]
     ) -> tuple[ResponseStartLine, HTTPHeaders]:
@@ -322,15 +346,19 @@
         Receives the request and its ``CallerSide``; must not block.
     backlog
         Bounds what is held for callers that read slowly.
+    rules
+        Knows how long a body may be.
     """
 
     def __init__(
         self,
         on_request: Callable[[CallerRequest, CallerSide], None],
         backlog: CallerBacklog,
+        rules: BodyRules,
     ) -> None:
         self._on_request = on_request
         self._backlog = backlog
+        self._rules = rules
 
     def start_request(
         self,
@@ -339,7 +367,8 @@
     ) -> HTTPMessageDelegate:
         """Return the reader of a new request."""
         side = CallerSide(request_conn, self._backlog)
-        return _RequestReader(side, self._on_request)
+        gate = BodyGate(side, self._rules)
+        return _RequestReader(side, self._on_request, gate)
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing: the reader of the request was notified already."""
@@ -352,8 +381,10 @@
         self,
         side: CallerSide,
         on_request: Callable[[CallerRequest, CallerSide], None],
+        gate: BodyGate,
     ) -> None:
         self._side = side
+        self._gate = gate
         self._on_request = on_request
         self._parts: list[bytes] = []
         self._line: RequestStartLine | None = None
@@ -368,11 +399,19 @@
             self._line = start_line
             self._side.on_request_head(start_line, headers)
         self._headers = headers
+        self._gate.on_head(headers)
 
     def data_received(self, chunk: bytes) -> None:
-        self._parts.append(chunk)
+        self._gate.on_part(chunk)
+        if self._gate.has_refused:
+            self._parts.clear()
+        else:
+            self._parts.append(chunk)
 
     def finish(self) -> None:
+        if self._gate.has_refused:
+            self._gate.end()
+            return
         line = self._line
         if line is None:
             self._side.abort()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -11,10 +11,17 @@
 from crowrudder_daemon.fleet_entry._admission import Admitted
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
 from crowrudder_daemon.fleet_entry._drive import RequestExecution
-from crowrudder_daemon.fleet_entry._error_answer import ErrorAnswer, send_error
+from crowrudder_daemon.fleet_entry._error_answer import (
+    ErrorAnswer,
+    encode_error,
+    send_error,
+)
+from crowrudder_daemon.fleet_entry._long_bodies import MAX_BODY_BYTES
 from crowrudder_daemon.fleet_entry._overload import OverloadGate
 
 if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
     from crowrudder_daemon.fleet import CatalogTask
     from crowrudder_daemon.fleet.ports import Call
     from crowrudder_daemon.fleet_entry._caller_side import (
@@ -62,6 +69,21 @@
         """Number of requests without a final answer."""
         return len(self._request_tasks)
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body that callers may send now."""
+        config = self._catalog.view.config
+        return config.limits.body_bytes if config else MAX_BODY_BYTES
+
+    def long_body_refusal(
+        self, headers: HTTPHeaders, max_bytes: int
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Record the refusal of a long body; return the parts of its answer."""
+        request_id = self._context.dialect.request_id(headers)
+        denial = _long_body(max_bytes)
+        self._record_denial(denial, None, request_id)
+        return encode_error(self._context.dialect, request_id, denial)
+
     def on_request(self, request: CallerRequest, side: CallerSide) -> None:
         """Start the task of a request; it is cancelled if the caller leaves."""
         if self.overload.refuses(request, side):
@@ -118,10 +140,7 @@
             reason = 'leaving' if self.refuses else 'no configuration yet'
             return _retry_later(reason)
         if len(request.body) > config.limits.body_bytes:
-            return _denial(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f'a body may have {config.limits.body_bytes} bytes',
-            )
+            return _long_body(config.limits.body_bytes)
         route = self._catalog.view.routes.find(call.host, call.path)
         if route is None:
             return self._deny_unknown(HTTPStatus.NOT_FOUND, 'no such route')
@@ -173,13 +192,22 @@
         side: CallerSide,
         call: Call | None,
         denial: ErrorAnswer,
+    ) -> None:
+        self._record_denial(denial, call, call.request_id if call else '')
+        try:
+            await send_error(side, self._context.dialect, call, denial)
+        except CallerGoneError:
+            self._runtime.log.debug('caller gone', extra={'step': 'admit'})
+
+    def _record_denial(
+        self, denial: ErrorAnswer, call: Call | None, request_id: str
     ) -> None:
         self._denials.add(status=str(denial.status.value))
         self._runtime.log.info(
             'request denied',
             extra={
                 'step': 'admit',
-                'request_id': call.request_id if call else '',
+                'request_id': request_id,
                 'status': denial.status.value,
                 'reason': denial.reason,
                 'host_name': call.host if call else '',
@@ -187,10 +215,6 @@
                 **self._catalog.status(),
             },
         )
-        try:
-            await send_error(side, self._context.dialect, call, denial)
-        except CallerGoneError:
-            self._runtime.log.debug('caller gone', extra={'step': 'admit'})
 
     def _on_done(self, request_task: asyncio.Task[None]) -> None:
         self._request_tasks.discard(request_task)
@@ -209,6 +233,13 @@
     return ErrorAnswer(status=status, code='denied', reason=reason)
 
 
+def _long_body(max_bytes: int) -> ErrorAnswer:
+    return _denial(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        f'a body may have {max_bytes} bytes',
+    )
+
+
 def _retry_later(reason: str) -> ErrorAnswer:
     return ErrorAnswer(
         status=HTTPStatus.SERVICE_UNAVAILABLE,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -16,6 +16,7 @@
 from crowrudder_daemon.fleet_entry._context import EntryContext
 from crowrudder_daemon.fleet_entry._directory import Directory
 from crowrudder_daemon.fleet_entry._load_relay import LoadRelay
+from crowrudder_daemon.fleet_entry._long_bodies import MAX_BODY_BYTES
 from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
@@ -29,9 +30,6 @@
     from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Upper bound of a body before the configured limits apply."""
-
 BODY_TIMEOUT_S = 30.0
 DRAIN_LISTEN_S = 1.5
 """How long a leaving entry still accepts connections. Callers cache the list of
@@ -80,7 +78,9 @@
         self.requests = RequestsTask(runtime, self.catalog, context)
         self.backlog = CallerBacklog(runtime, node.memory_bytes)
         self._http = HTTPServer(
-            CallersServer(self.requests.on_request, self.backlog),
+            CallersServer(
+                self.requests.on_request, self.backlog, self.requests
+            ),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -30,8 +30,10 @@
 from crowrudder_daemon.fleet.ports import HistoryGoneError, PlatformError
 from crowrudder_daemon.fleet_agent._library import MAX_UNUSED_VERSIONS
 from crowrudder_daemon.fleet_agent._origin_chunks import OriginChunks
+from crowrudder_daemon.fleet_entry import _long_bodies
 from crowrudder_daemon.fleet_entry._host_links import MAX_ENGINES
 from crowrudder_daemon.fleet_entry._load_relay import MAX_REPORTS
+from crowrudder_daemon.fleet_entry._long_bodies import MAX_DISCARDED_BYTES
 from crowrudder_daemon.http import ConnectionPool
 from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
 from crowrudder_daemon.rpc import PeerClient, PeerServer
@@ -56,8 +58,17 @@
 )
 from crowrudder_model.rpc import CHANGES, CHUNK
 from support.aio import run
-from support.endless import ENDLESS_ANSWERS, HEAD, endless, measured
-from support.fleet import fleet
+from support.endless import (
+    BLOCK_BYTES,
+    ENDLESS_ANSWERS,
+    HEAD,
+    LINE,
+    endless,
+    flood,
+    measured,
+    repeated,
+)
+from support.fleet import HOST, KEY, fleet
 from support.weights_versions import OLD, begin, version
 
 KINDS = pytest.mark.parametrize('kind', sorted(ENDLESS_ANSWERS))
@@ -476,6 +487,113 @@
         run(check())
 
 
+ASKED = (
+    f'POST /read/x HTTP/1.1\r\nHost: {HOST}\r\nX-Credential: {KEY}\r\n'
+    'X-Attempt-Id: a\r\n'
+).encode()
+CHUNKED = ASKED + b'Transfer-Encoding: chunked\r\n\r\n'
+BODY_BLOCK = BLOCK_BYTES * b'y'
+LONG_BODIES = {
+    'sized': (ASKED + b'Content-Length: 99999999999\r\n\r\n', BODY_BLOCK),
+    'chunked': (CHUNKED, b'10000\r\n' + BODY_BLOCK + b'\r\n'),
+    'one_chunk': (CHUNKED + b'fffffffffff\r\n', BODY_BLOCK),
+}
+BROKEN_REQUESTS = {
+    'head': (ASKED, repeated(LINE)),
+    'head_line': (ASKED + b'x-more: ', BODY_BLOCK),
+    'request_line': (b'GET /', BODY_BLOCK),
+    'chunk_size': (CHUNKED, BLOCK_BYTES * b'0'),
+    'chunk_extension': (CHUNKED + b'1;', BODY_BLOCK),
+    'trailer': (CHUNKED + b'1\r\na\r\n0\r\n', repeated(LINE)),
+}
+
+
+class TestCallers:
+    """Requests without end of callers at an entry."""
+
+    @pytest.mark.parametrize('name', sorted(LONG_BODIES))
+    def test_long_body(self, name, taken):
+        """A body was read for 16 MB before it was refused."""
+
+        async def check():
+            async with fleet(engines=0) as world:
+                received = await beside(world, *LONG_BODIES[name])
+                assert received.startswith(b'HTTP/1.1 413 ')
+                assert b'x-attempt-id: a\r\n' in received.lower()
+                assert b'may have 65536 bytes' in received
+                rendered = world.entries[0].runtime.metrics.render()
+                assert b'fleet_denials_total{status="413"} 1.0' in rendered
+
+        run(check())
+        taken.check(MAX_DISCARDED_BYTES + READ_AHEAD)
+
+    def test_long_body_that_ends(self):
+        """Closing the connection at once could lose the answer."""
+
+        async def check():
+            async with fleet(engines=0) as world:
+                answer = await world.ask(
+                    '/notice/x', method='POST', body=bytes(500_000)
+                )
+                assert answer.status == 413
+                assert not answer.cut
+                answer = await world.ask(
+                    '/notice/x', method='POST', body=bytes(65_536)
+                )
+                assert answer.status == 200
+
+        run(check())
+
+    def test_silent_caller_of_a_refused_body(self, monkeypatch):
+        async def check():
+            async with fleet(engines=0) as world:
+                ip, _, port = world.nodes[0].callers.rpartition(':')
+                reader, writer = await asyncio.open_connection(ip, int(port))
+                writer.write(LONG_BODIES['sized'][0])
+                assert (await reader.read()).startswith(b'HTTP/1.1 413 ')
+                writer.close()
+
+        monkeypatch.setattr(_long_bodies, 'LINGER_S', 0.05)
+        run(check(), timeout_s=5)
+
+    @pytest.mark.parametrize('name', sorted(BROKEN_REQUESTS))
+    def test_broken_request(self, name, taken):
+        async def check():
+            async with fleet(engines=0) as world:
+                received = await beside(world, *BROKEN_REQUESTS[name])
+                assert received in {b'', b'HTTP/1.1 400 Bad Request\r\n\r\n'}
+
+        run(check())
+        taken.check(bound_of(name, 0))
+
+    def test_pipelined_requests(self, taken):
+        request = ASKED + b'Content-Length: 0\r\n\r\n'
+
+        async def check():
+            async with fleet(engines=0) as world:
+                flooding = asyncio.ensure_future(
+                    flood(world.nodes[0].callers, request, repeated(request))
+                )
+                await asyncio.sleep(0.2)
+                answers = [await world.ask('/read/x') for _ in range(10)]
+                assert {answer.status for answer in answers} == {200}
+                flooding.cancel()
+
+        run(check())
+        taken.check(2 * READ_AHEAD)
+
+
+async def beside(world, beginning, rest):
+    """Flood an entry, beside requests that are served; return the answer."""
+    flooding = asyncio.ensure_future(
+        flood(world.nodes[0].callers, beginning, rest)
+    )
+    answers = [await world.ask('/read/x') for _ in range(5)]
+    assert {answer.status for answer in answers} == {200}
+    async with asyncio.timeout(2):
+        return await flooding
+
+
 def reasons(caplog):
     """Return the reasons that log lines name."""
     return ' '.join(
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -8,10 +8,14 @@
 import time
 
 from attrs import define, field
+from tornado.iostream import IOStream
 
 from crowrudder_daemon.http import HttpConnection
 
 BLOCK_BYTES = 65_536
+FLOOD_BYTES = 1 << 26
+"""After how many bytes a flood is given up."""
+
 TURN_S = 0.05
 """Longest turn of the loop, whatever one connection sends."""
 
@@ -125,14 +129,22 @@
     """Measure what is taken, without pauses of the garbage collector."""
     taken = Taken()
     receive = HttpConnection.data_received
+    read = IOStream.read_from_fd
     turn = vars(asyncio.BaseEventLoop)['_run_once']
 
+    def count(conn, size):
+        before = taken.bytes_by_conn.get(id(conn), 0)
+        taken.bytes_by_conn[id(conn)] = before + size
+
     def counted(conn, data):
-        key = id(conn)
-        before = taken.bytes_by_conn.get(key, 0)
-        taken.bytes_by_conn[key] = before + len(data)
+        count(conn, len(data))
         receive(conn, data)
 
+    def counted_read(stream, buf):
+        size = read(stream, buf)
+        count(stream, size or 0)
+        return size
+
     def timed(loop):
         began_at = time.thread_time()
         turn(loop)
@@ -140,6 +152,7 @@
         taken.longest_turn_s = max(taken.longest_turn_s, took_s)
 
     monkeypatch.setattr(HttpConnection, 'data_received', counted)
+    monkeypatch.setattr(IOStream, 'read_from_fd', counted_read)
     monkeypatch.setattr(asyncio.BaseEventLoop, '_run_once', timed)
     gc.collect()
     gc.disable()
@@ -147,3 +160,28 @@
         yield taken
     finally:
         gc.enable()
+
+
+async def flood(address, beginning, rest, *, max_bytes=FLOOD_BYTES):
+    """Send a beginning and a rest without end; return what is received."""
+    ip, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    received = asyncio.ensure_future(received_by(reader))
+    with contextlib.suppress(ConnectionError):
+        writer.write(beginning)
+        for _ in range(max_bytes // len(rest)):
+            if received.done():
+                break
+            writer.write(rest)
+            await writer.drain()
+    writer.transport.abort()
+    return await received
+
+
+async def received_by(reader):
+    """Return all that is received until the end of a connection."""
+    parts = []
+    with contextlib.suppress(ConnectionError):
+        while part := await reader.read(BLOCK_BYTES):
+            parts.append(part)
+    return b''.join(parts)
