Callers: heads as long as the operator configures; no bodies at the directory

Change: a head has header_bytes and 8 KB for its first line, 64 KB at most; a body at the directory 4 KB.

Evidence: test_head_beyond_the_configured_length and test_directory[chunked] fail before and pass now.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -30,6 +30,14 @@
     from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 MAX_HEADER_BYTES = 65_536
+"""Longest head before the configured limits apply, and with them."""
+
+MAX_REQUEST_LINE_BYTES = 8192
+"""Allowed beside the configured length of headers."""
+
+MAX_DIRECTORY_BODY_BYTES = 4096
+"""Longest body of a request to the directory, which reads none."""
+
 BODY_TIMEOUT_S = 30.0
 DRAIN_LISTEN_S = 1.5
 """How long a leaving entry still accepts connections. Callers cache the list of
@@ -99,7 +107,13 @@
         )
         addresses = {node.ready, node.directory}
         self._directory_servers = {
-            address: HTTPServer(directory.application())
+            address: HTTPServer(
+                directory.application(),
+                max_header_size=MAX_HEADER_BYTES,
+                max_body_size=MAX_DIRECTORY_BODY_BYTES,
+                max_buffer_size=2 * MAX_HEADER_BYTES,
+                body_timeout=BODY_TIMEOUT_S,
+            )
             for address in sorted(addresses)
         }
 
@@ -198,6 +212,10 @@
             # Tornado has a single timeout for idle connections and for headers.
             params = self._http.conn_params
             params.header_timeout = config.limits.idle_timeout_s
+            params.max_header_size = min(
+                config.limits.header_bytes + MAX_REQUEST_LINE_BYTES,
+                MAX_HEADER_BYTES,
+            )
         self.peers.set_state(ready=not self.readiness(), leaving=self._leaving)
 
     async def _discover_peers(self) -> None:
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -566,6 +566,17 @@
         run(check())
         taken.check(bound_of(name, 0))
 
+    def test_head_beyond_the_configured_length(self):
+        """Heads of 64 KB were parsed, whatever the operator configured."""
+
+        async def check():
+            async with fleet(engines=0) as world:
+                lines = repeated(LINE)[:30_000]
+                received = await beside(world, ASKED + lines, b'\r\n\r\n' * 9)
+                assert not received
+
+        run(check())
+
     def test_pipelined_requests(self, taken):
         request = ASKED + b'Content-Length: 0\r\n\r\n'
 
@@ -582,6 +593,18 @@
         run(check())
         taken.check(2 * READ_AHEAD)
 
+    @pytest.mark.parametrize('name', sorted(LONG_BODIES))
+    def test_directory(self, name, taken):
+        """A body of up to 100 MB was kept for a request that has none."""
+
+        async def check():
+            async with fleet(engines=0) as world:
+                await flood(world.nodes[0].directory, *LONG_BODIES[name])
+                assert (await world.ask('/read/x')).status == 200
+
+        run(check())
+        taken.check(READ_AHEAD)
+
 
 async def beside(world, beginning, rest):
     """Flood an entry, beside requests that are served; return the answer."""
