Long bodies: no import of the caller's side, which imports them

tests/workspace/test_layers.py::TestImportCycles failed since the gate of long bodies, which named the class of the caller's connection as a type. It names the three methods that it uses now.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_long_bodies.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_long_bodies.py
@@ -13,8 +13,6 @@
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
 
-    from crowrudder_daemon.fleet_entry._caller_side import CallerSide
-
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Longest body while no configuration is known."""
 
@@ -28,6 +26,21 @@
 _UNLIMITED_BYTES = 1 << 62
 
 
+class RefusingSide(Protocol):
+    """The caller's connection, as far as a refusal uses it."""
+
+    def begin_refusal(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a short answer while the request is still being read."""
+
+    def end_refusal(self) -> None:
+        """Close the connection after `begin_refusal`."""
+
+    def allow_body(self, max_bytes: int) -> None:
+        """Set how long the body of this request may be."""
+
+
 class BodyRules(Protocol):
     """Knows how long a body may be, and the answer to a longer one."""
 
@@ -49,7 +62,7 @@
     answer; then the connection is closed.
     """
 
-    _side: CallerSide
+    _side: RefusingSide
     _rules: BodyRules
     _max_bytes: int = MAX_BODY_BYTES
     _headers: HTTPHeaders | None = None
