--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -358,6 +358,21 @@
 }
 
 
+class TestProbes:
+    """Probes of upstreams, which connect and ask for nothing."""
+
+    def test_bytes_that_no_request_asked_for(self, taken):
+        async def check():
+            async with endless(*ENDLESS_ANSWERS['head_line']) as peer:
+                peer.awaits_request = False
+                conn = await ConnectionPool().acquire(peer.address, timeout_s=1)
+                await conn.closed()
+                assert not conn.is_open
+
+        run(check())
+        taken.check(READ_AHEAD)
+
+
 class TestDatagrams:
     """Datagrams of other processes; any one is dealt with in one turn."""
 
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -57,10 +57,14 @@
 
 @define
 class EndlessServer:
-    """Answers each request with a beginning and a rest without end."""
+    """Answers each request with a beginning and a rest without end.
+
+    Without ``awaits_request`` it sends them on each new connection.
+    """
 
     beginning: bytes
     rest: bytes
+    awaits_request: bool = True
     address: str = ''
     connections: int = 0
     _writers: list[asyncio.StreamWriter] = field(factory=list)
@@ -69,7 +73,8 @@
         self.connections += 1
         self._writers.append(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b'\r\n\r\n')
+            if self.awaits_request:
+                await reader.readuntil(b'\r\n\r\n')
             writer.write(self.beginning)
             while not writer.is_closing():
                 writer.write(self.rest)
