--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -16,6 +16,7 @@
 from crowrudder_daemon.fleet_entry._context import EntryContext
 from crowrudder_daemon.fleet_entry._directory import Directory
 from crowrudder_daemon.fleet_entry._load_relay import LoadRelay
+from crowrudder_daemon.fleet_entry._long_bodies import MAX_BODY_BYTES
 from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
@@ -29,8 +30,13 @@
     from crowrudder_model.statements import LeavingUpdate, LimitUpdate
 
 MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Upper bound of a body before the configured limits apply."""
+"""Longest head before the configured limits apply, and with them."""
+
+MAX_REQUEST_LINE_BYTES = 8192
+"""Allowed beside the configured length of headers."""
+
+MAX_DIRECTORY_BODY_BYTES = 4096
+"""Longest body of a request to the directory, which reads none."""
 
 BODY_TIMEOUT_S = 30.0
 DRAIN_LISTEN_S = 1.5
@@ -80,7 +86,9 @@
         self.requests = RequestsTask(runtime, self.catalog, context)
         self.backlog = CallerBacklog(runtime, node.memory_bytes)
         self._http = HTTPServer(
-            CallersServer(self.requests.on_request, self.backlog),
+            CallersServer(
+                self.requests.on_request, self.backlog, self.requests
+            ),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
@@ -99,7 +107,13 @@
         )
         addresses = {node.ready, node.directory}
         self._directory_servers = {
-            address: HTTPServer(directory.application())
+            address: HTTPServer(
+                directory.application(),
+                max_header_size=MAX_HEADER_BYTES,
+                max_body_size=MAX_DIRECTORY_BODY_BYTES,
+                max_buffer_size=2 * MAX_HEADER_BYTES,
+                body_timeout=BODY_TIMEOUT_S,
+            )
             for address in sorted(addresses)
         }
 
@@ -198,6 +212,10 @@
             # Tornado has a single timeout for idle connections and for headers.
             params = self._http.conn_params
             params.header_timeout = config.limits.idle_timeout_s
+            params.max_header_size = min(
+                config.limits.header_bytes + MAX_REQUEST_LINE_BYTES,
+                MAX_HEADER_BYTES,
+            )
         self.peers.set_state(ready=not self.readiness(), leaving=self._leaving)
 
     async def _discover_peers(self) -> None:
