--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -162,7 +162,7 @@
     """The bound at which the answer was given up; None if it met none."""
 
     received_bytes: int = field(default=0, init=False)
-    """Bytes received for an answer that failed."""
+    """Bytes received until then."""
 
     is_refused: bool = field(default=False, init=False)
     """Whether the upstream's address refused the connection."""
@@ -278,7 +278,7 @@
             conn.close()
             if isinstance(exc, AnswerBoundError):
                 self.bound = exc.bound
-            self.received_bytes = conn.received_bytes
+                self.received_bytes = conn.received_bytes
             if self._is_start_overdue:
                 self._record_cancellation(unsent_bytes)
                 return Broken('not begun as its version ends')
