Connections to upstreams: a budget of events and bytes for each turn of the loop

Callers beside an answer that arrives without a pause waited as long as it arrived: all that had been received was handled in one turn of the loop, and reading went on as the buffer was emptied.

After 32 events of the parser or 64 KiB of a body a connection waits for the next turn: a task by asyncio.sleep(0), the relay by call_soon, with reading paused until nothing is buffered. A usual read stays below the budget and costs a count.

--- a/packages/daemon/src/crowrudder_daemon/http/_body_relay.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_body_relay.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from crowrudder_daemon.http._turn_budget import TurnBudget
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -51,6 +53,8 @@
         self._last_progress_at = self._loop.time()
         self._done: asyncio.Future[None] = self._loop.create_future()
         self._is_paused = False
+        self._turn = TurnBudget()
+        self._next_turn: asyncio.Handle | None = None
         self._timer = self._loop.call_later(pause_s, self._check_idle)
 
     async def run(self) -> None:
@@ -66,11 +70,22 @@
             await self._done
         finally:
             self._timer.cancel()
+            if self._next_turn is not None:
+                self._next_turn.cancel()
 
     def on_bytes(self) -> None:
-        """Forward buffered parts; bytes arrived or the connection ended."""
+        """Forward buffered parts; bytes arrived or the connection ended.
+
+        What is left after the budget of a turn waits for the next one, and so
+        do bytes that arrive meanwhile.
+        """
+        if self._next_turn is None:
+            self._forward()
+
+    def _forward(self) -> None:
         if self._is_paused or self._done.done():
             return
+        self._turn.begin()
         try:
             self._pump()
         except Exception as exc:
@@ -80,14 +95,24 @@
     def _pump(self) -> None:
         while part := self._next_part():
             self._last_progress_at = self._loop.time()
+            self._turn.spend(len(part))
             consumed = self._consume(part)
             if consumed is not None and not consumed.done():
                 self._set_paused(is_paused=True)
                 consumed.add_done_callback(self._on_consumed)
                 return
+            if self._turn.is_spent:
+                # Reading goes on once nothing is buffered.
+                self._set_reading_paused(is_paused=True)
+                self._next_turn = self._loop.call_soon(self._on_next_turn)
+                return
         if part is None:
             self._done.set_result(None)
 
+    def _on_next_turn(self) -> None:
+        self._next_turn = None
+        self._forward()
+
     def _on_consumed(self, _consumed: asyncio.Future[None]) -> None:
         if self._done.done():
             return
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -33,6 +33,7 @@
     ResponseBody,
     framing_of,
 )
+from crowrudder_daemon.http._turn_budget import TurnBudget
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
@@ -167,6 +168,7 @@
         )
         self._request: WireRequest | None = None
         self._relay: BodyRelay | None = None
+        self._turn = TurnBudget()
 
     # Callbacks of the event loop.
 
@@ -470,8 +472,13 @@
             self._transport.resume_reading()
 
     async def _event(self) -> object:
+        if self._turn.is_spent:
+            await asyncio.sleep(0)
+            self._turn.begin()
         while (event := self._buffered_event()) is h11.NEED_DATA:
             await self._wait_for_bytes()
+            self._turn.begin()
+        self._turn.spend(len(event.data) if isinstance(event, h11.Data) else 0)
         return event
 
     def _buffered_event(self) -> object:
--- /dev/null
+++ b/packages/daemon/src/crowrudder_daemon/http/_turn_budget.py
@@ -0,0 +1,35 @@
+"""How much of one connection is handled before others have their turn."""
+
+from __future__ import annotations
+
+from attrs import define
+
+MAX_EVENTS = 32
+"""Events of the parser in one turn of the event loop. Each costs some tens of
+microseconds, and as much again where it is forwarded."""
+
+MAX_BYTES = 65_536
+"""Bytes of a body in one turn; more are handled if they are one event."""
+
+
+@define
+class TurnBudget:
+    """Counts what was handled since the turn began."""
+
+    _events: int = 0
+    _size: int = 0
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether the rest has to wait for the next turn."""
+        return self._events >= MAX_EVENTS or self._size >= MAX_BYTES
+
+    def spend(self, size: int) -> None:
+        """Record an event with a number of bytes of the body."""
+        self._events += 1
+        self._size += size
+
+    def begin(self) -> None:
+        """Begin a turn."""
+        self._events = 0
+        self._size = 0
