--- a/packages/core/src/crowrudder_core/dispatch/_answer_bounds.py
+++ b/packages/core/src/crowrudder_core/dispatch/_answer_bounds.py
@@ -36,6 +36,14 @@
 """Of comments of a stream in a row, without an event among them."""
 
 
+MAX_PARTS_WITHOUT_EVENT = 8192
+"""Parts of a stream, or of a body that is discarded. A part may be a chunk of
+one byte, which costs as much processor time as one of many."""
+
+MAX_BUFFERED_PARTS = 65_536
+"""Parts of an answer that is buffered before it is forwarded."""
+
+
 class AnswerBound(enum.Enum):
     """What an answer had too much of."""
 
@@ -73,14 +81,20 @@
 
 @define
 class StreamBounds:
-    """How many bytes of a run's stream have brought no event."""
+    """How much of a run's stream has brought no event."""
 
+    _parts: int = 0
     _comment_bytes: int = 0
     _received_at_event: int = 0
     _has_event: bool = False
 
+    def on_part(self) -> None:
+        """Record a part of the body."""
+        self._parts += 1
+
     def on_event(self, received: int) -> None:
         """Record an event that ended, and the bytes received until now."""
+        self._parts = 0
         self._comment_bytes = 0
         self._received_at_event = received
         self._has_event = True
@@ -93,6 +107,9 @@
         """Return the bound that a number of received bytes exceeds, if any."""
         if self._comment_bytes > MAX_COMMENT_BYTES:
             return AnswerBound.COMMENTS
-        if received - self._received_at_event <= MAX_BYTES_WITHOUT_EVENT:
+        if (
+            received - self._received_at_event <= MAX_BYTES_WITHOUT_EVENT
+            and self._parts <= MAX_PARTS_WITHOUT_EVENT
+        ):
             return None
         return AnswerBound.EVENT if self._has_event else AnswerBound.FIRST_EVENT
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -98,6 +98,7 @@
         received
             Bytes received for the answer, with all framing.
         """
+        self._bounds.on_part()
         complete = self._splitter.feed(piece)
         if not complete:
             return b''
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -21,6 +21,7 @@
 from crowrudder_core.dispatch import (
     MAX_DRAINED_BYTES,
     MAX_HEAD_BYTES,
+    MAX_PARTS_WITHOUT_EVENT,
     AnswerBound,
     BodyEnd,
     Framing,
@@ -357,8 +358,11 @@
             When it is truncated, or too long to be worth the connection.
         """
         began_at = self.received_bytes
+        parts = 0
         while await self.part() is not None:
-            if self.received_bytes - began_at > MAX_DRAINED_BYTES:
+            parts += 1
+            size = self.received_bytes - began_at
+            if size > MAX_DRAINED_BYTES or parts > MAX_PARTS_WITHOUT_EVENT:
                 raise AnswerBoundError(AnswerBound.DRAINED, peer=self.peer)
 
     async def answer(
--- a/tests/dispatch/test_answer_bounds.py
+++ b/tests/dispatch/test_answer_bounds.py
@@ -9,6 +9,7 @@
     MAX_COMMENT_BYTES,
     MAX_INFORMATIONAL_ANSWERS,
     MAX_INFORMATIONAL_BYTES,
+    MAX_PARTS_WITHOUT_EVENT,
     AnswerBound,
     BodyEnd,
     Completeness,
@@ -66,6 +67,18 @@
         bound = run.exceeded(101 + MAX_BYTES_WITHOUT_EVENT)
         assert bound is AnswerBound.EVENT
 
+    def test_parts_without_an_event(self):
+        """Chunks of one byte took seconds of processor time."""
+        run = EventStream().begin_run()
+        run.take(EVENT)
+        for _ in range(MAX_PARTS_WITHOUT_EVENT):
+            run.take(b'x')
+        assert run.exceeded(0) is None
+        run.take(b'x')
+        assert run.exceeded(0) is AnswerBound.EVENT
+        run.take(b'\n\n')
+        assert run.exceeded(0) is None
+
     def test_a_stream_with_events_may_have_any_length(self):
         run = EventStream().begin_run()
         block = (COMMENT * 100 + EVENT) * 1000
