Refused answers: a body that stalls or has no end leaves them refusals

A caller of an unsafe request got 502, or 504 after the longest pause, where an upstream's head said that the request wasn't run and its body stalled or had no end: the attempt counted as broken. The head says enough; the connection is closed, the reason stands in the attempt's line, and the request goes to another upstream. The body is waited for 0.25 s instead of the longest pause.

Buffered answers have a bound of parts as well.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -13,6 +13,7 @@
 from crowrudder_core.dispatch import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_ANSWER_BYTES,
+    MAX_BUFFERED_PARTS,
     MAX_STRAY_ANSWERS,
     AnswerBound,
     Answered,
@@ -63,6 +64,10 @@
 """Timeout for a connection to an upstream. A host without power never answers;
 the latency between regions is some milliseconds."""
 
+REFUSED_BODY_S = 0.25
+"""Timeout for the body of an answer that the request wasn't run. It usually
+comes with the head, and only keeping the connection needs it."""
+
 FIRST_NON_SUCCESS_STATUS = 300
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise the caller that its request was not executed."""
@@ -434,14 +439,21 @@
         head: WireHead,
         metadata: ResponseMetadata,
     ) -> NotRun:
-        async with asyncio.timeout(self.timeouts.pause_s):
-            await conn.drain()
-        self._upstreams.pool.keep(conn, head)
+        reason = f'answered {head.status}'
+        try:
+            async with asyncio.timeout(REFUSED_BODY_S):
+                await conn.drain()
+        except (BrokenAnswerError, TimeoutError) as exc:
+            # The head said that the request wasn't run.
+            conn.close()
+            reason = f'{reason}, body without end: {exc or "silent"}'
+        else:
+            self._upstreams.pool.keep(conn, head)
         failed = stage_at_fault(self.choice, metadata)
         failed.on_failure(
             now=clock_s(), avoid=failed is not self.choice.forecast
         )
-        return NotRun(f'answered {head.status}')
+        return NotRun(reason)
 
     async def _buffer_answer(
         self,
@@ -458,6 +470,7 @@
             if (
                 size > MAX_BODY_BYTES
                 or conn.received_bytes > MAX_BUFFERED_ANSWER_BYTES
+                or len(parts) > MAX_BUFFERED_PARTS
             ):
                 raise AnswerBoundError(AnswerBound.BODY, peer=conn.peer)
         if not metadata.is_authentic or head.status in NOT_EXECUTED_STATUSES:
