--- a/packages/core/src/crowrudder_core/dispatch/_answer_bounds.py
+++ b/packages/core/src/crowrudder_core/dispatch/_answer_bounds.py
@@ -88,23 +88,25 @@
     _received_at_event: int = 0
     _has_event: bool = False
 
-    def on_part(self) -> None:
-        """Record a part of the body."""
-        self._parts += 1
-
     def on_event(self, received: int) -> None:
-        """Record an event that ended, and the bytes received until now."""
+        """Record a part that ended an event, and the bytes until now."""
         self._parts = 0
         self._comment_bytes = 0
         self._received_at_event = received
         self._has_event = True
 
-    def on_comments(self, size: int) -> None:
-        """Record comments that are no part of an event."""
-        self._comment_bytes += size
+    def on_part(self, received: int, *, comments: int) -> AnswerBound | None:
+        """Record any other part; return the bound that is exceeded, if any.
 
-    def exceeded(self, received: int) -> AnswerBound | None:
-        """Return the bound that a number of received bytes exceeds, if any."""
+        Parameters
+        ----------
+        received
+            Bytes received for the answer, with all framing.
+        comments
+            Bytes of comments that end with this part.
+        """
+        self._parts += 1
+        self._comment_bytes += comments
         if self._comment_bytes > MAX_COMMENT_BYTES:
             return AnswerBound.COMMENTS
         if (
--- a/packages/core/src/crowrudder_core/dispatch/_events.py
+++ b/packages/core/src/crowrudder_core/dispatch/_events.py
@@ -80,6 +80,9 @@
     """Position of the stream after which the run goes on."""
 
     events: int = 0
+    exceeded: AnswerBound | None = None
+    """The bound that the run's stream exceeds."""
+
     _has_event: bool = False
     _comments: bytearray = field(factory=bytearray)
     """Comments before the first event: forwarded with it, as they alone would
@@ -98,18 +101,17 @@
         received
             Bytes received for the answer, with all framing.
         """
-        self._bounds.on_part()
         complete = self._splitter.feed(piece)
-        if not complete:
-            return b''
-        if has_field(complete):
+        if complete and has_field(complete):
             self._bounds.on_event(received)
         else:
-            self._bounds.on_comments(len(complete))
+            self.exceeded = self._bounds.on_part(
+                received, comments=len(complete)
+            )
             if not self._has_event:
                 self._comments += complete
                 return b''
-        if not self._stream.hold(self, self._began_at):
+        if not complete or not self._stream.hold(self, self._began_at):
             return b''
         if not self._has_event:
             self._has_event = True
@@ -118,10 +120,6 @@
         self.events += self._stream.on_complete(complete)
         return complete
 
-    def exceeded(self, received: int) -> AnswerBound | None:
-        """Return the bound that the run's stream exceeds, if any."""
-        return self._bounds.exceeded(received)
-
     def rest(self) -> bytes:
         """Return what an ended run has sent and not had forwarded."""
         return bytes(self._comments) + self._splitter.rest
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -536,11 +536,9 @@
 
     def _take(self, conn: HttpConnection, part: bytes) -> bytes:
         """Return the events that a part of the body completes."""
-        received = conn.received_bytes
-        complete_events = self._run.take(part, received)
-        bound = self._run.exceeded(received)
-        if bound is not None:
-            raise AnswerBoundError(bound, peer=conn.peer)
+        complete_events = self._run.take(part, conn.received_bytes)
+        if self._run.exceeded is not None:
+            raise AnswerBoundError(self._run.exceeded, peer=conn.peer)
         return complete_events
 
     def _push(
--- a/packages/daemon/src/crowrudder_daemon/http/_turn_budget.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_turn_budget.py
@@ -19,17 +19,19 @@
     _events: int = 0
     _size: int = 0
 
-    @property
-    def is_spent(self) -> bool:
-        """Whether the rest has to wait for the next turn."""
-        return self._events >= MAX_TURN_EVENTS or self._size >= MAX_TURN_BYTES
+    is_spent: bool = False
+    """Whether the rest has to wait for the next turn."""
 
     def spend(self, size: int) -> None:
         """Record an event with a number of bytes of the body."""
         self._events += 1
         self._size += size
+        self.is_spent = (
+            self._events >= MAX_TURN_EVENTS or self._size >= MAX_TURN_BYTES
+        )
 
     def begin(self) -> None:
         """Begin a turn."""
         self._events = 0
         self._size = 0
+        self.is_spent = False
