--- a/packages/core/src/crowrudder_core/dispatch/_answer_bounds.py
+++ b/packages/core/src/crowrudder_core/dispatch/_answer_bounds.py
@@ -36,6 +36,14 @@
 """Of comments of a stream in a row, without an event among them."""
 
 
+MAX_PARTS_WITHOUT_EVENT = 8192
+"""Parts of a stream, or of a body that is discarded. A part may be a chunk of
+one byte, which costs as much processor time as one of many."""
+
+MAX_BUFFERED_PARTS = 65_536
+"""Parts of an answer that is buffered before it is forwarded."""
+
+
 class AnswerBound(enum.Enum):
     """What an answer had too much of."""
 
@@ -73,26 +81,37 @@
 
 @define
 class StreamBounds:
-    """How many bytes of a run's stream have brought no event."""
+    """How much of a run's stream has brought no event."""
 
+    _parts: int = 0
     _comment_bytes: int = 0
     _received_at_event: int = 0
     _has_event: bool = False
 
     def on_event(self, received: int) -> None:
-        """Record an event that ended, and the bytes received until now."""
+        """Record a part that ended an event, and the bytes until now."""
+        self._parts = 0
         self._comment_bytes = 0
         self._received_at_event = received
         self._has_event = True
 
-    def on_comments(self, size: int) -> None:
-        """Record comments that are no part of an event."""
-        self._comment_bytes += size
-
-    def exceeded(self, received: int) -> AnswerBound | None:
-        """Return the bound that a number of received bytes exceeds, if any."""
+    def on_part(self, received: int, *, comments: int) -> AnswerBound | None:
+        """Record any other part; return the bound that is exceeded, if any.
+
+        Parameters
+        ----------
+        received
+            Bytes received for the answer, with all framing.
+        comments
+            Bytes of comments that end with this part.
+        """
+        self._parts += 1
+        self._comment_bytes += comments
         if self._comment_bytes > MAX_COMMENT_BYTES:
             return AnswerBound.COMMENTS
-        if received - self._received_at_event <= MAX_BYTES_WITHOUT_EVENT:
+        if (
+            received - self._received_at_event <= MAX_BYTES_WITHOUT_EVENT
+            and self._parts <= MAX_PARTS_WITHOUT_EVENT
+        ):
             return None
         return AnswerBound.EVENT if self._has_event else AnswerBound.FIRST_EVENT
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -21,6 +21,7 @@
 from crowrudder_core.dispatch import (
     MAX_DRAINED_BYTES,
     MAX_HEAD_BYTES,
+    MAX_PARTS_WITHOUT_EVENT,
     AnswerBound,
     BodyEnd,
     Framing,
@@ -33,6 +34,7 @@
     ResponseBody,
     framing_of,
 )
+from crowrudder_daemon.http._turn_budget import MAX_TURN_BYTES, TurnBudget
 from crowrudder_model import UpstreamError
 
 if TYPE_CHECKING:
@@ -167,6 +169,8 @@
         )
         self._request: WireRequest | None = None
         self._relay: BodyRelay | None = None
+        self._turn = TurnBudget()
+        self._left = b''
 
     # Callbacks of the event loop.
 
@@ -355,8 +359,11 @@
             When it is truncated, or too long to be worth the connection.
         """
         began_at = self.received_bytes
+        parts = 0
         while await self.part() is not None:
-            if self.received_bytes - began_at > MAX_DRAINED_BYTES:
+            parts += 1
+            size = self.received_bytes - began_at
+            if size > MAX_DRAINED_BYTES or parts > MAX_PARTS_WITHOUT_EVENT:
                 raise AnswerBoundError(AnswerBound.DRAINED, peer=self.peer)
 
     async def answer(
@@ -470,12 +477,20 @@
             self._transport.resume_reading()
 
     async def _event(self) -> object:
+        if self._turn.is_spent:
+            await asyncio.sleep(0)
+            self._turn.begin()
         while (event := self._buffered_event()) is h11.NEED_DATA:
             await self._wait_for_bytes()
+            self._turn.begin()
+        self._turn.spend(len(event.data) if isinstance(event, h11.Data) else 0)
         return event
 
     def _buffered_event(self) -> object:
         """Return the next event; `NEED_DATA` while more bytes may arrive."""
+        if self._left:
+            part, self._left = _split(self._left)
+            return part
         try:
             event = self._wire.next_event()
         except h11.RemoteProtocolError as exc:
@@ -484,6 +499,8 @@
             raise self._answer_error(self._end.reason or str(exc)) from exc
         if event is h11.NEED_DATA and self._end.reason:
             raise self._answer_error(self._end.reason)
+        if isinstance(event, h11.Data) and len(event.data) > MAX_TURN_BYTES:
+            event, self._left = _split(event.data)
         return event
 
     async def _wait_for_bytes(self) -> None:
@@ -506,6 +523,16 @@
         return BrokenAnswerError(reason, step='answer', peer=self.peer)
 
 
+def _split(body: bytes) -> tuple[h11.Data, bytes]:
+    """Return the first part of bytes of the body, and the rest.
+
+    A read from the socket has up to 256 KiB, whose lines may take longer than
+    a turn of the loop should.
+    """
+    part = h11.Data(data=bytes(body[:MAX_TURN_BYTES]))
+    return part, body[MAX_TURN_BYTES:]
+
+
 def _bound_met(
     exc: h11.RemoteProtocolError, body: ResponseBody
 ) -> AnswerBound | None:
