--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -16,6 +16,7 @@
 )
 from grpc import StatusCode, aio
 
+from crowrudder_core.dispatch import MAX_HEAD_BYTES
 from crowrudder_core.membership._roster import MAX_ENTRIES
 from crowrudder_core.transfer import FromOrigin, FromPeer, LinkShare
 from crowrudder_daemon.chunks._collect import Collector
@@ -35,7 +36,6 @@
 from crowrudder_daemon.fleet_entry._load_relay import MAX_REPORTS
 from crowrudder_daemon.fleet_entry._long_bodies import MAX_DISCARDED_BYTES
 from crowrudder_daemon.http import ConnectionPool
-from crowrudder_daemon.http._connection import MAX_HEAD_BYTES
 from crowrudder_daemon.rpc import PeerClient, PeerServer
 from crowrudder_model import (
     PeerLostError,
