--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -19,6 +19,7 @@
 from attrs import frozen
 
 from crowrudder_core.dispatch import (
+    MAX_BUFFERED_PARTS,
     MAX_DRAINED_BYTES,
     MAX_HEAD_BYTES,
     MAX_PARTS_WITHOUT_EVENT,
@@ -389,6 +390,10 @@
                 on_bytes(len(part))
             if size > max_bytes:
                 raise self._answer_error(f'longer than {max_bytes} bytes')
+            if len(parts) > MAX_BUFFERED_PARTS:
+                raise self._answer_error(
+                    f'in more than {MAX_BUFFERED_PARTS} parts'
+                )
         return WireAnswer(head=head, body=b''.join(parts))
 
     def skip(self) -> None:
--- a/tests/support/endless.py
+++ b/tests/support/endless.py
@@ -51,6 +51,11 @@
         HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
         repeated(LINE),
     ),
+    'body_in_chunks_of_one_byte': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        repeated(b'1\r\ny\r\n'),
+    ),
+    'informational': (b'', repeated(b'HTTP/1.1 102 Processing\r\n\r\n')),
 }
 """Beginning and endlessly repeated rest of an answer, by its kind."""
 
