--- a/tests/fleet/test_body_ends.py
+++ b/tests/fleet/test_body_ends.py
@@ -9,8 +9,11 @@
 from crowrudder_core.quarantine import _unconfirmed
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._caller_side import CallerSide
-from crowrudder_standins import fleet_replica
-from crowrudder_standins.fleet_replica import body_of, stream_of
+from crowrudder_standins.fleet_replica import (
+    FleetReplica,
+    body_of,
+    stream_of,
+)
 from support.fleet_checks import all_runs, checked, fault, inject_fault_all
 from support.raw_caller import ask_raw
 
@@ -281,7 +284,7 @@
 
     def test_an_entry_that_ends_resets_an_unfinished_answer(self, monkeypatch):
         async def check(world):
-            monkeypatch.setattr(fleet_replica, 'EVENT_INTERVAL_S', 0.2)
+            monkeypatch.setattr(FleetReplica, 'event_interval_s', 0.2)
             asking = asyncio.ensure_future(
                 ask_raw(world.nodes[0].callers, '/once/x', version='1.0')
             )
--- a/tests/scripts/test_platform_records.py
+++ b/tests/scripts/test_platform_records.py
@@ -18,9 +18,8 @@
     ConnectionPool,
     WireRequest,
 )
-from crowrudder_standins import fleet_replica
 from crowrudder_standins._faults import Fault
-from crowrudder_standins.fleet_replica import EVENTS, LAYERS
+from crowrudder_standins.fleet_replica import EVENTS, LAYERS, FleetReplica
 from support.aio import run
 
 DRAFT = ROUTE_KINDS[2]
@@ -107,7 +106,7 @@
 
 @pytest.fixture(autouse=True)
 def _short_interval(monkeypatch):
-    monkeypatch.setattr(fleet_replica, 'EVENT_INTERVAL_S', 0.001)
+    monkeypatch.setattr(FleetReplica, 'event_interval_s', 0.001)
 
 
 @pytest.mark.parametrize('framing', FRAMINGS)
