Chunks: a call to the origin may read a chunk from the store and from the origin

Since a read ends at the size of its chunk, a call that read from the store and then from the origin was given up and made again.

--- a/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
+++ b/packages/daemon/src/crowrudder_daemon/chunks/_collect.py
@@ -31,6 +31,11 @@
 """Interval at which a transfer is advanced if no call ends, seconds."""
 
 
+ORIGIN_READS = 2
+"""Reads of one chunk that a call to the origin may make: of the store and of the
+origin itself."""
+
+
 class Collector:
     """Runs the concurrent calls of one transfer.
 
@@ -196,7 +201,7 @@
 
     async def _from_origin(self, read: FromOrigin) -> None:
         self._watch.asked_origin(read)
-        bound = self._bound(read, 'origin')
+        bound = self._bound(read, 'origin', reads=ORIGIN_READS)
 
         def on_piece(size: int) -> None:
             bound.on_piece(size)
@@ -218,8 +223,9 @@
         if not self._accept(read, payload):
             self._origin.on_bad_store_chunk()
 
-    def _bound(self, read: Read, source: str) -> ReadBound:
-        return ReadBound(source, self._transfer.manifest.chunk_size(read.index))
+    def _bound(self, read: Read, source: str, *, reads: int = 1) -> ReadBound:
+        size = self._transfer.manifest.chunk_size(read.index)
+        return ReadBound(source, reads * size)
 
     def _reserve_link(self, read: Read, size: int) -> float:
         """Record received bytes; return how long the link is busy, in seconds."""
