--- a/tests/fleet/test_bytes_without_end.py
+++ b/tests/fleet/test_bytes_without_end.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import time
 
 import pytest
@@ -114,18 +113,6 @@
     assert taken.longest_s < MAX_TURN_S
 
 
-@pytest.fixture(autouse=True)
-def frozen_heap():
-    """Leave the objects of earlier tests out of collections.
-
-    A full collection of them takes longer than the bound of a turn.
-    """
-    gc.collect()
-    gc.freeze()
-    yield
-    gc.unfreeze()
-
-
 class TestRequestsBeside:
     """Guards against an answer without end that holds the whole entry."""
 
