Callers' connections: each close says by which rule, how long it waited, and what was unread

An entry that closed a caller's connection left no line at all, so that a timer that closes what was read can't be told from a limit that has changed. No logic changed.

--- /dev/null
+++ b/packages/core/src/crowrudder_core/connections/_closes.py
@@ -0,0 +1,52 @@
+"""Why a caller's connection was closed."""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import frozen
+
+from crowrudder_core.connections._states import ConnectionState
+
+
+class CloseRule(enum.Enum):
+    """The rule by which a caller's connection is closed."""
+
+    CALLER_LEFT = 'caller left'
+    LAST_ANSWER = 'last answer'
+    """The answer said that the connection would be closed."""
+
+    TRUNCATED = 'answer truncated'
+    SLOW_READER = 'slow reader'
+    LONG_BODY = 'long body'
+    HTTP_SERVER = 'http server'
+    """A timer or a limit of the HTTP server."""
+
+
+@frozen(kw_only=True)
+class Close:
+    """The close of a caller's connection.
+
+    Attributes
+    ----------
+    state
+        What the connection was doing.
+    for_s
+        For how long it had been doing that, in seconds.
+    limit_s
+        How long it might have been, in seconds.
+    version
+        Version of the configuration that set the limit.
+    read_bytes
+        Bytes of the request that had been read.
+    requests
+        Requests read on the connection before.
+    """
+
+    rule: CloseRule
+    state: ConnectionState
+    for_s: float
+    limit_s: float
+    version: int
+    read_bytes: int
+    requests: int
--- a/packages/daemon/src/crowrudder_daemon/_callers_port.py
+++ b/packages/daemon/src/crowrudder_daemon/_callers_port.py
@@ -16,6 +16,8 @@
 
     from tornado.httpserver import HTTPServer
 
+    from crowrudder_daemon._connection_watch import ConnectionWatch
+
 
 class Admission(enum.Enum):
     """What was decided on a new connection."""
@@ -44,8 +46,10 @@
         http: HTTPServer,
         *,
         admit: Callable[[socket.socket], Admission] | None = None,
+        watch: ConnectionWatch | None = None,
     ) -> None:
         self._http = http
+        self._watch = watch
         self._admit = admit
         self._sockets: list[socket.socket] = []
         self._remove_handlers: list[Callable[[], None]] = []
@@ -78,7 +82,9 @@
         if admission is Admission.REFUSED:
             return
         stream = CallerStream(
-            connection, max_buffer_size=self._http.max_buffer_size
+            connection,
+            max_buffer_size=self._http.max_buffer_size,
+            watch=self._watch,
         )
         stream.is_admitted = admission is Admission.ADMITTED
         self._http.handle_stream(stream, address)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -20,6 +20,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from crowrudder_core.connections import CloseRule
 from crowrudder_daemon._caller_stream import CallerStream
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet_entry._long_bodies import BodyGate
@@ -29,6 +30,7 @@
 
     from tornado.http1connection import HTTP1Connection
 
+    from crowrudder_core.connections import CallerConnection
     from crowrudder_daemon.fleet_entry._caller_backlog import CallerBacklog
     from crowrudder_daemon.fleet_entry._long_bodies import BodyRules
 
@@ -170,6 +172,7 @@
         The loop doesn't notice its end behind a further request.
         """
         self._on_gone = None
+        self._set_close_rule(CloseRule.CALLER_LEFT)
         if not self._stream.closed():
             self._conn.close()
 
@@ -209,6 +212,7 @@
     def end_refusal(self) -> None:
         """Close the connection after `begin_refusal`."""
         self.told = AnswerTold.WHOLE
+        self._set_close_rule(CloseRule.LONG_BODY)
         self._conn.close()
 
     def allow_body(self, max_bytes: int) -> None:
@@ -264,6 +268,7 @@
         if self.is_gone:
             return
         self.told = AnswerTold.WHOLE
+        self._set_close_rule(CloseRule.LAST_ANSWER)
         is_delimited = not self._resets_on_close
         if not is_delimited:
             self._set_reset_on_close(is_set=False)
@@ -275,6 +280,7 @@
         """Close the connection, so that the caller sees a truncated answer."""
         self._on_gone = None
         self.told = AnswerTold.TRUNCATED
+        self._set_close_rule(CloseRule.TRUNCATED)
         self._backlog.remove(self)
         self._conn.close()
 
@@ -282,6 +288,7 @@
         """Close the connection of a caller that reads too slowly."""
         self.is_cut_off = True
         self.told = AnswerTold.TRUNCATED
+        self._set_close_rule(CloseRule.SLOW_READER)
         self._conn.close()
         self.mark_gone()
 
@@ -296,6 +303,21 @@
         await self.begin(status, sized, body)
         self.finish()
 
+    def on_request(self) -> None:
+        """Record that the request was read completely."""
+        connection = self._connection
+        if connection is not None:
+            connection.on_request(now=clock_s())
+
+    @property
+    def _connection(self) -> CallerConnection | None:
+        stream = self._stream
+        return stream.connection if isinstance(stream, CallerStream) else None
+
+    def _set_close_rule(self, rule: CloseRule) -> None:
+        if isinstance(self._stream, CallerStream):
+            self._stream.close_rule = rule
+
     def _record_arrival(self) -> None:
         stream = self._stream
         if not isinstance(stream, CallerStream):
@@ -304,6 +326,8 @@
         peer = stream.peer()
         self.is_admitted, stream.is_admitted = stream.is_admitted, False
         self.read_at = stream.read_at
+        if stream.connection is not None:
+            stream.connection.on_head(now=now)
         # Data that arrived after the head makes the result too small.
         self.unread_s = max(stream.read_at - now + peer.data_age_s, 0)
         if not peer.is_open:
@@ -437,6 +461,7 @@
             headers=self._headers,
             body=b''.join(self._parts),
         )
+        self._side.on_request()
         self._on_request(request, self._side)
 
     def on_connection_close(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -7,7 +7,9 @@
 
 from tornado.httpserver import HTTPServer
 
+from crowrudder_core.connections import ConnectionLimits
 from crowrudder_daemon._callers_port import CallersPort
+from crowrudder_daemon._connection_watch import ConnectionWatch
 from crowrudder_daemon._ticks import sleep_to_tick
 from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_entry._admission import EntryAdmission
@@ -94,8 +96,11 @@
             max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
             body_timeout=BODY_TIMEOUT_S,
         )
+        self._connections = ConnectionWatch(runtime)
         self._port = CallersPort(
-            self._http, admit=self.requests.overload.on_connection
+            self._http,
+            admit=self.requests.overload.on_connection,
+            watch=self._connections,
         )
         directory = Directory(
             dialect=dialect,
@@ -212,6 +217,12 @@
             # Tornado has a single timeout for idle connections and for headers.
             params = self._http.conn_params
             params.header_timeout = config.limits.idle_timeout_s
+            self._connections.limits = ConnectionLimits(
+                idle_s=config.limits.idle_timeout_s,
+                head_s=config.limits.idle_timeout_s,
+                body_s=BODY_TIMEOUT_S,
+                version=config.version,
+            )
             params.max_header_size = min(
                 config.limits.header_bytes + MAX_REQUEST_LINE_BYTES,
                 MAX_HEADER_BYTES,
