Callers' connections: no timer closes what was read or stands in the socket

Callers saw: a whole request on a kept connection, then a close without a byte of an answer; nothing was sent on.

Cause: the HTTP server's timer for the next head runs from the end of the last answer and asks nothing when it fires. In a turn of the loop that comes late (a pause, a share of a core, a long configuration), the bytes of the next request are read first and the timer closes the connection before their reader runs. And a connection that waits kept the limit that held as its wait began, so that callers who go by a raised limit met the close beside each such configuration.

Change: CallerConnection (pure) decides when a limit ends a connection: only if nothing was read since the last check and nothing stands unread. Limits for idle time, heads and bodies are apart (header_timeout_ms was not used), a raised one holds for those who wait, idle connections are bounded by memory and descriptors. Heads that are too long and heads and bodies that are too slow get 431 and 408 and an orderly close.

Why it works: whatever has arrived is read before a limit is asked again, however late the loop is.

--- a/packages/core/src/crowrudder_core/connections/__init__.py
+++ b/packages/core/src/crowrudder_core/connections/__init__.py
@@ -2,6 +2,7 @@
 
 from crowrudder_core.connections._caller_connection import CallerConnection
 from crowrudder_core.connections._closes import Close, CloseRule
+from crowrudder_core.connections._idle_connections import IdleConnections
 from crowrudder_core.connections._limits import ConnectionLimits
 from crowrudder_core.connections._states import ConnectionState
 
@@ -11,4 +12,5 @@
     'CloseRule',
     'ConnectionLimits',
     'ConnectionState',
+    'IdleConnections',
 )
--- a/packages/core/src/crowrudder_core/connections/_caller_connection.py
+++ b/packages/core/src/crowrudder_core/connections/_caller_connection.py
@@ -10,36 +10,93 @@
 from crowrudder_core.connections._limits import ConnectionLimits
 from crowrudder_core.connections._states import ConnectionState
 
+RECHECK_S = 0.01
+"""Time in which the loop passes on what it has read, and reads what stands in
+the socket."""
+
+LATE_S = 0.005
+"""Lateness of a check from which more may have arrived while the process stood
+still."""
+
+_TIME_RULES = {
+    ConnectionState.WAITING: CloseRule.IDLE,
+    ConnectionState.READING_HEAD: CloseRule.SLOW_HEAD,
+    ConnectionState.READING_BODY: CloseRule.SLOW_BODY,
+}
+
 
 @define(eq=False)
 class CallerConnection:
-    """What a caller's connection is doing, and since when.
+    """What a caller's connection is doing, since when, and until when.
 
-    Times are in seconds on one clock, passed as ``now``.
+    A time limit ends a wait only when nothing has been read and nothing
+    stands unread: a late process finds the bytes and the due limit in the same
+    turn, and the bytes came first as far as anyone can tell. Times are in
+    seconds on one clock, passed as ``now``.
+
+    Parameters
+    ----------
+    limits
+        Limits in force as the connection was accepted.
+    since
+        When it was accepted.
 
     Example
     -------
-    >>> conn = CallerConnection(ConnectionLimits(idle_s=5, version=3), 0.0)
+    >>> conn = CallerConnection(ConnectionLimits(idle_s=5, head_s=2), 0.0)
+    >>> conn.due_at
+    5.0
     >>> conn.on_bytes(40, now=1.0)
-    >>> conn.state
-    <ConnectionState.READING_HEAD: 'reading a head'>
+    >>> conn.state, conn.due_at
+    (<ConnectionState.READING_HEAD: 'reading a head'>, 3.0)
     """
 
-    _limits: ConnectionLimits
+    limits: ConnectionLimits
     since: float
     state: ConnectionState = field(default=ConnectionState.WAITING, init=False)
     read_bytes: int = field(default=0, init=False)
     requests: int = field(default=0, init=False)
+    _has_unhandled: bool = field(default=False, init=False)
+    """Whether bytes were read since the last check."""
+
+    _extended_to: float = field(default=-math.inf, init=False)
+
+    @property
+    def due_at(self) -> float:
+        """When its present state has lasted too long; infinite if it may last."""
+        return max(self.since + self._limit_s(), self._extended_to)
+
+    def on_wait(
+        self, limits: ConnectionLimits, *, now: float, read_ahead: int = 0
+    ) -> None:
+        """Record that the head of the next request is awaited.
+
+        Parameters
+        ----------
+        read_ahead
+            Bytes of it that were read together with the request before.
+        """
+        self.limits = limits
+        self.read_bytes = read_ahead
+        is_begun = read_ahead > 0
+        self._enter(
+            ConnectionState.READING_HEAD
+            if is_begun
+            else ConnectionState.WAITING,
+            now,
+        )
+
+    def on_limits(self, limits: ConnectionLimits) -> None:
+        """Apply changed limits; nothing that is awaited gets less time.
 
-    def on_wait(self, limits: ConnectionLimits, *, now: float) -> None:
-        """Record that the head of the next request is awaited."""
-        self._limits = limits
-        self.read_bytes = 0
-        self._enter(ConnectionState.WAITING, now)
+        The caller may have chosen this connection by the limit that held then.
+        """
+        self.limits = self.limits.extended_by(limits)
 
     def on_bytes(self, count: int, *, now: float) -> None:
         """Record bytes that were read."""
         self.read_bytes += count
+        self._has_unhandled = True
         if self.state is ConnectionState.WAITING:
             self._enter(ConnectionState.READING_HEAD, now)
 
@@ -52,14 +109,40 @@
         self.requests += 1
         self._enter(ConnectionState.IN_PROGRESS, now)
 
+    def on_answer(self, *, now: float) -> None:
+        """Record that an answer began before the request was read."""
+        self._enter(ConnectionState.IN_PROGRESS, now)
+
+    def on_check(
+        self, *, now: float, late_s: float, unread_bytes: int
+    ) -> CloseRule | None:
+        """Return the rule that ends the connection now; None if none does.
+
+        Parameters
+        ----------
+        late_s
+            How late this check is.
+        unread_bytes
+            Bytes that stand in the socket.
+        """
+        if now < self.due_at:
+            return None
+        has_arrived = self._has_unhandled or unread_bytes > 0
+        self._has_unhandled = False
+        is_first = math.isinf(self._extended_to)
+        if has_arrived and (is_first or late_s >= LATE_S):
+            self._extended_to = now + RECHECK_S
+            return None
+        return _TIME_RULES[self.state]
+
     def close(self, rule: CloseRule, *, now: float) -> Close:
         """Return the close of the connection by a rule."""
         return Close(
             rule=rule,
             state=self.state,
             for_s=now - self.since,
-            limit_s=self._limit_s(),
-            version=self._limits.version,
+            limit_s=self._published_limit_s(),
+            version=self.limits.version,
             read_bytes=self.read_bytes,
             requests=self.requests,
         )
@@ -67,14 +150,20 @@
     def _enter(self, state: ConnectionState, now: float) -> None:
         self.state = state
         self.since = now
+        self._extended_to = -math.inf
 
     def _limit_s(self) -> float:
+        if self.state is ConnectionState.WAITING:
+            return self.limits.kept_s
+        return self._published_limit_s()
+
+    def _published_limit_s(self) -> float:
         match self.state:
             case ConnectionState.WAITING:
-                return self._limits.idle_s
+                return self.limits.idle_s
             case ConnectionState.READING_HEAD:
-                return self._limits.head_s
+                return self.limits.head_s
             case ConnectionState.READING_BODY:
-                return self._limits.body_s
+                return self.limits.body_s
             case ConnectionState.IN_PROGRESS:
                 return math.inf
--- a/packages/core/src/crowrudder_core/connections/_closes.py
+++ b/packages/core/src/crowrudder_core/connections/_closes.py
@@ -18,9 +18,14 @@
 
     TRUNCATED = 'answer truncated'
     SLOW_READER = 'slow reader'
+    IDLE = 'idle'
+    TOO_MANY_IDLE = 'too many idle'
+    SLOW_HEAD = 'slow head'
+    SLOW_BODY = 'slow body'
+    LONG_HEAD = 'long head'
     LONG_BODY = 'long body'
     HTTP_SERVER = 'http server'
-    """A timer or a limit of the HTTP server."""
+    """The HTTP server could not read on, or its port was closed."""
 
 
 @frozen(kw_only=True)
--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import socket
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, UnsatisfiableReadError
 
-from crowrudder_core.connections import CloseRule
+from crowrudder_core.connections import CloseRule, ConnectionState
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._peer_state import PeerState, peer_state
 
@@ -19,10 +22,28 @@
 
 MAX_PEEKED_BYTES = 65_536
 
+LINGER_S = 1.0
+"""How long a caller may keep sending after a refusal. Closing the connection
+with bytes unread resets it, and the refusal may be lost."""
+
+MAX_REFUSED_BYTES = 1024 * 1024
+"""How much of a refused request is read, with what was read before."""
+
+_LAST_WORDS = {
+    CloseRule.SLOW_HEAD: HTTPStatus.REQUEST_TIMEOUT,
+    CloseRule.SLOW_BODY: HTTPStatus.REQUEST_TIMEOUT,
+    CloseRule.LONG_HEAD: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+}
+
 
 class CallerStream(IOStream):
     """A stream that records when its bytes were read and its peer left.
 
+    Parameters
+    ----------
+    watch
+        Knows the limits of the connection; without one it has none.
+
     Attributes
     ----------
     read_at
@@ -34,6 +55,8 @@
         Whether its next request was admitted before it was read.
     requests
         Number of requests so far, with the one that is awaited.
+    connection
+        What the connection is doing; None without a watch.
     close_rule
         The rule by which this side closes the connection, if it does.
     """
@@ -51,7 +74,11 @@
         self.requests = 0
         self.close_rule = CloseRule.HTTP_SERVER
         self._watch = watch
-        self.connection = watch.connection() if watch else None
+        self.connection = watch.open(self) if watch else None
+        self._check_at = 0.0
+        self._check: asyncio.TimerHandle | None = None
+        self._late_s = 0.0
+        self._discarded: int | None = None
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -59,29 +86,73 @@
         """Read the head of the next request."""
         if self.connection is not None and self._watch is not None:
             self.close_rule = CloseRule.HTTP_SERVER
-            self.connection.on_wait(self._watch.limits, now=clock_s())
+            self.connection.on_wait(
+                self._watch.limits,
+                now=clock_s(),
+                read_ahead=self._read_buffer_size,
+            )
+            if self.connection.state is ConnectionState.WAITING:
+                self._watch.on_idle(self)
+            self._schedule_check()
         return super().read_until_regex(regex, max_bytes)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket, and record the time."""
         count = super().read_from_fd(buf)
+        if count and self._discarded is not None:
+            self._discard(count)
+            return None
         if count:
             self.read_at = clock_s()
-            if self.connection is not None:
+            if self.connection is not None and self._watch is not None:
+                if self.connection.state is ConnectionState.WAITING:
+                    self._watch.on_busy(self)
                 self.connection.on_bytes(count, now=self.read_at)
         return count
 
+    def close(self, exc_info: Any = False) -> None:
+        """Close the stream; a head that is too long is answered first."""
+        is_long = isinstance(exc_info, UnsatisfiableReadError)
+        if is_long and self._is_reading_head and not self.closed():
+            self.close_by(CloseRule.LONG_HEAD)
+            return
+        super().close(exc_info)
+
+    def close_by(self, rule: CloseRule) -> None:
+        """Close the connection by a rule, with an answer if it calls for one.
+
+        The answer says that the request was not run; it may only be given to
+        one that has not been read completely.
+        """
+        if self.closed() or self._discarded is not None:
+            return
+        self.close_rule = rule
+        status = _LAST_WORDS.get(rule)
+        if status is None:
+            self.close()
+            return
+        self._discarded = self.connection.read_bytes if self.connection else 0
+        # A read that failed at once has left the socket without a reader.
+        self._add_io_state(self.io_loop.READ)
+        self.write(
+            f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+            'Content-Length: 0\r\nConnection: close\r\n\r\n'.encode()
+        ).add_done_callback(asyncio.Future.exception)
+        asyncio.get_running_loop().call_later(LINGER_S, self.close)
+
     def close_fd(self) -> None:
         """Record the close and when the peer left, and close the socket."""
         peer = peer_state(self.socket)
         now = clock_s()
         if not peer.is_open:
             self.left_at = now - peer.segment_age_s
+        if self._check is not None:
+            self._check.cancel()
         if self.connection is not None and self._watch is not None:
-            rule = self.close_rule if peer.is_open else CloseRule.CALLER_LEFT
+            is_own = peer.is_open or self._discarded is not None
+            rule = self.close_rule if is_own else CloseRule.CALLER_LEFT
             self._watch.on_closed(
-                self.connection.close(rule, now=now),
-                unread_bytes=self.unread_bytes(),
+                self, self.connection.close(rule, now=now), late_s=self._late_s
             )
         super().close_fd()
 
@@ -90,9 +161,55 @@
         return peer_state(self.socket)
 
     def unread_bytes(self) -> int:
-        """Return how many bytes stand in the socket, `MAX_PEEKED_BYTES` at most."""
+        """Return how many bytes stand in the socket, as far as it is counted."""
         try:
             return len(self.socket.recv(MAX_PEEKED_BYTES, socket.MSG_PEEK))
         except OSError:
             # Nothing has arrived, or the caller has left.
             return 0
+
+    @property
+    def _is_reading_head(self) -> bool:
+        connection = self.connection
+        return (
+            connection is not None
+            and connection.state is ConnectionState.READING_HEAD
+        )
+
+    def _schedule_check(self) -> None:
+        connection = self.connection
+        if self._check is not None or connection is None:
+            return
+        now = clock_s()
+        self._check_at = min(
+            connection.due_at, now + connection.limits.check_interval_s
+        )
+        if math.isfinite(self._check_at):
+            self._check = asyncio.get_running_loop().call_later(
+                max(self._check_at - now, 0), self._on_check
+            )
+
+    def _on_check(self) -> None:
+        self._check = None
+        connection = self.connection
+        if connection is None or self.closed():
+            return
+        if connection.state is ConnectionState.IN_PROGRESS:
+            # The next wait begins the checks anew.
+            return
+        now = clock_s()
+        self._late_s = now - self._check_at
+        rule = connection.on_check(
+            now=now,
+            late_s=self._late_s,
+            unread_bytes=self.unread_bytes() if now >= connection.due_at else 0,
+        )
+        if rule is None:
+            self._schedule_check()
+        else:
+            self.close_by(rule)
+
+    def _discard(self, count: int) -> None:
+        self._discarded = count + (self._discarded or 0)
+        if self._discarded > MAX_REFUSED_BYTES:
+            self.close()
--- a/packages/daemon/src/crowrudder_daemon/_connection_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/_connection_watch.py
@@ -1,28 +1,48 @@
-"""Records how the connections of callers end."""
+"""The limits of callers' connections, and a record of their closes."""
 
 from __future__ import annotations
 
 import math
+import resource
 from typing import TYPE_CHECKING
 
 from crowrudder_core.connections import (
     CallerConnection,
     CloseRule,
     ConnectionLimits,
-    ConnectionState,
+    IdleConnections,
 )
 from crowrudder_daemon._clock import clock_s
 
 if TYPE_CHECKING:
     from crowrudder_core.connections import Close
+    from crowrudder_daemon._caller_stream import CallerStream
     from crowrudder_daemon._runtime import Runtime
 
+IDLE_MEMORY_SHARE = 0.125
+"""Share of the memory of this process that idle connections may take."""
+
+IDLE_CONNECTION_BYTES = 12 * 1024
+"""Memory of an idle connection, with what the HTTP server holds for it."""
+
+IDLE_DESCRIPTOR_SHARE = 0.5
+"""Share of this process's descriptors that idle connections may take; the rest
+is for requests in progress, upstreams and peers."""
+
+MAX_IDLE_CONNECTIONS = 4096
+"""The bound where neither memory nor descriptors are limited."""
+
 _QUIET_RULES = frozenset((CloseRule.CALLER_LEFT, CloseRule.LAST_ANSWER))
 """Closes that are the usual end of a connection: they are only counted."""
 
 
 class ConnectionWatch:
-    """The limits of callers' connections, and a record of their closes.
+    """Knows the connections of callers, and records how they end.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory of this process, 0 if not known.
 
     Attributes
     ----------
@@ -30,34 +50,71 @@
         Limits of requests that are awaited from now on.
     """
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, *, memory_bytes: int = 0) -> None:
         self._log = runtime.log
         self.limits = ConnectionLimits()
+        self._open: set[CallerStream] = set()
+        self._idle: IdleConnections[CallerStream] = IdleConnections(
+            max_idle_connections(memory_bytes)
+        )
         self._closed = runtime.metrics.counter(
             'caller_connections_closed',
             "Closes of callers' connections, by the rule that ended them.",
             labels=('rule',),
         )
+        runtime.metrics.gauge(
+            'caller_connections_idle',
+            "Callers' connections that wait for a request.",
+            lambda: float(len(self._idle)),
+        )
 
-    def connection(self) -> CallerConnection:
+    def open(self, stream: CallerStream) -> CallerConnection:
         """Return the state of a connection that was just accepted."""
+        self._open.add(stream)
         return CallerConnection(self.limits, clock_s())
 
-    def on_closed(self, close: Close, *, unread_bytes: int) -> None:
+    def set_limits(self, limits: ConnectionLimits) -> None:
+        """Apply the limits of a configuration, also to those who wait."""
+        if limits.has_same_times(self.limits):
+            return
+        self.limits = limits
+        for stream in self._open:
+            if stream.connection is not None:
+                stream.connection.on_limits(limits)
+
+    def on_idle(self, stream: CallerStream) -> None:
+        """Record that a connection waits; close the oldest if too many do."""
+        self._idle.add(stream)
+        oldest = self._idle.excess()
+        if oldest is not None:
+            # One with unread bytes is about to be read, and then isn't idle.
+            self._idle.remove(oldest)
+            if not oldest.unread_bytes():
+                oldest.close_by(CloseRule.TOO_MANY_IDLE)
+
+    def on_busy(self, stream: CallerStream) -> None:
+        """Record that a connection no longer waits."""
+        self._idle.remove(stream)
+
+    def on_closed(
+        self,
+        stream: CallerStream,
+        close: Close,
+        *,
+        late_s: float,
+    ) -> None:
         """Record the close of a connection.
 
         Parameters
         ----------
-        unread_bytes
-            Bytes that stood in the socket; the close resets the connection if
-            there are any.
+        late_s
+            How late the event loop came to the last check.
         """
+        self._open.discard(stream)
+        self._idle.remove(stream)
         self._closed.add(rule=close.rule.value)
         if close.rule in _QUIET_RULES:
             return
-        late_s = 0.0
-        if close.state is not ConnectionState.IN_PROGRESS:
-            late_s = max(close.for_s - close.limit_s, 0)
         self._log.info(
             'caller connection closed',
             extra={
@@ -69,11 +126,30 @@
                 'since_version': close.version,
                 'late_s': round(late_s, 3),
                 'read_bytes': close.read_bytes,
-                'unread_bytes': unread_bytes,
+                # The close resets the connection if there are any.
+                'unread_bytes': stream.unread_bytes(),
                 'requests': close.requests,
             },
         )
 
 
+def max_idle_connections(memory_bytes: int) -> int:
+    """Return how many connections may wait for a request.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory of this process, 0 if not known.
+    """
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    bounds = [math.inf]
+    if descriptors != resource.RLIM_INFINITY:
+        bounds.append(IDLE_DESCRIPTOR_SHARE * descriptors)
+    if memory_bytes:
+        bounds.append(IDLE_MEMORY_SHARE * memory_bytes / IDLE_CONNECTION_BYTES)
+    least = min(bounds)
+    return MAX_IDLE_CONNECTIONS if math.isinf(least) else int(least)
+
+
 def _finite(limit_s: float) -> float | None:
     return None if math.isinf(limit_s) else round(limit_s, 3)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -205,6 +205,8 @@
             ('Connection', 'close'),
             ('Content-Length', str(len(body))),
         ]
+        if self._connection is not None:
+            self._connection.on_answer(now=clock_s())
         sent = self._conn.write_headers(*self._begin(status, sized), body)
         # A caller that has left meanwhile is no error.
         sent.add_done_callback(asyncio.Future.exception)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -22,6 +22,7 @@
 from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
+from crowrudder_model.fleet import CallerLimits
 
 if TYPE_CHECKING:
     from crowrudder_daemon.fleet import Tuning
@@ -94,9 +95,13 @@
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
-            body_timeout=BODY_TIMEOUT_S,
         )
-        self._connections = ConnectionWatch(runtime)
+        # Tornado's timer closes a connection without asking what was read.
+        self._http.conn_params.header_timeout = None
+        self._connections = ConnectionWatch(
+            runtime, memory_bytes=node.memory_bytes
+        )
+        self._connections.set_limits(self._connection_limits(CallerLimits()))
         self._port = CallersPort(
             self._http,
             admit=self.requests.overload.on_connection,
@@ -214,21 +219,26 @@
         self.upstreams.refresh()
         config = self.catalog.view.config
         if config is not None:
-            # Tornado has a single timeout for idle connections and for headers.
-            params = self._http.conn_params
-            params.header_timeout = config.limits.idle_timeout_s
-            self._connections.limits = ConnectionLimits(
-                idle_s=config.limits.idle_timeout_s,
-                head_s=config.limits.idle_timeout_s,
-                body_s=BODY_TIMEOUT_S,
-                version=config.version,
+            self._connections.set_limits(
+                self._connection_limits(config.limits, version=config.version)
             )
-            params.max_header_size = min(
+            self._http.conn_params.max_header_size = min(
                 config.limits.header_bytes + MAX_REQUEST_LINE_BYTES,
                 MAX_HEADER_BYTES,
             )
         self.peers.set_state(ready=not self.readiness(), leaving=self._leaving)
 
+    def _connection_limits(
+        self, limits: CallerLimits, *, version: int = 0
+    ) -> ConnectionLimits:
+        return ConnectionLimits(
+            idle_s=limits.idle_timeout_s,
+            notice_s=self.node.bounds.config_s,
+            head_s=limits.header_timeout_s,
+            body_s=BODY_TIMEOUT_S,
+            version=version,
+        )
+
     async def _discover_peers(self) -> None:
         """Ask agents for other entries while none is known."""
         while True:
