--- a/tests/connections/test_caller_connection.py
+++ b/tests/connections/test_caller_connection.py
@@ -215,3 +215,17 @@
 
 
 TestConnectionLife = ConnectionLife.TestCase
+
+
+class TestUnreadBytesOfAWait:
+    """Guards against a close of an idle connection with bytes unread."""
+
+    def test_they_are_read_first_at_each_check(self):
+        conn = CallerConnection(LIMITS, 0)
+        conn.on_bytes(1, now=1)
+        conn.on_head(now=1)
+        conn.on_request(now=1)
+        conn.on_wait(LIMITS, now=2)
+        # The bytes of the request before count as read since the last check.
+        check(conn, 7.0)
+        assert check(conn, 7.0 + RECHECK_S, unread_bytes=1) is None
