Callers' connections: the last answer isn't lost to a reset, a bad request gets a whole answer

Cause 1: the HTTP server closes right after an answer with 'Connection: close' (or to HTTP/1.0). With bytes of the caller unread, or arriving then, the kernel resets the connection, and the part of the answer that the caller hasn't read is lost. Now the sending side ends at once, and what arrives is discarded for 1 s or 1 MB, until the caller ends its side (LingeringClose).

Cause 2: a request that can't be parsed got Tornado's 'HTTP/1.1 400 Bad Request' without length or 'Connection: close', with the same reset; a chunk size that is too long got nothing; a refused body (413) that is broken as well got a second answer behind the first. Now one 400 with a length and an orderly close; never a second answer.

--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -12,6 +12,7 @@
 
 from crowrudder_core.connections import CloseRule, ConnectionState
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._lingering_close import LINGER_S, LingeringClose
 from crowrudder_daemon._peer_state import PeerState, peer_state
 
 if TYPE_CHECKING:
@@ -22,10 +23,6 @@
 
 MAX_PEEKED_BYTES = 65_536
 
-LINGER_S = 1.0
-"""How long a caller may keep sending after a refusal. Closing the connection
-with bytes unread resets it, and the refusal may be lost."""
-
 MAX_REFUSED_BYTES = 1024 * 1024
 """How much of a refused request is read, with what was read before."""
 
@@ -33,8 +30,14 @@
     CloseRule.SLOW_HEAD: HTTPStatus.REQUEST_TIMEOUT,
     CloseRule.SLOW_BODY: HTTPStatus.REQUEST_TIMEOUT,
     CloseRule.LONG_HEAD: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    CloseRule.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
 }
 
+_LINGERING_RULES = frozenset((CloseRule.LAST_ANSWER, CloseRule.BAD_REQUEST))
+
+_TORNADO_BAD_REQUEST = b'HTTP/1.1 400 Bad Request\r\n\r\n'
+"""What Tornado writes to a request that it can't parse: it has no length."""
+
 
 class CallerStream(IOStream):
     """A stream that records when its bytes were read and its peer left.
@@ -110,12 +113,32 @@
                 self.connection.on_bytes(count, now=self.read_at)
         return count
 
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
+        """Write to the caller; the refusal of a bad request in whole."""
+        if data == _TORNADO_BAD_REQUEST:
+            if self._state_now is ConnectionState.IN_PROGRESS:
+                # Its answer has begun: another one would be part of it.
+                data = b''
+            else:
+                self.close_rule = CloseRule.BAD_REQUEST
+                data = _last_words(HTTPStatus.BAD_REQUEST)
+        return super().write(data)
+
     def close(self, exc_info: Any = False) -> None:
-        """Close the stream; a head that is too long is answered first."""
-        is_long = isinstance(exc_info, UnsatisfiableReadError)
-        if is_long and self._is_reading_head and not self.closed():
-            self.close_by(CloseRule.LONG_HEAD)
-            return
+        """Close the stream, so that the caller gets the last answer.
+
+        What can't be read, as it is too long, is answered first.
+        """
+        if isinstance(exc_info, UnsatisfiableReadError) and not self.closed():
+            match self._state_now:
+                case ConnectionState.READING_HEAD:
+                    self.close_by(CloseRule.LONG_HEAD)
+                    return
+                case ConnectionState.READING_BODY:
+                    self.close_by(CloseRule.BAD_REQUEST)
+                    return
+        if self._is_answered and not exc_info:
+            LingeringClose(self.socket)
         super().close(exc_info)
 
     def close_by(self, rule: CloseRule) -> None:
@@ -134,10 +157,9 @@
         self._discarded = self.connection.read_bytes if self.connection else 0
         # A read that failed at once has left the socket without a reader.
         self._add_io_state(self.io_loop.READ)
-        self.write(
-            f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-            'Content-Length: 0\r\nConnection: close\r\n\r\n'.encode()
-        ).add_done_callback(asyncio.Future.exception)
+        self.write(_last_words(status)).add_done_callback(
+            asyncio.Future.exception
+        )
         asyncio.get_running_loop().call_later(LINGER_S, self.close)
 
     def close_fd(self) -> None:
@@ -169,11 +191,17 @@
             return 0
 
     @property
-    def _is_reading_head(self) -> bool:
-        connection = self.connection
+    def _state_now(self) -> ConnectionState | None:
+        return self.connection.state if self.connection else None
+
+    @property
+    def _is_answered(self) -> bool:
+        """Whether the last answer was written, and may not have arrived."""
         return (
-            connection is not None
-            and connection.state is ConnectionState.READING_HEAD
+            self.close_rule in _LINGERING_RULES
+            and self._discarded is None
+            and not self.closed()
+            and not self.writing()
         )
 
     def _schedule_check(self) -> None:
@@ -213,3 +241,10 @@
         self._discarded = count + (self._discarded or 0)
         if self._discarded > MAX_REFUSED_BYTES:
             self.close()
+
+
+def _last_words(status: HTTPStatus) -> bytes:
+    return (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Content-Length: 0\r\nConnection: close\r\n\r\n'
+    ).encode()
--- a/tests/fleet/test_endless_peers.py
+++ b/tests/fleet/test_endless_peers.py
@@ -519,6 +519,10 @@
     'head_line': (ASKED + b'x-more: ', BODY_BLOCK),
     'request_line': (b'GET /', BODY_BLOCK),
 }
+BAD_REQUEST_ANSWER = (
+    b'HTTP/1.1 400 Bad Request\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 LONG_HEAD_ANSWER = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
@@ -583,10 +587,10 @@
         async def check():
             async with fleet(engines=0) as world:
                 received = await beside(world, *BROKEN_REQUESTS[name])
-                assert received in {b'', b'HTTP/1.1 400 Bad Request\r\n\r\n'}
+                assert received == BAD_REQUEST_ANSWER
 
         run(check())
-        taken.check(bound_of(name, 0))
+        taken.check(MAX_REFUSED_BYTES + READ_AHEAD)
 
     @pytest.mark.parametrize('name', sorted(LONG_HEADS))
     def test_long_head(self, name, taken):
