Drain: a request sent ahead is answered, and no connection is left to the end of the process

Cause 1: as the drain began, no_keep_alive made each answer the last one of its connection, decided at the request's head. A request that was read together with the one before, or while that was in progress, ended with the close: read whole, no answer. Now the answer decides as it begins: it is the last one only if nothing of a further request has been read or stands in the socket. A caller of HTTP/1.0 that keeps its connection was told Keep-Alive and then closed; it is told 'close'.

Cause 2: connections stayed open until the process ended, which closes them whatever has arrived.

--- a/packages/core/src/crowrudder_core/connections/_closes.py
+++ b/packages/core/src/crowrudder_core/connections/_closes.py
@@ -20,6 +20,9 @@
     SLOW_READER = 'slow reader'
     IDLE = 'idle'
     TOO_MANY_IDLE = 'too many idle'
+    LEAVING = 'leaving'
+    """The process is about to end, and no request was in progress."""
+
     SLOW_HEAD = 'slow head'
     SLOW_BODY = 'slow body'
     LONG_HEAD = 'long head'
--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -182,6 +182,19 @@
         """Return the state of the peer."""
         return peer_state(self.socket)
 
+    def is_last_answer(self) -> bool:
+        """Return whether the answer that begins now is to be the last one.
+
+        It isn't if a further request was sent ahead: that one may have been
+        read, and its caller may not repeat it.
+        """
+        return (
+            self._watch is not None
+            and self._watch.is_leaving
+            and not self._read_buffer_size
+            and not self.unread_bytes()
+        )
+
     def unread_bytes(self) -> int:
         """Return how many bytes stand in the socket, as far as it is counted."""
         try:
--- a/packages/daemon/src/crowrudder_daemon/_connection_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/_connection_watch.py
@@ -10,6 +10,7 @@
     CallerConnection,
     CloseRule,
     ConnectionLimits,
+    ConnectionState,
     IdleConnections,
 )
 from crowrudder_daemon._clock import clock_s
@@ -48,11 +49,14 @@
     ----------
     limits
         Limits of requests that are awaited from now on.
+    is_leaving
+        Whether each connection is to be closed after its next answer.
     """
 
     def __init__(self, runtime: Runtime, *, memory_bytes: int = 0) -> None:
         self._log = runtime.log
         self.limits = ConnectionLimits()
+        self.is_leaving = False
         self._open: set[CallerStream] = set()
         self._idle: IdleConnections[CallerStream] = IdleConnections(
             max_idle_connections(memory_bytes)
@@ -82,6 +86,24 @@
             if stream.connection is not None:
                 stream.connection.on_limits(limits)
 
+    def close_idle(self) -> int:
+        """Close the connections that wait for a request, none with bytes unread.
+
+        Returns
+        -------
+        int
+            How many connections are still open.
+        """
+        for stream in list(self._open):
+            connection = stream.connection
+            if (
+                connection is not None
+                and connection.state is ConnectionState.WAITING
+                and not stream.unread_bytes()
+            ):
+                stream.close_by(CloseRule.LEAVING)
+        return len(self._open)
+
     def on_idle(self, stream: CallerStream) -> None:
         """Record that a connection waits; close the oldest if too many do."""
         self._idle.add(stream)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -106,6 +106,7 @@
         self._accepts_chunks = True
         self._request_headers = HTTPHeaders()
         self._resets_on_close = False
+        self._is_last = False
         self.is_gone = False
         self._on_gone: Callable[[], object] | None = None
 
@@ -231,8 +232,12 @@
             fields.add(name, text)
         if not self._accepts_chunks and 'Content-Length' not in fields:
             self._set_reset_on_close(is_set=True)
-            # Tornado would answer that it keeps the connection.
-            self._request_headers.pop('Connection', None)
+            self._disallow_keep_alive()
+        stream = self._stream
+        if isinstance(stream, CallerStream) and stream.is_last_answer():
+            self._is_last = True
+            fields['Connection'] = 'close'
+            self._disallow_keep_alive()
         line = ResponseStartLine('HTTP/1.1', status, _reason_phrase(status))
         return line, fields
 
@@ -275,7 +280,7 @@
         if not is_delimited:
             self._set_reset_on_close(is_set=False)
         self._conn.finish()
-        if not is_delimited:
+        if self._is_last or not is_delimited:
             self._close_when_written()
 
     def abort(self) -> None:
@@ -357,6 +362,10 @@
             )
         self._resets_on_close = is_set
 
+    def _disallow_keep_alive(self) -> None:
+        # Tornado would answer that it keeps the connection.
+        self._request_headers.pop('Connection', None)
+
     def _close_when_written(self) -> None:
         stream = self._conn.stream
         if not stream.closed():
