Upstreams: a timeout that is due in the turn of a read discards no answer

Cause 1: in a late turn of the loop an answer is read, and the deadline's timer cancels the task that was about to get it: the request ran, its caller got 504.

Cause 2: an idle connection that the upstream had closed counted as open until the loop was told, and a request was sent on it. The kernel is asked when it is taken from the pool.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -475,7 +475,7 @@
                 step='answer',
                 peer=conn.peer,
             )
-        arrived_at = clock_s() - conn.data_age_s
+        arrived_at = clock_s() - conn.socket_state().data_age_s
         completeness = answer_completeness(
             conn.body_end, status=head.status, size=size
         )
@@ -613,7 +613,7 @@
         self.choice.forecast.on_begun(
             self._ticket,
             forecast_s=self.choice.first_s - self.choice.transit_s,
-            now=now - conn.data_age_s,
+            now=now - conn.socket_state().data_age_s,
             transit_s=delivery.unacknowledged_s if delivery else 0,
         )
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -29,6 +29,7 @@
     request_digest,
 )
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._late_timeout import late_timeout
 from crowrudder_daemon.fleet_entry._admission import (
     MIN_RETRY_AFTER_S,
     AdmissionTerms,
@@ -175,7 +176,7 @@
 
     async def _run(self) -> None:
         try:
-            async with asyncio.timeout(self.dispatch.deadline_at - clock_s()):
+            async with late_timeout(self.dispatch.deadline_at - clock_s()):
                 next_step = await self._run_attempts()
         except TimeoutError:
             self._runs.cancel_standby('its request has ended')
--- a/packages/daemon/src/crowrudder_daemon/http/_connection.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_connection.py
@@ -28,7 +28,7 @@
     Framing,
     InformationalCount,
 )
-from crowrudder_daemon._peer_state import peer_state
+from crowrudder_daemon._peer_state import PeerState, peer_state
 from crowrudder_daemon.http._body_relay import BodyRelay
 from crowrudder_daemon.http._response_body import (
     ConnectionEnd,
@@ -253,15 +253,14 @@
         queued = int.from_bytes(answer, sys.byteorder)
         return queued + self._transport.get_write_buffer_size()
 
-    @property
-    def data_age_s(self) -> float:
-        """Return how long ago data arrived last, as the kernel tells; else 0.
+    def socket_state(self) -> PeerState:
+        """Return what the kernel knows of the upstream's side.
 
-        A busy process reads an answer long after its arrival.
+        A busy process reads an answer, or the end, long after its arrival.
         """
         if self._transport is None:
-            return 0
-        return peer_state(self._transport.get_extra_info('socket')).data_age_s
+            return PeerState()
+        return peer_state(self._transport.get_extra_info('socket'))
 
     def send(self, request: WireRequest) -> None:
         """Send a complete request."""
--- a/packages/daemon/src/crowrudder_daemon/http/_pool.py
+++ b/packages/daemon/src/crowrudder_daemon/http/_pool.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon._late_timeout import late_timeout
 from crowrudder_daemon.http._connection import (
     ConnectionEndedError,
     ConnectionLimitError,
@@ -237,7 +238,8 @@
         now = clock_s()
         while conns:
             conn = conns.pop()
-            if conn.is_open and now < conn.usable_until:
+            is_usable = conn.is_open and now < conn.usable_until
+            if is_usable and conn.socket_state().is_open:
                 return conn
             conn.close()
         return None
@@ -249,7 +251,7 @@
         """Provide a connection within a time; close it after any error."""
         conn: HttpConnection | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with late_timeout(timeout_s):
                 conn = await self.acquire(address, timeout_s=timeout_s)
                 yield conn
         except TimeoutError as exc:
@@ -279,7 +281,7 @@
         if self._on_open is not None:
             self._on_open()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with late_timeout(timeout_s):
                 await loop.create_connection(lambda: conn, ip, int(port))
         except (OSError, ValueError, TimeoutError) as exc:
             conn.close()
