Entry of the weight roles: no timer closes a connection on what was read

The HTTP server's idle timer and its timer of bodies closed a connection in the turn of the loop in which the rest of a request was read; a slow body ended without a word. The connections now have the same watch and stream as those of a fleet entry, with the same limits as before.

3 of the 4 tests of tests/requests/test_caller_connections.py failed before.

--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -7,7 +7,9 @@
 
 from tornado.httpserver import HTTPServer
 
+from crowrudder_core.connections import ConnectionLimits
 from crowrudder_daemon._callers_port import CallersPort
+from crowrudder_daemon._connection_watch import ConnectionWatch
 from crowrudder_daemon.entry._handlers import make_application
 from crowrudder_daemon.entry._open_answers import OpenAnswers
 from crowrudder_daemon.entry._report_streams import ReportStreamsTask, links_of
@@ -25,7 +27,9 @@
 """How long an entry still answers requests after it stopped listening."""
 
 IDLE_CONNECTION_S = 60
-HEADERS_TIMEOUT_S = 10
+"""How long a connection may wait for a request, and a head may take."""
+
+BODY_TIMEOUT_S = 10
 
 
 def build_entry(runtime: Runtime) -> EntryRole:
@@ -55,10 +59,18 @@
             ),
             max_body_size=limits.max_body_bytes,
             max_buffer_size=limits.max_body_bytes + 65_536,
-            idle_connection_timeout=IDLE_CONNECTION_S,
-            body_timeout=HEADERS_TIMEOUT_S,
         )
-        self._port = CallersPort(self._http)
+        # Tornado's timer closes a connection without asking what was read.
+        self._http.conn_params.header_timeout = None
+        watch = ConnectionWatch(runtime)
+        watch.set_limits(
+            ConnectionLimits(
+                idle_s=IDLE_CONNECTION_S,
+                head_s=IDLE_CONNECTION_S,
+                body_s=BODY_TIMEOUT_S,
+            )
+        )
+        self._port = CallersPort(self._http, watch=watch)
 
     async def start(self) -> None:
         """Start the tasks and listen for peers and callers."""
--- /dev/null
+++ b/tests/requests/test_caller_connections.py
@@ -0,0 +1,96 @@
+"""Connections that callers of an entry keep open between their requests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+
+from crowrudder_daemon.entry import _role, build_entry
+from crowrudder_daemon.process import Runtime
+from support.aio import run
+from support.leaving_caller import LeavingCaller, hold_loop
+from support.ports import free_port
+from support.settings import entry_settings
+
+IDLE_S = 0.4
+LATE_S = 0.3
+REQUEST = b'GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n'
+LONG = b'POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
+
+
+@contextlib.asynccontextmanager
+async def entry():
+    """Run an entry during a test; yield the address for callers."""
+    port = free_port()
+    cfg = entry_settings(http_port=port, rpc_port=free_port())
+    runtime = Runtime(cfg=cfg, log=logging.getLogger('test'))
+    role = build_entry(runtime)
+    await role.start()
+    try:
+        yield f'127.0.0.1:{port}'
+    finally:
+        await role.drain()
+        await role.stop()
+        runtime.metrics.close()
+
+
+async def kept_caller(address):
+    """Return a caller whose connection has carried a request."""
+    caller = LeavingCaller(address)
+    caller.send(REQUEST)
+    assert await caller.status() == 404
+    await asyncio.sleep(0)
+    return caller
+
+
+class TestRequestReadWhenTheTimerIsDue:
+    """Guards against a close by a timer of silence of what has been read."""
+
+    def test_it_is_answered(self, monkeypatch):
+        monkeypatch.setattr(_role, 'IDLE_CONNECTION_S', IDLE_S)
+
+        async def check():
+            async with entry() as address:
+                caller = await kept_caller(address)
+                await asyncio.sleep(IDLE_S - LATE_S / 2)
+                caller.send(REQUEST)
+                hold_loop(LATE_S)
+                assert await caller.status() == 404
+
+        run(check())
+
+    def test_the_end_of_a_slow_body_is_read(self, monkeypatch):
+        monkeypatch.setattr(_role, 'BODY_TIMEOUT_S', IDLE_S)
+
+        async def check():
+            async with entry() as address:
+                caller = await kept_caller(address)
+                caller.send(LONG[:-2])
+                await asyncio.sleep(IDLE_S - LATE_S / 2)
+                caller.send(LONG[-2:])
+                hold_loop(LATE_S)
+                assert await caller.status() == 404
+
+        run(check())
+
+    def test_silence_still_ends_a_connection(self, monkeypatch):
+        monkeypatch.setattr(_role, 'IDLE_CONNECTION_S', IDLE_S)
+
+        async def check():
+            async with entry() as address:
+                caller = await kept_caller(address)
+                assert not await asyncio.wait_for(caller.head(), 2)
+
+        run(check())
+
+    def test_a_slow_body_gets_408(self, monkeypatch):
+        monkeypatch.setattr(_role, 'BODY_TIMEOUT_S', IDLE_S)
+
+        async def check():
+            async with entry() as address:
+                caller = await kept_caller(address)
+                caller.send(LONG[:-2])
+                assert await caller.status() == 408
+
+        run(check())
