Entry of the weight roles: the last answer isn't lost to a reset

As at a fleet entry: the close behind an answer with 'Connection: close' reset the connection if a further request stood unread.

--- a/packages/daemon/src/crowrudder_daemon/entry/_size_gate.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_size_gate.py
@@ -18,6 +18,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from crowrudder_core.connections import CloseRule
 from crowrudder_daemon._body_length import is_too_long
 from crowrudder_daemon._caller_stream import CallerStream
 from crowrudder_daemon._clock import clock_s
@@ -35,8 +36,6 @@
     )
     from tornado.iostream import IOStream
 
-    from crowrudder_core.connections import CallerConnection
-
 LINGER_S = 2.0
 """How long the caller may keep sending before the connection is closed."""
 
@@ -93,9 +92,9 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
-        connection = self._connection
-        if connection is not None:
-            connection.on_head(now=clock_s())
+        stream = self._stream
+        if isinstance(stream, CallerStream) and stream.connection is not None:
+            stream.connection.on_head(now=clock_s())
         if is_too_long(headers.get('Content-Length', ''), self._max_bytes):
             return self._refuse(answer_request_id(headers))
         return self._inner.headers_received(start_line, headers)
@@ -104,19 +103,16 @@
         return self._inner.data_received(chunk)
 
     def finish(self) -> None:
-        connection = self._connection
-        if connection is not None:
-            connection.on_request(now=clock_s())
+        stream = self._stream
+        if isinstance(stream, CallerStream) and stream.connection is not None:
+            stream.connection.on_request(now=clock_s())
+            # The server closes it behind the answer, if the caller asks so.
+            stream.close_rule = CloseRule.LAST_ANSWER
         self._inner.finish()
 
     def on_connection_close(self) -> None:
         self._inner.on_connection_close()
 
-    @property
-    def _connection(self) -> CallerConnection | None:
-        stream = self._stream
-        return stream.connection if isinstance(stream, CallerStream) else None
-
     async def _refuse(self, request_id: str) -> None:
         stream = self._conn.detach()
         answer = too_large_response(request_id, self._max_bytes)
--- a/tests/requests/test_caller_connections.py
+++ b/tests/requests/test_caller_connections.py
@@ -7,7 +7,11 @@
 import logging
 
 from crowrudder_daemon.entry import _role, build_entry
+from crowrudder_daemon.entry._final_outcome import FinalOutcome
+from crowrudder_daemon.entry._requests import RequestReceived
 from crowrudder_daemon.process import Runtime
+from crowrudder_model import Outcome
+from crowrudder_model.messages import Piece
 from support.aio import run
 from support.leaving_caller import LeavingCaller, hold_loop
 from support.ports import free_port
@@ -16,16 +20,35 @@
 IDLE_S = 0.4
 LATE_S = 0.3
 REQUEST = b'GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n'
+ASKED = b'GET /v1/services/portal/ HTTP/1.1\r\nHost: a\r\nX-Customer: desk\r\n'
+BIG = b'x' * 600_000
 LONG = b'POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody'
 
 
 @contextlib.asynccontextmanager
-async def entry():
-    """Run an entry during a test; yield the address for callers."""
+async def entry(answer=b''):
+    """Run an entry during a test; yield the address for callers.
+
+    If an answer is given, each request for a service gets it.
+    """
+
+    def post_answer(message):
+        if not isinstance(message, RequestReceived):
+            return
+        piece = Piece(request_id='r', version='plain', index=0, body=answer)
+        message.parts.put_nowait(piece)
+        message.parts.put_nowait(
+            FinalOutcome(
+                outcome=Outcome.ANSWERED, code='ok', status=200, pieces=1
+            )
+        )
+
     port = free_port()
     cfg = entry_settings(http_port=port, rpc_port=free_port())
     runtime = Runtime(cfg=cfg, log=logging.getLogger('test'))
     role = build_entry(runtime)
+    if answer:
+        role.requests.post = post_answer
     await role.start()
     try:
         yield f'127.0.0.1:{port}'
@@ -94,3 +117,21 @@
                 assert await caller.status() == 408
 
         run(check())
+
+
+class TestLastAnswer:
+    """Guards against a reset that takes the last answer along."""
+
+    def test_a_request_sent_behind_it_is_discarded(self):
+        async def check():
+            async with entry(answer=BIG) as address:
+                caller = LeavingCaller(address)
+                caller.send(ASKED + b'Connection: close\r\n\r\n')
+                caller.send(ASKED + b'X: ' + b'x' * 300_000)
+                await asyncio.sleep(0.1)
+                received = b''
+                while part := await caller.head():
+                    received += part
+                assert BIG in received
+
+        run(check())
