--- a/packages/core/src/crowrudder_core/connections/_closes.py
+++ b/packages/core/src/crowrudder_core/connections/_closes.py
@@ -20,10 +20,14 @@
     SLOW_READER = 'slow reader'
     IDLE = 'idle'
     TOO_MANY_IDLE = 'too many idle'
+    LEAVING = 'leaving'
+    """The process is about to end, and no request was in progress."""
+
     SLOW_HEAD = 'slow head'
     SLOW_BODY = 'slow body'
     LONG_HEAD = 'long head'
     LONG_BODY = 'long body'
+    BAD_REQUEST = 'bad request'
     HTTP_SERVER = 'http server'
     """The HTTP server could not read on, or its port was closed."""
 
--- a/packages/daemon/src/crowrudder_daemon/entry/_size_gate.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_size_gate.py
@@ -18,7 +18,10 @@
 )
 from tornado.iostream import StreamClosedError
 
+from crowrudder_core.connections import CloseRule
 from crowrudder_daemon._body_length import is_too_long
+from crowrudder_daemon._caller_stream import CallerStream
+from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.entry._caller_request import answer_request_id
 from crowrudder_model import Outcome
 
@@ -81,12 +84,17 @@
         self._inner = inner
         self._conn = conn
         self._max_bytes = max_bytes
+        # A detached connection has no stream any more.
+        self._stream = conn.stream
 
     def headers_received(
         self,
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
+        stream = self._stream
+        if isinstance(stream, CallerStream) and stream.connection is not None:
+            stream.connection.on_head(now=clock_s())
         if is_too_long(headers.get('Content-Length', ''), self._max_bytes):
             return self._refuse(answer_request_id(headers))
         return self._inner.headers_received(start_line, headers)
@@ -95,6 +103,11 @@
         return self._inner.data_received(chunk)
 
     def finish(self) -> None:
+        stream = self._stream
+        if isinstance(stream, CallerStream) and stream.connection is not None:
+            stream.connection.on_request(now=clock_s())
+            # The server closes it behind the answer, if the caller asks so.
+            stream.close_rule = CloseRule.LAST_ANSWER
         self._inner.finish()
 
     def on_connection_close(self) -> None:
