Callers' connections: a closed one no longer counts as waiting

The HTTP server asks for one more head after the close of a connection, and the closed stream went into the set of waiting ones for good. Once the set was full, closing its oldest raised in the first read of the next caller, whose connection ended unanswered. TestAfterTheClose failed before.

--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -87,7 +87,9 @@
         self, regex: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
         """Read the head of the next request."""
-        if self.connection is not None and self._watch is not None:
+        # The server asks for one more head after its last answer.
+        is_open = not self.closed()
+        if is_open and self.connection is not None and self._watch is not None:
             self.close_rule = CloseRule.HTTP_SERVER
             self.connection.on_wait(
                 self._watch.limits,
