Callers' connections: a limit extends while a request moves, and a 408 is never followed by a run

A check after the first one answered 408 though the last bytes were read in the same turn, or stood in the buffer of a reader that had given way to others: the request ran, and the 408 said that it didn't. And bytes of the request before counted as read since the last check of a wait, so that a second check closed an idle connection with bytes unread.

A wait is never ended with bytes unread. What is read extends its limit while bytes arrive or are passed on, for 1 s at most unless the process stood still. A request that got its last words isn't run, whatever is read of it later.

--- a/packages/core/src/crowrudder_core/connections/_caller_connection.py
+++ b/packages/core/src/crowrudder_core/connections/_caller_connection.py
@@ -14,9 +14,13 @@
 """Time in which the loop passes on what it has read, and reads what stands in
 the socket."""
 
-LATE_S = 0.005
-"""Lateness of a check from which more may have arrived while the process stood
-still."""
+MAX_EXTENSION_S = 1.0
+"""How long a limit is extended for bytes that go on arriving, or are still being
+passed on."""
+
+LATE_S = 0.1
+"""Lateness of a check from which the process stood still, so that bytes may have
+arrived in time; they extend the limit whatever the extension is by now."""
 
 _TIME_RULES = {
     ConnectionState.WAITING: CloseRule.IDLE,
@@ -29,10 +33,11 @@
 class CallerConnection:
     """What a caller's connection is doing, since when, and until when.
 
-    A time limit ends a wait only when nothing has been read and nothing
-    stands unread: a late process finds the bytes and the due limit in the same
-    turn, and the bytes came first as far as anyone can tell. Times are in
-    seconds on one clock, passed as ``now``.
+    A time limit ends a wait only when nothing stands unread, and the read of a
+    request only when nothing of it has moved since the last check: a late
+    process finds the bytes and the due limit in the same turn, and the bytes
+    came first as far as anyone can tell. Times are in seconds on one clock,
+    passed as ``now``.
 
     Parameters
     ----------
@@ -56,9 +61,12 @@
     state: ConnectionState = field(default=ConnectionState.WAITING, init=False)
     read_bytes: int = field(default=0, init=False)
     requests: int = field(default=0, init=False)
-    _has_unhandled: bool = field(default=False, init=False)
+    _has_read: bool = field(default=False, init=False)
     """Whether bytes were read since the last check."""
 
+    _buffered_bytes: int = field(default=0, init=False)
+    """Bytes that were read but not passed on at the last check."""
+
     _extended_to: float = field(default=-math.inf, init=False)
 
     @property
@@ -96,9 +104,9 @@
     def on_bytes(self, count: int, *, now: float) -> None:
         """Record bytes that were read."""
         self.read_bytes += count
-        self._has_unhandled = True
         if self.state is ConnectionState.WAITING:
             self._enter(ConnectionState.READING_HEAD, now)
+        self._has_read = True
 
     def on_head(self, *, now: float) -> None:
         """Record that the head of a request was read."""
@@ -114,7 +122,12 @@
         self._enter(ConnectionState.IN_PROGRESS, now)
 
     def on_check(
-        self, *, now: float, late_s: float, unread_bytes: int
+        self,
+        *,
+        now: float,
+        late_s: float,
+        unread_bytes: int,
+        buffered_bytes: int = 0,
     ) -> CloseRule | None:
         """Return the rule that ends the connection now; None if none does.
 
@@ -124,13 +137,19 @@
             How late this check is.
         unread_bytes
             Bytes that stand in the socket.
+        buffered_bytes
+            Bytes that were read and not passed on yet.
         """
         if now < self.due_at:
             return None
-        has_arrived = self._has_unhandled or unread_bytes > 0
-        self._has_unhandled = False
-        is_first = math.isinf(self._extended_to)
-        if has_arrived and (is_first or late_s >= LATE_S):
+        has_moved = (
+            self._has_read
+            or unread_bytes > 0
+            or buffered_bytes != self._buffered_bytes
+        )
+        self._has_read = False
+        self._buffered_bytes = buffered_bytes
+        if has_moved and self._may_extend(now, late_s):
             self._extended_to = now + RECHECK_S
             return None
         return _TIME_RULES[self.state]
@@ -147,10 +166,17 @@
             requests=self.requests,
         )
 
+    def _may_extend(self, now: float, late_s: float) -> bool:
+        if self.state is ConnectionState.WAITING or late_s >= LATE_S:
+            return True
+        return now < self.since + self._limit_s() + MAX_EXTENSION_S
+
     def _enter(self, state: ConnectionState, now: float) -> None:
         self.state = state
         self.since = now
         self._extended_to = -math.inf
+        self._has_read = False
+        self._buffered_bytes = 0
 
     def _limit_s(self) -> float:
         if self.state is ConnectionState.WAITING:
--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -180,6 +180,11 @@
             )
         super().close_fd()
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request that is being read got its last words."""
+        return self._discarded is not None
+
     def peer(self) -> PeerState:
         """Return the state of the peer."""
         return peer_state(self.socket)
@@ -246,6 +251,7 @@
             now=now,
             late_s=self._late_s,
             unread_bytes=self.unread_bytes() if now >= connection.due_at else 0,
+            buffered_bytes=self._read_buffer_size,
         )
         if rule is None:
             self._schedule_check()
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -316,6 +316,12 @@
         if connection is not None:
             connection.on_request(now=clock_s())
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the caller was told that the request didn't run."""
+        stream = self._stream
+        return isinstance(stream, CallerStream) and stream.is_refused
+
     @property
     def _connection(self) -> CallerConnection | None:
         stream = self._stream
@@ -449,9 +455,12 @@
             self._line = start_line
             self._side.on_request_head(start_line, headers)
         self._headers = headers
-        self._gate.on_head(headers)
+        if not self._side.is_refused:
+            self._gate.on_head(headers)
 
     def data_received(self, chunk: bytes) -> None:
+        if self._side.is_refused:
+            return
         self._gate.on_part(chunk)
         if self._gate.has_refused:
             self._parts.clear()
@@ -462,6 +471,8 @@
         if self._gate.has_refused:
             self._gate.end()
             return
+        if self._side.is_refused:
+            return
         line = self._line
         if line is None:
             self._side.abort()
