Entry of the weight roles: the end of the drain closes no connection whose request has arrived

close_all_connections() closed a connection in the turn of the loop in which its next request was read. Both entries now end their drain by ConnectionWatch.close_all, which asks each socket first. The new test failed before (no answer, orderly close).

--- a/packages/daemon/src/crowrudder_daemon/_connection_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/_connection_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import resource
 from typing import TYPE_CHECKING
@@ -30,6 +31,9 @@
 """Share of this process's descriptors that idle connections may take; the rest
 is for requests in progress, upstreams and peers."""
 
+CLOSE_INTERVAL_S = 0.01
+"""Interval of the attempts to close connections that still carry a request."""
+
 MAX_IDLE_CONNECTIONS = 4096
 """The bound where neither memory nor descriptors are limited."""
 
@@ -104,6 +108,17 @@
                 stream.close_by(CloseRule.LEAVING)
         return len(self._open)
 
+    async def close_all(self, *, within_s: float) -> None:
+        """Close each connection once nothing of it is unanswered.
+
+        The end of the process closes them without asking what has arrived.
+        """
+        until = clock_s() + within_s
+        still_open = self.close_idle()
+        while still_open and clock_s() < until:
+            await asyncio.sleep(CLOSE_INTERVAL_S)
+            still_open = self.close_idle()
+
     def on_idle(self, stream: CallerStream) -> None:
         """Record that a connection waits; close the oldest if too many do."""
         self._idle.add(stream)
--- a/packages/daemon/src/crowrudder_daemon/entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_role.py
@@ -62,15 +62,15 @@
         )
         # Tornado's timer closes a connection without asking what was read.
         self._http.conn_params.header_timeout = None
-        watch = ConnectionWatch(runtime)
-        watch.set_limits(
+        self._connections = ConnectionWatch(runtime)
+        self._connections.set_limits(
             ConnectionLimits(
                 idle_s=IDLE_CONNECTION_S,
                 head_s=IDLE_CONNECTION_S,
                 body_s=BODY_TIMEOUT_S,
             )
         )
-        self._port = CallersPort(self._http, watch=watch)
+        self._port = CallersPort(self._http, watch=self._connections)
 
     async def start(self) -> None:
         """Start the tasks and listen for peers and callers."""
@@ -95,6 +95,9 @@
         await asyncio.sleep(LATE_REQUEST_GRACE_S)
         await self.requests.wait_idle()
         await self._answers.wait_until_sent()
+        await self._connections.close_all(within_s=LATE_REQUEST_GRACE_S)
+        await self.requests.wait_idle()
+        await self._answers.wait_until_sent()
         await self._http.close_all_connections()
 
     async def stop(self) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -9,7 +9,6 @@
 
 from crowrudder_core.connections import ConnectionLimits
 from crowrudder_daemon._callers_port import CallersPort
-from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._connection_watch import ConnectionWatch
 from crowrudder_daemon._ticks import sleep_to_tick
 from crowrudder_daemon.fleet import FleetRole
@@ -51,9 +50,6 @@
 """How long a leaving entry still answers requests that arrive as it closes its
 port, with a refusal."""
 
-CLOSE_INTERVAL_S = 0.01
-"""Interval of the attempts to close connections that still carry a request."""
-
 CONTACT_INTERVAL_S = 1.0
 
 
@@ -156,7 +152,8 @@
         await self.requests.idle()
         await asyncio.sleep(LATE_REQUESTS_S)
         await self.requests.idle()
-        await self._close_callers()
+        await self._connections.close_all(within_s=LATE_REQUESTS_S)
+        await self.requests.idle()
 
     async def stop(self) -> None:
         """Stop the servers and tasks and close the upstream connections."""
@@ -243,18 +240,6 @@
             version=version,
         )
 
-    async def _close_callers(self) -> None:
-        """Close callers' connections, each once nothing of it is unanswered.
-
-        The end of the process closes them without asking what has arrived.
-        """
-        until = clock_s() + LATE_REQUESTS_S
-        still_open = self._connections.close_idle()
-        while still_open and clock_s() < until:
-            await asyncio.sleep(CLOSE_INTERVAL_S)
-            still_open = self._connections.close_idle()
-        await self.requests.idle()
-
     async def _discover_peers(self) -> None:
         """Ask agents for other entries while none is known."""
         while True:
--- a/tests/requests/test_caller_connections.py
+++ b/tests/requests/test_caller_connections.py
@@ -52,8 +52,8 @@
     await role.start()
     try:
         yield f'127.0.0.1:{port}'
-    finally:
         await role.drain()
+    finally:
         await role.stop()
         runtime.metrics.close()
 
@@ -135,3 +135,25 @@
                 assert BIG in received
 
         run(check())
+
+
+class TestEndOfTheDrain:
+    """Guards against a close of a connection whose next request has arrived."""
+
+    def test_it_is_answered(self, monkeypatch):
+        monkeypatch.setattr(_role, 'LATE_REQUEST_GRACE_S', LATE_S)
+
+        async def check():
+            async with entry() as address:
+                caller = await kept_caller(address)
+                loop = asyncio.get_running_loop()
+
+                def send_late():
+                    hold_loop(LATE_S / 2)
+                    caller.send(REQUEST)
+
+                loop.call_later(LATE_S * 0.75, send_late)
+            assert await caller.status() == 404
+            assert not await caller.head()
+
+        run(check())
