--- a/tests/support/leaving_caller.py
+++ b/tests/support/leaving_caller.py
@@ -50,6 +50,10 @@
         """Send bytes; they are in the entry's socket on return."""
         self._sock.sendall(text)
 
+    def end_sending(self):
+        """End the sending side, and go on reading."""
+        self._sock.shutdown(socket.SHUT_WR)
+
     def leave(self, how='fin'):
         """Close the connection by a FIN or a reset."""
         if how == 'reset':
