Callers' connections: a limit asks whether the reader still waits for bytes; tests of rules that none held

Simpler than to count what moved, and exact: a reader that doesn't wait for bytes has what it needs, so that its caller isn't slow. A 400 counts as the answer, so that no 408 follows; the discard of a slow body isn't charged with what was read of it.

--- a/packages/core/src/crowrudder_core/connections/_caller_connection.py
+++ b/packages/core/src/crowrudder_core/connections/_caller_connection.py
@@ -15,8 +15,7 @@
 the socket."""
 
 MAX_EXTENSION_S = 1.0
-"""How long a limit is extended for bytes that go on arriving, or are still being
-passed on."""
+"""How long the limit of a read is extended for bytes that stand unread."""
 
 LATE_S = 0.1
 """Lateness of a check from which the process stood still, so that bytes may have
@@ -33,11 +32,10 @@
 class CallerConnection:
     """What a caller's connection is doing, since when, and until when.
 
-    A time limit ends a wait only when nothing stands unread, and the read of a
-    request only when nothing of it has moved since the last check: a late
-    process finds the bytes and the due limit in the same turn, and the bytes
-    came first as far as anyone can tell. Times are in seconds on one clock,
-    passed as ``now``.
+    A time limit ends only what still waits for bytes while none stand unread: a
+    late process finds the bytes and the due limit in the same turn, and the
+    bytes came first as far as anyone can tell. Times are in seconds on one
+    clock, passed as ``now``.
 
     Parameters
     ----------
@@ -61,12 +59,6 @@
     state: ConnectionState = field(default=ConnectionState.WAITING, init=False)
     read_bytes: int = field(default=0, init=False)
     requests: int = field(default=0, init=False)
-    _has_read: bool = field(default=False, init=False)
-    """Whether bytes were read since the last check."""
-
-    _buffered_bytes: int = field(default=0, init=False)
-    """Bytes that were read but not passed on at the last check."""
-
     _extended_to: float = field(default=-math.inf, init=False)
 
     @property
@@ -106,7 +98,6 @@
         self.read_bytes += count
         if self.state is ConnectionState.WAITING:
             self._enter(ConnectionState.READING_HEAD, now)
-        self._has_read = True
 
     def on_head(self, *, now: float) -> None:
         """Record that the head of a request was read."""
@@ -127,7 +118,7 @@
         now: float,
         late_s: float,
         unread_bytes: int,
-        buffered_bytes: int = 0,
+        is_reading: bool = True,
     ) -> CloseRule | None:
         """Return the rule that ends the connection now; None if none does.
 
@@ -137,19 +128,14 @@
             How late this check is.
         unread_bytes
             Bytes that stand in the socket.
-        buffered_bytes
-            Bytes that were read and not passed on yet.
+        is_reading
+            Whether the reader waits for bytes; if not, what it has got is
+            still being passed on.
         """
         if now < self.due_at:
             return None
-        has_moved = (
-            self._has_read
-            or unread_bytes > 0
-            or buffered_bytes != self._buffered_bytes
-        )
-        self._has_read = False
-        self._buffered_bytes = buffered_bytes
-        if has_moved and self._may_extend(now, late_s):
+        may_extend = unread_bytes > 0 and self._may_extend(now, late_s)
+        if may_extend or not is_reading:
             self._extended_to = now + RECHECK_S
             return None
         return _TIME_RULES[self.state]
@@ -175,8 +161,6 @@
         self.state = state
         self.since = now
         self._extended_to = -math.inf
-        self._has_read = False
-        self._buffered_bytes = 0
 
     def _limit_s(self) -> float:
         if self.state is ConnectionState.WAITING:
--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -123,6 +123,8 @@
                 data = b''
             else:
                 self.close_rule = CloseRule.BAD_REQUEST
+                if self.connection is not None:
+                    self.connection.on_answer(now=clock_s())
                 data = _last_words(HTTPStatus.BAD_REQUEST)
         return super().write(data)
 
@@ -156,7 +158,10 @@
         if status is None:
             self.close()
             return
-        self._discarded = self.connection.read_bytes if self.connection else 0
+        self._discarded = 0
+        if rule is CloseRule.LONG_HEAD and self.connection is not None:
+            # It counts as refused from its first byte.
+            self._discarded = self.connection.read_bytes
         # A read that failed at once has left the socket without a reader.
         self._add_io_state(self.io_loop.READ)
         self.write(_last_words(status)).add_done_callback(
@@ -204,6 +209,8 @@
 
     def unread_bytes(self) -> int:
         """Return how many bytes stand in the socket, as far as it is counted."""
+        if self.closed():
+            return 0
         try:
             return len(self.socket.recv(MAX_PEEKED_BYTES, socket.MSG_PEEK))
         except OSError:
@@ -251,7 +258,7 @@
             now=now,
             late_s=self._late_s,
             unread_bytes=self.unread_bytes() if now >= connection.due_at else 0,
-            buffered_bytes=self._read_buffer_size,
+            is_reading=self.reading(),
         )
         if rule is None:
             self._schedule_check()
--- a/tests/fleet/test_connection_closes.py
+++ b/tests/fleet/test_connection_closes.py
@@ -8,7 +8,7 @@
 from crowrudder_daemon import _connection_watch
 from crowrudder_daemon.fleet_entry import _role
 from support.fleet import config
-from support.fleet_checks import all_runs, checked
+from support.fleet_checks import all_runs, checked, inject_fault_all
 from support.leaving_caller import LeavingCaller, request_bytes
 
 IDLE_S = 0.4
@@ -41,6 +41,25 @@
         assert not line.read_bytes
         assert not line.unread_bytes
 
+    def test_it_names_the_version_that_set_the_limit(self, caplog):
+        """Guards against blaming a configuration that changed no limit."""
+
+        async def check(world):
+            world.publish(version=2, limits=limits)
+            await world.ready()
+            caller = LeavingCaller(world.nodes[0].callers)
+            with caplog.at_level(logging.INFO):
+                assert not await caller.head()
+
+        limits = {**config()['limits'], 'idle_timeout_ms': IDLE_S * 1000}
+        checked(check, limits=limits, bounds={'config_s': 0.1})
+        line = next(
+            each
+            for each in caplog.records
+            if each.message == 'caller connection closed'
+        )
+        assert line.since_version == 1
+
 
 async def until_closed(caller):
     """Return all that follows, up to an orderly close."""
@@ -73,6 +92,20 @@
         limits = {**config()['limits'], 'header_timeout_ms': IDLE_S * 1000}
         checked(check, limits=limits)
 
+    def test_a_slow_head_waits_for_no_other_limit(self):
+        """Guards against a timer that was set for the idle limit."""
+
+        async def check(world):
+            caller = LeavingCaller(world.nodes[0].callers)
+            began_at = asyncio.get_running_loop().time()
+            caller.send(request_bytes('/notice/x')[:60])
+            await caller.head()
+            took_s = asyncio.get_running_loop().time() - began_at
+            assert took_s < config()['limits']['idle_timeout_ms'] / 2000
+
+        limits = {**config()['limits'], 'header_timeout_ms': IDLE_S * 1000}
+        checked(check, limits=limits)
+
     def test_a_slow_body_gets_408_and_is_not_run(self, monkeypatch):
         monkeypatch.setattr(_role, 'BODY_TIMEOUT_S', IDLE_S)
 
@@ -85,6 +118,33 @@
 
         checked(check)
 
+    def test_a_body_may_take_longer_than_a_head(self):
+        """Guards against the limit of heads for a body."""
+
+        async def check(world):
+            caller = LeavingCaller(world.nodes[0].callers)
+            request = request_bytes('/notice/x')
+            caller.send(request[:-2])
+            await asyncio.sleep(2 * IDLE_S)
+            caller.send(request[-2:])
+            assert await caller.status() == 200
+
+        limits = {**config()['limits'], 'header_timeout_ms': IDLE_S * 1000}
+        checked(check, limits=limits)
+
+    def test_a_long_answer_is_under_no_limit(self, monkeypatch):
+        """Guards against a 408 beside a request in progress."""
+        monkeypatch.setattr(_role, 'BODY_TIMEOUT_S', IDLE_S)
+
+        async def check(world):
+            inject_fault_all(world, 'p', 'slow', None, 3 * IDLE_S)
+            caller = LeavingCaller(world.nodes[0].callers)
+            caller.send(request_bytes('/notice/x'))
+            assert await caller.status() == 200
+
+        limits = {**config()['limits'], 'header_timeout_ms': IDLE_S * 1000}
+        checked(check, limits=limits)
+
     def test_a_refused_long_body_gets_no_second_answer(self, monkeypatch):
         monkeypatch.setattr(_role, 'BODY_TIMEOUT_S', IDLE_S)
 
@@ -115,3 +175,39 @@
                 assert await caller.status() == 200
 
         checked(check)
+
+    def test_one_that_is_being_read_does_not_count(self, monkeypatch):
+        """Guards against a close beside a head that has begun."""
+        monkeypatch.setattr(
+            _connection_watch, 'max_idle_connections', lambda _: 1
+        )
+
+        async def check(world):
+            caller = LeavingCaller(world.nodes[0].callers)
+            request = request_bytes('/notice/x')
+            caller.send(request[:60])
+            await asyncio.sleep(0.05)
+            others = [LeavingCaller(world.nodes[0].callers) for _ in range(2)]
+            assert not await others[0].head()
+            caller.send(request[60:])
+            assert await caller.status() == 200
+
+        checked(check)
+
+    def test_one_with_bytes_unread_is_read_first(self, monkeypatch):
+        """Guards against a close of what stands in the socket."""
+        monkeypatch.setattr(
+            _connection_watch, 'max_idle_connections', lambda _: 1
+        )
+
+        async def check(world):
+            caller = LeavingCaller(world.nodes[0].callers)
+            watch = world.entries[0]._connections
+            await world.until(lambda: len(watch._idle) == 1)
+            caller.send(request_bytes('/notice/x'))
+            other = object()
+            watch.on_idle(other)
+            watch.on_busy(other)
+            assert await caller.status() == 200
+
+        checked(check)
--- a/tests/fleet/test_idle_connections.py
+++ b/tests/fleet/test_idle_connections.py
@@ -155,3 +155,16 @@
             assert await caller.status() == 200
 
         checked(check, limits=limits(idle_s=1.0))
+
+    def test_a_raised_limit_holds_without_the_time_of_notice(self):
+        """The time of notice hid that nobody told those who wait."""
+
+        async def check(world):
+            caller = await kept_caller(world)
+            world.publish(version=2, limits=limits(idle_s=2.5))
+            await world.ready()
+            await asyncio.sleep(1.5)
+            caller.send(request_bytes('/notice/x'))
+            assert await caller.status() == 200
+
+        checked(check, limits=limits(idle_s=1.0), bounds={'config_s': 0.1})
