Requests: an error that no handler expects is answered

Callers saw: no answer, no refusal and no close; they were held until they left. While a request was still being read, they saw a close without a byte.

Cause: the task of a request that ended with an error was only logged (unhandled fault); nobody wrote to its caller. Errors in the callbacks of the HTTP server close the connection there. After an error between the bytes of a send and its record, the connection went back to the pool with the request on it, and a request that was half recorded stayed in the lists of its upstream.

Change: OpenRequest answers any error once: 500 if nothing has begun (also if it can't be encoded: without a body), a reset of what was begun (truncated), nothing behind a whole answer. It is logged with the request's id and step and counted in unhandled_faults by step; what the step does later doesn't reach the caller. Errors while reading are answered by the gate that answers long bodies, with 500 and an orderly close. An attempt that began to send closes its connection after any error, and what was recorded at the upstream is removed whatever part of it failed. Only the first end of a request is recorded: a refusal whose caller had left was logged and counted twice.

Why it works: the answer is made where every path of the request's task ends, without waiting for anything.

--- a/packages/core/src/crowrudder_core/connections/_closes.py
+++ b/packages/core/src/crowrudder_core/connections/_closes.py
@@ -24,6 +24,7 @@
     SLOW_BODY = 'slow body'
     LONG_HEAD = 'long head'
     LONG_BODY = 'long body'
+    INTERNAL_ERROR = 'internal error'
     HTTP_SERVER = 'http server'
     """The HTTP server could not read on, or its port was closed."""
 
--- a/packages/daemon/src/crowrudder_daemon/_runtime.py
+++ b/packages/daemon/src/crowrudder_daemon/_runtime.py
@@ -89,10 +89,14 @@
         self.log.info('told to read the settings', extra={'step': 'reload'})
         self.reload_requested.set()
 
-    def fault(self, step: str, exc: BaseException | None) -> None:
-        """Log and count an unhandled fault."""
+    def fault(
+        self, step: str, exc: BaseException | None, **fields: str
+    ) -> None:
+        """Log and count an unhandled fault; ``fields`` are of its log line."""
         self.metrics.unhandled_faults.add(step=step)
-        self.log.error('unhandled fault', exc_info=exc, extra={'step': step})
+        self.log.error(
+            'unhandled fault', exc_info=exc, extra={'step': step, **fields}
+        )
 
     async def cancel_jobs(self) -> None:
         """Cancel all running jobs."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -87,6 +87,14 @@
     return choice.forecast
 
 
+def _check_whole(conn: HttpConnection, completeness: Completeness) -> None:
+    """Raise an error for a body that has ended and isn't whole."""
+    if completeness is Completeness.TRUNCATED:
+        raise BrokenAnswerError(
+            'ended before it was whole', step='answer', peer=conn.peer
+        )
+
+
 @frozen(kw_only=True)
 class Cancellation:
     """Details of an attempt's cancellation before the end of its version.
@@ -178,6 +186,9 @@
     _ticket: int = field(default=0, init=False)
     _wait: asyncio.Timeout | None = field(default=None, init=False)
     _last_event_at: float = field(default=math.inf, init=False)
+    _is_sending: bool = field(default=False, init=False)
+    """Whether bytes of the request may have reached the connection."""
+
     activity: RunActivity = field(init=False)
     """What arrives from the upstream, once the request has been sent."""
 
@@ -189,6 +200,14 @@
             dialect=self._dialect,
             request_id=self.call.request_id,
         )
+        self.activity = RunActivity(
+            upstream_id=self.choice.forecast.upstream.id,
+            first_s=self.timeouts.first_s,
+            pause_s=self.timeouts.pause_s,
+            heard_at=clock_s(),
+            urgency=self.urgency or 0,
+            on_silent=self._on_silent,
+        )
 
     async def run(self) -> AttemptOutcome:
         """Run the attempt and return how it ended."""
@@ -220,7 +239,6 @@
             raise
 
     async def _run_on(self, conn: HttpConnection) -> AttemptOutcome:
-        upstream = self.choice.forecast.upstream
         now = clock_s()
         transit = self.choice.forecast.transit
         transit_s = transit.delay_s(now)
@@ -231,31 +249,39 @@
         request = self._dialect.upstream_request(
             self.call, self.body, self._terms(now + transit_s)
         )
+        self._is_sending = True
         try:
             conn.send(request)
         except NotConnectedError as exc:
             return NotSent(str(exc))
+        try:
+            self._on_sent(conn, now=now)
+            return await self._read_delivered(conn)
+        except (BrokenAnswerError, TimeoutError) as exc:
+            return self._on_broken(conn, exc)
+        finally:
+            self._upstreams.remove_pending(self._ticket)
+            self._upstreams.silences.remove(self.activity)
+            for each in self.choice.forecasts:
+                each.on_ended(self._ticket)
+
+    def _on_sent(self, conn: HttpConnection, *, now: float) -> None:
+        """Record the request at its upstream."""
+        forecast = self.choice.forecast
+        upstream = forecast.upstream
         self.dispatch.on_sent(upstream.id, now=now)
         self._reader.on_sent(conn, upstream)
         self._run = self.events.begin_run()
         self.sent_at = now
         self.delivery = self._upstreams.deliveries.start(
-            conn, transit, sent_at=now
+            conn, forecast.transit, sent_at=now
         )
         begin_left_s = self.begin_by - now
         if math.isfinite(begin_left_s):
             self.begin_left_s = begin_left_s
         self._ticket = self._upstreams.add_pending(self)
-        self.activity = RunActivity(
-            upstream_id=upstream.id,
-            first_s=self.timeouts.first_s,
-            pause_s=self.timeouts.pause_s,
-            heard_at=now,
-            urgency=self.urgency or 0,
-            on_silent=self._on_silent,
-        )
+        self.activity.heard_at = now
         self._upstreams.silences.add(self.activity)
-        forecast = self.choice.forecast
         self.load_report_age_s = forecast.load_report_age_s(now)
         memory = self.choice.memory_of(
             self.call.prompt_tokens, self.call.answer_tokens
@@ -270,35 +296,34 @@
                     memory=taken,
                 ),
             )
-        try:
-            return await self._read_delivered(conn)
-        except (BrokenAnswerError, TimeoutError) as exc:
-            self._reader.read_received(conn)
-            unsent_bytes = conn.unsent_bytes
-            self.is_cut_off = conn.was_ended_by_peer
-            conn.close()
-            if isinstance(exc, AnswerBoundError):
-                self.bound = exc.bound
-                self.received_bytes = conn.received_bytes
-            if self._is_start_overdue:
-                self._record_cancellation(unsent_bytes)
-                return Broken('not begun as its version ends')
-            self._record_failure()
-            return Broken(str(exc) or 'silent for too long')
-        finally:
-            self._upstreams.remove_pending(self._ticket)
-            self._upstreams.silences.remove(self.activity)
-            for each in self.choice.forecasts:
-                each.on_ended(self._ticket)
+
+    def _on_broken(self, conn: HttpConnection, exc: Exception) -> Broken:
+        """Close the connection of an answer that isn't whole."""
+        self._reader.read_received(conn)
+        unsent_bytes = conn.unsent_bytes
+        self.is_cut_off = conn.was_ended_by_peer
+        conn.close()
+        if isinstance(exc, AnswerBoundError):
+            self.bound = exc.bound
+            self.received_bytes = conn.received_bytes
+        if self._is_start_overdue:
+            self.cancellation = Cancellation(
+                late_s=clock_s() - self.begin_by, unsent_bytes=unsent_bytes
+            )
+            return Broken('not begun as its version ends')
+        self._record_failure()
+        return Broken(str(exc) or 'silent for too long')
 
     def _abandon(self, conn: HttpConnection) -> None:
         """Stop the upstream; keep a connection on which nothing was sent."""
-        if not self.sent_at:
+        if not self._is_sending:
             self._upstreams.pool.put_back(conn)
             return
-        # Closing the connection makes the upstream stop.
-        self._reader.read_received(conn)
-        conn.close()
+        try:
+            self._reader.read_received(conn)
+        finally:
+            # Closing the connection makes the upstream stop.
+            conn.close()
 
     def _refusal_to_send(self, now: float, *, transit_s: float) -> str:
         """Return why the request may not be sent now; empty if it may.
@@ -362,12 +387,6 @@
             )
         return self.observer.on_silent(self)
 
-    def _record_cancellation(self, unsent_bytes: int) -> None:
-        self.cancellation = Cancellation(
-            late_s=clock_s() - self.begin_by,
-            unsent_bytes=unsent_bytes,
-        )
-
     def _record_failure(self) -> None:
         """Record a failure, unless the engine ended it to load a version."""
         now = clock_s()
@@ -479,7 +498,7 @@
         completeness = answer_completeness(
             conn.body_end, status=head.status, size=size
         )
-        self._check_whole(conn, completeness)
+        _check_whole(conn, completeness)
         self._upstreams.pool.keep(conn, head)
         self.answer = WireAnswer(head=head, body=b''.join(parts))
         self._record_completion(
@@ -506,7 +525,7 @@
         else:
             await conn.relay(partial(self._push, conn), pause_s=NO_TIMEOUT_S)
         completeness = self._run.completeness(conn.body_end)
-        self._check_whole(conn, completeness)
+        _check_whole(conn, completeness)
         if not self._run.finish():
             raise BrokenAnswerError(
                 'another run has begun in its place',
@@ -521,15 +540,6 @@
         )
         return Answered(head.status, completeness)
 
-    def _check_whole(
-        self, conn: HttpConnection, completeness: Completeness
-    ) -> None:
-        """Raise an error for a body that has ended and isn't whole."""
-        if completeness is Completeness.TRUNCATED:
-            raise BrokenAnswerError(
-                'ended before it was whole', step='answer', peer=conn.peer
-            )
-
     def _take(self, conn: HttpConnection, part: bytes) -> bytes:
         """Return the events that a part of the body completes."""
         complete_events = self._run.take(part, conn.received_bytes)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -84,6 +84,8 @@
         Whether it was cut off as it read slowly.
     is_admitted
         Whether the request was admitted before it was read.
+    is_answer_whole
+        Whether all that is left of the answer is its caller's reading.
     """
 
     def __init__(self, conn: HTTP1Connection, backlog: CallerBacklog) -> None:
@@ -101,6 +103,7 @@
         self.gone_at: float | None = None
         self.gone_late_s = 0.0
         self.is_admitted = False
+        self.is_answer_whole = False
         self.told = AnswerTold.NOTHING
         self.has_begun = False
         self._accepts_chunks = True
@@ -172,6 +175,9 @@
         The loop doesn't notice its end behind a further request.
         """
         self._on_gone = None
+        if self.told is AnswerTold.WHOLE:
+            # The connection is at its next request.
+            return
         self._set_close_rule(CloseRule.CALLER_LEFT)
         if not self._stream.closed():
             self._conn.close()
@@ -183,19 +189,43 @@
         body: bytes = b'',
     ) -> None:
         """Send status and headers; without a length the body is chunked."""
+        if self.is_gone:
+            raise CallerGoneError
         line, fields = self._begin(status, headers)
-        await self._send(self._conn.write_headers, line, fields, body)
+        await self._send(self._write_head, line, fields, body)
 
     def answer_now(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete short answer, without waiting for its caller."""
         sized = [*headers, ('Content-Length', str(len(body)))]
-        sent = self._conn.write_headers(*self._begin(status, sized), body)
+        sent = self._write_head(*self._begin(status, sized), body)
         # A caller that has left meanwhile is no error.
         sent.add_done_callback(asyncio.Future.exception)
         self.finish()
 
+    def end(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a short answer, or truncate the one that has begun.
+
+        What is written afterwards fails as if the caller had left: on a
+        connection that is kept it would be taken for the next answer.
+
+        Raises
+        ------
+        CallerGoneError
+            If the caller has left.
+        """
+        if self.is_gone:
+            raise CallerGoneError
+        match self.told:
+            case AnswerTold.NOTHING:
+                self.answer_now(status, headers, body)
+            case AnswerTold.PART:
+                self.abort()
+        self.is_gone = True
+
     def begin_refusal(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
@@ -207,14 +237,14 @@
         ]
         if self._connection is not None:
             self._connection.on_answer(now=clock_s())
-        sent = self._conn.write_headers(*self._begin(status, sized), body)
+        sent = self._write_head(*self._begin(status, sized), body)
         # A caller that has left meanwhile is no error.
         sent.add_done_callback(asyncio.Future.exception)
 
-    def end_refusal(self) -> None:
+    def end_refusal(self, rule: CloseRule) -> None:
         """Close the connection after `begin_refusal`."""
         self.told = AnswerTold.WHOLE
-        self._set_close_rule(CloseRule.LONG_BODY)
+        self._set_close_rule(rule)
         self._conn.close()
 
     def allow_body(self, max_bytes: int) -> None:
@@ -224,11 +254,11 @@
     def _begin(
         self, status: int, headers: list[tuple[str, str]]
     ) -> tuple[ResponseStartLine, HTTPHeaders]:
-        self.has_begun = True
-        self.told = AnswerTold.PART
         fields = HTTPHeaders()
         for name, text in headers:
             fields.add(name, text)
+        self.has_begun = True
+        self.told = AnswerTold.PART
         if not self._accepts_chunks and 'Content-Length' not in fields:
             self._set_reset_on_close(is_set=True)
             # Tornado would answer that it keeps the connection.
@@ -236,6 +266,17 @@
         line = ResponseStartLine('HTTP/1.1', status, _reason_phrase(status))
         return line, fields
 
+    def _write_head(
+        self, line: ResponseStartLine, fields: HTTPHeaders, body: bytes
+    ) -> asyncio.Future[None]:
+        try:
+            return self._conn.write_headers(line, fields, body)
+        except Exception:
+            # It is checked before it is written: another one may follow.
+            self.has_begun = False
+            self.told = AnswerTold.NOTHING
+            raise
+
     async def write(self, piece: bytes) -> None:
         """Send a part of the body; wait while the caller reads slowly."""
         if piece:
@@ -269,18 +310,20 @@
         self._on_gone = None
         if self.is_gone:
             return
-        self.told = AnswerTold.WHOLE
         self._set_close_rule(CloseRule.LAST_ANSWER)
         is_delimited = not self._resets_on_close
         if not is_delimited:
             self._set_reset_on_close(is_set=False)
         self._conn.finish()
+        self.told = AnswerTold.WHOLE
         if not is_delimited:
             self._close_when_written()
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees a truncated answer."""
         self._on_gone = None
+        if self.told is AnswerTold.WHOLE:
+            return
         self.told = AnswerTold.TRUNCATED
         self._set_close_rule(CloseRule.TRUNCATED)
         self._backlog.remove(self)
@@ -302,6 +345,7 @@
     ) -> None:
         """Send a complete answer with its length."""
         sized = [*headers, ('Content-Length', str(len(body)))]
+        self.is_answer_whole = True
         await self.begin(status, sized, body)
         self.finish()
 
@@ -436,22 +480,29 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        if isinstance(start_line, RequestStartLine):
-            self._line = start_line
-            self._side.on_request_head(start_line, headers)
         self._headers = headers
-        self._gate.on_head(headers)
+        with self._gate.answers_faults(headers):
+            if isinstance(start_line, RequestStartLine):
+                self._line = start_line
+                self._side.on_request_head(start_line, headers)
+            self._gate.on_head(headers)
 
     def data_received(self, chunk: bytes) -> None:
-        self._gate.on_part(chunk)
-        if self._gate.has_refused:
-            self._parts.clear()
-        else:
-            self._parts.append(chunk)
+        with self._gate.answers_faults(self._headers):
+            self._gate.on_part(chunk)
+            if self._gate.has_refused:
+                self._parts.clear()
+            else:
+                self._parts.append(chunk)
 
     def finish(self) -> None:
+        with self._gate.answers_faults(self._headers):
+            self._finish()
         if self._gate.has_refused:
             self._gate.end()
+
+    def _finish(self) -> None:
+        if self._gate.has_refused:
             return
         line = self._line
         if line is None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -83,7 +83,7 @@
 
     events: EventStream = field(factory=EventStream, init=False)
     _record: RequestRecord = field(factory=RequestRecord, init=False)
-    _runs: Succession = field(init=False)
+    runs: Succession = field(init=False)
     _answered_attempt: Attempt | None = field(default=None, init=False)
     """An attempt with a complete answer that another one was to improve on."""
 
@@ -91,11 +91,15 @@
     _admission: AdmissionRequest | None = field(init=False)
     _terms: AdmissionTerms = field(init=False)
     _is_admitted: bool = field(default=False, init=False)
+    is_ending: bool = field(default=False, init=False)
+    """Whether its answer is known."""
+
+    _is_recorded: bool = field(default=False, init=False)
     _refusal: ForecastRefusal | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Compute the deadline of the answer and the digests."""
-        self._runs = Succession(self)
+        self.runs = Succession(self)
         route = self.admitted.route
         wait_s = route.timeout_s
         if self.call.wait_s is not None:
@@ -125,32 +129,32 @@
     async def run(self) -> None:
         """Run until the caller has its final answer or has left."""
         self.context.admission.on_request(self._admission)
-        quarantine = self.context.quarantine
-        quarantine.track(self)
         try:
+            self.context.quarantine.track(self)
             await self._run()
         finally:
-            self._runs.cancel_standby('its request has ended')
-            quarantine.untrack(self)
+            # Ending a run that stands by may fail as well.
+            self.context.quarantine.untrack(self)
+            self.runs.cancel_standby('its request has ended')
 
     def on_quarantined(self) -> None:
         """Cancel an attempt that has not begun; let a stream run to its end."""
-        self._runs.close_unbegun(
+        self.runs.close_unbegun(
             'taken back, as upstreams ended under this request'
         )
 
     def on_events(self, attempt: Attempt) -> None:
         """Close the run that another one's events have superseded."""
-        self._runs.on_events(attempt)
+        self.runs.on_events(attempt)
 
     def on_silent(self, attempt: Attempt) -> bool:
         """Let another run stand by for a silent one, if one may be sent."""
-        if not self._runs.needs_standby(attempt):
+        if not self.runs.needs_standby(attempt):
             return False
         standby = self._create_standby()
         if standby is None:
             return False
-        self._runs.stand_by(standby)
+        self.runs.stand_by(standby)
         return True
 
     def on_run_ended(
@@ -178,15 +182,15 @@
             async with asyncio.timeout(self.dispatch.deadline_at - clock_s()):
                 next_step = await self._run_attempts()
         except TimeoutError:
-            self._runs.cancel_standby('its request has ended')
+            self.runs.cancel_standby('its request has ended')
             next_step = self.dispatch.refuse('out of time', MIN_RETRY_AFTER_S)
             await self._finish(next_step, HTTPStatus.GATEWAY_TIMEOUT)
         except CallerGoneError:
             self.side.release()
-            self._record_end('caller_gone', 0)
+            self.record_end('caller_gone', 0)
         except asyncio.CancelledError:
             reason = 'it read too slowly' if self.side.is_cut_off else ''
-            self._record_end('caller_gone', 0, reason=reason)
+            self.record_end('caller_gone', 0, reason=reason)
             raise
         else:
             await self._finish(next_step, HTTPStatus.BAD_GATEWAY)
@@ -196,7 +200,7 @@
             prepared = self._prepare()
             if not isinstance(prepared, Attempt):
                 return prepared
-            attempt, ending = await self._runs.run(prepared)
+            attempt, ending = await self.runs.run(prepared)
             self._record.denied_by = _denier_of(ending)
             next_step = self._next_step(attempt, ending)
             if not isinstance(next_step, SendAgain):
@@ -449,6 +453,7 @@
         )
 
     async def _relay(self, attempt: Attempt) -> None:
+        self.is_ending = True
         answer = attempt.answer
         if answer is None:
             self.side.finish()
@@ -460,6 +465,7 @@
         )
 
     async def _finish(self, next_step: Decision, failed: HTTPStatus) -> None:
+        self.is_ending = True
         match next_step:
             case Refuse(reason=reason, retry_after_s=after_s):
                 answer = ErrorAnswer(
@@ -472,7 +478,7 @@
                     ),
                 )
                 await self._send_error(answer)
-                self._record_end('refused', answer.status, reason=reason)
+                self.record_end('refused', answer.status, reason=reason)
             case Reject(reason=reason):
                 answer = ErrorAnswer(
                     status=HTTPStatus.BAD_REQUEST,
@@ -480,22 +486,22 @@
                     reason=reason,
                 )
                 await self._send_error(answer)
-                self._record_end('rejected', answer.status, reason=reason)
+                self.record_end('rejected', answer.status, reason=reason)
             case Fail() if self._answered_attempt and not self.side.has_begun:
                 await self._relay_earlier(self._answered_attempt)
             case Fail(reason=reason):
                 await self._fail(failed, reason)
             case _:
-                self._record_end('answered', HTTPStatus.OK)
+                self.record_end('answered', HTTPStatus.OK)
 
     async def _relay_earlier(self, attempt: Attempt) -> None:
         """Relay the answer of an attempt after which no other one answered."""
         try:
             await self._relay(attempt)
         except CallerGoneError:
-            self._record_end('caller_gone', 0)
+            self.record_end('caller_gone', 0)
         else:
-            self._record_end('answered', HTTPStatus.OK)
+            self.record_end('answered', HTTPStatus.OK)
 
     async def _fail(self, status: HTTPStatus, reason: str) -> None:
         if self.side.has_begun:
@@ -505,7 +511,7 @@
             await self._send_error(
                 ErrorAnswer(status=status, code='unknown', reason=reason)
             )
-        self._record_end('failed', status, reason=reason)
+        self.record_end('failed', status, reason=reason)
 
     def _count_cut(self) -> None:
         """Count a stream that is cut though no upstream broke it off."""
@@ -519,18 +525,22 @@
         try:
             await send_error(self.side, self.context.dialect, self.call, answer)
         except CallerGoneError:
-            self._record_end('caller_gone', answer.status)
+            self.record_end('caller_gone', answer.status)
 
-    def _record_end(
+    def record_end(
         self, outcome: str, status: int, *, reason: str = ''
     ) -> None:
+        """Log and count how the request ended; only the first end counts."""
+        if self._is_recorded:
+            return
+        self._is_recorded = True
         now = clock_s()
-        self._runs.cancel_standby('its request has ended')
-        if self._runs.current is not None:
+        self.runs.cancel_standby('its request has ended')
+        if self.runs.current is not None:
             self._record.on_attempt(
-                self._runs.current, None, arrived_at=self.arrived_at
+                self.runs.current, None, arrived_at=self.arrived_at
             )
-            self._runs.current = None
+            self.runs.current = None
         self.context.record_end(
             self,
             outcome=outcome,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_long_bodies.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_long_bodies.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import define, field
+from tornado.httputil import HTTPInputError
 
+from crowrudder_core.connections import CloseRule
 from crowrudder_daemon._body_length import is_too_long
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from tornado.httputil import HTTPHeaders
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -34,7 +39,7 @@
     ) -> None:
         """Send a short answer while the request is still being read."""
 
-    def end_refusal(self) -> None:
+    def end_refusal(self, rule: CloseRule) -> None:
         """Close the connection after `begin_refusal`."""
 
     def allow_body(self, max_bytes: int) -> None:
@@ -53,6 +58,11 @@
     ) -> tuple[list[tuple[str, str]], bytes]:
         """Record the refusal; return the headers and body of its answer."""
 
+    def reading_fault(
+        self, headers: HTTPHeaders, exc: Exception
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Record an error of this process; return the parts of its answer."""
+
 
 @define(eq=False)
 class BodyGate:
@@ -67,6 +77,7 @@
     _max_bytes: int = MAX_BODY_BYTES
     _headers: HTTPHeaders | None = None
     _size: int = 0
+    _rule: CloseRule = field(default=CloseRule.LONG_BODY, init=False)
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
 
     @property
@@ -81,9 +92,7 @@
         # Tornado's own limit has no answer that tells the caller why.
         self._side.allow_body(_UNLIMITED_BYTES)
         if is_too_long(headers.get('Content-Length', ''), self._max_bytes):
-            # It is answered without the body that it asks for.
-            headers.pop('Expect', None)
-            self._refuse(headers)
+            self._refuse_long(headers)
 
     def on_part(self, part: bytes) -> None:
         """Count a part of the body."""
@@ -93,18 +102,46 @@
                 self.end()
         elif self._size > self._max_bytes and self._headers is not None:
             self._size = 0
-            self._refuse(self._headers)
+            self._refuse_long(self._headers)
+
+    @contextlib.contextmanager
+    def answers_faults(self, headers: HTTPHeaders) -> Iterator[None]:
+        """Answer an error that no handler expected.
+
+        Tornado would close the connection without an answer.
+        """
+        try:
+            yield
+        except HTTPInputError:
+            raise
+        except Exception as exc:
+            fields, body = self._rules.reading_fault(headers, exc)
+            if not self.has_refused:
+                self._rule = CloseRule.INTERNAL_ERROR
+                self._refuse(
+                    HTTPStatus.INTERNAL_SERVER_ERROR, headers, fields, body
+                )
 
     def end(self) -> None:
         """Close the connection."""
         if self._timer is not None:
             self._timer.cancel()
-        self._side.end_refusal()
+        self._side.end_refusal(self._rule)
 
-    def _refuse(self, headers: HTTPHeaders) -> None:
+    def _refuse_long(self, headers: HTTPHeaders) -> None:
         fields, body = self._rules.long_body_refusal(headers, self._max_bytes)
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        self._refuse(status, headers, fields, body)
+
+    def _refuse(
+        self,
+        status: HTTPStatus,
+        headers: HTTPHeaders,
+        fields: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        # It is answered without the body that it asks for.
+        headers.pop('Expect', None)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(LINGER_S, self.end)
-        self._side.begin_refusal(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, fields, body
-        )
+        self._side.begin_refusal(status, fields, body)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -17,7 +17,13 @@
     send_error,
 )
 from crowrudder_daemon.fleet_entry._long_bodies import MAX_BODY_BYTES
+from crowrudder_daemon.fleet_entry._open_request import (
+    INTERNAL_ERROR,
+    FaultLog,
+    OpenRequest,
+)
 from crowrudder_daemon.fleet_entry._overload import OverloadGate
+from crowrudder_daemon.fleet_entry._request_step import RequestStep
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -51,7 +57,8 @@
         self._context = context
         self.overload = OverloadGate(runtime, context.dialect)
         self._levels: tuple[FleetConfig, PriorityLevels] | None = None
-        self._request_tasks: set[asyncio.Task[None]] = set()
+        self._faults = FaultLog(runtime, context.dialect)
+        self._open: set[OpenRequest] = set()
         self.refuses = False
         self._denials = runtime.metrics.counter(
             'fleet_denials',
@@ -61,13 +68,13 @@
         runtime.metrics.gauge(
             'fleet_requests_open',
             'Requests without their final answer.',
-            lambda: float(len(self._request_tasks)),
+            lambda: float(len(self._open)),
         )
 
     @property
     def running(self) -> int:
         """Number of requests without a final answer."""
-        return len(self._request_tasks)
+        return len(self._open)
 
     @property
     def max_body_bytes(self) -> int:
@@ -84,25 +91,51 @@
         self._record_denial(denial, None, request_id)
         return encode_error(self._context.dialect, request_id, denial)
 
+    def reading_fault(
+        self, headers: HTTPHeaders, exc: Exception
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Record an error while a request is read; return its answer."""
+        request_id = self._faults.request_id(headers)
+        self._faults.record(RequestStep.READ, exc, request_id=request_id)
+        return self._faults.encode(
+            INTERNAL_ERROR, step=RequestStep.READ, request_id=request_id
+        )
+
     def on_request(self, request: CallerRequest, side: CallerSide) -> None:
         """Start the task of a request; it is cancelled if the caller leaves."""
-        if self.overload.refuses(request, side):
+        opened = OpenRequest(
+            request=request,
+            side=side,
+            faults=self._faults,
+        )
+        try:
+            is_refused = self.overload.refuses(request, side)
+        except Exception as exc:
+            opened.on_fault(exc)
             return
-        request_task = asyncio.ensure_future(self._serve(request, side))
-        self._request_tasks.add(request_task)
-        request_task.add_done_callback(self._on_done)
-        side.watch(request_task.cancel)
+        if is_refused:
+            return
+        task = asyncio.ensure_future(self._serve(opened))
+        opened.task = task
+        self._open.add(opened)
+        task.add_done_callback(lambda _: self._on_done(opened, task))
+        side.watch(task.cancel)
 
     async def idle(self) -> None:
         """Wait until no request is in progress."""
-        while self._request_tasks:
-            await asyncio.wait(set(self._request_tasks))
+        while self._open:
+            await asyncio.wait([each.task for each in self._open if each.task])
 
-    async def _serve(
-        self,
-        request: CallerRequest,
-        side: CallerSide,
-    ) -> None:
+    async def _serve(self, opened: OpenRequest) -> None:
+        """Serve a request; whatever fails, its caller gets an answer."""
+        try:
+            await self._run(opened)
+        except Exception as exc:
+            opened.on_fault(exc)
+
+    async def _run(self, opened: OpenRequest) -> None:
+        request, side = opened.request, opened.side
+        opened.enter(RequestStep.READ)
         try:
             call = self._context.dialect.read_call(
                 request.method,
@@ -114,12 +147,14 @@
             denial = _denial(HTTPStatus(exc.status), str(exc))
             await self._deny(side, None, denial)
             return
+        opened.call = call
+        opened.enter(RequestStep.ADMIT)
         admitted = self._admit(call, request)
         if isinstance(admitted, ErrorAnswer):
             await self._deny(side, call, admitted)
             return
         self._context.upstreams.on_request(admitted.service)
-        execution = RequestExecution(
+        opened.execution = RequestExecution(
             call=call,
             body=request.body,
             admitted=admitted,
@@ -127,7 +162,7 @@
             side=side,
             context=self._context,
         )
-        await execution.run()
+        await opened.execution.run()
 
     def _admit(
         self,
@@ -216,13 +251,10 @@
             },
         )
 
-    def _on_done(self, request_task: asyncio.Task[None]) -> None:
-        self._request_tasks.discard(request_task)
-        if (
-            not request_task.cancelled()
-            and request_task.exception() is not None
-        ):
-            self._runtime.fault('request', request_task.exception())
+    def _on_done(self, opened: OpenRequest, task: asyncio.Task[None]) -> None:
+        self._open.discard(opened)
+        if not task.cancelled() and task.exception() is not None:
+            self._runtime.fault('request', task.exception())
 
     def status(self) -> dict[str, Any]:
         """Return the running requests and whether new ones are refused."""
