Routes: a split with weights of 0 only is refused at once

Cause: random.choices raises for weights that sum to 0, and the error held the caller.

Change: Route.target_at selects a target by weight; None if none has a share (weights of 0 or less). The entry answers 503 with the Retry-After of an absent upstream: only a new configuration ends this state, at a time that isn't known. Draws of valid weights select the same targets as before.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -24,6 +24,7 @@
 )
 from crowrudder_daemon.fleet_entry._overload import OverloadGate
 from crowrudder_daemon.fleet_entry._request_step import RequestStep
+from crowrudder_daemon.fleet_entry._retry_after import ABSENT_RETRY_AFTER_S
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -194,9 +195,13 @@
                 return self._deny_unknown(
                     HTTPStatus.UNAUTHORIZED, 'unknown key'
                 )
-        weights = [target.weight for target in route.targets]
-        sampled = self._context.upstreams.sample_index(weights)
-        service = route.targets[sampled].service
+        target = self._context.upstreams.sample_target(route)
+        if target is None:
+            return _retry_later(
+                f'route {route.name} gives no service a share of its requests',
+                ABSENT_RETRY_AFTER_S,
+            )
+        service = target.service
         levels = self._levels_of(config)
         return Admitted(
             route=route,
@@ -272,10 +277,12 @@
     )
 
 
-def _retry_later(reason: str) -> ErrorAnswer:
+def _retry_later(
+    reason: str, retry_after_s: float = RETRY_AFTER_S
+) -> ErrorAnswer:
     return ErrorAnswer(
         status=HTTPStatus.SERVICE_UNAVAILABLE,
         code='denied',
         reason=reason,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s,
     )
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -49,6 +49,7 @@
         FleetConfig,
         Node,
         Route,
+        RouteTarget,
         Upstream,
     )
     from crowrudder_model.messages import EngineLoad, LoadBatch
@@ -323,10 +324,9 @@
         found = self.statements.take(first, later_stages=later_stages)
         return '' if isinstance(found, Accepting) else f'it {found.reason}'
 
-    def sample_index(self, weights: list[float]) -> int:
-        """Return a random index, sampled by weight."""
-        indices = range(len(weights))
-        return self._random.choices(indices, weights=weights)[0]
+    def sample_target(self, route: Route) -> RouteTarget | None:
+        """Return a random target of a route; None if none has a share."""
+        return route.target_at(self._random.random())
 
     def status(self) -> list[dict[str, Any]]:
         """Return the state of each upstream."""
--- a/packages/model/src/crowrudder_model/fleet/_config.py
+++ b/packages/model/src/crowrudder_model/fleet/_config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+from bisect import bisect
+from itertools import accumulate
 
 from attrs import field, frozen
 
@@ -65,6 +67,36 @@
     resumable: bool = False
     regions: frozenset[str] = frozenset()
 
+    def target_at(self, draw: float) -> RouteTarget | None:
+        """Return the target of a request; None if no target has a share.
+
+        Parameters
+        ----------
+        draw
+            A random number from 0 up to 1, which selects it by weight.
+
+        Examples
+        --------
+        >>> halves = (RouteTarget('a'), RouteTarget('b'))
+        >>> route = Route(
+        ...     name='r',
+        ...     host='h',
+        ...     prefix='/',
+        ...     kind=RouteKind.ONCE,
+        ...     targets=halves,
+        ...     timeout_s=1,
+        ...     goal_s=1,
+        ... )
+        >>> route.target_at(0.6).service
+        'b'
+        """
+        sharing = [target for target in self.targets if target.weight > 0]
+        if not sharing:
+            return None
+        bounds = list(accumulate(target.weight for target in sharing))
+        # A product that is rounded up selects the last one.
+        return sharing[bisect(bounds, draw * bounds[-1], hi=len(bounds) - 1)]
+
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have run may be sent again."""
--- a/tests/fleet/test_unforeseen_errors.py
+++ b/tests/fleet/test_unforeseen_errors.py
@@ -22,6 +22,7 @@
 from crowrudder_daemon.fleet_entry._run_activity import RunActivity
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
 from crowrudder_daemon.http import ConnectionPool, HttpConnection
+from support.fleet import ROUTES, route
 from support.fleet_checks import checked
 from support.leaving_caller import LeavingCaller, request_bytes, sends
 from support.raising import raise_once
@@ -339,3 +340,23 @@
             assert sends(world) == ['b']
 
         checked(check)
+
+
+class TestSplitWithoutWeights:
+    """Guards against an error where no target of a route has a share."""
+
+    def test_it_is_refused_at_once(self):
+        split = [{'service': 'plain', 'weight': 0}] * 2
+        routes = (*ROUTES, route('none', '/none/', 'safe', '', split=split))
+
+        async def check(world):
+            caller = LeavingCaller(world.nodes[0].callers)
+            caller.send(request_bytes('/none/x'))
+            async with asyncio.timeout(ANSWER_S):
+                head = (await caller.head()).lower()
+            assert head.startswith(b'http/1.1 503 ')
+            assert b'retry-after: 2.00' in head
+            assert not sends(world)
+            assert not faults(world)
+
+        checked(check, routes=routes)
