Requests: one that is held past its deadline is noticed and ended

Callers saw, if a step hung through the timeout of its request: nothing, until they left; no line and no counter said so.

Cause: each request is ended by its own timeout alone, by the clock of the event loop, which a cancellation that is swallowed, or a suspended host, defeats.

Change: DeadlineWatch checks the open requests with one timer, each 0.5 s while there are any. One that has no answer 0.5 s past its deadline in two checks in a row is logged (request past its deadline: id, step, how long past, how late the loop was), counted (requests_past_deadline by step), answered once (503 with Retry-After if no send is unresolved, else 504; truncated if its answer has begun), and its task is cancelled. It can't send afterwards, and what it writes reaches nobody. A whole answer that is being written isn't held, however slowly it is read.

Why it works: it doesn't depend on the step, nor on the clock of the loop.

--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_open_request.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_open_request.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from attrs import define, frozen
 
-from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
+from crowrudder_daemon.fleet_entry._caller_side import (
+    AnswerTold,
+    CallerGoneError,
+)
 from crowrudder_daemon.fleet_entry._error_answer import (
     ErrorAnswer,
     encode_error,
@@ -108,6 +112,51 @@
             return self.call.request_id
         return self._faults.request_id(self.request.headers)
 
+    @property
+    def deadline_at(self) -> float:
+        """When its caller is to have an answer; infinite if not admitted."""
+        if self.execution is None:
+            return math.inf
+        return self.execution.dispatch.deadline_at
+
+    @property
+    def is_held(self) -> bool:
+        """Whether its caller waits for more than the rest of an answer.
+
+        One that reads a whole answer slowly isn't held by this process.
+        """
+        match self.side.told:
+            case AnswerTold.NOTHING:
+                return True
+            case AnswerTold.PART:
+                return not self.side.is_answer_whole
+            case _:
+                return False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it was sent to an upstream that may have run it."""
+        return self.execution is not None and (
+            self.execution.dispatch.may_have_run
+        )
+
+    def has_left(self) -> bool:
+        """Return whether its caller has left, as its socket says now."""
+        return self.side.has_left()
+
+    def cancel(self) -> None:
+        """Stop its task."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def end_overdue(self, answer: ErrorAnswer) -> None:
+        """Answer a request that its own timeouts did not end, and stop it."""
+        try:
+            self.end(answer)
+            self._record_failure(answer)
+        finally:
+            self.cancel()
+
     def on_fault(self, exc: Exception) -> None:
         """Answer a request after an error that no handler expected."""
         request_id, step = self.request_id, self.step
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -10,6 +10,7 @@
 from crowrudder_daemon.fleet.ports import BadCallError
 from crowrudder_daemon.fleet_entry._admission import Admitted
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
+from crowrudder_daemon.fleet_entry._deadline_watch import DeadlineWatch
 from crowrudder_daemon.fleet_entry._drive import RequestExecution
 from crowrudder_daemon.fleet_entry._error_answer import (
     ErrorAnswer,
@@ -60,6 +61,7 @@
         self._levels: tuple[FleetConfig, PriorityLevels] | None = None
         self._faults = FaultLog(runtime, context.dialect)
         self._open: set[OpenRequest] = set()
+        self._deadlines = DeadlineWatch(runtime, self._open)
         self.refuses = False
         self._denials = runtime.metrics.counter(
             'fleet_denials',
@@ -119,6 +121,7 @@
         task = asyncio.ensure_future(self._serve(opened))
         opened.task = task
         self._open.add(opened)
+        self._deadlines.start()
         task.add_done_callback(lambda _: self._on_done(opened, task))
         side.watch(task.cancel)
 
--- a/tests/support/leaving_caller.py
+++ b/tests/support/leaving_caller.py
@@ -38,13 +38,20 @@
     """One connection to an entry."""
 
     address: str
+    receive_bytes: int = 0
+    """Bytes that its kernel takes for it; 0 for the usual number."""
+
     _sock: socket.socket = field(init=False)
 
     def __attrs_post_init__(self):
         ip, _, port = self.address.rpartition(':')
-        self._sock = socket.create_connection(
-            (ip, int(port)), timeout=CONNECT_TIMEOUT_S
-        )
+        self._sock = socket.socket()
+        self._sock.settimeout(CONNECT_TIMEOUT_S)
+        if self.receive_bytes:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes
+            )
+        self._sock.connect((ip, int(port)))
 
     def send(self, text):
         """Send bytes; they are in the entry's socket on return."""
