Entry of the agents' kind: an error midway truncates a stream, and errors are counted

Callers saw, after an error midway in a stream: its last chunk on a connection that is kept, as if it were whole.

Cause: Tornado ends an answer that has begun with finish() after an error. Errors of the handlers were logged by Tornado without the request's id and not counted.

Change: _CallHandler closes the connection of an answer that has begun and stops its run; errors are logged with the request's id and counted (unhandled_faults). The directory of the fleet's entry answered 500 before as well; a test now holds that (tests/fleet/test_directory.py).

--- a/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_handlers.py
@@ -9,7 +9,7 @@
 
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, HTTPError, RequestHandler
 
 from crowrudder_daemon.entry._answer_bodies import (
     error_body,
@@ -34,6 +34,8 @@
 from crowrudder_model.messages import Piece
 
 if TYPE_CHECKING:
+    from types import TracebackType
+
     from crowrudder_daemon.entry._caller_request import CompletionBody
     from crowrudder_daemon.entry._open_answers import OpenAnswers
     from crowrudder_daemon.entry._requests import RequestsTask
@@ -147,6 +149,29 @@
         fut.add_done_callback(lambda _: self._on_answer_ended())
         return fut
 
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Answer an error; truncate an answer that has begun.
+
+        Tornado would end it as if it were whole.
+        """
+        if not self._headers_written:
+            super().send_error(status_code, **kwargs)
+            return
+        self._close()
+        self.on_connection_close()
+
+    def log_exception(
+        self,
+        typ: type[BaseException] | None,
+        value: BaseException | None,
+        tb: TracebackType | None,
+    ) -> None:
+        """Log and count an error that no handler expects."""
+        if isinstance(value, HTTPError):
+            super().log_exception(typ, value, tb)
+        else:
+            self._runtime.fault('call', value, request_id=self._request_id)
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an internal error; whether the request ran is unknown."""
         if status_code == METHOD_NOT_ALLOWED:
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -2,11 +2,16 @@
 
 import json
 
+import pytest
 from crowrudder_platform.adapter import PlatformCallers
 
 from crowrudder_daemon.fleet_entry._directory import MAX_ADDRESSES, Directory
+from crowrudder_daemon.fleet_entry._role import FleetEntry
 from crowrudder_model.fleet import FleetConfig, Route, RouteKind, RouteTarget
 from crowrudder_model.messages import MemberStatus
+from support.fleet_checks import checked
+from support.leaving_caller import LeavingCaller
+from support.raising import raise_once
 
 
 def member(number, **more):
@@ -100,3 +105,26 @@
         goal_s=1,
         regions=frozenset(regions),
     )
+
+
+class TestUnforeseenError:
+    """Guards against a caller without an answer after an error."""
+
+    @pytest.mark.parametrize(
+        ('step', 'path'),
+        [
+            ((PlatformCallers, 'caller_host'), PlatformCallers.directory_path),
+            ((FleetEntry, 'readiness'), PlatformCallers.ready_path),
+        ],
+    )
+    def test_it_is_answered(self, monkeypatch, step, path):
+        async def check(world):
+            node = world.nodes[0]
+            raised = raise_once(monkeypatch, *step)
+            for address, status in ((node.directory, 500), (node.ready, 200)):
+                caller = LeavingCaller(address)
+                caller.send(f'GET {path} HTTP/1.1\r\nHost: a\r\n\r\n'.encode())
+                assert await caller.status() == status
+            assert raised
+
+        checked(check)
