--- a/packages/core/src/crowrudder_core/connections/_closes.py
+++ b/packages/core/src/crowrudder_core/connections/_closes.py
@@ -28,6 +28,7 @@
     LONG_HEAD = 'long head'
     LONG_BODY = 'long body'
     BAD_REQUEST = 'bad request'
+    INTERNAL_ERROR = 'internal error'
     HTTP_SERVER = 'http server'
     """The HTTP server could not read on, or its port was closed."""
 
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -10,6 +10,7 @@
 from crowrudder_daemon.fleet.ports import BadCallError
 from crowrudder_daemon.fleet_entry._admission import Admitted
 from crowrudder_daemon.fleet_entry._caller_side import CallerGoneError
+from crowrudder_daemon.fleet_entry._deadline_watch import DeadlineWatch
 from crowrudder_daemon.fleet_entry._drive import RequestExecution
 from crowrudder_daemon.fleet_entry._error_answer import (
     ErrorAnswer,
@@ -17,7 +18,14 @@
     send_error,
 )
 from crowrudder_daemon.fleet_entry._long_bodies import MAX_BODY_BYTES
+from crowrudder_daemon.fleet_entry._open_request import (
+    INTERNAL_ERROR,
+    FaultLog,
+    OpenRequest,
+)
 from crowrudder_daemon.fleet_entry._overload import OverloadGate
+from crowrudder_daemon.fleet_entry._request_step import RequestStep
+from crowrudder_daemon.fleet_entry._retry_after import ABSENT_RETRY_AFTER_S
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -51,7 +59,9 @@
         self._context = context
         self.overload = OverloadGate(runtime, context.dialect)
         self._levels: tuple[FleetConfig, PriorityLevels] | None = None
-        self._request_tasks: set[asyncio.Task[None]] = set()
+        self._faults = FaultLog(runtime, context.dialect)
+        self._open: set[OpenRequest] = set()
+        self._deadlines = DeadlineWatch(runtime, self._open)
         self.refuses = False
         self._denials = runtime.metrics.counter(
             'fleet_denials',
@@ -61,13 +71,13 @@
         runtime.metrics.gauge(
             'fleet_requests_open',
             'Requests without their final answer.',
-            lambda: float(len(self._request_tasks)),
+            lambda: float(len(self._open)),
         )
 
     @property
     def running(self) -> int:
         """Number of requests without a final answer."""
-        return len(self._request_tasks)
+        return len(self._open)
 
     @property
     def max_body_bytes(self) -> int:
@@ -84,25 +94,52 @@
         self._record_denial(denial, None, request_id)
         return encode_error(self._context.dialect, request_id, denial)
 
+    def reading_fault(
+        self, headers: HTTPHeaders, exc: Exception
+    ) -> tuple[list[tuple[str, str]], bytes]:
+        """Record an error while a request is read; return its answer."""
+        request_id = self._faults.request_id(headers)
+        self._faults.record(RequestStep.READ, exc, request_id=request_id)
+        return self._faults.encode(
+            INTERNAL_ERROR, step=RequestStep.READ, request_id=request_id
+        )
+
     def on_request(self, request: CallerRequest, side: CallerSide) -> None:
         """Start the task of a request; it is cancelled if the caller leaves."""
-        if self.overload.refuses(request, side):
+        opened = OpenRequest(
+            request=request,
+            side=side,
+            faults=self._faults,
+        )
+        try:
+            is_refused = self.overload.refuses(request, side)
+        except Exception as exc:
+            opened.on_fault(exc)
+            return
+        if is_refused:
             return
-        request_task = asyncio.ensure_future(self._serve(request, side))
-        self._request_tasks.add(request_task)
-        request_task.add_done_callback(self._on_done)
-        side.watch(request_task.cancel)
+        task = asyncio.ensure_future(self._serve(opened))
+        opened.task = task
+        self._open.add(opened)
+        self._deadlines.start()
+        task.add_done_callback(lambda _: self._on_done(opened, task))
+        side.watch(task.cancel)
 
     async def idle(self) -> None:
         """Wait until no request is in progress."""
-        while self._request_tasks:
-            await asyncio.wait(set(self._request_tasks))
+        while self._open:
+            await asyncio.wait([each.task for each in self._open if each.task])
 
-    async def _serve(
-        self,
-        request: CallerRequest,
-        side: CallerSide,
-    ) -> None:
+    async def _serve(self, opened: OpenRequest) -> None:
+        """Serve a request; whatever fails, its caller gets an answer."""
+        try:
+            await self._run(opened)
+        except Exception as exc:
+            opened.on_fault(exc)
+
+    async def _run(self, opened: OpenRequest) -> None:
+        request, side = opened.request, opened.side
+        opened.enter(RequestStep.READ)
         try:
             call = self._context.dialect.read_call(
                 request.method,
@@ -114,12 +151,14 @@
             denial = _denial(HTTPStatus(exc.status), str(exc))
             await self._deny(side, None, denial)
             return
+        opened.call = call
+        opened.enter(RequestStep.ADMIT)
         admitted = self._admit(call, request)
         if isinstance(admitted, ErrorAnswer):
             await self._deny(side, call, admitted)
             return
         self._context.upstreams.on_request(admitted.service)
-        execution = RequestExecution(
+        opened.execution = RequestExecution(
             call=call,
             body=request.body,
             admitted=admitted,
@@ -127,7 +166,7 @@
             side=side,
             context=self._context,
         )
-        await execution.run()
+        await opened.execution.run()
 
     def _admit(
         self,
@@ -159,9 +198,13 @@
                 return self._deny_unknown(
                     HTTPStatus.UNAUTHORIZED, 'unknown key'
                 )
-        weights = [target.weight for target in route.targets]
-        sampled = self._context.upstreams.sample_index(weights)
-        service = route.targets[sampled].service
+        target = self._context.upstreams.sample_target(route)
+        if target is None:
+            return _retry_later(
+                f'route {route.name} gives no service a share of its requests',
+                ABSENT_RETRY_AFTER_S,
+            )
+        service = target.service
         levels = self._levels_of(config)
         return Admitted(
             route=route,
@@ -216,13 +259,10 @@
             },
         )
 
-    def _on_done(self, request_task: asyncio.Task[None]) -> None:
-        self._request_tasks.discard(request_task)
-        if (
-            not request_task.cancelled()
-            and request_task.exception() is not None
-        ):
-            self._runtime.fault('request', request_task.exception())
+    def _on_done(self, opened: OpenRequest, task: asyncio.Task[None]) -> None:
+        self._open.discard(opened)
+        if not task.cancelled() and task.exception() is not None:
+            self._runtime.fault('request', task.exception())
 
     def status(self) -> dict[str, Any]:
         """Return the running requests and whether new ones are refused."""
@@ -240,10 +280,12 @@
     )
 
 
-def _retry_later(reason: str) -> ErrorAnswer:
+def _retry_later(
+    reason: str, retry_after_s: float = RETRY_AFTER_S
+) -> ErrorAnswer:
     return ErrorAnswer(
         status=HTTPStatus.SERVICE_UNAVAILABLE,
         code='denied',
         reason=reason,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s,
     )
