--- a/packages/daemon/src/crowrudder_daemon/_connection_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/_connection_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import resource
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from crowrudder_core.connections import (
     CallerConnection,
@@ -18,7 +18,6 @@
 
 if TYPE_CHECKING:
     from crowrudder_core.connections import Close
-    from crowrudder_daemon._caller_stream import CallerStream
     from crowrudder_daemon._runtime import Runtime
 
 IDLE_MEMORY_SHARE = 0.125
@@ -41,6 +40,18 @@
 """Closes that are the usual end of a connection: they are only counted."""
 
 
+class WatchedStream(Protocol):
+    """The stream of a caller's connection, as far as the watch uses it."""
+
+    connection: CallerConnection | None
+
+    def close_by(self, rule: CloseRule) -> None:
+        """Close the connection by a rule."""
+
+    def unread_bytes(self) -> int:
+        """Return how many bytes stand in the socket."""
+
+
 class ConnectionWatch:
     """Knows the connections of callers, and records how they end.
 
@@ -61,8 +72,8 @@
         self._log = runtime.log
         self.limits = ConnectionLimits()
         self.is_leaving = False
-        self._open: set[CallerStream] = set()
-        self._idle: IdleConnections[CallerStream] = IdleConnections(
+        self._open: set[WatchedStream] = set()
+        self._idle: IdleConnections[WatchedStream] = IdleConnections(
             max_idle_connections(memory_bytes)
         )
         self._closed = runtime.metrics.counter(
@@ -76,7 +87,7 @@
             lambda: float(len(self._idle)),
         )
 
-    def open(self, stream: CallerStream) -> CallerConnection:
+    def open(self, stream: WatchedStream) -> CallerConnection:
         """Return the state of a connection that was just accepted."""
         self._open.add(stream)
         return CallerConnection(self.limits, clock_s())
@@ -119,7 +130,7 @@
             await asyncio.sleep(CLOSE_INTERVAL_S)
             still_open = self.close_idle()
 
-    def on_idle(self, stream: CallerStream) -> None:
+    def on_idle(self, stream: WatchedStream) -> None:
         """Record that a connection waits; close the oldest if too many do."""
         self._idle.add(stream)
         oldest = self._idle.excess()
@@ -129,13 +140,13 @@
             if not oldest.unread_bytes():
                 oldest.close_by(CloseRule.TOO_MANY_IDLE)
 
-    def on_busy(self, stream: CallerStream) -> None:
+    def on_busy(self, stream: WatchedStream) -> None:
         """Record that a connection no longer waits."""
         self._idle.remove(stream)
 
     def on_closed(
         self,
-        stream: CallerStream,
+        stream: WatchedStream,
         close: Close,
         *,
         late_s: float,
