Platform soak: callers keep connections idle up to four fifths of the newest idle limit, which changes

A whole request that got neither an answer nor a refusal was seen on kept connections only. The soak's callers waited 0.06 s at most between requests, and the idle limit was 5 s all the time, so no timer of a connection ever came near.

Thirty raw callers wait for nearly four fifths of the newest limit, send in two parts and in pairs; the limit goes up and down in series, entries get SIGSTOP for 0.2 to 1.5 s and SIGHUP. Checked: no whole request ends without a byte of an answer over 0.2 s after its last byte, at all if it ran, or if it stood in the socket of a suspended entry for 0.2 s; nobody is held 0.7 s past the deadline. Excused: SIGKILL of the entry, time of suspensions, the last sixth of a drain.

--- a/scripts/_platform_chaos.py
+++ b/scripts/_platform_chaos.py
@@ -71,6 +71,9 @@
     restarts: list[tuple[str, float]] = field(factory=list)
     """Name and time of each start of a process after its first."""
 
+    terminations: list[tuple[str, float]] = field(factory=list)
+    """Name and time of each SIGTERM."""
+
     _busy: set[str] = field(factory=set)
 
     async def run(self, ends_at: float) -> None:
@@ -134,8 +137,8 @@
             self.fault_counts[injector.__name__.strip('_')] += 1
             self.log_line(summary)
 
-    def _choose_undisturbed_host(
-        self, *, entry: bool | None = None
+    def choose_undisturbed_host(
+        self, rng: random.Random, *, entry: bool | None = None
     ) -> Host | None:
         """Choose a random host that no other signal affects."""
         hosts = [
@@ -143,7 +146,7 @@
             for host in self.fleet.hosts.values()
             if host.name not in self._busy and entry in {None, host.is_entry}
         ]
-        return self.rng.choice(hosts) if hosts else None
+        return rng.choice(hosts) if hosts else None
 
     def _record_disturbance(
         self,
@@ -164,7 +167,7 @@
         )
 
     async def _kill(self) -> str:
-        host = self._choose_undisturbed_host()
+        host = self.choose_undisturbed_host(self.rng)
         if host is None:
             return ''
         self._busy.add(host.name)
@@ -181,13 +184,23 @@
         return f'killed {host.name}'
 
     async def _freeze(self) -> str:
-        host = self._choose_undisturbed_host()
+        return await self.freeze(self.rng, FAULT_DURATION_S)
+
+    async def freeze(
+        self,
+        rng: random.Random,
+        duration_s: tuple[float, float],
+        *,
+        entry: bool | None = None,
+    ) -> str:
+        """Suspend a random host for a random duration."""
+        host = self.choose_undisturbed_host(rng, entry=entry)
         if host is None:
             return ''
         self._busy.add(host.name)
         began_at = time.monotonic()
         host.process.freeze()
-        await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_S))
+        await asyncio.sleep(rng.uniform(*duration_s))
         host.process.thaw()
         self._record_disturbance(host.name, began_at, is_freeze=True)
         self._busy.discard(host.name)
@@ -195,10 +208,11 @@
 
     async def _restart(self) -> str:
         """Restart a process with SIGTERM; no request may be cut off."""
-        host = self._choose_undisturbed_host()
+        host = self.choose_undisturbed_host(self.rng)
         if host is None:
             return ''
         self._busy.add(host.name)
+        self.terminations.append((host.name, time.monotonic()))
         host.process.terminate()
         code = await host.process.ended(STOP_TIMEOUT_S)
         if not host.ended_cleanly(code):
@@ -210,7 +224,11 @@
         return f'restarted {host.name}'
 
     async def _hup(self) -> str:
-        host = self._choose_undisturbed_host()
+        return self.hang_up(self.rng)
+
+    def hang_up(self, rng: random.Random, *, entry: bool | None = None) -> str:
+        """Send SIGHUP to a random host."""
+        host = self.choose_undisturbed_host(rng, entry=entry)
         if host is None or not host.process.running:
             return ''
         host.process.hang_up()
--- a/scripts/_platform_config.py
+++ b/scripts/_platform_config.py
@@ -34,6 +34,9 @@
     'chunk_bytes': 4096,
 }
 
+IDLE_LIMIT_S = 5.0
+"""Idle limit of callers' connections until it is changed."""
+
 COLD_PER_S = 6.0
 """Low enough that the load of the soak would end a cold replica: an engine gets
 10 to 20 requests a second while it is warm."""
@@ -64,7 +67,12 @@
 
 
 def configuration(
-    version: int, origin: str, keys: list[str], *, is_large: bool
+    version: int,
+    origin: str,
+    keys: list[str],
+    *,
+    is_large: bool,
+    idle_limit_s: float = IDLE_LIMIT_S,
 ) -> dict[str, Any]:
     """Return a configuration as it is published."""
     return {
@@ -75,7 +83,10 @@
             {'name': 'llm', 'max_conns': 500, 'engine': ENGINE, **COLD_TERMS},
             {'name': 'src', 'origin': origin},
         ],
-        'limits': {'idle_timeout_ms': 5000, 'header_timeout_ms': 3000},
+        'limits': {
+            'idle_timeout_ms': round(idle_limit_s * 1000),
+            'header_timeout_ms': 3000,
+        },
         'tenants': [{'name': 'shop', 'api_keys': keys}, *CUSTOMERS],
     }
 
--- a/scripts/_platform_fleet.py
+++ b/scripts/_platform_fleet.py
@@ -17,7 +17,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from _platform_config import configuration
+from _platform_config import IDLE_LIMIT_S, configuration
 from _process import Process
 from _relay import Relay
 from attrs import define, field, frozen
@@ -117,6 +117,7 @@
     version: int = 1
     config_version: int = 0
     is_large: bool = False
+    idle_limit_s: float = IDLE_LIMIT_S
     fatal_parts: frozenset[str] = frozenset()
     """Parts of prompts that crash each replica."""
 
@@ -184,6 +185,7 @@
             self._addresses['origin'],
             [*self.keys, *self.extra_keys],
             is_large=self.is_large,
+            idle_limit_s=self.idle_limit_s,
         )
         self.store.put('op/config', json.dumps(body).encode())
 
--- a/scripts/platform_soak.py
+++ b/scripts/platform_soak.py
@@ -40,6 +40,8 @@
 from _platform_ends import VersionEnds
 from _platform_fatals_limits import FatalsAndLimits, check_fatals_and_limits
 from _platform_fleet import VERSION_S, ZONES, Plan, PlatformFleet
+from _platform_kept import KeptLoad
+from _platform_kept_checks import check_kept
 from _platform_links import NarrowLinks
 from _platform_load import Caller
 from _platform_logs import keep_logs
@@ -91,6 +93,7 @@
     classes_rng: random.Random
     directory_rng: random.Random
     silence_rng: random.Random
+    kept_rng: random.Random
     duration_s: float
     is_calm: bool
     callers: list[Caller] = field(factory=list)
@@ -127,6 +130,9 @@
         silences = Silences(
             self.fleet, self.silence_rng, self._key, self.log_line
         )
+        kept = KeptLoad(
+            self.fleet, self.kept_rng, self._key, chaos, self.log_line
+        )
         problems = await self._settle('start', START_TIMEOUT_S)
         if not problems:
             ends_at = time.monotonic() + self.duration_s
@@ -153,6 +159,7 @@
                 classes.run(ends_at),
                 directory.run(ends_at),
                 silences.run(ends_at),
+                kept.run(ends_at, is_calm=self.is_calm),
                 *(
                     caller.run(ends_at, f'c{number}')
                     for number, caller in enumerate(self.callers)
@@ -167,6 +174,8 @@
         others = list(self.callers)
         self.callers += [caller for _, caller in classes.callers]
         results = [each for caller in self.callers for each in caller.results]
+        # Those without an answer are judged by `check_kept` alone.
+        results += [each for each in kept.results if each.head_at]
         verdict = check_run(results, self.fleet, chaos)
         check_fatals_and_limits(
             fatals_and_limits, results, self.fleet, chaos, verdict
@@ -187,6 +196,7 @@
         check_classes(classes, others, ZONES, verdict)
         check_directory(directory, verdict)
         check_cuts(silences, results, chaos, verdict)
+        check_kept(kept, verdict)
         problems += chaos.problems
         for problem in problems:
             verdict.add_violation('state', problem)
@@ -194,6 +204,7 @@
         self.log_line(f'queues: {dict(narrow_links.counts)}')
         self.log_line(f'answers: {dict(body_ends.counts)}')
         self.log_line(f'silences: {dict(silences.counts)}')
+        self.log_line(f'kept connections: {dict(kept.counts)}')
         calls = [each.calls for each in store_returns.returns]
         self.log_line(f'store: {dict(store_returns.counts)}, {calls=}')
         return verdict
@@ -319,6 +330,7 @@
             random.Random(f'classes of {seed}'),
             random.Random(f'directory of {seed}'),
             random.Random(f'silences of {seed}'),
+            random.Random(f'kept connections of {seed}'),
             float(options['--duration']),
             bool(options.get('--calm')),
         )
