--- a/scripts/_platform_kept.py
+++ b/scripts/_platform_kept.py
@@ -61,11 +61,12 @@
 class KeptResult(RequestResult):
     """A request on a kept connection.
 
-    It begins when its last byte was sent or, if it was pipelined, the answer
-    before it had ended. ``end`` is ``answer``, ``FIN``, ``RST`` or ``waiting``,
-    empty if it was not sent whole.
+    ``sent_at`` is when its last byte was sent or, if it was pipelined, the
+    answer before it had ended. ``end`` is ``answer``, ``FIN``, ``RST`` or
+    ``waiting``, empty if it was not sent whole.
     """
 
+    sent_at: float = 0
     end: str = ''
 
 
@@ -123,7 +124,7 @@
         free_at = time.monotonic()
         is_kept = True
         for each in sent:
-            each.began_at = free_at
+            each.sent_at = free_at
             is_kept = await _read(reader, each) and is_kept
             free_at = each.ended_at
         return is_kept
--- a/scripts/_platform_kept_checks.py
+++ b/scripts/_platform_kept_checks.py
@@ -51,7 +51,7 @@
     """Return the promise that the end of a request breaks; empty for none."""
     if was_killed(each, chaos):
         return ''
-    took_s = each.ended_at - each.began_at - suspended_s(each, chaos)
+    took_s = each.ended_at - each.sent_at - suspended_s(each, chaos)
     if took_s > DEADLINE_S + HELD_MARGIN_S:
         return 'held past its deadline'
     if each.head_at or each.end == 'waiting':
@@ -72,7 +72,7 @@
     A request may be sent before the end of its connection is seen.
     """
     return chaos.was_killed(
-        each.entry, each.began_at - CROSSING_S, each.ended_at
+        each.entry, each.sent_at - CROSSING_S, each.ended_at
     )
 
 
@@ -80,7 +80,7 @@
     """Return whether a run was broken off in the last of a drain's time."""
     return any(
         name == each.entry
-        and each.began_at <= at + DRAIN_SEND_S
+        and each.sent_at <= at + DRAIN_SEND_S
         and at + LAST_OF_GRACE_S <= each.ended_at
         for name, at in chaos.terminations
     )
@@ -88,7 +88,7 @@
 
 def suspended_s(each: KeptResult, chaos: PlatformChaos) -> float:
     """Return how long the entry or the caller's process was suspended."""
-    total_s, counted_to = 0.0, each.began_at
+    total_s, counted_to = 0.0, each.sent_at
     periods = sorted(
         (period.began_at, period.ended_at)
         for period in chaos.disturbances
@@ -110,7 +110,7 @@
     return any(
         period.is_freeze
         and period.name == each.entry
-        and each.began_at + CROSSING_S < period.ended_at <= each.ended_at
+        and each.sent_at + CROSSING_S < period.ended_at <= each.ended_at
         for period in chaos.disturbances
     )
 
@@ -118,9 +118,9 @@
 def _describe(each: KeptResult, load: KeptLoad) -> str:
     parts = [
         f'{each.request_id} {each.kind.path} at {each.entry}: '
-        f'{each.end} {each.reason} after {each.ended_at - each.began_at:.3f} s, '
+        f'{each.end} {each.reason} after {each.ended_at - each.sent_at:.3f} s, '
         f'suspended {suspended_s(each, load.chaos):.3f} s, '
-        f'head after {max(each.head_at - each.began_at, 0):.3f} s',
+        f'head after {max(each.head_at - each.sent_at, 0):.3f} s',
         *_restarts(load.chaos, each),
         *_closes(load.fleet, each),
     ]
@@ -133,7 +133,7 @@
     ends = [('SIGTERM', *termination) for termination in chaos.terminations]
     for kind, name, at in starts + ends:
         if name == each.entry and abs(at - each.ended_at) <= GRACE_S:
-            yield f'{kind} at {at - each.began_at:+.3f} s'
+            yield f'{kind} at {at - each.sent_at:+.3f} s'
 
 
 def _closes(fleet: PlatformFleet, each: KeptResult) -> Iterator[str]:
@@ -145,5 +145,5 @@
             continue
         at = datetime.fromisoformat(json.loads(line)['at']).timestamp()
         if abs(ended_at - at) < LOG_WINDOW_S:
-            after_s = each.ended_at - each.began_at + at - ended_at
+            after_s = each.ended_at - each.sent_at + at - ended_at
             yield f'close at {after_s:+.3f} s: {line}'
--- a/tests/scripts/test_platform_kept.py
+++ b/tests/scripts/test_platform_kept.py
@@ -76,7 +76,7 @@
         result = KeptResult(
             'a', ROUTE_KINDS[0], 'entry-0', began_at, began_at + took_s, **more
         )
-        result.end = end
+        result.sent_at, result.end = began_at, end
         self.caller.results[:] = [result]
         self.runs[:] = [SimpleNamespace(request_id='a')] if has_run else []
         verdict = Verdict()
@@ -282,7 +282,7 @@
         assert first.end == end
         assert first.is_whole is (end == 'answer')
         assert first.body == (b'ok' if first.is_whole else b'')
-        assert 0 < first.began_at <= first.ended_at
+        assert 0 < first.sent_at <= first.ended_at
 
     def test_pair_in_two_parts(self, soak, monkeypatch):
         monkeypatch.setattr(_platform_kept, 'PAIR_SHARE', 1)
@@ -300,4 +300,5 @@
         run(_calls(soak.caller, serve))
         first, second = soak.caller.results
         assert [b'k-0' in received[0], b'k-1' in received[1]] == [True, True]
-        assert second.began_at == first.ended_at
+        assert second.began_at < first.sent_at < second.sent_at
+        assert second.sent_at == first.ended_at
