--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_role.py
@@ -14,12 +14,12 @@
 from crowrudder_daemon.fleet import FleetRole
 from crowrudder_daemon.fleet_entry._admission import EntryAdmission
 from crowrudder_daemon.fleet_entry._caller_backlog import CallerBacklog
-from crowrudder_daemon.fleet_entry._caller_side import CallersServer
 from crowrudder_daemon.fleet_entry._context import EntryContext
 from crowrudder_daemon.fleet_entry._directory import Directory
 from crowrudder_daemon.fleet_entry._load_relay import LoadRelay
 from crowrudder_daemon.fleet_entry._long_bodies import MAX_BODY_BYTES
 from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
+from crowrudder_daemon.fleet_entry._request_reader import CallersServer
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
 from crowrudder_model.fleet import CallerLimits
--- a/tests/fleet/test_orderly_closes.py
+++ b/tests/fleet/test_orderly_closes.py
@@ -13,7 +13,7 @@
 from crowrudder_daemon._connection_watch import ConnectionWatch
 from crowrudder_daemon.fleet import Tuning, process_settings
 from crowrudder_daemon.fleet_entry._caller_backlog import CallerBacklog
-from crowrudder_daemon.fleet_entry._caller_side import CallersServer
+from crowrudder_daemon.fleet_entry._request_reader import CallersServer
 from crowrudder_daemon.process import Runtime
 from crowrudder_model.fleet import Node, NodeLocation
 from support.aio import run
@@ -42,6 +42,10 @@
         """Return the answer to a long body, which nobody sends here."""
         raise NotImplementedError
 
+    def reading_fault(self, headers, exc):
+        """Return the answer to an error, which nobody expects here."""
+        raise NotImplementedError
+
 
 @contextlib.contextmanager
 def big_answers():
@@ -54,7 +58,6 @@
         await side.answer(200, [], BIG)
 
     def on_request(_request, side):
-        side.on_request()
         answering.add(asyncio.ensure_future(answer(side)))
 
     place = NodeLocation(failure_domain='z', region='r', regions=())
--- a/tests/requests/test_caller_connections.py
+++ b/tests/requests/test_caller_connections.py
@@ -48,7 +48,7 @@
     runtime = Runtime(cfg=cfg, log=logging.getLogger('test'))
     role = build_entry(runtime)
     if answer:
-        role.requests.post = post_answer
+        role.requests.post = post_answer  # type: ignore[method-assign]
     await role.start()
     try:
         yield f'127.0.0.1:{port}'
