--- a/packages/daemon/src/crowrudder_daemon/entry/_requests.py
+++ b/packages/daemon/src/crowrudder_daemon/entry/_requests.py
@@ -15,7 +15,11 @@
 from crowrudder_daemon.entry._admission import Admission
 from crowrudder_daemon.entry._agents import AgentPool
 from crowrudder_daemon.entry._claims import release_claim
-from crowrudder_daemon.entry._final_outcome import FinalOutcome, refused
+from crowrudder_daemon.entry._final_outcome import (
+    FinalOutcome,
+    outcome_unknown,
+    refused,
+)
 from crowrudder_daemon.entry._request_execution import RequestExecution
 from crowrudder_daemon.knowledge import Snapshot
 from crowrudder_model.messages import CapacityRequest
@@ -112,6 +116,16 @@
 
     def on_request_received(self, message: RequestReceived) -> None:
         """Start a request, or refuse it immediately."""
+        try:
+            self._start_request(message)
+        except Exception as exc:
+            # Without a final outcome the caller would wait forever.
+            self.on_fault(exc)
+            ended = outcome_unknown('internal', 'an error inside the entry')
+            self.record_end(ended)
+            message.parts.put_nowait(ended)
+
+    def _start_request(self, message: RequestReceived) -> None:
         now = self._now()
         entered = self._enter(message.req, now)
         if isinstance(entered, FinalOutcome):
--- a/tests/requests/test_unforeseen_errors.py
+++ b/tests/requests/test_unforeseen_errors.py
@@ -43,13 +43,15 @@
             )
 
 
-async def ask(request, *, until=b'\r\n\r\n', post=post_pieces, patches=()):
+async def ask(request, *, until=b'\r\n\r\n', post=post_pieces, enter=None):
     """Return the bytes of an answer up to a separator, or up to its end."""
     port = free_port()
     cfg = entry_settings(http_port=port, rpc_port=free_port())
     runtime = Runtime(cfg=cfg, log=logging.getLogger('test'))
     role = build_entry(runtime)
-    with mock.patch.object(role.requests, 'post', post):
+    if enter is not None:
+        role.requests._enter = enter  # type: ignore[method-assign]
+    with mock.patch.object(role.requests, 'post', post or role.requests.post):
         await role.start()
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(request)
@@ -83,6 +85,12 @@
         assert head.startswith(b'HTTP/1.1 500 ')
         assert b'X-Outcome: unknown' in head
 
+    def test_as_the_request_is_admitted(self, caplog):
+        head = run(ask(PLAIN, post=None, enter=broken))
+        assert 'unhandled fault' in {each.message for each in caplog.records}
+        assert head.startswith(b'HTTP/1.1 504 ')
+        assert b'X-Outcome: unknown' in head
+
     def test_in_the_list_of_entries(self):
         with mock.patch(f'{HANDLERS}.random.shuffle', broken):
             head = run(ask(ENTRIES))
