--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
@@ -88,9 +88,12 @@
 
     def _poll(self) -> None:
         now = clock_s()
-        self._in_transit = {
-            delivery for delivery in self._in_transit if delivery.check(now)
-        }
         self._timer = None
-        if self._in_transit:
-            self._schedule()
+        try:
+            self._in_transit = {
+                each for each in self._in_transit if each.check(now)
+            }
+        finally:
+            # An error must not end the checks.
+            if self._in_transit:
+                self._schedule()
--- a/tests/fleet/test_delivery.py
+++ b/tests/fleet/test_delivery.py
@@ -82,3 +82,23 @@
             assert not watch._in_transit
 
         run(check())
+
+    def test_an_error_of_a_check_does_not_end_the_checks(self):
+        """Guards against delays that nobody notices after one error."""
+
+        class BrokenQueue:
+            @property
+            def unsent_bytes(self):
+                raise RuntimeError('unforeseen')
+
+        async def check():
+            watch = DeliveryWatch()
+            sent_at = clock_s()
+            broken = watch.start(BrokenQueue(), TransitDelay(), sent_at=sent_at)
+            await asyncio.sleep(2 * POLL_INTERVAL_S)
+            watch._in_transit.discard(broken)
+            late = watch.start(Queue(617), TransitDelay(), sent_at=sent_at)
+            await asyncio.sleep(3 * POLL_INTERVAL_S)
+            assert late.unacknowledged_bytes == 617
+
+        run(check())
