--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -23,7 +23,7 @@
 
 MAX_PEEKED_BYTES = 65_536
 
-MAX_REFUSED_BYTES = 1024 * 1024
+MAX_REFUSED_BYTES = 512 * 1024
 """How much of a refused request is read, with what was read before."""
 
 _LAST_WORDS = {
--- a/packages/daemon/src/crowrudder_daemon/_lingering_close.py
+++ b/packages/daemon/src/crowrudder_daemon/_lingering_close.py
@@ -10,7 +10,7 @@
 """How long a peer may keep sending after the last answer. Closing a connection
 with bytes unread resets it, and the answer may be lost."""
 
-MAX_LINGER_BYTES = 1024 * 1024
+MAX_LINGER_BYTES = 512 * 1024
 """How much it may keep sending."""
 
 READ_BYTES = 65_536
