--- a/packages/daemon/src/crowrudder_daemon/_caller_stream.py
+++ b/packages/daemon/src/crowrudder_daemon/_caller_stream.py
@@ -22,6 +22,7 @@
     from crowrudder_daemon._connection_watch import ConnectionWatch
 
 MAX_PEEKED_BYTES = 65_536
+"""Most unread bytes that are counted: they are copied to be counted."""
 
 MAX_REFUSED_BYTES = 512 * 1024
 """How much of a refused request is read, with what was read before."""
@@ -82,6 +83,7 @@
         self._check: asyncio.TimerHandle | None = None
         self._late_s = 0.0
         self._discarded: int | None = None
+        """Bytes discarded behind the last words; None before them."""
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -261,6 +263,7 @@
             is_reading=self.reading(),
         )
         if rule is None:
+            self._late_s = 0.0
             self._schedule_check()
         else:
             self.close_by(rule)
--- a/packages/daemon/src/crowrudder_daemon/_connection_watch.py
+++ b/packages/daemon/src/crowrudder_daemon/_connection_watch.py
@@ -156,7 +156,8 @@
         Parameters
         ----------
         late_s
-            How late the event loop came to the last check.
+            How late the event loop came to the check that ended it; 0 if
+            another rule did.
         """
         self._open.discard(stream)
         self._idle.remove(stream)
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_caller_side.py
@@ -132,6 +132,8 @@
     ) -> None:
         """Record what the caller accepts; ``headers`` are Tornado's own."""
         self._record_arrival()
+        if self._connection is not None:
+            self._connection.on_head(now=clock_s())
         self._accepts_chunks = line.version != 'HTTP/1.0'
         self._request_headers = headers
 
@@ -367,8 +369,6 @@
         peer = stream.peer()
         self.is_admitted, stream.is_admitted = stream.is_admitted, False
         self.read_at = stream.read_at
-        if stream.connection is not None:
-            stream.connection.on_head(now=now)
         # Data that arrived after the head makes the result too small.
         self.unread_s = max(stream.read_at - now + peer.data_age_s, 0)
         if not peer.is_open:
