--- a/tests/fleet/test_unforeseen_errors.py
+++ b/tests/fleet/test_unforeseen_errors.py
@@ -8,6 +8,7 @@
 import pytest
 from crowrudder_platform.adapter import PlatformCallers
 
+from crowrudder_core.connections import CallerConnection
 from crowrudder_core.dispatch import Dispatch, EventStream
 from crowrudder_core.forecast import UpstreamForecast
 from crowrudder_daemon.fleet_entry._admission import EntryAdmission
@@ -329,7 +330,7 @@
             (CallerSide, 'on_request_head'),
             (BodyGate, 'on_head'),
             (BodyGate, 'on_part'),
-            (CallerSide, 'on_request'),
+            (CallerConnection, 'on_request'),
         ],
         ids=names,
     )
