--- a/tests/weights/test_origin_returns.py
+++ b/tests/weights/test_origin_returns.py
@@ -17,9 +17,9 @@
     seconds after the origin returned.
     """
 
-    def test_first_copy_leaves_the_origin_within_the_window(self, hosts):
-        for seed in (1, 2):
-            assert play(seed, hosts).out_s <= WINDOW_S
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_first_copy_leaves_the_origin_within_the_window(self, hosts, seed):
+        assert play(seed, hosts).out_s <= WINDOW_S
 
     def test_origin_sends_few_chunks_twice(self, hosts):
         assert play(3, hosts).origin_copies <= MAX_COPIES
