--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -128,6 +128,7 @@
     history_losses: int = 0
     staggers: bool = True
     confirmed_at: float = -math.inf
+    confirmed_by: str = ''
     returned_at: float = -math.inf
     lists_at: float = math.inf
     joins_at: float = -math.inf
@@ -171,14 +172,21 @@
         self.failures = 0
         self._note_return(now, now)
 
-    def on_confirmed(self, at: float, now: float) -> None:
+    def on_confirmed(self, at: float, now: float, *, by: str = '') -> None:
         """Record that the platform had nothing newer at a time.
 
         Called only for a process that has the records that were confirmed.
+
+        Parameters
+        ----------
+        by
+            The peer that reports it, or the own call to the platform.
         """
         at = min(at, now)
         self._note_return(at, now)
-        self.confirmed_at = max(self.confirmed_at, at)
+        if at > self.confirmed_at:
+            self.confirmed_at = at
+            self.confirmed_by = by
 
     def _note_return(self, at: float, now: float) -> None:
         if at - self.confirmed_at > MAX_CONFIRMATION_GAP_S:
--- a/packages/core/src/crowrudder_core/limits/_shared_budget.py
+++ b/packages/core/src/crowrudder_core/limits/_shared_budget.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 SAFETY_FACTOR = 0.8
 """Share of the bound that is used.
@@ -14,6 +14,23 @@
 """
 
 
+@frozen(kw_only=True)
+class BudgetState:
+    """What an entry has spent of a service's budget, and what it may spend.
+
+    Parameters
+    ----------
+    requests, arrivals
+        Requests in the current window, and arrivals beyond their first.
+    allowed
+        Arrivals that the window may have; a fraction.
+    """
+
+    requests: int
+    arrivals: int
+    allowed: float
+
+
 @define
 class _Window:
     """Times of requests and of arrivals beyond their first."""
@@ -77,9 +94,20 @@
 
     def has(self, service: str, *, entry_share: float, now: float) -> bool:
         """Return whether one further arrival could be spent."""
+        state = self.state(service, entry_share=entry_share, now=now)
+        return state.arrivals + 1 <= state.allowed
+
+    def state(
+        self, service: str, *, entry_share: float, now: float
+    ) -> BudgetState:
+        """Return what was spent in the current window, and what may be."""
         window = self._window(service, now)
         allowed = self.share * len(window.firsts) + self.extra * entry_share
-        return len(window.repeats) + 1 <= SAFETY_FACTOR * allowed
+        return BudgetState(
+            requests=len(window.firsts),
+            arrivals=len(window.repeats),
+            allowed=SAFETY_FACTOR * allowed,
+        )
 
     def _window(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -155,7 +155,7 @@
             self.post(PeerAhead(f'{ip}:{self._node.rpc_port}', position))
         elif position.era == known.era:
             now = clock_s()
-            self._on_confirmed(now - max(confirmed_s, 0), now)
+            self._on_confirmed(now - max(confirmed_s, 0), now, by=ip)
 
     def on_peer_ahead(self, message: PeerAhead) -> None:
         """Fetch the missing changes from a peer."""
@@ -167,7 +167,9 @@
         before = self.catalog.position
         if message.applies_after(before):
             # Before the ages are assumed, which depend on the last outage.
-            self.reading.on_confirmed(message.confirmed_at, now)
+            self.reading.on_confirmed(
+                message.confirmed_at, now, by=message.teller
+            )
         apply_items = (
             self.catalog.replace if message.is_whole else self.catalog.apply
         )
@@ -190,9 +192,9 @@
         if changed or before != self.catalog.position:
             self._on_change()
 
-    def _on_confirmed(self, at: float, now: float) -> None:
+    def _on_confirmed(self, at: float, now: float, *, by: str) -> None:
         """Record a confirmation of the known records, and pass it on."""
-        self.reading.on_confirmed(at, now)
+        self.reading.on_confirmed(at, now, by=by)
         self._peers.set_knowledge(
             self.catalog.position, self.reading.confirmed_at
         )
@@ -340,7 +342,7 @@
         )
         confirmed_at = self._watch_times.known_until
         if not listing.items:
-            self._on_confirmed(confirmed_at, clock_s())
+            self._on_confirmed(confirmed_at, clock_s(), by='platform')
             return
         self.handle_immediately(
             platform_records(
@@ -459,6 +461,7 @@
             'platform_confirmed_s': round(
                 self.reading.confirmed_s(clock_s()), 3
             ),
+            'platform_confirmed_by': self.reading.confirmed_by,
             'watch_rank': self.reading.rank,
             'upstreams': len(self.view.listed()),
             'evacuated': sorted(self.view.evacuations.domains),
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -176,7 +176,7 @@
                 self._record.denied_by = 'send'
                 self._record.on_refused(attempt, now=clock_s())
         if not attempt.sent_at:
-            self.context.upstreams.give_back_retry(self.admitted.service)
+            self.context.upstreams.retries.give_back(self.admitted.service)
 
     async def _run(self) -> None:
         try:
@@ -244,7 +244,7 @@
             self._record.denied_by = 'sends'
         elif verdict is not Verdict.ALLOWED:
             self._record.denied_by = 'quarantine'
-        elif not self.context.upstreams.has_retry(self.admitted.service):
+        elif not self.context.upstreams.retries.is_left(self.admitted.service):
             self._record.denied_by = 'budget'
         if self._record.denied_by:
             return None
@@ -343,7 +343,7 @@
         if not self.context.quarantine.may_retry(self.digests):
             self._record.denied_by = 'quarantine'
             return False
-        if not self.context.upstreams.spend_retry(self.admitted.service):
+        if not self.context.upstreams.retries.spend(self.admitted.service):
             self._record.denied_by = 'budget'
             return False
         return True
@@ -450,7 +450,7 @@
         return (
             self.dispatch.repeatable
             and self.dispatch.sends + 1 < self.dispatch.max_sends
-            and self.context.upstreams.has_retry(self.admitted.service)
+            and self.context.upstreams.retries.is_left(self.admitted.service)
         )
 
     async def _relay(self, attempt: Attempt) -> None:
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_requests_task.py
@@ -157,7 +157,7 @@
         if isinstance(admitted, ErrorAnswer):
             await self._deny(side, call, admitted)
             return
-        self._context.upstreams.on_request(admitted.service)
+        self._context.upstreams.retries.on_request(admitted.service)
         opened.execution = RequestExecution(
             call=call,
             body=request.body,
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -15,7 +15,7 @@
     memory_of,
 )
 from crowrudder_core.forecast._upstream_forecast import LOAD_REPORT_TTL_S
-from crowrudder_core.limits import ColdReturns, SharedRetryBudget
+from crowrudder_core.limits import ColdReturns
 from crowrudder_core.routing import allowed_regions
 from crowrudder_core.statements import Accepting
 from crowrudder_daemon._clock import clock_s
@@ -29,6 +29,7 @@
     cold_terms,
     retry_after_s,
 )
+from crowrudder_daemon.fleet_entry._retry_spending import RetrySpending
 from crowrudder_daemon.fleet_entry._silence_watch import SilenceWatch
 from crowrudder_daemon.fleet_entry._statements import EntryStatements
 from crowrudder_daemon.fleet_entry._upstream_capacity import UpstreamCapacity
@@ -101,12 +102,7 @@
         self.links = HostLinks()
         self._ticket = 0
         self._pending: dict[int, PendingAttempt] = {}
-        bounds = node.bounds
-        self._budget = SharedRetryBudget(
-            share=bounds.retry_share,
-            extra=bounds.retry_extra,
-            window_s=bounds.retry_window_s,
-        )
+        self.retries = RetrySpending(runtime, node.bounds, peers)
         self.deliveries = DeliveryWatch()
         self.silences = SilenceWatch(runtime)
         self.probe = UpstreamProbe(
@@ -212,26 +208,6 @@
         """Return the time by which a request must begin at an upstream."""
         return self._chooser.begin_by(choice, model)
 
-    def on_request(self, service: str) -> None:
-        """Record a request for a service in the retry budget."""
-        self._budget.on_first(service, now=clock_s())
-
-    def spend_retry(self, service: str) -> bool:
-        """Return whether a retry was taken from the budget of all entries."""
-        now = clock_s()
-        entry_share = self._peers.roster.budget_share(now=now)
-        return self._budget.take(service, entry_share=entry_share, now=now)
-
-    def give_back_retry(self, service: str) -> None:
-        """Return a retry to the budget that was spent and never sent."""
-        self._budget.give_back(service)
-
-    def has_retry(self, service: str) -> bool:
-        """Return whether the shared budget has a retry left."""
-        now = clock_s()
-        entry_share = self._peers.roster.budget_share(now=now)
-        return self._budget.has(service, entry_share=entry_share, now=now)
-
     def estimate_retry_after_s(
         self, service: str, regions: frozenset[str] | None = None
     ) -> float:
--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -183,7 +183,7 @@
 
 
 def refuse_by_budget(world, upstreams, first, monkeypatch):
-    assert world.entries[0].upstreams.spend_retry('llm')
+    assert world.entries[0].upstreams.retries.spend('llm')
 
 
 def refuse_by_quarantine(world, upstreams, first, monkeypatch):
@@ -248,7 +248,7 @@
             check_whole(await answer)
             assert upstreams.runs == [first]
             is_spent = refuse is refuse_by_budget
-            assert world.entries[0].upstreams.has_retry('llm') != is_spent
+            assert world.entries[0].upstreams.retries.is_left('llm') != is_spent
 
         checked(check, bounds=ONE_RETRY)
 
@@ -309,7 +309,7 @@
             scripts = [Script(before=2, silent_s=FOREVER)]
             check_whole(await ask(world, upstreams, scripts))
             assert len(upstreams.runs) == 2
-            assert not world.entries[0].upstreams.has_retry('llm')
+            assert not world.entries[0].upstreams.retries.is_left('llm')
 
         checked(check, bounds=ONE_RETRY)
 
