What peers tell is as old as an echo proves, not as when it is read

Callers saw: a key that had been added was refused with 401 later than the bound. Cause: an age in a heartbeat counted from when the heartbeat was read; what it took and how long it stood unread was lost, each process kept the newest confirmation and told it on, so that ages got younger with each late reader (the same for entries that were last seen).

Each heartbeat now has a number, and echoes the last number that its sender read from the receiver, with the time since. The number had been sent before it was read, so that the message is no older than that. Without a known echo it proves nothing: a new entry is known, and listed as live once it has answered. An incarnation that has said that it leaves stays so, as messages may overtake. Heartbeats of releases without numbers count for liveness as before, and confirm nothing.

test_store_eras passes a time instead of an age, test_partners names the time that is proved; what they check is unchanged.

--- a/packages/core/src/crowrudder_core/forecast/__init__.py
+++ b/packages/core/src/crowrudder_core/forecast/__init__.py
@@ -25,6 +25,7 @@
 from crowrudder_core.forecast._reach import is_slow_to_reach, report_overdue_s
 from crowrudder_core.forecast._reserve import reserved_wait_s
 from crowrudder_core.forecast._upstream_forecast import (
+    LOAD_REPORT_TTL_S,
     LOCAL_REPORT_AGE_S,
     REMOTE_REPORT_AGE_S,
     InFlightRequest,
@@ -32,6 +33,7 @@
 )
 
 __all__ = (
+    'LOAD_REPORT_TTL_S',
     'NO_PRIORITY',
     'Priority',
     'Candidate',
--- a/packages/core/src/crowrudder_core/membership/_roster.py
+++ b/packages/core/src/crowrudder_core/membership/_roster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -36,6 +37,11 @@
 dead process still count.
 """
 
+MAX_PROOF_DELAY_S = 0.6
+PROOF_DELAY_WEIGHT = 0.1
+"""The delay that proofs show is added to the timeout, up to a limit: if all
+processes read late, a live one would look dead otherwise."""
+
 MAX_FORWARDED = 8
 """Statuses of others in one heartbeat, which must fit into one datagram."""
 
@@ -53,6 +59,11 @@
 class _StatusRecord:
     status: MemberStatus
     last_seen_at: float
+    heard_at: float
+
+    @property
+    def known_at(self) -> float:
+        return max(self.last_seen_at, self.heard_at)
 
 
 @define
@@ -64,6 +75,11 @@
     age, so that the status of a dead process expires everywhere, however often
     it is forwarded.
 
+    What a peer says of others counts from a time at which its message is
+    proved to have been sent at the earliest, see `Exchanges`. If it counted
+    from when the message was read, each late reader would make a dead process
+    younger for all others.
+
     Attributes
     ----------
     has_met_others
@@ -72,8 +88,37 @@
 
     own: MemberStatus
     has_met_others: bool = field(default=False, init=False)
+    _proof_delay_s: float = field(default=0, init=False)
     _others: dict[str, _StatusRecord] = field(factory=dict)
 
+    def on_heard(
+        self, status: MemberStatus, *, as_of: float | None, now: float
+    ) -> bool:
+        """Apply a process's own status; return whether it was unknown.
+
+        Parameters
+        ----------
+        as_of
+            A time at or before the one at which the status was sent. With
+            None, the process is known, and live only once this is proved.
+        """
+        record = self._others.get(status.ip)
+        if record is None or record.status.incarnation != status.incarnation:
+            age_s = RETENTION_S if as_of is None else now - as_of
+            is_new = self.on_status(status, age_s, now=now)
+            record = self._others.get(status.ip)
+            if record is not None and record.status is status:
+                record.heard_at = now
+            return is_new
+        record.status = _merged(status, record.status)
+        record.heard_at = now
+        if as_of is not None:
+            record.last_seen_at = max(record.last_seen_at, min(as_of, now))
+            delay_s = min(max(now - as_of, 0), MAX_PROOF_DELAY_S)
+            change_s = delay_s - self._proof_delay_s
+            self._proof_delay_s += change_s * PROOF_DELAY_WEIGHT
+        return False
+
     def on_status(
         self, status: MemberStatus, age_s: float, *, now: float
     ) -> bool:
@@ -89,18 +134,31 @@
         if known is None and len(self._others) >= MAX_ENTRIES:
             # Those that have expired make room at the next heartbeat.
             return False
-        self._others[status.ip] = _StatusRecord(status, last_seen_at)
+        heard_at = -math.inf
+        if known is not None and known.status.incarnation == status.incarnation:
+            status = _merged(status, known.status)
+            heard_at = known.heard_at
+        self._others[status.ip] = _StatusRecord(status, last_seen_at, heard_at)
         self.has_met_others = True
         return known is None
 
-    def on_last_seen(self, last_seen: LastSeen, *, now: float) -> bool:
+    def on_last_seen(
+        self, last_seen: LastSeen, *, now: float, as_of: float | None
+    ) -> bool:
         """Apply a last-seen entry; return whether to request the full status.
 
         The status is unknown here if the entry is new or has restarted.
+
+        Parameters
+        ----------
+        as_of
+            A time at or before the one at which the entry was sent. With None
+            it shows only that there may be such a process.
         """
         if last_seen.ip == self.own.ip and self.own.role == 'entry':
             return False
-        last_seen_at = now - max(last_seen.age_ms, 0) / _MS
+        age_s = max(last_seen.age_ms, 0) / _MS
+        last_seen_at = (now if as_of is None else min(as_of, now)) - age_s
         known = self._others.get(last_seen.ip)
         if (
             known is None
@@ -108,11 +166,12 @@
         ):
             is_later = known is None or last_seen_at > known.last_seen_at
             return is_later and now - last_seen_at <= self._liveness_timeout_s
-        if last_seen_at > known.last_seen_at:
+        if as_of is not None and last_seen_at > known.last_seen_at:
             status = replace(
                 known.status, ready=last_seen.ready, leaving=last_seen.leaving
             )
-            self._others[last_seen.ip] = _StatusRecord(status, last_seen_at)
+            known.status = _merged(status, known.status)
+            known.last_seen_at = last_seen_at
         return False
 
     def last_seen_entries(
@@ -140,7 +199,7 @@
         self._others = {
             ip: record
             for ip, record in self._others.items()
-            if now - record.last_seen_at <= RETENTION_S
+            if now - record.known_at <= RETENTION_S
         }
         return [record.status for record in self._others.values()]
 
@@ -169,7 +228,8 @@
 
     @property
     def _liveness_timeout_s(self) -> float:
-        return LIVENESS_TIMEOUT_S + HOP_DELAY_S * hops(len(self._others))
+        hops_s = HOP_DELAY_S * hops(len(self._others))
+        return LIVENESS_TIMEOUT_S + hops_s + self._proof_delay_s
 
     def _live(self, now: float) -> list[_StatusRecord]:
         timeout_s = self._liveness_timeout_s
@@ -191,12 +251,22 @@
     return LastSeen(
         ip=status.ip,
         incarnation_hash=incarnation_hash(status),
-        age_ms=int(max(now - record.last_seen_at, 0) * _MS),
+        age_ms=math.ceil(max(now - record.last_seen_at, 0) * _MS),
         ready=status.ready,
         leaving=status.leaving,
     )
 
 
+def _merged(status: MemberStatus, known: MemberStatus) -> MemberStatus:
+    """Return a status of an incarnation that leaves once it has said so.
+
+    Messages may overtake each other, and no incarnation stays after all.
+    """
+    if known.leaving and not status.leaving:
+        return replace(status, ready=False, leaving=True)
+    return status
+
+
 def _supersedes(
     status: MemberStatus, last_seen_at: float, known: _StatusRecord
 ) -> bool:
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -143,9 +143,9 @@
         return self.reading.is_current(clock_s(), self._node.bounds.config_s)
 
     def peer_report_received(
-        self, ip: str, position: StorePosition, confirmed_s: float
+        self, ip: str, position: StorePosition, confirmed_at: float | None
     ) -> None:
-        """Receive a peer's position and confirmation age from a heartbeat.
+        """Receive a peer's position and confirmation from a heartbeat.
 
         A peer that is ahead confirms nothing here. Its records are fetched,
         and come with its confirmation.
@@ -153,9 +153,8 @@
         known = self.catalog.position
         if position > known:
             self.post(PeerAhead(f'{ip}:{self._node.rpc_port}', position))
-        elif position.era == known.era:
-            now = clock_s()
-            self._on_confirmed(now - max(confirmed_s, 0), now, by=ip)
+        elif position.era == known.era and confirmed_at is not None:
+            self._on_confirmed(confirmed_at, clock_s(), by=ip)
 
     def on_peer_ahead(self, message: PeerAhead) -> None:
         """Fetch the missing changes from a peer."""
--- a/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_peers_task.py
@@ -18,6 +18,7 @@
     sample_ips,
     split_by_region,
 )
+from crowrudder_core.proofs import Echo, Exchanges
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
 from crowrudder_model import (
@@ -64,9 +65,13 @@
     """Receives the contents of other processes' datagrams."""
 
     def peer_report_received(
-        self, ip: str, position: StorePosition, confirmed_s: float
+        self, ip: str, position: StorePosition, confirmed_at: float | None
     ) -> None:
-        """Receive the position and confirmation age of a process's records."""
+        """Receive the position of a process's records and their confirmation.
+
+        ``confirmed_at`` is a time on the own clock at which the platform had
+        nothing newer; None if it can't be told.
+        """
 
     def load_received(self, load: EngineLoad) -> None:
         """Receive an agent's load report on its engine."""
@@ -132,6 +137,7 @@
         self._status_requests_left = MAX_STATUS_REQUESTS
         self._position = NO_POSITION
         self._confirmed_at = -1.0e9
+        self._exchanges = Exchanges(self._random)
         self.seeds = node.seeds
         self.roster = Roster(_own_status(runtime, node))
         self._malformed = runtime.metrics.counter(
@@ -290,15 +296,25 @@
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, ip: str) -> None:
         now = clock_s()
-        is_new = self._update_roster(heartbeat, now)
+        self._exchanges.on_number(ip, heartbeat.number, now=now)
+        as_of = self._exchanges.sent_since(
+            Echo(heartbeat.echo, heartbeat.held_ms), now=now
+        )
+        is_new = self._update_roster(heartbeat, now, as_of)
         if heartbeat.status.role == 'agent':
             self._on_agent(heartbeat, ip, now)
         if heartbeat.asks_for_reply or is_new:
-            self._send({ip}, self._reply(to_isolated=heartbeat.is_alone))
+            reply = self._reply(to_isolated=heartbeat.is_alone)
+            # Its answer echoes this one, and shows that it is live.
+            asks = is_new and as_of is None and bool(heartbeat.number)
+            self._send({ip}, replace(reply, asks_for_reply=asks))
         # A release that knows no eras can't say which history it has.
         if heartbeat.position is not None:
+            confirmed_at = (
+                None if as_of is None else as_of - max(heartbeat.confirmed_s, 0)
+            )
             self._listener.peer_report_received(
-                ip, heartbeat.position, heartbeat.confirmed_s
+                ip, heartbeat.position, confirmed_at
             )
 
     def _on_agent(self, heartbeat: Heartbeat, ip: str, now: float) -> None:
@@ -313,14 +329,20 @@
         elif not heartbeat.asks_for_reply:
             self._agents[ip] = now
 
-    def _update_roster(self, heartbeat: Heartbeat, now: float) -> bool:
-        is_new = self.roster.on_status(heartbeat.status, 0, now=now)
-        for forwarded in heartbeat.others:
-            self.roster.on_status(forwarded.status, forwarded.age_s, now=now)
+    def _update_roster(
+        self, heartbeat: Heartbeat, now: float, as_of: float | None
+    ) -> bool:
+        # A release without numbers can't prove when it sent its own status.
+        seen_at = as_of if heartbeat.number else now
+        is_new = self.roster.on_heard(heartbeat.status, as_of=seen_at, now=now)
+        if as_of is not None:
+            for forwarded in heartbeat.others:
+                age_s = now - as_of + max(forwarded.age_s, 0)
+                self.roster.on_status(forwarded.status, age_s, now=now)
         unknown_ips = [
             last_seen.ip
             for last_seen in heartbeat.last_seen_entries
-            if self.roster.on_last_seen(last_seen, now=now)
+            if self.roster.on_last_seen(last_seen, now=now, as_of=as_of)
         ]
         self._request_statuses(unknown_ips)
         if is_new:
@@ -352,8 +374,19 @@
 
     def _send(self, targets: set[str], heartbeat: Heartbeat) -> None:
         targets.discard(self._node.ip if self._is_entry else '')
-        if targets:
-            self._send_bytes(encode_message(heartbeat), targets)
+        if not targets:
+            return
+        now = clock_s()
+        number = self._exchanges.next_number(now)
+        for ip in targets:
+            echo = self._exchanges.echo_for(ip, now=now)
+            numbered = replace(
+                heartbeat,
+                number=number,
+                echo=echo.number,
+                held_ms=echo.held_ms,
+            )
+            self._send_bytes(encode_message(numbered), (ip,))
 
     def _send_bytes(self, payload: bytes, targets: Iterable[str]) -> None:
         transport = self._transport
--- a/packages/daemon/src/crowrudder_daemon/fleet/_role.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_role.py
@@ -103,10 +103,10 @@
         raise NotImplementedError
 
     def peer_report_received(
-        self, ip: str, position: StorePosition, confirmed_s: float
+        self, ip: str, position: StorePosition, confirmed_at: float | None
     ) -> None:
         """Forward a peer's position and confirmation age to the catalog."""
-        self.catalog.peer_report_received(ip, position, confirmed_s)
+        self.catalog.peer_report_received(ip, position, confirmed_at)
 
     def load_received(self, load: EngineLoad) -> None:
         """Ignore load reports on engines."""
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_upstreams.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from crowrudder_core.forecast import (
+    LOAD_REPORT_TTL_S,
     LOCAL_REPORT_AGE_S,
     REMOTE_REPORT_AGE_S,
     UpstreamForecast,
@@ -14,7 +15,6 @@
     memory_in_use,
     memory_of,
 )
-from crowrudder_core.forecast._upstream_forecast import LOAD_REPORT_TTL_S
 from crowrudder_core.limits import ColdReturns
 from crowrudder_core.routing import allowed_regions
 from crowrudder_core.statements import Accepting
--- a/packages/model/src/crowrudder_model/messages/_gossip.py
+++ b/packages/model/src/crowrudder_model/messages/_gossip.py
@@ -166,6 +166,10 @@
     status. ``is_alone`` is set by a sender that knows no other process: the
     reply has ``others``, the status of some entries known to the replier.
     ``last_seen_entries`` tells when some entries were last seen.
+
+    ``number`` is the sender's number of this message, ``echo`` the last number
+    that it read from the receiver, and ``held_ms`` how many milliseconds ago,
+    see `Exchanges`; 0 for none. Releases that know no echoes send neither.
     """
 
     status: MemberStatus
@@ -176,6 +180,9 @@
     others: Annotated[tuple[ForwardedStatus, ...], _Bounded] = ()
     last_seen_entries: Annotated[tuple[LastSeen, ...], _Bounded] = ()
     era: int | None = None
+    number: int = 0
+    echo: int = 0
+    held_ms: int = 0
 
     @property
     def position(self) -> StorePosition | None:
--- a/tests/fleet/test_store_eras.py
+++ b/tests/fleet/test_store_eras.py
@@ -174,19 +174,30 @@
             task.reading.confirmed_at = clock_s() - 10
             known = task.catalog.position
             ahead = evolve(known, revision=known.revision + 1)
-            task.peer_report_received('127.0.0.99', ahead, 0)
+            task.peer_report_received('127.0.0.99', ahead, clock_s())
             assert not task.is_current()
-            task.peer_report_received('127.0.0.99', known, 0)
+            task.peer_report_received('127.0.0.99', known, clock_s())
             assert task.is_current()
 
         checked(check, entries=1)
 
+    def test_a_peer_whose_message_is_of_unknown_age_confirms_nothing(self):
+        """Guards against a message that stood unread and counts as new."""
+
+        async def check(world):
+            task = world.entries[0].catalog
+            task.reading.confirmed_at = clock_s() - 10
+            task.peer_report_received('127.0.0.99', task.catalog.position, None)
+            assert not task.is_current()
+
+        checked(check, entries=1)
+
     def test_a_peer_of_an_earlier_era_confirms_nothing(self):
         async def check(world):
             task = world.entries[0].catalog
             task.reading.confirmed_at = clock_s() - 10
             earlier = evolve(task.catalog.position, era=0, revision=1)
-            task.peer_report_received('127.0.0.99', earlier, 0)
+            task.peer_report_received('127.0.0.99', earlier, clock_s())
             assert not task.is_current()
 
         checked(check, entries=1)
@@ -215,7 +226,9 @@
             entry = world.entries[0]
             position = entry.catalog.catalog.position
             entry.peers.set_knowledge(position, clock_s() - 10)
-            entry.catalog.peer_report_received('127.0.0.99', position, 0)
+            entry.catalog.peer_report_received(
+                '127.0.0.99', position, clock_s()
+            )
             assert entry.peers._heartbeat().confirmed_s < 1
 
         checked(check, entries=1)
--- a/tests/membership/test_partners.py
+++ b/tests/membership/test_partners.py
@@ -70,7 +70,7 @@
         receiver = self.rosters[target]
         receiver.on_status(sender, 0, now=now)
         for sighting in last_seen:
-            receiver.on_last_seen(sighting, now=now)
+            receiver.on_last_seen(sighting, now=now, as_of=now)
 
 
 class TestPartners:
@@ -145,7 +145,7 @@
     def test_newest_last_seen_time_of_an_entry_counts(self):
         roster = Roster(status('a'))
         roster.on_status(status('b'), 0, now=0)
-        roster.on_last_seen(self.sighting(status('b'), 200), now=2)
+        roster.on_last_seen(self.sighting(status('b'), 200), now=2, as_of=2)
         assert len(roster.entries(now=3)) == 2
         assert math.isclose(
             roster.last_seen_entries(random.Random(1), now=3)[0].age_ms,
@@ -157,7 +157,7 @@
         roster = Roster(status('a'))
         roster.on_status(status('b'), 0, now=2)
         roster.on_last_seen(
-            self.sighting(status('b'), 1000, leaving=True), now=2.5
+            self.sighting(status('b'), 1000, leaving=True), now=2.5, as_of=2.5
         )
         assert roster.known(now=2.5)[0].ready
 
@@ -165,13 +165,15 @@
         roster = Roster(status('a'))
         roster.on_status(status('b'), 0, now=2)
         roster.on_last_seen(
-            self.sighting(status('b'), 10, leaving=True), now=2.5
+            self.sighting(status('b'), 10, leaving=True), now=2.5, as_of=2.5
         )
         assert roster.known(now=2.5)[0].leaving
 
     def test_status_of_unknown_entry_is_requested(self):
         roster = Roster(status('a'))
-        assert roster.on_last_seen(self.sighting(status('b'), 10), now=2)
+        assert roster.on_last_seen(
+            self.sighting(status('b'), 10), now=2, as_of=2
+        )
         assert not roster.known(now=2)
 
     def test_status_is_requested_for_a_new_incarnation_only(self):
@@ -184,10 +186,10 @@
         roster.on_status(status('b', incarnation='2', started_at=5.0), 0, now=2)
         newer = self.sighting(status('b', incarnation='3'), 10)
         older = self.sighting(status('b', incarnation='1'), 2000)
-        assert roster.on_last_seen(newer, now=2.5)
-        assert not roster.on_last_seen(older, now=2.5)
+        assert roster.on_last_seen(newer, now=2.5, as_of=2.5)
+        assert not roster.on_last_seen(older, now=2.5, as_of=2.5)
 
     def test_last_seen_entry_of_the_own_process_is_ignored(self):
         roster = Roster(status('a'))
         own = self.sighting(status('a', incarnation='0'), 10)
-        assert not roster.on_last_seen(own, now=1)
+        assert not roster.on_last_seen(own, now=1, as_of=1)
