An answer of the platform confirms no later than what it proves

A watch that returned changes counted as confirmed up to when it was read, if the loop was in time. What was published while the answer was on its way isn't in it: on a slow platform or a narrow link a 401 or 404 could be final too late. With changes, or when it is empty before its wait has passed, an answer now confirms up to its request; an empty one up to its wait. The publication times of changes are bounded as before.

--- a/packages/core/src/crowrudder_core/catalog/__init__.py
+++ b/packages/core/src/crowrudder_core/catalog/__init__.py
@@ -26,7 +26,7 @@
     FleetView,
     ListedUpstream,
 )
-from crowrudder_core.catalog._watch_ages import WatchAges
+from crowrudder_core.catalog._watch_ages import WatchAges, confirmed_until
 
 __all__ = (
     'HOLD_S',
@@ -50,6 +50,7 @@
     'WATCHERS',
     'WATCH_WAIT_S',
     'WatchAges',
+    'confirmed_until',
     'deflate_record',
     'inflate_record',
 )
--- a/packages/core/src/crowrudder_core/catalog/_watch_ages.py
+++ b/packages/core/src/crowrudder_core/catalog/_watch_ages.py
@@ -10,6 +10,29 @@
 under stress takes sixty times as long."""
 
 
+def confirmed_until(
+    requested_at: float, now: float, *, wait_s: float, has_changes: bool
+) -> float:
+    """Return a time up to which an answer has all published changes.
+
+    The platform answers an empty watch after its wait, which begins after the
+    request, and any other answer at an unknown moment after the request. When
+    the answer is read shows nothing: meanwhile it was on its way, or stood
+    unread, and what was published then isn't in it.
+
+    Times are seconds of one clock.
+
+    Parameters
+    ----------
+    requested_at, now
+        When the answer was requested, and when it is read.
+    wait_s
+        How long the platform was to wait for changes; 0 for a list.
+    """
+    is_waited = not has_changes and now - requested_at >= wait_s
+    return requested_at + wait_s if is_waited else requested_at
+
+
 @define
 class WatchAges:
     """Tracks the time up to which all published changes are known.
--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -17,6 +17,7 @@
     FleetView,
     StoreReadPolicy,
     StoreStep,
+    confirmed_until,
 )
 from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon._task import Task
@@ -339,7 +340,12 @@
             has_changes=bool(listing.items),
             wait_s=wait_s,
         )
-        confirmed_at = self._watch_times.known_until
+        confirmed_at = confirmed_until(
+            asked_at,
+            clock_s(),
+            wait_s=wait_s,
+            has_changes=bool(listing.items),
+        )
         if not listing.items:
             self._on_confirmed(confirmed_at, clock_s(), by='platform')
             return
--- a/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_watch_times.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from attrs import frozen
 
 from crowrudder_core.catalog import TickMonitor, WatchAges
@@ -31,12 +29,6 @@
         self._tick_monitor = TickMonitor(interval_s)
         self._ages = WatchAges()
 
-    @property
-    def known_until(self) -> float:
-        """Time up to which all published changes are known."""
-        known_until = self._ages.known_until
-        return -math.inf if known_until is None else known_until
-
     def tick(self) -> None:
         """Record that the event loop runs its timers."""
         self._tick_monitor.on_tick(clock_s())
--- a/tests/catalog/test_watch_ages.py
+++ b/tests/catalog/test_watch_ages.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from crowrudder_core.catalog import TickMonitor, WatchAges
+from crowrudder_core.catalog import TickMonitor, WatchAges, confirmed_until
 
 
 def earliest_publication(ages, asked_at, now, **overrides):
@@ -28,6 +28,30 @@
     )
 
 
+class TestConfirmation:
+    """What an answer of the platform proves, whenever it is read."""
+
+    @pytest.mark.parametrize('took_s', [0, 0.1, 1.9, 30])
+    def test_changes_confirm_no_later_than_their_request(self, took_s):
+        """Guards against a key that was added while an answer was on its way."""
+        proved = confirmed_until(100, 100 + took_s, wait_s=2, has_changes=True)
+        assert proved == 100
+
+    @pytest.mark.parametrize('late_s', [0, 0.3, 30])
+    def test_an_empty_answer_confirms_its_wait(self, late_s):
+        proved = confirmed_until(100, 102 + late_s, wait_s=2, has_changes=False)
+        assert proved == 102
+
+    @pytest.mark.parametrize('took_s', [0, 0.5, 1.99])
+    def test_an_early_empty_answer_confirms_its_request(self, took_s):
+        """Guards against an empty answer of a platform that didn't wait."""
+        proved = confirmed_until(100, 100 + took_s, wait_s=2, has_changes=False)
+        assert proved == 100
+
+    def test_a_list_confirms_its_request(self):
+        assert confirmed_until(100, 103, wait_s=0, has_changes=False) == 100
+
+
 class TestWatchAges:
     def test_a_change_during_the_wait_is_new(self):
         ages = WatchAges(known_until=100)
