An empty watch whose revision is ahead confirms nothing

Cause: the answer had no changes, but a revision beyond the request's, so that what was published isn't in it. It is now followed by a list.

--- a/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet/_catalog_task.py
@@ -328,9 +328,10 @@
         listing = await source.watch(after, wait_s=wait_s)
         self._check_era(listing)
         self._on_answer(StoreStep.WATCH, listing)
-        if listing.through.era != after.era:
-            # The revision belongs to another history: what is between isn't
-            # in the answer.
+        is_ahead = not listing.items and listing.through > after
+        if listing.through.era != after.era or is_ahead:
+            # What was published since isn't in the answer: the revision
+            # belongs to another history, or the changes up to it are missing.
             self.reading.on_history_lost()
             return
         self.reading.on_watched(has_changes=bool(listing.items))
