Retry budget: earned from a start on, spent until it arrived, given back exactly

Causes: a new process had an empty window, and until it knew others the whole fixed number; an arrival counted when it was sent, so that a link that holds let several windows arrive in one; an attempt that wasn't sent gave a retry back whether it had spent one or not; a half of a fleet that was cut off forgot the other half after 12 s.

An entry now starts with nothing and earns a ratio of its requests and its part of the fixed number, spread over the window. What is saved and what may still arrive are limited together, so that any window has at most what could be saved at its start and what is earned in it, whoever restarts. A retry is a permit: open until its bytes are acknowledged or its connection is over, returned once and only if it was never sent. Entries that were known within 300 s share.

--- a/packages/core/src/crowrudder_core/limits/__init__.py
+++ b/packages/core/src/crowrudder_core/limits/__init__.py
@@ -12,7 +12,11 @@
 from crowrudder_core.limits._concurrency import ConcurrencyShares
 from crowrudder_core.limits._connection_shares import connection_share
 from crowrudder_core.limits._load_shedding import LoadShedder
-from crowrudder_core.limits._shared_budget import BudgetState, SharedRetryBudget
+from crowrudder_core.limits._shared_budget import (
+    BudgetState,
+    RetryPermit,
+    SharedRetryBudget,
+)
 from crowrudder_core.limits._shared_rate import senders_of
 from crowrudder_core.limits._stated_limits import EntryShare, StatedLimits
 
@@ -27,6 +31,7 @@
     'LoadShedder',
     'StatedLimits',
     'RetryBudget',
+    'RetryPermit',
     'SharedRetryBudget',
     'TokenBucket',
     'cold_quota',
--- a/packages/core/src/crowrudder_core/limits/_shared_budget.py
+++ b/packages/core/src/crowrudder_core/limits/_shared_budget.py
@@ -6,12 +6,20 @@
 
 from attrs import define, field, frozen
 
-SAFETY_FACTOR = 0.8
-"""Share of the bound that is used.
+SAFETY_FACTOR = 0.95
+"""Share of the bound that is used. Entries differ briefly in how many entries
+they know."""
 
-The windows slide, and an arrival is counted where it arrives, a little later
-than it was sent. Entries also differ briefly in how many entries they know.
-"""
+SAVED_SHARE = 0.3
+"""Share of the fixed number that an entry may save up, to spend it at once.
+
+A process that restarts forgets what it spent. It starts with nothing, and what
+it may save and what it may earn in a window together keep the bound, so that
+its restart can't spend anything twice."""
+
+SETTLING_S = 2.0
+"""Time after a start in which an entry may not know all others, and earns no
+part of the fixed number."""
 
 
 @frozen(kw_only=True)
@@ -22,24 +30,54 @@
     ----------
     requests, arrivals
         Requests in the current window, and arrivals beyond their first.
+    unarrived
+        Retries that were spent and may still arrive at any time.
     allowed
         Arrivals that the window may have; a fraction.
+    earned
+        Retries that were earned and not spent; a fraction.
     """
 
     requests: int
     arrivals: int
+    unarrived: int
     allowed: float
+    earned: float
+
+    @property
+    def has_retry(self) -> bool:
+        """Whether one further retry may be spent."""
+        spent = self.arrivals + self.unarrived
+        return self.earned >= 1 and spent + 1 <= self.allowed
+
+
+@define(eq=False)
+class RetryPermit:
+    """One retry that was spent; it is open until it arrived or was returned."""
+
+    service: str
+    is_open: bool = field(default=True, init=False)
 
 
 @define
-class _Window:
-    """Times of requests and of arrivals beyond their first."""
+class _Account:
+    """What an entry has earned and spent for one service.
+
+    What is saved and what may still arrive are at most ``limit`` together.
+    """
 
+    credited_at: float
+    limit: float = 1
+    earned: float = 0
+    unarrived: int = 0
     firsts: deque[float] = field(factory=deque)
-    repeats: deque[float] = field(factory=deque)
+    arrivals: deque[float] = field(factory=deque)
+
+    def earn(self, amount: float) -> None:
+        self.earned = min(self.earned + amount, self.limit - self.unarrived)
 
     def drop_before(self, cutoff: float) -> None:
-        for times in (self.firsts, self.repeats):
+        for times in (self.firsts, self.arrivals):
             while times and times[0] < cutoff:
                 times.popleft()
 
@@ -48,10 +86,14 @@
 class SharedRetryBudget:
     """Arrivals beyond the first of each request, by service and window.
 
-    Each entry may use a ratio of its own requests, which over all entries is
-    that ratio of all requests, and an equal part of the fixed number. Without
-    such a budget, every entry would send each request to a failing service
-    twice, and the added load would make it fail more.
+    Each entry earns a ratio of its own requests, which over all entries is
+    that ratio of all requests, and an equal part of the fixed number, spread
+    over the window. Without such a budget, every entry would send each request
+    to a failing service twice, and the added load would make it fail more.
+
+    Arrivals count when they arrive: a link may hold what several windows sent,
+    and let it arrive in one. A retry therefore takes the place of a saved one
+    until it is known to have arrived.
 
     Parameters
     ----------
@@ -61,55 +103,103 @@
         Further arrivals per window, of all entries together.
     window_s
         Length of the sliding window.
+    started_at
+        Start of the process; None for the first time that is told.
     """
 
     share: float
     extra: float
     window_s: float
-    _windows: dict[str, _Window] = field(factory=dict)
+    started_at: float | None = None
+    _entry_share: float | None = field(default=None, init=False)
+    _accounts: dict[str, _Account] = field(factory=dict, init=False)
 
     def on_first(self, service: str, *, now: float) -> None:
         """Count a request."""
-        self._window(service, now).firsts.append(now)
+        account = self._account(service, now)
+        account.firsts.append(now)
+        account.earn(SAFETY_FACTOR * self.share)
 
-    def take(self, service: str, *, entry_share: float, now: float) -> bool:
-        """Spend one further arrival; return whether the share allowed it.
+    def take(
+        self, service: str, *, entry_share: float, now: float
+    ) -> RetryPermit | None:
+        """Spend one further arrival; None if the budget doesn't allow it.
 
         ``entry_share`` is this entry's share of the fixed number, 0 to 1.
         """
         if not self.has(service, entry_share=entry_share, now=now):
-            return False
-        self._window(service, now).repeats.append(now)
-        return True
-
-    def give_back(self, service: str) -> None:
-        """Return an arrival that was spent and never sent.
-
-        The oldest one is removed: whichever it was, at least as many are left
-        in any later window as have arrived.
-        """
-        window = self._windows.get(service)
-        if window is not None and window.repeats:
-            window.repeats.popleft()
+            return None
+        account = self._accounts[service]
+        account.earned -= 1
+        account.unarrived += 1
+        return RetryPermit(service)
+
+    def on_arrived(self, permit: RetryPermit, *, now: float) -> None:
+        """Record that a retry arrived, or can't arrive any more."""
+        account = self._account(permit.service, now)
+        if permit.is_open:
+            permit.is_open = False
+            account.unarrived -= 1
+            account.arrivals.append(now)
+
+    def give_back(self, permit: RetryPermit, *, now: float) -> None:
+        """Return a retry that was spent and never sent."""
+        account = self._account(permit.service, now)
+        if permit.is_open:
+            permit.is_open = False
+            account.unarrived -= 1
+            account.earn(1)
 
     def has(self, service: str, *, entry_share: float, now: float) -> bool:
         """Return whether one further arrival could be spent."""
-        state = self.state(service, entry_share=entry_share, now=now)
-        return state.arrivals + 1 <= state.allowed
+        return self.state(service, entry_share=entry_share, now=now).has_retry
 
     def state(
         self, service: str, *, entry_share: float, now: float
     ) -> BudgetState:
         """Return what was spent in the current window, and what may be."""
-        window = self._window(service, now)
-        allowed = self.share * len(window.firsts) + self.extra * entry_share
+        self._entry_share = entry_share
+        account = self._account(service, now)
+        fixed = self._fixed(now)
         return BudgetState(
-            requests=len(window.firsts),
-            arrivals=len(window.repeats),
-            allowed=SAFETY_FACTOR * allowed,
+            requests=len(account.firsts),
+            arrivals=len(account.arrivals),
+            unarrived=account.unarrived,
+            allowed=SAFETY_FACTOR * (self.share * len(account.firsts) + fixed),
+            earned=account.earned,
         )
 
-    def _window(self, service: str, now: float) -> _Window:
-        window = self._windows.setdefault(service, _Window())
-        window.drop_before(now - self.window_s)
-        return window
+    @property
+    def _settled_at(self) -> float:
+        """Time from which this entry earns its part of the fixed number.
+
+        One that knows no other may be cut off from all of them.
+        """
+        is_alone = self._entry_share is None or self._entry_share >= 1
+        settling_s = self.window_s if is_alone else SETTLING_S
+        return (self.started_at or 0) + settling_s
+
+    def _fixed(self, now: float) -> float:
+        """Return this entry's part of the fixed number."""
+        if self._entry_share is None or now < self._settled_at:
+            return 0
+        return self.extra * self._entry_share
+
+    def _account(self, service: str, now: float) -> _Account:
+        """Return the account of a service, with all that it earned by now."""
+        if self.started_at is None:
+            self.started_at = now
+        account = self._accounts.setdefault(service, _Account(self.started_at))
+        account.drop_before(now - self.window_s)
+        if self._entry_share is not None:
+            self._earn_fixed(account, now)
+        return account
+
+    def _earn_fixed(self, account: _Account, now: float) -> None:
+        fixed = self._fixed(now)
+        # A part of a retry can't be spent.
+        account.limit = max(SAVED_SHARE * fixed, 1)
+        earning_s = now - max(account.credited_at, self._settled_at)
+        account.credited_at = now
+        per_window = (SAFETY_FACTOR - SAVED_SHARE) * fixed
+        account.earn(per_window * max(earning_s, 0) / self.window_s)
--- a/packages/core/src/crowrudder_core/membership/_roster.py
+++ b/packages/core/src/crowrudder_core/membership/_roster.py
@@ -31,11 +31,11 @@
 every entry: two heartbeats, because the next partner is sampled at random."""
 
 RETENTION_S = 12.0
-"""A process without a status for this long is dropped.
+"""A process without a status for this long is dropped."""
 
-This covers the window of the retry budget (10 s), in which the arrivals of a
-dead process still count.
-"""
+BUDGET_RETENTION_S = 300.0
+"""Time for which a process without a status counts for the shared budgets. It
+may be cut off and still send requests; the arrivals of a dead one count on."""
 
 MAX_PROOF_DELAY_S = 0.6
 PROOF_DELAY_WEIGHT = 0.1
@@ -90,6 +90,7 @@
     has_met_others: bool = field(default=False, init=False)
     _proof_delay_s: float = field(default=0, init=False)
     _others: dict[str, _StatusRecord] = field(factory=dict)
+    _shared_at: dict[str, float] = field(factory=dict, init=False)
 
     def on_heard(
         self, status: MemberStatus, *, as_of: float | None, now: float
@@ -210,10 +211,21 @@
     def budget_share(self, *, now: float) -> float:
         """Return this entry's share of the budget of all entries.
 
-        Entries that died recently count as well, because their requests are
-        still in the window.
+        Entries that were known within `BUDGET_RETENTION_S` count as well.
         """
-        return 1 / (len(self.known(now=now)) + 1)
+        return 1 / (self.budget_sharers(now=now) + 1)
+
+    def budget_sharers(self, *, now: float) -> int:
+        """Return the number of other entries that share budgets with it."""
+        for ip, record in self._others.items():
+            self._shared_at[ip] = record.known_at
+        if len(self._shared_at) > len(self._others):
+            self._shared_at = {
+                sharer: at
+                for sharer, at in self._shared_at.items()
+                if now - at <= BUDGET_RETENTION_S
+            }
+        return len(self._shared_at)
 
     def statuses_to_forward(
         self, random: Random, *, now: float
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_attempt.py
@@ -54,6 +54,7 @@
     )
     from crowrudder_daemon.fleet_entry._caller_side import CallerSide
     from crowrudder_daemon.fleet_entry._delivery import Delivery
+    from crowrudder_daemon.fleet_entry._retry_spending import SpentRetry
     from crowrudder_daemon.fleet_entry._silence_watch import Silence
     from crowrudder_daemon.fleet_entry._timeouts import AttemptTimeouts
     from crowrudder_daemon.fleet_entry._upstreams import Upstreams
@@ -145,6 +146,9 @@
     _dialect: CallerProtocol
     _upstreams: Upstreams
     _allowed_regions: Callable[[], frozenset[str] | None]
+    retry: SpentRetry | None = None
+    """What the shared budget spent for it; None for a request's first one."""
+
     answer: WireAnswer | None = field(default=None, init=False)
     is_streamed: bool = field(default=False, init=False)
     """Whether a stream was forwarded up to its end."""
@@ -276,6 +280,8 @@
         self.delivery = self._upstreams.deliveries.start(
             conn, forecast.transit, sent_at=now
         )
+        if self.retry is not None:
+            self._upstreams.retries.on_sent(self.retry, self.delivery)
         begin_left_s = self.begin_by - now
         if math.isfinite(begin_left_s):
             self.begin_left_s = begin_left_s
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_delivery.py
@@ -41,12 +41,16 @@
     sent_at: float
     unacknowledged_s: float = 0
     unacknowledged_bytes: int = 0
+    is_over: bool = False
+    """Whether no byte of it can be on its way any more."""
+
     _queue: SendQueue
     _transit: TransitDelay
 
     def check(self, now: float) -> bool:
         """Record what is unacknowledged; return whether to check again."""
         size = self._queue.unsent_bytes
+        self.is_over = size <= 0
         if size < 0:
             return False
         self.unacknowledged_bytes = size
@@ -80,6 +84,7 @@
         if delivery in self._in_transit:
             self._in_transit.discard(delivery)
             delivery.check(clock_s())
+            delivery.is_over = True
 
     def _schedule(self) -> None:
         self._timer = asyncio.get_running_loop().call_later(
--- a/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
+++ b/packages/daemon/src/crowrudder_daemon/fleet_entry/_drive.py
@@ -59,6 +59,7 @@
     from crowrudder_daemon.fleet_entry._admission import Admitted
     from crowrudder_daemon.fleet_entry._caller_side import CallerSide
     from crowrudder_daemon.fleet_entry._context import EntryContext
+    from crowrudder_daemon.fleet_entry._retry_spending import SpentRetry
 
 ANSWER_MARGIN_S = 0.02
 """How long before the caller's deadline the entry sends its error answer."""
@@ -96,6 +97,10 @@
     """Whether its answer is known."""
 
     _is_recorded: bool = field(default=False, init=False)
+    _retry: SpentRetry | None = field(default=None, init=False)
+    """A retry that was spent for the next attempt."""
+
+    _retries: list[SpentRetry] = field(factory=list, init=False)
     _refusal: ForecastRefusal | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -137,6 +142,8 @@
             # Ending a run that stands by may fail as well.
             self.context.quarantine.untrack(self)
             self.runs.cancel_standby('its request has ended')
+            for retry in self._retries:
+                self.context.upstreams.retries.give_back(retry)
 
     def on_quarantined(self) -> None:
         """Cancel an attempt that has not begun; let a stream run to its end."""
@@ -165,6 +172,9 @@
         self._record.on_attempt(attempt, ending, arrived_at=self.arrived_at)
         self._report_incarnations(attempt, ending)
         if is_last:
+            if attempt.retry is not None and attempt.retry.is_unsent:
+                # The next attempt uses it.
+                self._retry = attempt.retry
             return
         if attempt.answer is not None:
             self._answered_attempt = attempt
@@ -175,8 +185,8 @@
             case NotSent():
                 self._record.denied_by = 'send'
                 self._record.on_refused(attempt, now=clock_s())
-        if not attempt.sent_at:
-            self.context.upstreams.retries.give_back(self.admitted.service)
+        if attempt.retry is not None:
+            self.context.upstreams.retries.give_back(attempt.retry)
 
     async def _run(self) -> None:
         try:
@@ -343,9 +353,12 @@
         if not self.context.quarantine.may_retry(self.digests):
             self._record.denied_by = 'quarantine'
             return False
-        if not self.context.upstreams.retries.spend(self.admitted.service):
+        retry = self.context.upstreams.retries.spend(self.admitted.service)
+        if retry is None:
             self._record.denied_by = 'budget'
             return False
+        self._retry = retry
+        self._retries.append(retry)
         return True
 
     def _choose(self, *, is_retryable: bool, avoid: set[str]) -> Choice | None:
@@ -420,7 +433,9 @@
         )
 
     def _create_attempt(self, choice: Choice) -> Attempt:
+        retry, self._retry = self._retry, None
         return Attempt(
+            retry=retry,
             call=self.call,
             body=self.body,
             choice=choice,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -17,6 +17,7 @@
     PlatformStore,
 )
 
+from crowrudder_daemon._clock import clock_s
 from crowrudder_daemon.fleet import Tuning, process_settings
 from crowrudder_daemon.fleet_agent import build_fleet_agent
 from crowrudder_daemon.fleet_entry import build_fleet_entry
@@ -35,6 +36,7 @@
 from crowrudder_standins.fleet_store import FleetStore
 from support.ports import claimed_range, free_port
 
+EARNED_AFTER_S = 600.0
 HOST = 'shop.example'
 KEY = 'key-of-the-shop'
 REGIONS = (('z', 'r'), ('y', 'r'), ('x', 'far'))
@@ -265,6 +267,9 @@
             PlatformStore(self.store_address, ConnectionPool()),
             PlatformCallers(),
         )
+        # Its part of the retry budget is earned, as after some minutes.
+        budget = entry.upstreams.retries._budget
+        budget.started_at = clock_s() - EARNED_AFTER_S
         await entry.start()
         self.entries.append(entry)
         self.nodes.append(node)
--- a/tests/support/retry_fleet.py
+++ b/tests/support/retry_fleet.py
@@ -88,6 +88,7 @@
 
     def _arrive(self, number: int, taken: Any) -> None:
         self.arrivals.append(self.now)
+        self.entries[number].budget.on_arrived(taken, now=self.now)
 
     def send_first(self, number: int) -> None:
         """Count a request of a caller."""
