--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -77,3 +77,45 @@
         assert roster.set_own(ready=True, leaving=False)
         assert not roster.set_own(ready=True, leaving=False)
         assert roster.own.ready
+
+
+class TestHeard:
+    """An entry's own status, and what proves when it was sent."""
+
+    def test_an_entry_without_proof_is_known_and_not_live(self):
+        """Guards against a dead entry that a message read late brings back."""
+        roster = Roster(status('a'))
+        assert roster.on_heard(status('b'), as_of=None, now=10)
+        assert ips(roster.known(now=10)) == ['b']
+        assert ips(roster.entries(now=10)) == ['a']
+
+    def test_a_proof_makes_it_live(self):
+        roster = Roster(status('a'))
+        roster.on_heard(status('b'), as_of=None, now=10)
+        assert not roster.on_heard(status('b'), as_of=10.1, now=10.2)
+        assert ips(roster.entries(now=10.2)) == ['a', 'b']
+
+    def test_an_older_proof_does_not_take_a_newer_one_back(self):
+        roster = Roster(status('a'))
+        roster.on_heard(status('b'), as_of=10, now=10)
+        roster.on_heard(status('b'), as_of=5, now=11)
+        assert ips(roster.entries(now=11)) == ['a', 'b']
+
+    def test_an_entry_that_leaves_stays_leaving(self):
+        """Guards against callers who are sent to a draining entry again."""
+        roster = Roster(status('a'))
+        roster.on_heard(status('b', ready=True), as_of=10, now=10)
+        roster.on_heard(status('b', leaving=True), as_of=10.1, now=10.2)
+        roster.on_heard(status('b', ready=True), as_of=10.3, now=10.4)
+        (known,) = roster.known(now=10.4)
+        assert known.leaving
+        assert not known.ready
+
+    def test_its_next_incarnation_does_not_leave(self):
+        roster = Roster(status('a'))
+        roster.on_heard(status('b', leaving=True), as_of=10, now=10)
+        later = status('b', '2', 20.0, ready=True)
+        roster.on_heard(later, as_of=11, now=11)
+        (known,) = roster.known(now=11)
+        assert known.ready
+        assert not known.leaving
