--- a/packages/core/src/crowrudder_core/catalog/_reading.py
+++ b/packages/core/src/crowrudder_core/catalog/_reading.py
@@ -129,6 +129,7 @@
     staggers: bool = True
     confirmed_at: float = -math.inf
     confirmed_by: str = ''
+    answered_at: float = -math.inf
     returned_at: float = -math.inf
     lists_at: float = math.inf
     joins_at: float = -math.inf
@@ -171,6 +172,7 @@
         """Record that the platform answered this process."""
         self.failures = 0
         self._note_return(now, now)
+        self.answered_at = now
 
     def on_confirmed(self, at: float, now: float, *, by: str = '') -> None:
         """Record that the platform had nothing newer at a time.
@@ -189,7 +191,10 @@
             self.confirmed_by = by
 
     def _note_return(self, at: float, now: float) -> None:
-        if at - self.confirmed_at > MAX_CONFIRMATION_GAP_S:
+        # An answer with changes is a sign of the platform, though it confirms
+        # no more than its request.
+        last_sign_at = max(self.confirmed_at, self.answered_at)
+        if at - last_sign_at > MAX_CONFIRMATION_GAP_S:
             self.returned_at = now
 
     def on_failed(self) -> None:
--- a/tests/catalog/test_reading.py
+++ b/tests/catalog/test_reading.py
@@ -94,6 +94,20 @@
         reading.on_confirmed(110, 110)
         assert reading.unknown_age_s(108 + RECOVERY_WINDOW_S, is_informed=True)
 
+    def test_a_watch_that_returned_changes_is_no_outage(self):
+        """Guards against ages that count from an outage that never was.
+
+        An answer with changes confirms no more than its request, which may be
+        seconds before the next confirmation.
+        """
+        reading = StoreReadPolicy(own='a')
+        reading.on_confirmed(100, 100)
+        reading.on_answer(102)
+        reading.on_confirmed(100.1, 102)
+        reading.on_answer(103.5)
+        reading.on_confirmed(103.2, 103.5)
+        assert reading.unknown_age_s(103.6, is_informed=True) > 0
+
     def test_a_new_process_reports_an_unknown_age(self):
         reading = StoreReadPolicy(own='a')
         reading.on_confirmed(100, 100)
