--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from crowrudder_daemon._clock import clock_s
+from crowrudder_daemon.fleet import _peers_task
 from crowrudder_daemon.fleet._peers_task import HeartbeatDue, PeersTask
 from crowrudder_daemon.metrics import Metrics
 from crowrudder_model import StorePosition, decode_datagram
 from crowrudder_model.fleet import Node, NodeLocation
-from crowrudder_model.messages import Heartbeat, MemberStatus
+from crowrudder_model.messages import ForwardedStatus, Heartbeat, MemberStatus
 
 REGIONS = ('a', 'b', 'c')
 MAX_DATAGRAMS = 8
@@ -152,3 +154,44 @@
         )
         task._apply_heartbeat(heartbeat, newcomer.ip)
         assert transport.sent[0][1].others
+
+
+class TestProof:
+    """Heartbeats of releases that number them count as proved, or not at all."""
+
+    def test_a_new_entry_is_asked_for_a_proof_at_once(self):
+        """Guards against entries that are listed only after a heartbeat."""
+        task, transport = make_task('entry', 0)
+        newcomer = entry_status(9)
+        task._apply_heartbeat(Heartbeat(status=newcomer, number=5), newcomer.ip)
+        ((ip, request),) = transport.sent
+        assert ip == newcomer.ip
+        assert request.asks_for_reply
+        assert (request.echo, request.number > 0) == (5, True)
+        assert newcomer not in task.entries()
+
+        task._apply_heartbeat(
+            Heartbeat(status=newcomer, number=6, echo=request.number),
+            newcomer.ip,
+        )
+        assert newcomer in task.entries()
+        assert len(transport.sent) == 1
+
+    def test_a_forwarded_status_is_as_old_as_its_message(self, monkeypatch):
+        """Guards against a dead entry that a late message makes live."""
+        task, transport = make_task('entry', 1)
+        forwarder, dead = entry_status(1), entry_status(9)
+        task.send_to_all()
+        ((_, sent),) = transport.sent
+        later = clock_s() + 5
+        monkeypatch.setattr(_peers_task, 'clock_s', lambda: later)
+        task._apply_heartbeat(
+            Heartbeat(
+                status=forwarder,
+                number=6,
+                echo=sent.number,
+                others=(ForwardedStatus(dead, 0.0),),
+            ),
+            forwarder.ip,
+        )
+        assert dead not in task.entries()
--- a/tests/limits/test_budget_restarts.py
+++ b/tests/limits/test_budget_restarts.py
@@ -95,6 +95,55 @@
         assert fleet.most_of_bound() <= 1
 
 
+@requests
+class TestSaved:
+    """What was saved while nothing failed keeps the bound as well."""
+
+    @pytest.mark.parametrize('failing_s', [0.1, 2, 4, 6, 8])
+    def test_all_entries_restart_after_a_burst(
+        self, requests_per_step, failing_s
+    ):
+        """Guards against savings that are spent, and earned again at once."""
+        fleet = RetryFleet(ENTRIES)
+        fleet.run_without_failures(
+            SETTLED_S, requests_per_step=requests_per_step
+        )
+        fleet.run(failing_s, requests_per_step=requests_per_step)
+        for number in range(ENTRIES):
+            fleet.restart(number)
+        fleet.run(AFTER_S, requests_per_step=requests_per_step)
+        assert fleet.most_of_bound() <= 1
+
+    def test_all_entries_restart_as_their_links_let_go(self, requests_per_step):
+        """Guards against held retries in whose place others are earned."""
+        fleet = RetryFleet(ENTRIES)
+        fleet.run_without_failures(
+            SETTLED_S, requests_per_step=requests_per_step
+        )
+        for number in range(ENTRIES):
+            fleet.hold(number)
+        fleet.run(SETTLED_S, requests_per_step=requests_per_step)
+        for number in range(ENTRIES):
+            fleet.restart(number)
+        fleet.run(AFTER_S, requests_per_step=requests_per_step)
+        assert fleet.most_of_bound() <= 1
+
+    def test_a_burst_before_links_hold(self, requests_per_step):
+        """Guards against held retries that the window doesn't count."""
+        fleet = RetryFleet(ENTRIES)
+        fleet.run_without_failures(
+            SETTLED_S, requests_per_step=requests_per_step
+        )
+        fleet.run(PAUSE_S, requests_per_step=requests_per_step)
+        fleet.run_without_failures(HOLD_S, requests_per_step=requests_per_step)
+        for number in range(ENTRIES):
+            fleet.hold(number)
+        fleet.run(1, requests_per_step=requests_per_step)
+        for number in range(ENTRIES):
+            fleet.release(number)
+        assert fleet.most_of_bound() <= 1
+
+
 class TestFirstSeconds:
     """Retries help soon after a restart, as the ratio allows."""
 
--- a/tests/support/retry_fleet.py
+++ b/tests/support/retry_fleet.py
@@ -129,6 +129,18 @@
                     self.send_first(number)
                 self.retry(number)
 
+    def run_without_failures(
+        self, duration_s: float, *, requests_per_step: int = 0
+    ) -> None:
+        """Let requests come of which none is retried."""
+        ends_at = self.now + duration_s
+        while self.now < ends_at:
+            self.now += STEP_S
+            for number in range(self.count):
+                self._meet(number, self.entries[number])
+                for _ in range(requests_per_step):
+                    self.send_first(number)
+
     def most_of_bound(self) -> float:
         """Return the most arrivals in any window, as a share of its bound."""
         self.arrivals.sort()
