--- a/tests/fleet/test_unforeseen_errors.py
+++ b/tests/fleet/test_unforeseen_errors.py
@@ -20,6 +20,7 @@
 from crowrudder_daemon.fleet_entry._overload import OverloadGate
 from crowrudder_daemon.fleet_entry._quarantine import RequestQuarantine
 from crowrudder_daemon.fleet_entry._requests_task import RequestsTask
+from crowrudder_daemon.fleet_entry._retry_spending import RetrySpending
 from crowrudder_daemon.fleet_entry._run_activity import RunActivity
 from crowrudder_daemon.fleet_entry._upstreams import Upstreams
 from crowrudder_daemon.http import ConnectionPool, HttpConnection
@@ -38,7 +39,7 @@
     (PlatformCallers, 'read_call'),
     (RequestsTask, '_admit'),
     (RequestsTask, '_admit_on'),
-    (Upstreams, 'on_request'),
+    (RetrySpending, 'on_request'),
     (EntryAdmission, 'terms_for'),
     (EntryAdmission, 'on_request'),
     (RequestQuarantine, 'track'),
