--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -82,6 +82,7 @@
 async def answer(request, writer) -> bool:
     """Answer a request; return whether the connection is kept."""
     global waiting
+    arrived = round(time.time(), 4)
     request_id = request.get('X-Attempt-Id')
     common = [('X-Attempt-Id', request_id), ('X-Replica-Id', ID)]
     if request.target == '/health':
@@ -94,7 +95,7 @@
         await writer.drain()
         return True
     if slots.locked() and waiting >= options.get('queue', 32):
-        note(kind='full', id=request_id)
+        note(kind='full', id=request_id, at=arrived)
         writer.write(encode('HTTP/1.1 503 X', [*common, ('X-Not-Executed', '1')], b''))
         await writer.drain()
         return True
@@ -104,15 +105,15 @@
     finally:
         waiting -= 1
     try:
-        return await run(request, request_id, common, writer)
+        return await run(request, request_id, common, writer, arrived)
     finally:
         slots.release()
 
 
-async def run(request, request_id, common, writer) -> bool:
+async def run(request, request_id, common, writer, arrived) -> bool:
     unframed = is_unframed(request_id)
     after = int(request.get('Last-Event-Id') or 0)
-    note(kind='run', id=request_id, target=request.target, after=after,
+    note(kind='run', id=request_id, at=arrived, target=request.target, after=after,
          framing='connection' if unframed else 'own')
     common = [*common, ('X-Replica-Seal', f'{ID}.{request_id}')]
     if unframed:
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -121,11 +121,13 @@
 
     def start_entry(self, number: int) -> None:
         """Start an entry by the command of the deploy file."""
-        name = self.entry_names[number]
+        self._start(self.entry_names[number], 'entry', self.settings(number))
+
+    def _start(self, name: str, role: str, settings: dict) -> None:
         path = self.temp / f'{name}.yaml'
-        path.write_text(json.dumps(self.settings(number)))
+        path.write_text(json.dumps(settings))
         deploy = tomllib.loads((REPO / 'deploy/system.toml').read_text())
-        command = deploy['roles']['entry']['run'].split(' ')
+        command = deploy['roles'][role]['run'].split(' ')
         env = {k: os.environ[k] for k in ('PATH', 'HOME', 'LANG') if k in os.environ}
         env['PYTHONPATH'] = str(REPO / 'target/deps')
         env['CROWRUDDER_BOOT'] = str(path)
@@ -135,6 +137,20 @@
             stdout=log, stderr=log,
         )
 
+    def start_agent(self, number: int, app: str, service: str) -> str:
+        """Start the agent beside a replica, by the command of the deploy file."""
+        name, ip = f'side-{number}', self.ip(2, number)
+        zone = list(ZONES)[number % len(ZONES)]
+        settings = {
+            **self.settings(0), 'node_name': name, 'role': 'agent',
+            'machine_class': 'side', 'serves': ['side'], 'ip': ip, 'zone': zone,
+            'region': ZONES[zone], 'listen': {}, 'app': app, 'service': service,
+            'limits': {'cpu_share': 0.645, 'cores': 2, 'memory_mb': 168, 'max_fds': 1124,
+                       'link_mbps': 7.6, 'disk_mb': 0},
+        }
+        self._start(name, 'agent', settings)
+        return name
+
     def start_replica(self, name: str, options: dict, service: str, zone: str,
                       *, replica_id: str = '', listed: bool = True) -> str:
         """Start a replica's next incarnation; write its entry."""
