--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""A replica starts again under its id while the store is down."""
+"""A side machine freezes between the staging of a version and its order."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import sys
 import time
@@ -11,12 +12,13 @@
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / 'lib'))
 
+from engine import CHUNK_BYTES, CHUNKS, LAYERS, MODEL, WARM_S, Engine, Origin  # noqa: E402
 from world import TROUBLE, World, ZONES, call, config, route  # noqa: E402
 
-DRAINING_AT, EXIT_AT, START_AT, LISTED_AT = 5.0, 8.0, 8.5, 9.0
-DOWN = (7.5, 12.0)  # platform_down, for_s 4.5
-RETURN_S = 0.3
-NEW_ROUTE_AT, FIRST_CHECK_AT, LAST_CHECK_AT, END_AT = 20.0, 24.0, 50.0, 60.0
+SIDES = 9
+FREEZE_S = 4.0  # node_freeze on side, share 0.12 (1 of 9), for_s 4.0
+ROT_AFTER_S, ROT_SHARE = 0.5, 0.06  # garble rot, share 0.3 (2 of 9), x 0.06
+VERSIONS, VERSION_EVERY_S = 4, 22.0
 
 
 async def main() -> int:
@@ -31,105 +33,119 @@
 
 
 async def play(world: World) -> int:
-    record, store = world.record, world.store
-    services = [{'name': name, 'max_conns': 200, 'health_path': '/health'}
-                for name in ('desk', 'ledger')]
-    routes = [route('cards', '/card/', 'desk', goal_ms=2500, timeout_ms=3000),
-              route('books', '/books/', 'ledger', goal_ms=2500, timeout_ms=3000)]
-    await world.start(config(1, routes, services))
-    for number in range(3):
-        world.start_replica(f'desk-{number}', {
-            'address': f'{world.ip(3, number)}:{world.base + 21}'}, 'desk', list(ZONES)[number])
-    world.start_replica('ledger', {'address': f'{world.ip(4, 0)}:{world.base + 22}'},
-                        'ledger', 'zone-a', replica_id='i-ledger', listed=False)
-    world.write_entry('ledger', born=True)
+    record, rng = world.record, random.Random(7)
+    origin = Origin(mbps=15)
+    await origin.listen(world.ip(5, 0), world.base + 24)
+    engine_figures = {
+        'slots': 16, 'kv_capacity': 317000, 'stride': 6, 'step_ms': 9.27, 'read_per_s': 20700,
+        'chunk': 2048, 'usual': {'prompt': 800, 'answer': 100}, 'models': [{'name': MODEL, 'warm_s': WARM_S}],
+        'layers': LAYERS, 'chunks': CHUNKS, 'chunk_bytes': CHUNK_BYTES}
+    services = [
+        {'name': 'llm', 'max_conns': 400, 'health_path': '/health', 'engine': engine_figures},
+        {'name': 'ledger', 'origin': origin.address, 'zone': 'zone-a', 'link_mbps': 15, 'max_conns': 48}]
+    await world.start(config(1, [route('drafts', '/draft/', 'llm', 'streaming', resumable=True)], services))
+    engines: list[Engine] = []
+    for number in range(SIDES):
+        engine = Engine(f'i-{number}', record)
+        await engine.listen(world.ip(2, number), world.base + 23)
+        engines.append(engine)
+        engine.side = world.start_agent(number, engine.address, 'llm')
+        engine.zone = list(ZONES)[number % 3]
+        write(world, engine)
     await world.wait_ready()
+    await asyncio.sleep(4)
+    state = {'frozen': None, 'armed': False}
+
+    def on_put(engine: Engine, index: int) -> None:
+        # All pieces are staged again directly before an order; early staging
+        # puts each only once.
+        if not (TROUBLE and state['armed']) or state['frozen'] or index != CHUNKS - 1:
+            return
+        if engine.puts[-CHUNKS:] != list(range(CHUNKS)) or len(engine.puts) <= CHUNKS:
+            return
+        state['frozen'], state['armed'] = engine, False
+        child = world.children[engine.side]
+        child.send_signal(signal.SIGSTOP)
+        record('freeze of', engine.side, 'after its last piece was staged', show=True)
+        loop = asyncio.get_running_loop()
+        loop.call_later(ROT_AFTER_S, rot, engine)
+        loop.call_later(FREEZE_S, wake, engine)
+
+    def rot(engine: Engine) -> None:
+        others = rng.sample([e for e in engines if e is not engine], 1)
+        for each in (engine, *others):
+            record('rot at', each.id, 'pieces', each.rot(ROT_SHARE, rng), show=True)
+
+    def wake(engine: Engine) -> None:
+        world.children[engine.side].send_signal(signal.SIGCONT)
+        state['frozen'] = None
+        record('wake of', engine.side, show=True)
+
+    for engine in engines:
+        engine.on_put = on_put
+    ends: dict = {}
+    load = asyncio.ensure_future(send_all(world, ends))
+    listing = asyncio.ensure_future(list_changes(world, engines))
+    for number in range(VERSIONS):
+        for engine in engines:
+            engine.puts.clear()
+        origin.newest += 1
+        record('version', origin.newest, 'is named', show=True)
+        state['armed'] = True
+        world.store.put(f'op/version/{MODEL}', {'model': MODEL, 'version': origin.newest})
+        if not TROUBLE and number:
+            # the same pieces turn bad at some engines, beside no freeze
+            for engine in rng.sample(engines, 2):
+                record('rot at', engine.id, engine.rot(ROT_SHARE, rng))
+        await asyncio.sleep(VERSION_EVERY_S)
+    load.cancel()
+    listing.cancel()
     await asyncio.sleep(2)
-    start = time.time()
-    answers: list[dict] = []
-    prefixes = {'cards': '/card/', 'books': '/books/'}
-    clients = asyncio.ensure_future(send_all(world, prefixes, answers, start))
-
-    async def until(at: float) -> None:
-        await asyncio.sleep(max(start + at - time.time(), 0))
-
-    await until(DRAINING_AT)
-    record('the ledger replica reports draining, revision', world.write_entry('ledger', 'draining', born=True), show=True)
-    await until(DOWN[0])
-    if TROUBLE:
-        store.set_down(True)
-        record('the store is down', show=True)
-    await until(EXIT_AT)
-    world.kill('ledger', signal.SIGTERM)
-    record('the ledger replica has left, its entry is removed, revision', world.remove_entry('ledger'), show=True)
-    await until(START_AT)
-    known = world.replica_options['ledger']
-    world.start_replica('ledger', known, 'ledger', 'zone-a', replica_id='i-ledger', listed=False)
-    record('it starts again under its id', show=True)
-    await until(LISTED_AT)
-    if TROUBLE:
-        await until(DOWN[1])
-        store.set_down(False)
-        record('the store is back', show=True)
-        await asyncio.sleep(RETURN_S)
-    record('it registers as ready, revision', world.write_entry('ledger', born=True), show=True)
-    await until(NEW_ROUTE_AT)
-    routes.append(route('ledger-2', '/ledger-2/', 'ledger', goal_ms=2500, timeout_ms=3000))
-    record('a route to its service is added, revision', store.put('op/config', config(2, routes, services)), show=True)
-    await asyncio.sleep(3)
-    prefixes['ledger-2'] = '/ledger-2/'
-    await until(END_AT)
-    clients.cancel()
-    await asyncio.sleep(2)
-    return judge(world, answers)
+    record('requests', ends, 'versions at the engines', sorted(e.version for e in engines), show=True)
+    if ends.get(200, 0) < 500 or min(e.version for e in engines) < origin.newest - 1:
+        return 2
+    broken = [e for e in engines if e.bad_tokens]
+    for engine in broken:
+        record('BROKEN: WHOLE', engine.id, len(engine.bad_tokens), 'tokens with bad layers', show=True)
+    record('tokens', sum(e.tokens for e in engines), 'of them made with bad layers',
+           sum(len(e.bad_tokens) for e in engines), show=True)
+    return 1 if broken else 0
+
+
+def write(world: World, engine: Engine) -> None:
+    world.store.put(f'servers/{engine.id}', {
+        'service': 'llm', 'address': engine.address, 'zone': engine.zone, 'version': 'v1', 'slots': 16,
+        'state': 'ready', 'cold_left_ms': 0, 'seq': engine.seq, **engine.models()})
+    engine.written = engine.version
 
 
-async def send_all(world, prefixes, answers, start) -> None:
-    """Per second: 15 requests to the desk, 5 on each route to the ledger."""
+async def list_changes(world: World, engines: list[Engine]) -> None:
+    while True:
+        await asyncio.sleep(1.2)
+        for engine in engines:
+            if engine.written != engine.version:
+                write(world, engine)
+
+
+async def send_all(world: World, ends: dict) -> None:
     number, tasks = 0, set()
-    fronts = await world.addresses()
 
-    async def send(name: str, prefix: str, number: int) -> None:
-        each = {'route': name, 'at': time.time() - start, 'status': None}
-        answers.append(each)
-        answer = await call(fronts[number % len(fronts)], 'GET', f'{prefix}{number}',
-                            [('X-Attempt-Id', f'{name}-{number:05d}'), ('X-Deadline-Ms', '3000')], timeout_s=4)
-        each['status'] = answer.status if answer else None
-        world.record('answered', name, number, each['status'],
-                     answer.body.decode()[:160] if answer and answer.status != 200 else '')
+    async def send(number: int) -> None:
+        answer = await call(
+            f'{world.ip(1, number % 3)}:{world.front_port}', 'POST', f'/draft/{number}',
+            [('X-Attempt-Id', f'q{number:06d}'), ('X-Deadline-Ms', '6000'), ('X-Model', MODEL),
+             ('X-Token-Count', '800,25')], b'{}', timeout_s=7)
+        status = answer.status if answer else None
+        ends[status] = ends.get(status, 0) + 1
+        world.record('answered', number, status, 'whole' if answer and answer.complete else 'cut',
+                     answer.get('X-Replica-Seal') if answer else '')
 
     while True:
-        for name, prefix in list(prefixes.items()):
-            for _ in range(3 if name == 'cards' else 1):
-                number += 1
-                task = asyncio.ensure_future(send(name, prefix, number))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
-        await asyncio.sleep(0.2)
-
-
-def judge(world, answers) -> int:
-    record = world.record
-    for line in world.runs():
-        record('replica', line)
-
-    def served(names, begin, end):
-        chosen = [a for a in answers if a['route'] in names and begin <= a['at'] < end]
-        return sum(a['status'] == 200 for a in chosen), len(chosen)
-
-    before = served({'cards', 'books'}, 1, DRAINING_AT)
-    record('before the restart: served', before, show=True)
-    if before[0] < 0.95 * before[1]:
-        return 2
-    broken = False
-    for begin, end in ((FIRST_CHECK_AT, FIRST_CHECK_AT + 10), (LAST_CHECK_AT, END_AT)):
-        first, later = served({'cards', 'books'}, begin, end), served({'ledger-2'}, begin, end)
-        record(f'{begin:.0f} to {end:.0f} s: first routes served {first}, of them books',
-               served({'books'}, begin, end), 'the added route', later, show=True)
-        if later[1] >= 20 and later[0] / later[1] < first[0] / first[1] / 4:
-            broken = True
-    record('BROKEN: CONFIG' if broken else 'held', show=True)
-    return int(broken)
+        number += 1
+        task = asyncio.ensure_future(send(number))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(1 / 30)
 
 
 sys.exit(asyncio.run(main()))
